--- /dev/null
+++ b/brain/api.go
@@ -0,0 +1,199 @@
+// Package brain makes the decisions of a dispatcher of notifications: when a message is sent, to
+// which endpoint, how long an attempt may take, and when a message is refused or given up.
+//
+// A sender makes one Brain with New and calls Step with every batch of events. Step takes in all
+// events, then decides once, and returns the actions in the order in which they are to be carried
+// out. Time is the batch's: it may start anywhere and never goes back. A Brain draws randomness from
+// its seed only, so the same events give the same actions. It is not for concurrent use; separate
+// Brains share nothing. The caller owns what it passes in and what it gets back.
+package brain
+
+import "time"
+
+// Settings is what a sender is told at its start. Zero values mean "not stated".
+type Settings struct {
+	Senders          int           // senders in this deployment
+	Zone             int           // zone that this sender stands in
+	Slots            int           // calls out at once, at most
+	MostHeld         int           // messages held, sent or not, at most
+	MaxAttempts      int           // attempts for one message, at most
+	MayCancel        bool          // attempts may be called off
+	TellsHoldOff     bool          // clients are told how long to stay away after a refusal
+	MaxHoldOff       time.Duration // the longest hold-off that a client heeds
+	IdleConnections  time.Duration // a connection without a call is kept this long
+	AsksForList      bool          // the endpoint list comes only when asked for
+	Step             time.Duration // batches come at most this often
+	SettleAfterDoubt time.Duration // an ordered key rests this long after an attempt that may still run
+	FallMultiple     float64       // a cold destination falls over above this multiple of its capacity
+	StartCapacity    float64       // share of its capacity that it has at the least on return
+	OverloadFor      time.Duration // length of the span over which that load is counted
+	Cold             time.Duration // after this a returned destination is warm
+	OverShareWorth   float64       // worth of a message beyond its tenant's share, as a fraction
+	CrossZonePrice   float64       // price of an attempt that leaves its zone
+	Halving          bool          // late worth halves with each further aim; otherwise it falls evenly
+	RatedLimits      bool          // Endpoint.Rating is the destination's limit in calls a second
+	ZoneFees         []float64     // by zone: fee for a message taken on by a route apart
+	Kinds            []Kind        // kinds of destination
+	Classes          []Class       // classes of message
+	Tenants          []Tenant      // tenants; may be empty
+}
+
+// Kind is a kind of destination.
+type Kind struct {
+	Apart   bool // endpoints are routes apart, each with its own limit, pace and outages
+	PerCall int  // messages that may travel in one call
+}
+
+// Effect says what a repeat of a message does.
+type Effect uint8
+
+// The effects: a Safe message may be repeated, a Keyed one while its key is remembered, an Unsafe one never.
+const (
+	Safe Effect = iota
+	Keyed
+	Unsafe
+)
+
+// Class is a class of message.
+type Class struct {
+	Aim       time.Duration // full worth until then
+	Deadline  time.Duration // given up after this, from the first hand-in
+	Effect    Effect
+	KeyInZone bool          // a key is remembered by the endpoints of one zone only
+	KeyWindow time.Duration // a key is remembered this long after the first send that may have run
+	Ordered   bool          // messages with one key go in turn
+	Worth     float64
+	LateWorth float64 // share of the worth left at the deadline
+}
+
+// Tenant is one of those who share the service.
+type Tenant struct {
+	Share     float64 // share of the service
+	Allowance float64 // messages a second within its share, over all senders
+}
+
+// MessageID and EndpointID are returned as given and mean nothing else.
+type (
+	MessageID  uint64
+	EndpointID uint32
+	// DestinationID names the receiver that a message is for.
+	DestinationID uint32
+)
+
+// Event is one of Message, AttemptEnd, Withdrawn, ListNews and Alarm.
+type Event interface{ event() }
+
+// Message hands in a new message. The Brain ends it exactly once; one of a class that the settings lack is
+// failed at once.
+type Message struct {
+	ID          MessageID
+	Class       int
+	Tenant      int
+	Destination DestinationID
+	Key         uint64        // key of the order; 0 for none
+	Deadline    time.Duration // clock time until which it may be delivered
+}
+
+// Outcome is how an attempt ended.
+type Outcome uint8
+
+// The outcomes. Refused, ConnectFailed and NotSent prove that the attempt never ran.
+const (
+	Served Outcome = iota
+	Errored
+	Refused
+	TimedOut
+	ConnectFailed
+	Broken
+	Cancelled
+	NotSent
+)
+
+// AttemptEnd says that an attempt is over.
+type AttemptEnd struct {
+	Message  MessageID
+	Attempt  int // 0 for the first send of the message
+	Endpoint EndpointID
+	Outcome  Outcome
+	Elapsed  time.Duration // since it was sent
+	Over     bool          // the message needs no further answer
+	Wait     time.Duration // with Refused: told to send nothing for so long; 0 if nothing was told
+	Reported bool          // Left and Limit were reported
+	Left     float64       // share of the destination's allowance that is left
+	Limit    float64       // its limit in calls a second, 0 if it has none
+}
+
+// Withdrawn says that nobody wants the message any more.
+type Withdrawn struct{ Message MessageID }
+
+// ListNews is news of the endpoint list.
+type ListNews struct {
+	Failed    bool // a request for the list failed; nothing else is set
+	Whole     bool // Endpoints is the whole list: what it lacks is gone
+	Endpoints []Endpoint
+}
+
+// Endpoint is a line of the list. It tells nothing of health.
+type Endpoint struct {
+	ID          EndpointID
+	Destination DestinationID
+	Kind        int
+	Zone        int
+	Ready       bool // false: draining or gone
+	Rating      float64
+}
+
+// Alarm says that a time asked for has come.
+type Alarm struct{}
+
+func (Message) event()    {}
+func (AttemptEnd) event() {}
+func (Withdrawn) event()  {}
+func (ListNews) event()   {}
+func (Alarm) event()      {}
+
+// Action is one of Send, Refuse, Fail, Cancel, CloseIdle, SetAlarm, WatchList and Log.
+type Action interface{ action() }
+
+// Send calls an endpoint with a message and gives the attempt up after Timeout.
+type Send struct {
+	Message  MessageID
+	Endpoint EndpointID
+	Timeout  time.Duration
+}
+
+// Refuse ends a message and tells its client that trying again, after HoldOff, is harmless.
+type Refuse struct {
+	Message MessageID
+	HoldOff time.Duration
+}
+
+// Fail ends a message and promises nothing.
+type Fail struct{ Message MessageID }
+
+// Cancel stops waiting for an attempt; it ends as Cancelled or as it would have.
+type Cancel struct {
+	Message MessageID
+	Attempt int
+}
+
+// CloseIdle shuts the connections to an endpoint that have no call.
+type CloseIdle struct{ Endpoint EndpointID }
+
+// SetAlarm asks for an Alarm at clock time At.
+type SetAlarm struct{ At time.Duration }
+
+// WatchList asks for the endpoint list and its changes.
+type WatchList struct{}
+
+// Log is a line for the operators.
+type Log struct{ Line string }
+
+func (Send) action()      {}
+func (Refuse) action()    {}
+func (Fail) action()      {}
+func (Cancel) action()    {}
+func (CloseIdle) action() {}
+func (SetAlarm) action()  {}
+func (WatchList) action() {}
+func (Log) action()       {}
--- /dev/null
+++ b/brain/brain_test.go
@@ -0,0 +1,768 @@
+package brain
+
+import (
+	"math"
+	"math/rand"
+	"os"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+)
+
+const ms = time.Millisecond
+
+// settings is a plain deployment: one destination kind, classes safe, keyed, unsafe and ordered.
+func settings() Settings {
+	return Settings{Senders: 2, Slots: 10, MostHeld: 100, MaxAttempts: 6, MayCancel: true, Step: 5 * ms,
+		SettleAfterDoubt: 300 * ms, FallMultiple: 2, StartCapacity: 0.2,
+		OverloadFor: 2 * time.Second, Cold: 10 * time.Second, Kinds: []Kind{{PerCall: 1}, {Apart: true, PerCall: 3}},
+		Classes: []Class{
+			{Aim: 2 * time.Second, Deadline: 20 * time.Second, Effect: Safe, Worth: 1, LateWorth: 0.3},
+			{Aim: 2 * time.Second, Deadline: 20 * time.Second, Effect: Keyed, KeyWindow: 6 * time.Second, Worth: 1, LateWorth: 0.3},
+			{Aim: 2 * time.Second, Deadline: 20 * time.Second, Effect: Unsafe, Worth: 1, LateWorth: 0.3},
+			{Aim: 2 * time.Second, Deadline: 20 * time.Second, Effect: Safe, Ordered: true, Worth: 1, LateWorth: 0.3},
+		}}
+}
+
+// rig drives one Brain by hand and keeps what it did.
+type rig struct {
+	*testing.T
+	b       *Brain
+	now     time.Duration
+	next    MessageID
+	sends   []Send
+	sentAt  map[MessageID]time.Duration
+	tries   map[MessageID]int
+	failed  map[MessageID]bool
+	refused map[MessageID]bool
+	cancels int
+}
+
+func newRig(t *testing.T, s Settings) *rig {
+	r := &rig{T: t, b: New(s, 7), now: time.Hour, sentAt: map[MessageID]time.Duration{}, tries: map[MessageID]int{},
+		failed: map[MessageID]bool{}, refused: map[MessageID]bool{}}
+	r.step(ListNews{Whole: true, Endpoints: []Endpoint{{ID: 1, Ready: true}, {ID: 2, Destination: 1, Ready: true},
+		{ID: 3, Destination: 2, Kind: 1, Ready: true}, {ID: 4, Destination: 2, Kind: 1, Ready: true}}})
+	return r
+}
+
+func (r *rig) step(events ...Event) []Send {
+	var sends []Send
+	for _, a := range r.b.Step(r.now, events) {
+		switch a := a.(type) {
+		case Send:
+			sends = append(sends, a)
+			r.sentAt[a.Message] = r.now
+			r.tries[a.Message]++
+		case Fail:
+			r.failed[a.Message] = true
+		case Refuse:
+			r.refused[a.Message] = true
+		case Cancel:
+			r.cancels++
+		}
+	}
+	r.sends = append(r.sends, sends...)
+	return sends
+}
+
+func (r *rig) message(class int, dest DestinationID, key uint64) Message {
+	r.next++
+	return Message{ID: r.next, Class: class, Destination: dest, Key: key, Deadline: r.now + 20*time.Second}
+}
+
+func (r *rig) end(s Send, o Outcome) AttemptEnd {
+	return AttemptEnd{Message: s.Message, Attempt: r.tries[s.Message] - 1, Endpoint: s.Endpoint, Outcome: o,
+		Elapsed: r.now - r.sentAt[s.Message], Over: o == Served}
+}
+
+// serve runs n messages through a destination, one at a time, each served after lat.
+func (r *rig) serve(n int, dest DestinationID, lat time.Duration) {
+	r.Helper()
+	for range n {
+		sends := r.step(r.message(0, dest, 0))
+		r.now += lat
+		for _, s := range sends {
+			r.step(r.end(s, Served))
+		}
+		r.now += 20 * ms
+	}
+}
+
+func TestOracleAgainstDirectComputation(t *testing.T) {
+	rnd := rand.New(rand.NewSource(1))
+	for round := range 20 {
+		var o oracle
+		var times, weights []float64
+		late, w := 0.0, 1.0
+		for range 60 + rnd.Intn(200) {
+			w *= ageing
+			if rnd.Intn(12) == 0 {
+				o.sample(0, exploreW, true)
+				late += w * exploreW
+				continue
+			}
+			d := time.Duration(math.Exp(rnd.NormFloat64()-1) * float64(time.Second))
+			o.sample(d, 1, false)
+			times, weights = append(times, d.Seconds()), append(weights, w)
+		}
+		// Ê at each bound from the plain list of samples.
+		all := late
+		for _, x := range weights {
+			all += x
+		}
+		ehat := func(k int) (e, inside, below float64) {
+			bound, prev := float64(k+1)*0.06, float64(k)*0.06
+			n, sum := 0.0, 0.0
+			for i, x := range times {
+				if x < bound {
+					n += weights[i]
+					sum += weights[i] * x
+				}
+				if x < prev {
+					below += weights[i]
+				}
+			}
+			if n == 0 {
+				return math.Inf(1), 0, 0
+			}
+			f := n / all
+			return sum/n/f + (1-f)/f*bound, n, below
+		}
+		least := math.Inf(1)
+		for k := range buckets {
+			e, _, _ := ehat(k)
+			least = min(least, e)
+		}
+		longest, floor := 0.0, 0.0
+		for k := range buckets {
+			e, n, below := ehat(k)
+			if n > below { // a bucket with samples
+				if e <= least*tauTie {
+					longest = float64(k+1) * 0.06
+				}
+				if below < answered*(all-late) {
+					floor = float64(k+1) * 0.06 * spare
+				}
+			}
+		}
+		want := math.Min(math.Max(longest, floor), 60)
+		if got := o.optimum().Seconds(); math.Abs(got-want) > 1e-6 {
+			t.Fatalf("round %d: τ = %v s, directly %v s", round, got, want)
+		}
+	}
+}
+
+func TestOracleFirstTimeoutAndDoubling(t *testing.T) {
+	var o oracle
+	if o.tau() != tauFirst {
+		t.Fatalf("before any sample τ = %v", o.tau())
+	}
+	o.expired(time.Second, 5*time.Second)
+	o.expired(time.Second, 5*time.Second) // was out at the doubling
+	if o.tau() != 2*tauFirst {
+		t.Fatalf("τ after an expiry = %v", o.tau())
+	}
+	for range 10 {
+		o.expired(time.Hour, time.Hour)
+	}
+	if o.tau() != tauMax {
+		t.Fatalf("τ is not held to its span: %v", o.tau())
+	}
+}
+
+// With few samples the argmin lies under the next ordinary call; quiet days then timed out a fifth.
+func TestFewSamplesDoNotCutTheTimeout(t *testing.T) {
+	r := newRig(t, settings())
+	r.serve(3, 0, 50*ms)
+	sends := r.step(r.message(0, 0, 0))
+	if len(sends) != 1 || sends[0].Timeout < tauFirst {
+		t.Fatalf("after 3 quick calls: %+v", sends)
+	}
+}
+
+func TestOnlyServedFirstAttemptsSample(t *testing.T) {
+	r := newRig(t, settings())
+	s := r.step(r.message(0, 0, 0))
+	r.now += 100 * ms
+	r.step(r.end(s[0], Refused))
+	r.now += time.Second
+	s = r.step(Alarm{})
+	r.now += 100 * ms
+	r.step(r.end(s[0], Served))
+	if n := r.b.dests[0].shared.seen; n != 0 {
+		t.Fatalf("%d samples from a repeat", n)
+	}
+}
+
+func TestWindow(t *testing.T) {
+	r := newRig(t, settings())
+	burst := func(n int) (out []Send) {
+		var events []Event
+		for range n {
+			events = append(events, r.message(0, 0, 0))
+		}
+		return r.step(events...)
+	}
+	s := burst(20)
+	if len(s) != 1 {
+		t.Fatalf("the window starts at %d", len(s))
+	}
+	for i := 0; i < 30 && len(r.sends) < 20; i++ {
+		r.now += 10 * ms
+		var ends []Event
+		for _, x := range s {
+			ends = append(ends, r.end(x, Served))
+		}
+		s = r.step(ends...)
+		if n := r.b.dests[0].shared.calls; float64(n) >= capShare*10 {
+			t.Fatalf("%d of 10 slots at one destination", n)
+		}
+	}
+	route := r.b.dests[0].shared
+	before := route.window
+	r.b.halve(route, r.now)
+	r.b.halve(route, r.now-time.Second) // was out at the cut
+	if route.window != math.Max(1, before/2) {
+		t.Fatalf("window %v after one cut of %v", route.window, before)
+	}
+	route.window, route.fails = 9, 0.9
+	if c := r.b.cap(route); float64(c) > capShare*10/2 {
+		t.Fatalf("a failing destination keeps %d slots", c)
+	}
+}
+
+// Rule 1: each message gets one answer, before its time is up, also with no endpoint and no reply.
+func TestEveryMessageIsAnsweredInTime(t *testing.T) {
+	r := newRig(t, settings())
+	a, b := r.message(0, 9, 0), r.message(2, 0, 0)
+	sends := r.step(a, b)
+	if len(sends) != 1 || sends[0].Message != b.ID || sends[0].Timeout != 20*time.Second {
+		t.Fatalf("an unsafe message waits its time left: %+v", sends)
+	}
+	deadline := r.now + 20*time.Second
+	r.now = r.b.alarm
+	for !r.failed[a.ID] && r.now < deadline {
+		r.step(Alarm{})
+		r.now = max(r.b.alarm, r.now+ms)
+	}
+	if !r.failed[a.ID] {
+		t.Fatal("a message with no endpoint was not failed in time")
+	}
+	r.now = deadline
+	r.step(r.end(sends[0], TimedOut))
+	if !r.failed[b.ID] || len(r.b.byID) != 0 || len(r.b.held) != 0 {
+		t.Fatalf("failed %v, still known %d", r.failed, len(r.b.byID))
+	}
+}
+
+// Rule 1: an alarm that came 64 ns early, by the caller's rounding, was taken for one still to come, and a
+// message then ran out of its time unanswered.
+func TestAlarmThatComesEarlyIsSetAgain(t *testing.T) {
+	r := newRig(t, settings())
+	a := r.message(0, 9, 0)
+	r.step(a)
+	for i := 0; i < 100 && !r.failed[a.ID]; i++ {
+		set := r.b.alarm
+		r.now = set - 64*time.Nanosecond
+		acts := r.b.Step(r.now, []Event{Alarm{}})
+		for _, x := range acts {
+			if f, ok := x.(Fail); ok {
+				r.failed[f.Message] = true
+			}
+		}
+		if !r.failed[a.ID] && r.b.alarm <= set {
+			t.Fatal("no alarm was set again")
+		}
+	}
+	if !r.failed[a.ID] || r.now >= a.Deadline {
+		t.Fatal("the message was not answered in time")
+	}
+}
+
+// Rule 2: an attempt that may have run is repeated only as its class allows.
+func TestRepeats(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		class   int
+		outcome Outcome
+		after   time.Duration
+		again   bool
+	}{
+		{"safe after an error", 0, Errored, time.Second, true},
+		{"keyed in its window", 1, Errored, time.Second, true},
+		{"keyed past its window", 1, Errored, 6 * time.Second, false},
+		{"unsafe after an error", 2, Errored, time.Second, false},
+		{"unsafe after a refusal", 2, Refused, time.Second, true},
+		{"unsafe without a connection", 2, ConnectFailed, time.Second, true},
+		{"unsafe after a broken connection", 2, Broken, time.Second, false},
+	} {
+		r := newRig(t, settings())
+		m := r.message(c.class, 0, 0)
+		s := r.step(m)
+		r.now += c.after
+		r.step(r.end(s[0], c.outcome))
+		for range 40 {
+			r.now += 50 * ms
+			r.step(Alarm{})
+		}
+		if again := r.tries[m.ID] > 1; again != c.again {
+			t.Errorf("%s: repeated %v", c.name, again)
+		}
+		if !c.again && !r.failed[m.ID] || r.refused[m.ID] {
+			t.Errorf("%s: failed %v, refused %v", c.name, r.failed[m.ID], r.refused[m.ID])
+		}
+	}
+}
+
+// Rule 3: nothing goes to an endpoint from the batch that names it draining.
+func TestDrains(t *testing.T) {
+	r := newRig(t, settings())
+	if s := r.step(ListNews{Endpoints: []Endpoint{{ID: 1}}}, r.message(0, 0, 0)); len(s) != 0 {
+		t.Fatalf("sent to a draining endpoint: %+v", s)
+	}
+	if s := r.step(ListNews{Whole: true, Endpoints: []Endpoint{{ID: 1, Ready: true}}}); len(s) != 1 {
+		t.Fatalf("not sent to the endpoint that is back: %+v", s)
+	}
+	if s := r.step(r.message(0, 1, 0)); len(s) != 0 {
+		t.Fatalf("sent to an endpoint that the whole list lacks: %+v", s)
+	}
+}
+
+// Rule 4: after an outage seen here the load stays within what a cold destination bears.
+func TestReturningDestinationIsNotPushedOver(t *testing.T) {
+	s := settings()
+	r := newRig(t, s)
+	r.serve(100, 0, 30*ms) // 20 a second, far more than later allowed
+	route := r.b.dests[0].shared
+	usual := route.rateServed()
+	up := false
+	var at []time.Duration
+	var open []Send
+	outage := r.now
+	returned := time.Duration(0)
+	for r.now < outage+14*time.Second {
+		r.now += 10 * ms
+		up = r.now > outage+6*time.Second
+		var events []Event
+		for _, x := range open {
+			o := ConnectFailed
+			if up {
+				o = Served
+			}
+			events = append(events, r.end(x, o))
+		}
+		if len(r.b.held) < 60 {
+			events = append(events, r.message(0, 0, 0))
+		}
+		open = r.step(append(events, Alarm{})...)
+		if up {
+			if returned == 0 {
+				returned = r.now
+			}
+			for range open {
+				at = append(at, r.now)
+			}
+		}
+	}
+	if route.state == well || len(at) < 5 {
+		t.Fatalf("state %v, %d calls after the return", route.state, len(at))
+	}
+	for i := range at {
+		n, j := 0, i
+		for ; j < len(at) && at[j] < at[i]+s.OverloadFor; j++ {
+			n++
+		}
+		share := s.StartCapacity + (1-s.StartCapacity)*(at[i]+s.OverloadFor-returned).Seconds()/s.Cold.Seconds()
+		if bears := s.FallMultiple * share * usual * s.OverloadFor.Seconds(); float64(n) > bears+1 {
+			t.Fatalf("%d calls in %v from %v after the return, %.1f bearable", n, s.OverloadFor, at[i]-returned, bears)
+		}
+	}
+}
+
+// Rule 5: a told wait closes the destination to all; a shared call may tell a later end with each outcome.
+func TestWaits(t *testing.T) {
+	r := newRig(t, settings())
+	m1, m2 := r.message(0, 2, 0), r.message(0, 2, 0)
+	s := r.step(m1, m2)
+	if len(s) < 2 || s[0].Endpoint != s[1].Endpoint {
+		t.Fatalf("two messages to one route share no call: %+v", s)
+	}
+	if c := r.b.calls; c != 1 {
+		t.Fatalf("a shared call holds %d slots", c)
+	}
+	e1, e2 := r.end(s[0], Refused), r.end(s[1], Refused)
+	e1.Wait, e2.Wait = 300*ms, 400*ms
+	r.step(e1)
+	r.now += 10 * ms
+	r.step(e2)
+	over := r.now + 400*ms
+	for r.now < over {
+		for _, x := range r.step(r.message(0, 2, 0)) {
+			if x.Endpoint == s[0].Endpoint {
+				t.Fatalf("sent %v before the wait was over", over-r.now)
+			}
+		}
+		r.now += 20 * ms
+	}
+}
+
+// Rule 6: messages of one key go in turn, and the key rests after doubt.
+func TestOrder(t *testing.T) {
+	r := newRig(t, settings())
+	r.serve(30, 0, 20*ms)
+	a, b := r.message(3, 0, 5), r.message(3, 0, 5)
+	s := r.step(a, b)
+	if len(s) != 1 || s[0].Message != a.ID {
+		t.Fatalf("first %+v", s)
+	}
+	s2 := r.step(Withdrawn{a.ID})
+	if len(s2) != 0 {
+		t.Fatal("sent while the earlier attempt has no outcome")
+	}
+	r.now += 4 * time.Second
+	e := r.end(s[0], TimedOut)
+	e.Over = true
+	if s := r.step(e); len(s) != 0 {
+		t.Fatal("the key did not rest after a time-out")
+	}
+	r.now += 299 * ms
+	if s := r.step(Alarm{}); len(s) != 0 {
+		t.Fatal("the key rested too short")
+	}
+	r.now += 6 * ms
+	if s := r.step(Alarm{}); len(s) != 1 || s[0].Message != b.ID {
+		t.Fatalf("then %+v", s)
+	}
+}
+
+// Hung destinations held all slots to the deadlines of messages that may not be repeated.
+func TestSilentCallsGiveTheirSlotsBack(t *testing.T) {
+	set := settings()
+	set.Slots = 4
+	r := newRig(t, set)
+	r.serve(30, 0, 20*ms)
+	r.serve(30, 1, 20*ms)
+	r.serve(30, 2, 20*ms)
+	var events []Event
+	for range 4 {
+		events = append(events, r.message(2, 0, 0), r.message(2, 1, 0))
+	}
+	for i := 0; i < 100 && r.b.calls < 4; i++ {
+		r.step(events...)
+		events = nil
+		r.now += 50 * ms
+	}
+	if r.b.calls != 4 {
+		t.Fatalf("%d slots in use", r.b.calls)
+	}
+	m := r.message(0, 2, 0)
+	r.step(m)
+	r.now += 2 * tauFirst
+	r.step(Alarm{})
+	if r.cancels != 1 {
+		t.Fatalf("%d calls taken back for one message", r.cancels)
+	}
+}
+
+func TestNearlyFullSenderRefuses(t *testing.T) {
+	set := settings()
+	set.MostHeld = 10
+	r := newRig(t, set)
+	for range 12 {
+		r.step(r.message(2, 9, 0))
+	}
+	if len(r.refused) == 0 || len(r.b.held) > 10 {
+		t.Fatalf("%d refused, %d held", len(r.refused), len(r.b.held))
+	}
+}
+
+func TestListIsAskedForAndAskedAgain(t *testing.T) {
+	set := settings()
+	set.AsksForList = true
+	b := New(set, 1)
+	asks := func(now time.Duration, e ...Event) (n int) {
+		for _, a := range b.Step(now, e) {
+			if _, ok := a.(WatchList); ok {
+				n++
+			}
+		}
+		return n
+	}
+	if asks(0) != 1 || asks(time.Second) != 0 {
+		t.Fatal("the list is watched once from the start")
+	}
+	if asks(2*time.Second, ListNews{Failed: true}) != 0 || asks(2*time.Second+askAgain) != 1 {
+		t.Fatal("a failed watch is asked for again")
+	}
+}
+
+// A random run with odd events: the same events give the same actions, and nothing is answered twice.
+func TestDeterminismAndOneAnswer(t *testing.T) {
+	play := func() (all []Action) {
+		rnd := rand.New(rand.NewSource(3))
+		b := New(settings(), 11)
+		now := time.Duration(0)
+		var endpoints []Endpoint
+		for i := range 6 {
+			endpoints = append(endpoints, Endpoint{ID: EndpointID(i), Destination: DestinationID(i / 2), Kind: i / 4, Ready: true})
+		}
+		events := []Event{ListNews{Whole: true, Endpoints: endpoints}}
+		type out struct {
+			Send
+			try int
+		}
+		var open []out
+		tries, over := map[MessageID]int{}, map[MessageID]bool{}
+		for id := MessageID(1); id < 3000; id++ {
+			events = append(events, Message{ID: id, Class: rnd.Intn(4), Destination: DestinationID(rnd.Intn(4)),
+				Key: uint64(rnd.Intn(3)), Deadline: now + 20*time.Second})
+			for len(open) > 0 && rnd.Intn(3) > 0 {
+				i := rnd.Intn(len(open))
+				o := Outcome(rnd.Intn(8))
+				events = append(events, AttemptEnd{Message: open[i].Message, Attempt: open[i].try, Endpoint: open[i].Endpoint,
+					Outcome: o, Elapsed: 50 * ms, Over: o == Served || over[open[i].Message]})
+				over[open[i].Message] = over[open[i].Message] || o == Served
+				open = append(open[:i], open[i+1:]...)
+			}
+			if rnd.Intn(50) == 0 {
+				events = append(events, Withdrawn{MessageID(rnd.Intn(int(id)) + 1)}, AttemptEnd{Message: 1 << 40},
+					ListNews{Endpoints: []Endpoint{{ID: EndpointID(rnd.Intn(8)), Destination: 1, Ready: rnd.Intn(2) == 0}}})
+			}
+			acts := b.Step(now, events)
+			events = nil
+			for _, a := range acts {
+				switch a := a.(type) {
+				case Send:
+					if over[a.Message] {
+						t.Fatalf("sent %d after its end", a.Message)
+					}
+					open = append(open, out{a, tries[a.Message]})
+					tries[a.Message]++
+				case Fail:
+					if over[a.Message] {
+						t.Fatalf("second answer for %d", a.Message)
+					}
+					over[a.Message] = true
+				}
+			}
+			all = append(all, acts...)
+			now += time.Duration(rnd.Intn(60)) * ms
+		}
+		return all
+	}
+	if a, b := play(), play(); !reflect.DeepEqual(a, b) {
+		t.Fatal("the same events gave other actions")
+	}
+}
+
+func TestLineLimits(t *testing.T) {
+	text, err := os.ReadFile("brain.go")
+	if err != nil {
+		t.Fatal(err)
+	}
+	lines := 0
+	for i, l := range strings.Split(string(text), "\n") {
+		if strings.TrimSpace(l) != "" {
+			lines++
+		}
+		if n := len([]rune(strings.ReplaceAll(l, "\t", "    "))); n > 110 {
+			t.Errorf("brain.go:%d has %d characters", i+1, n)
+		}
+	}
+	if lines > 850 {
+		t.Errorf("brain.go has %d lines, 850 at most", lines)
+	}
+}
+
+// A window grown and then hardly used let a silent destination take most slots at once.
+func TestUnusedWindowFades(t *testing.T) {
+	r := newRig(t, settings())
+	r.serve(3, 0, 20*ms)
+	route := r.b.dests[0].shared
+	route.window = 7
+	r.serve(40, 0, 20*ms)
+	if route.window > 3 {
+		t.Fatalf("window %v for one call at a time", route.window)
+	}
+}
+
+// Calls lost here and there, on destinations that serve the others, held all slots to their deadlines.
+func TestLostCallsGiveTheirSlotsBack(t *testing.T) {
+	set := settings()
+	set.Slots = 4
+	r := newRig(t, set)
+	r.serve(30, 0, 20*ms)
+	r.serve(30, 1, 20*ms)
+	lost := map[MessageID]bool{}
+	for i := 0; len(lost) < 4 && i < 50; i++ { // each destination loses calls and serves others between
+		for _, x := range r.step(r.message(2, DestinationID(i%2), 0)) {
+			if r.now += 20 * ms; i%5 == 0 || i%5 == 1 {
+				lost[x.Message] = true
+			} else {
+				r.step(r.end(x, Served))
+			}
+		}
+	}
+	if r.b.calls != 4 {
+		t.Fatalf("%d slots in use", r.b.calls)
+	}
+	m := r.message(0, 2, 0)
+	r.step(m)
+	for range 8 {
+		r.now += 500 * ms
+		r.step(Alarm{})
+	}
+	if r.cancels != 1 {
+		t.Fatalf("%d calls taken back for one message", r.cancels)
+	}
+}
+
+// A destination that fails half of its calls was called out at once and lost most of its throughput.
+func TestHalfFailingDestinationIsNotOut(t *testing.T) {
+	r := newRig(t, settings())
+	r.serve(30, 0, 20*ms)
+	outs := 0
+	for i := range 60 {
+		sends := r.step(r.message(0, 0, 0))
+		r.now += 300 * ms
+		var ends []Event
+		for _, x := range sends {
+			o := Served
+			if i%2 == 0 {
+				o = Errored
+			}
+			ends = append(ends, r.end(x, o))
+		}
+		r.step(ends...)
+		if r.b.dests[0].shared.state == out {
+			outs++
+		}
+	}
+	if outs > 0 {
+		t.Fatalf("out in %d of 60 steps", outs)
+	}
+}
+
+// Where the list rates a destination but answers report no limit, the pace stayed at half of the rate.
+func TestPaceGrowsWhereNoLimitIsReported(t *testing.T) {
+	set := settings()
+	set.RatedLimits = true
+	r := newRig(t, set)
+	r.step(ListNews{Endpoints: []Endpoint{{ID: 1, Ready: true, Rating: 10}}})
+	route := r.b.dests[0].shared
+	before := route.pace
+	for range 20 {
+		sends := r.step(r.message(0, 0, 0))
+		r.now += 300 * ms
+		for _, x := range sends {
+			e := r.end(x, Served)
+			e.Reported = true
+			r.step(e)
+		}
+	}
+	if route.pace <= before || route.pace > 10 {
+		t.Fatalf("pace %v, %v before", route.pace, before)
+	}
+}
+
+// With few slots, hung destinations got the slots taken back from them again and again.
+func TestSlotsGoToDestinationsThatAnswer(t *testing.T) {
+	r := newRig(t, settings())
+	r.serve(30, 0, 20*ms)
+	r.serve(30, 1, 20*ms)
+	a, b := r.message(0, 0, 0), r.message(0, 1, 0)
+	ma := &message{Message: a, class: &r.b.s.Classes[0]}
+	mb := &message{Message: b, class: &r.b.s.Classes[0]}
+	ra, rb := r.b.dests[0].shared, r.b.dests[1].shared
+	ra.fails, rb.fails, ra.recent, rb.recent = 0.1, 0.1, 0.02, 0.02
+	ra.lost, ra.sentAt = 2, r.now
+	if r.b.index(ma, ra) >= r.b.index(mb, rb) {
+		t.Fatal("a destination that lost its last calls goes first")
+	}
+	ra.sentAt = r.now - 20*time.Second
+	if r.b.index(ma, ra) < 0.9*r.b.index(mb, rb) {
+		t.Fatal("a destination that lost calls long ago is starved")
+	}
+}
+
+// A tenant that surged widened its own share, and the others' messages were refused with it.
+func TestSurgingTenantIsRefusedFirst(t *testing.T) {
+	set := settings()
+	set.MostHeld = 60
+	set.OverShareWorth = 0.05
+	set.Tenants = []Tenant{{Allowance: 10}, {Allowance: 10}, {Allowance: 10}}
+	r := newRig(t, set)
+	owner := map[MessageID]int{}
+	for i := range 400 {
+		m := r.message(2, 9, 0)
+		if i%10 < 2 {
+			m.Tenant = 1 + i%2
+		}
+		owner[m.ID] = m.Tenant
+		r.step(m)
+		r.now += 10 * ms
+	}
+	others := 0
+	for id := range r.refused {
+		if owner[id] > 0 {
+			others++
+		}
+	}
+	if len(r.refused) < 100 || others > len(r.refused)/10 {
+		t.Fatalf("%d of %d refused are of the other tenants", others, len(r.refused))
+	}
+}
+
+// Brains share nothing: two that run in turn act as each does alone.
+func TestBrainsShareNothing(t *testing.T) {
+	play := func(bs ...*Brain) (all [][]Action) {
+		all = make([][]Action, len(bs))
+		for i := range 200 {
+			now := time.Duration(i) * 50 * ms
+			for k, b := range bs {
+				var events []Event
+				if i == 0 {
+					events = append(events, ListNews{Whole: true, Endpoints: []Endpoint{{ID: 1, Ready: true}}})
+				}
+				events = append(events, Message{ID: MessageID(i), Class: i % 3, Deadline: now + 20*time.Second})
+				for _, m := range b.byID {
+					if n := len(m.attempts); n > 0 && m.out > 0 && i%2 == k%2 {
+						events = append(events, AttemptEnd{Message: m.ID, Attempt: n - 1, Outcome: Served,
+							Elapsed: 50 * ms, Over: true})
+						break
+					}
+				}
+				all[k] = append(all[k], b.Step(now, events)...)
+			}
+		}
+		return all
+	}
+	one := func() *Brain { s := settings(); s.Slots = 1; return New(s, 5) } // one call out: one event to choose
+	if both, alone := play(one(), one()), play(one()); !reflect.DeepEqual(both[0], alone[0]) {
+		t.Fatal("a second brain changed what the first does")
+	}
+}
+
+// Step's contract: time never goes back, and actions come in the order in which they are to be done.
+func TestStepContract(t *testing.T) {
+	r := newRig(t, settings())
+	r.serve(10, 0, 20*ms)
+	late := r.b.now
+	r.now -= time.Hour
+	m := r.message(0, 0, 0)
+	m.Deadline = late + 10*time.Second
+	if s := r.step(m); len(s) != 1 || s[0].Timeout > 10*time.Second || r.b.now != late {
+		t.Fatalf("a batch dated back: %+v, now %v after %v", s, r.b.now, late)
+	}
+	acts := r.b.Step(late, []Event{r.message(0, 1, 0), r.message(0, 2, 0)})
+	for i, a := range acts {
+		if _, ok := a.(SetAlarm); ok && i != len(acts)-1 {
+			t.Fatalf("the alarm is not last: %+v", acts)
+		}
+	}
+	if b := New(settings(), 1); len(b.Step(-time.Hour, []Event{Alarm{}})) != 0 {
+		t.Fatal("a clock that starts below zero")
+	}
+}
--- /dev/null
+++ b/brain/fleet_test.go
@@ -0,0 +1,293 @@
+package brain
+
+import (
+	"math"
+	"testing"
+	"time"
+)
+
+// many is a deployment of n senders with a hundred destinations of one endpoint each.
+func many(n int) (Settings, ListNews) {
+	s := settings()
+	s.Senders, s.Slots, s.IdleConnections = n, 4, 15*time.Second
+	s.Kinds = []Kind{{PerCall: 1}}
+	list := ListNews{Whole: true}
+	for i := range 100 {
+		list.Endpoints = append(list.Endpoints, Endpoint{ID: EndpointID(i + 1), Destination: DestinationID(i), Ready: true})
+	}
+	return s, list
+}
+
+// fleetRig is one sender of many, driven by hand.
+func fleetRig(t *testing.T, n int) *rig {
+	s, list := many(n)
+	r := newRig(t, s)
+	r.b = New(s, 7)
+	r.step(list)
+	return r
+}
+
+// Rule 4, at 200 senders: each saw a call or two fail, and together they pushed the destination over when
+// it returned. Those who saw failures may send what the destination then bears, or less than the others.
+func TestManySendersDoNotPushAReturningDestinationOver(t *testing.T) {
+	const senders, perSecond, outage = 200, 5, 15 * time.Second
+	s, list := many(senders)
+	brains := make([]*Brain, senders)
+	aware := make([]bool, senders)
+	start := time.Hour
+	for i := range brains {
+		brains[i] = New(s, uint64(i+1))
+		brains[i].Step(start, []Event{list})
+	}
+	type sent struct {
+		by  int
+		end AttemptEnd
+		at  time.Duration
+	}
+	var open []sent
+	var fromAware, fromOthers int
+	id := MessageID(0)
+	tries := map[MessageID]int{}
+	for now := start; now < start+outage+s.OverloadFor; now += 20 * ms {
+		events := make([][]Event, senders)
+		give := func(i, dest int) {
+			id++
+			events[i] = append(events[i], Message{ID: id, Destination: DestinationID(dest), Deadline: now + 20*time.Second})
+		}
+		if tick := int(now / (20 * ms)); tick%(50/perSecond) == 0 {
+			give(int(id*37)%senders, 0)
+		} else if tick%2 == 0 {
+			give(int(id*37)%senders, 1+int(id)%99)
+		}
+		if now == start+11*time.Second { // a clump for it, at as many senders
+			for i := range 40 {
+				give(i*5, 0)
+			}
+		}
+		var still []sent
+		for _, c := range open {
+			if now < c.at {
+				still = append(still, c)
+				continue
+			}
+			events[c.by] = append(events[c.by], c.end)
+			aware[c.by] = aware[c.by] || c.end.Outcome == ConnectFailed && now < start+outage
+		}
+		open = still
+		for i, b := range brains {
+			for _, a := range b.Step(now, append(events[i], Alarm{})) {
+				call, ok := a.(Send)
+				if !ok {
+					continue
+				}
+				down := call.Endpoint == 1 && now < start+outage
+				end := AttemptEnd{Message: call.Message, Attempt: tries[call.Message], Endpoint: call.Endpoint,
+					Elapsed: 40 * ms, Outcome: Served, Over: true}
+				if down {
+					end.Outcome, end.Over = ConnectFailed, false
+				}
+				tries[call.Message]++
+				open = append(open, sent{i, end, now + 40*ms})
+				if call.Endpoint == 1 && now >= start+outage {
+					if aware[i] {
+						fromAware++
+					} else {
+						fromOthers++
+					}
+				}
+			}
+		}
+	}
+	share := s.StartCapacity + (1-s.StartCapacity)*s.OverloadFor.Seconds()/s.Cold.Seconds()
+	bears := s.FallMultiple * share * perSecond * s.OverloadFor.Seconds()
+	if float64(fromAware+fromOthers) > bears && fromAware >= 2*fromOthers {
+		t.Fatalf("%d calls from senders that saw it fail, %d from others, %.1f bearable", fromAware, fromOthers, bears)
+	}
+}
+
+// A sender of many sees few calls: two failures are an outage there, eight where senders are few.
+func TestFailuresThatCallAnOutage(t *testing.T) {
+	for senders, want := range map[int]int{3: inRow, 50: leastInRow, 300: leastInRow} {
+		r := fleetRig(t, senders)
+		r.serve(10, 3, 30*ms)
+		r.now += time.Minute
+		if n := r.b.enough(r.b.dests[0].shared); n != want {
+			t.Errorf("%d senders: %d failures call an outage, want %d", senders, n, want)
+		}
+	}
+}
+
+// Senders that see an outage begin at once must not go on at once.
+func TestSendersSpreadTheirProbes(t *testing.T) {
+	s, list := many(100)
+	next := map[time.Duration]int{}
+	for seed := range uint64(20) {
+		r := newRig(t, s)
+		r.b = New(s, seed)
+		r.step(list, r.message(0, 0, 0))
+		r.b.goOut(r.b.dests[0].shared)
+		at := time.Duration(0)
+		for range 2000 {
+			r.now += 10 * ms
+			if sends := r.step(r.message(0, 0, 0)); len(sends) > 0 {
+				at = r.now
+				break
+			}
+		}
+		next[at/(100*ms)]++
+	}
+	for at, n := range next {
+		if n > 10 {
+			t.Fatalf("%d of 20 senders go on in the same tenth of a second, %v", n, at)
+		}
+	}
+}
+
+// A limit of a few calls a second over 300 senders left each one call in half a minute.
+func TestAPartOfALimitIsOfUseToASenderOfMany(t *testing.T) {
+	r := fleetRig(t, 300)
+	served := 0
+	for range 4 {
+		served += len(r.step(r.message(0, 0, 0)))
+		r.now += 300 * ms
+		for _, x := range r.sends[len(r.sends)-min(served, 1):] {
+			e := r.end(x, Served)
+			e.Reported, e.Left, e.Limit = true, 0.8, 5
+			r.step(e)
+		}
+		r.now += 700 * ms
+	}
+	if n := len(r.sends); n < 4 {
+		t.Fatalf("%d of 4 messages sent in 4 s under a limit of 5 a second", n)
+	}
+}
+
+// Receivers that take few connections were filled by idle ones of 50 senders, on quiet days too.
+func TestIdleConnectionsAreClosedWhereConnectsFail(t *testing.T) {
+	r := fleetRig(t, 50)
+	closes := func(d time.Duration) (n int) {
+		for end := r.now + d; r.now < end; r.now += 100 * ms {
+			for _, a := range r.b.Step(r.now, []Event{Alarm{}}) {
+				if _, ok := a.(CloseIdle); ok {
+					n++
+				}
+			}
+		}
+		return n
+	}
+	r.serve(3, 1, 30*ms)
+	if n := closes(5 * time.Second); n != 0 {
+		t.Fatalf("%d closed before any trouble", n)
+	}
+	s := r.step(r.message(2, 0, 0))
+	r.now += 20 * ms
+	r.step(r.end(s[0], ConnectFailed))
+	r.serve(1, 2, 30*ms)
+	if n := closes(5 * time.Second); n == 0 {
+		t.Fatal("idle connections are kept after a connect that failed")
+	}
+}
+
+// Something between drops idle connections unseen: the next call on one hangs and may have run.
+func TestConnectionsDroppedUnseenAreKeptShorter(t *testing.T) {
+	r := fleetRig(t, 50)
+	r.serve(3, 0, 30*ms)
+	r.now += 2 * time.Second
+	s := r.step(r.message(0, 0, 0))
+	r.now += s[0].Timeout
+	s = r.step(r.end(s[0], TimedOut))
+	for i := 0; i < 100 && len(s) == 0; i++ {
+		r.now += 50 * ms
+		s = r.step(Alarm{})
+	}
+	r.now += 30 * ms
+	r.step(r.end(s[0], Served))
+	kept, _ := r.b.keepFor(r.b.endpoints[1])
+	if kept > 1100*ms {
+		t.Fatalf("connections are kept for %v though one idle for 2 s was dropped", kept)
+	}
+}
+
+// A key remembered for 6 s was of no use to a call that waited 4 s for its time-out.
+func TestAKeyedRepeatFitsIntoItsWindow(t *testing.T) {
+	r := fleetRig(t, 50)
+	s := r.step(r.message(1, 0, 0))
+	if s[0].Timeout > 3*time.Second && s[0].Timeout < 20*time.Second {
+		t.Fatalf("time-out %v in a window of 6 s", s[0].Timeout)
+	}
+}
+
+// Input that makes no sense: no panic, no message lost, one lawful answer each.
+func TestInputThatMakesNoSense(t *testing.T) {
+	bad := math.NaN()
+	for name, events := range map[string][]Event{
+		"unknown class":       {Message{ID: 1, Class: 9, Deadline: time.Hour + time.Second}},
+		"negative class":      {Message{ID: 1, Class: -1, Deadline: time.Hour + time.Second}},
+		"unknown tenant":      {Message{ID: 1, Tenant: 7, Deadline: time.Hour + time.Second}},
+		"negative tenant":     {Message{ID: 1, Tenant: -7, Deadline: time.Hour + time.Second}},
+		"no endpoint":         {Message{ID: 1, Destination: 900, Deadline: time.Hour + time.Second}},
+		"deadline in past":    {Message{ID: 1, Deadline: time.Second}},
+		"kind out of range":   {ListNews{Endpoints: []Endpoint{{ID: 1, Kind: -3, Zone: -1, Ready: true}, {ID: 2, Kind: 99, Zone: 99, Ready: true}}}, Message{ID: 1, Deadline: time.Hour + time.Second}},
+		"rating not a number": {ListNews{Endpoints: []Endpoint{{ID: 1, Rating: bad, Ready: true}, {ID: 2, Rating: math.Inf(1), Ready: true}, {ID: 3, Rating: -1, Ready: true}}}, Message{ID: 1, Deadline: time.Hour + time.Second}},
+		"unknown attempt":     {Message{ID: 1, Deadline: time.Hour + time.Second}, AttemptEnd{Message: 1, Attempt: 4}, AttemptEnd{Message: 1, Attempt: -4}, AttemptEnd{Message: 44}},
+		"report out of range": {Message{ID: 1, Deadline: time.Hour + time.Second}, AttemptEnd{Message: 1, Outcome: Served, Elapsed: -time.Hour, Reported: true, Left: bad, Limit: math.Inf(1), Over: true}},
+		"limit of nothing":    {Message{ID: 1, Deadline: time.Hour + time.Second}, AttemptEnd{Message: 1, Outcome: Refused, Wait: -time.Hour, Reported: true, Left: -1, Limit: bad}},
+	} {
+		s := settings()
+		s.RatedLimits, s.ZoneFees = true, []float64{0.1}
+		s.Tenants = []Tenant{{Share: 1, Allowance: 10}}
+		r := newRig(t, s)
+		r.step(events...)
+		sent := len(r.sends)
+		for range 30 { // the time jumps, too
+			r.now += 100 * ms
+			r.step(Alarm{})
+		}
+		r.now += 5 * time.Hour
+		for _, x := range r.sends[sent:] {
+			r.step(r.end(x, TimedOut))
+		}
+		for _, x := range r.sends[:sent] {
+			r.step(r.end(x, TimedOut))
+		}
+		r.step(Alarm{})
+		over := name == "report out of range" || r.failed[1] || r.refused[1]
+		if !over || len(r.b.held) != 0 {
+			t.Errorf("%s: failed %v, refused %v, %d held", name, r.failed[1], r.refused[1], len(r.b.held))
+		}
+	}
+}
+
+// Settings that make no sense: the interface stays lawful and never panics.
+func TestSettingsThatMakeNoSense(t *testing.T) {
+	for name, change := range map[string]func(*Settings){
+		"nothing stated": func(s *Settings) { *s = Settings{} },
+		"no slots":       func(s *Settings) { s.Slots = 0 },
+		"negative":       func(s *Settings) { s.Slots, s.Senders, s.MostHeld, s.MaxAttempts = -1, -1, -1, -1 },
+		"no deadlines":   func(s *Settings) { s.Classes = []Class{{}, {}, {}, {}} },
+		"no kinds":       func(s *Settings) { s.Kinds = nil },
+		"no rules":       func(s *Settings) { s.Cold, s.OverloadFor, s.FallMultiple, s.StartCapacity = 0, 0, 0, 0 },
+	} {
+		s := settings()
+		change(&s)
+		r := newRig(t, s)
+		for i := range 5 {
+			for _, x := range r.step(r.message(i%4, 0, 0)) {
+				r.now += 50 * ms
+				r.step(r.end(x, Outcome(i)))
+			}
+		}
+		for range 30 {
+			r.now += time.Second
+			r.step(Alarm{})
+			for id := range r.b.byID {
+				if m := r.b.byID[id]; r.now >= m.Deadline && m.out > 0 {
+					r.step(AttemptEnd{Message: id, Attempt: len(m.attempts) - 1, Outcome: TimedOut})
+				}
+			}
+		}
+		if len(r.b.held) != 0 {
+			t.Errorf("%s: %d messages without an answer", name, len(r.b.held))
+		}
+	}
+}
--- /dev/null
+++ b/cmd/wirehost/main.go
@@ -0,0 +1,35 @@
+// Command wirehost hosts instances of the decision module on the simulator's wire: batches come on
+// standard input, replies go to standard output. It translates and decides nothing.
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"os"
+)
+
+func main() {
+	if err := run(os.Stdin, os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, "wirehost:", err)
+		os.Exit(1)
+	}
+}
+
+func run(in io.Reader, out io.Writer) error {
+	r := bufio.NewReaderSize(in, 1<<16)
+	w := bufio.NewWriterSize(out, 1<<16)
+	h := newHost()
+	for n := 0; ; n++ {
+		more, err := h.round(r, w)
+		if err != nil {
+			return fmt.Errorf("batch %d: %v", n, err)
+		}
+		if !more {
+			return nil
+		}
+		if err := w.Flush(); err != nil {
+			return fmt.Errorf("batch %d: reply: %v", n, err)
+		}
+	}
+}
