--- a/brain/api.go
+++ b/brain/api.go
@@ -92,6 +92,12 @@
 	Destination DestinationID
 	Key         uint64        // key of the order; 0 for none
 	Deadline    time.Duration // clock time until which it may be delivered
+
+	// What a sender that restarted knows of a message it had before; zero for a new one.
+	Tried    int           // attempts already made
+	MayRun   bool          // one of them may have run
+	FirstRun time.Duration // and was sent at this clock time, the first of those that may have
+	RanZone  int           // to this zone
 }
 
 // Outcome is how an attempt ended.
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -342,7 +342,7 @@
 			continue
 		}
 		last := m.Deadline - max(m.route().quickest, b.s.Step)
-		spent := b.s.MaxAttempts > 0 && len(m.attempts) >= b.s.MaxAttempts
+		spent := b.s.MaxAttempts > 0 && m.tries() >= b.s.MaxAttempts
 		if b.now >= last || spent || !b.mayRepeat(m, b.now) {
 			b.acts = append(b.acts, Fail{m.ID})
 			b.close(m)
@@ -655,7 +655,7 @@
 		tau = max(r.patience(), probeFirst) // doubling would leave an outage unwatched
 	}
 	a := attempt{call: c, timeout: left, uncut: true}
-	first := len(m.attempts) == 0
+	first := m.tries() == 0
 	if first {
 		a.weight = 1
 	}
@@ -668,7 +668,7 @@
 		}
 		restartable = b.now+tau+2*b.s.Step+r.quickest < from+m.class.KeyWindow
 	}
-	if b.s.MaxAttempts > 0 && len(m.attempts)+1 >= b.s.MaxAttempts {
+	if b.s.MaxAttempts > 0 && m.tries()+1 >= b.s.MaxAttempts {
 		restartable = false
 	}
 	if restartable && tau < left {
--- a/brain/state.go
+++ b/brain/state.go
@@ -313,7 +313,8 @@
 		b.acts = append(b.acts, Fail{msg.ID}) // nothing is known of what it may do
 		return
 	}
-	m := &message{Message: msg, class: &b.s.Classes[msg.Class], dest: b.destination(msg.Destination)}
+	m := &message{Message: msg, class: &b.s.Classes[msg.Class], dest: b.destination(msg.Destination),
+		mayRun: msg.MayRun, firstRun: msg.FirstRun, ranZone: msg.RanZone}
 	b.byID[m.ID] = m
 	b.held = append(b.held, m)
 	m.dest.waiting = append(m.dest.waiting, m)
@@ -324,6 +325,9 @@
 			b.turns[m.Key] = m.turn
 		}
 		m.turn.queue = append(m.turn.queue, m)
+		if m.mayRun { // an attempt from before a restart may be running yet
+			m.turn.restUntil = max(m.turn.restUntil, b.now+b.s.SettleAfterDoubt)
+		}
 	}
 	if m.Tenant >= 0 && m.Tenant < len(b.tenants) {
 		b.fadeTenants()
@@ -348,6 +352,9 @@
 	}
 }
 
+// tries counts the attempts made, those before a restart too.
+func (m *message) tries() int { return m.Tried + len(m.attempts) }
+
 // neverRan looks again for the first attempt that may have run.
 func (b *Brain) neverRan(m *message) {
 	last := len(m.attempts) - 1
--- a/cmd/wirehost/host.go
+++ b/cmd/wirehost/host.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"dockshift.example/dockshift/brain"
+	"dockshift.example/dockshift/internal/settings"
 	"dockshift.example/dockshift/internal/wire"
 )
 
@@ -31,15 +32,6 @@
 	return &host{instances: map[uint16]*instance{}, pages: map[uint32][]wire.Node{}}
 }
 
-// span turns milliseconds into a duration, to the microsecond that the simulator counts in.
-func span(ms float64) time.Duration {
-	us := math.Round(ms * 1000)
-	if limit := float64(math.MaxInt64 / 2000); us > limit || us < -limit {
-		us = math.Copysign(limit, us)
-	}
-	return time.Duration(us) * time.Microsecond
-}
-
 func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
 // round handles one batch; it reports false when the input has ended.
@@ -58,7 +50,7 @@
 			return false, fmt.Errorf("record %d at offset %d (code %d): %v", e.Index, e.Offset, e.Code, err)
 		}
 	}
-	now := span(batch.Clock)
+	now := settings.Span(batch.Clock)
 	for _, in := range h.order {
 		if h.instances[in.number] == in {
 			h.step(in, now)
@@ -135,14 +127,14 @@
 			return nil, fmt.Errorf("destination %g is out of bounds", e.FarEnd)
 		}
 		return brain.Message{ID: brain.MessageID(e.Call), Class: int(e.Priority), Tenant: int(e.Billing),
-			Destination: brain.DestinationID(e.FarEnd), Key: e.Object, Deadline: span(e.Expires)}, nil
+			Destination: brain.DestinationID(e.FarEnd), Key: e.Object, Deadline: settings.Span(e.Expires)}, nil
 	case wire.CodeEnd:
 		outcome, ok := outcomes[e.Result]
 		if !ok {
 			return nil, fmt.Errorf("result %d is unknown", e.Result)
 		}
 		end := brain.AttemptEnd{Message: brain.MessageID(e.Call), Attempt: int(e.Try),
-			Endpoint: brain.EndpointID(e.Endpoint), Outcome: outcome, Elapsed: span(e.Elapsed), Over: e.NoMore}
+			Endpoint: brain.EndpointID(e.Endpoint), Outcome: outcome, Elapsed: settings.Span(e.Elapsed), Over: e.NoMore}
 		if outcome == brain.Refused {
 			end.Wait = time.Duration(e.WaitMs) * time.Millisecond
 		}
@@ -198,7 +190,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := settings(env)
+	s := settings.Translate(env)
 	in := &instance{number: e.Instance, left: -1, limit: -1, classes: len(s.Classes)}
 	for i, name := range env.List("telemetry.fields") {
 		switch name {
@@ -214,45 +206,3 @@
 	in.brain = brain.New(s, e.Nonce)
 	return in, nil
 }
-
-// settings translates the wire's settings; unknown keys are skipped.
-func settings(env *wire.Env) brain.Settings {
-	ms := func(key string) time.Duration { return span(env.Float(key)) }
-	s := brain.Settings{
-		Senders: env.Int("balancers"), Zone: env.Int("zone"), Slots: env.Int("familyInfo.callsOut"),
-		MostHeld: env.Int("limits.mostHeld"), MaxAttempts: env.Int("limits.maxAttempts"),
-		MayCancel: env.Bool("limits.cancel"), IdleConnections: ms("limits.connIdle"),
-		TellsHoldOff: env.Bool("limits.retryAfter"), MaxHoldOff: ms("limits.maxRetryAfter"),
-		AsksForList: env.Word("discovery", "pushed", "on_request") == 1, Step: ms("step"),
-		SettleAfterDoubt: ms("rules.settleAfterDoubt"), FallMultiple: env.Float("rules.fallMultiple"),
-		StartCapacity: env.Float("rules.startCapacity"), OverloadFor: ms("rules.overloadFor"), Cold: ms("rules.cold"),
-		OverShareWorth: env.Float("overShareWorth"),
-		CrossZonePrice: env.Float("costs.crossZone"),
-		Halving:        env.Word("familyInfo.fades", "linear", "halving") == 1,
-		RatedLimits:    env.Word("weights", "none", "nominal", "rough", "live")%3 != 0,
-		ZoneFees:       env.Floats("familyInfo.toll"),
-	}
-	apart, calls := env.Bools("familyInfo.routesApart"), env.Floats("familyInfo.perCall")
-	for i := range env.List("models") {
-		k := brain.Kind{PerCall: 1}
-		if i < len(apart) {
-			k.Apart = apart[i]
-		}
-		if i < len(calls) {
-			k.PerCall = int(calls[i])
-		}
-		s.Kinds = append(s.Kinds, k)
-	}
-	for i := range env.Count("services") {
-		p := fmt.Sprintf("services.%d.", i)
-		s.Classes = append(s.Classes, brain.Class{Aim: ms(p + "slo"), Deadline: ms(p + "giveUp"),
-			Effect:    brain.Effect(env.Word(p+"effect", "read_like", "idempotency_key", "non_idempotent")),
-			KeyInZone: env.Word(p+"dedupScope", "all", "zone", "cell") != 0, KeyWindow: ms(p + "dedupWindow"),
-			Ordered: env.Bool(p + "oneAtATime"), Worth: env.Float(p + "worth"), LateWorth: env.Float(p + "lateValue")})
-	}
-	for i := range env.Count("orgs") {
-		p := fmt.Sprintf("orgs.%d.", i)
-		s.Tenants = append(s.Tenants, brain.Tenant{Share: env.Float(p + "share"), Allowance: env.Float(p + "allowancePerS")})
-	}
-	return s
-}
--- /dev/null
+++ b/internal/sender/config.go
@@ -0,0 +1,134 @@
+// Package sender is the real sender round the decision module: it takes messages from clients, keeps
+// them in a journal that outlasts the process, calls endpoints, watches discovery and tells the
+// platform how messages ended. What is done with a message is decided by package brain alone.
+package sender
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"slices"
+	"strconv"
+	"time"
+
+	"dockshift.example/dockshift/brain"
+	"dockshift.example/dockshift/internal/settings"
+)
+
+// Limits is what the sender's machine allows it.
+type Limits struct {
+	Cores    float64 `json:"cores"`
+	MemoryMB float64 `json:"memory_mb"`
+	Sockets  int     `json:"sockets"`
+	DiskMB   float64 `json:"disk_mb"`
+}
+
+// Config is what a sender is told at its start.
+type Config struct {
+	Name      string
+	Listen    string // where clients connect
+	Discovery string
+	State     string // the folder that outlasts the process
+	Seed      uint64
+	Limits    Limits
+	Known     Targets // the endpoint list as last had
+	Settings  brain.Settings
+
+	Classes, Tenants, Kinds, Zones []string // names, in the order of the settings
+	Fields                         []string // of load reports
+	ConnectTimeout                 time.Duration
+}
+
+// LoadConfig reads the file that EDGE_CONFIG names. The other variables win over what it says.
+func LoadConfig(getenv func(string) string) (*Config, error) {
+	raw, err := os.ReadFile(getenv("EDGE_CONFIG"))
+	if err != nil {
+		return nil, fmt.Errorf("configuration: %w", err)
+	}
+	c, err := ParseConfig(raw)
+	if err != nil {
+		return nil, fmt.Errorf("configuration: %w", err)
+	}
+	for name, field := range map[string]*string{"EDGE_NAME": &c.Name, "EDGE_LISTEN": &c.Listen,
+		"EDGE_DISCOVERY": &c.Discovery, "EDGE_STATE": &c.State} {
+		if v := getenv(name); v != "" {
+			*field = v
+		}
+		if *field == "" {
+			return nil, fmt.Errorf("configuration: %s is not set", name)
+		}
+	}
+	return c, nil
+}
+
+// ParseConfig reads the configuration's JSON.
+func ParseConfig(raw []byte) (*Config, error) {
+	var file struct {
+		Name      string          `json:"name"`
+		Listen    string          `json:"listen"`
+		Discovery string          `json:"discovery"`
+		State     string          `json:"state"`
+		Seed      string          `json:"seed"`
+		Limits    Limits          `json:"limits"`
+		Known     Targets         `json:"known"`
+		Settings  json.RawMessage `json:"settings"`
+	}
+	if err := json.Unmarshal(raw, &file); err != nil {
+		return nil, err
+	}
+	env, err := settings.Flatten(file.Settings)
+	if err != nil {
+		return nil, err
+	}
+	c := &Config{Name: file.Name, Listen: file.Listen, Discovery: file.Discovery, State: file.State,
+		Limits: file.Limits, Known: file.Known, Settings: settings.Translate(env),
+		Kinds: env.List("models"), Zones: env.List("zones"), Fields: env.List("telemetry.fields"),
+		ConnectTimeout: settings.Span(env.Float("limits.connectTimeout"))}
+	for i := range env.Count("services") {
+		c.Classes = append(c.Classes, env.Text(fmt.Sprintf("services.%d.name", i)))
+	}
+	for i := range env.Count("orgs") {
+		c.Tenants = append(c.Tenants, env.Text(fmt.Sprintf("orgs.%d.name", i)))
+	}
+	if err := env.Err(); err != nil {
+		return nil, err
+	}
+	if file.Seed != "" {
+		if c.Seed, err = strconv.ParseUint(file.Seed, 16, 64); err != nil {
+			return nil, fmt.Errorf("seed: %w", err)
+		}
+	}
+	// What is not stated gets a modest value: nothing may grow without a bound.
+	if c.Limits.Sockets <= 0 {
+		c.Limits.Sockets = 1024
+	}
+	if c.Limits.DiskMB <= 0 {
+		c.Limits.DiskMB = 3
+	}
+	if c.ConnectTimeout <= 0 {
+		c.ConnectTimeout = 1500 * time.Millisecond
+	}
+	return c, nil
+}
+
+// place is the place of a name in a list of the settings, or def if it is not there.
+func place(list []string, name string, def int) int {
+	if i := slices.Index(list, name); i >= 0 {
+		return i
+	}
+	return def
+}
+
+// clock is the Brain's: Unix time as read at the start, and monotonic from there on, so that times in the
+// journal mean the same to the next process and a step of the wall clock moves no deadline.
+type clock struct {
+	start time.Time
+	base  time.Duration
+}
+
+func newClock() clock {
+	now := time.Now()
+	return clock{now, time.Duration(now.UnixNano())}
+}
+
+func (c clock) now() time.Duration { return c.base + time.Since(c.start) }
--- /dev/null
+++ b/internal/sender/journal.go
@@ -0,0 +1,318 @@
+package sender
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"io"
+	"os"
+	"path/filepath"
+	"strconv"
+	"time"
+)
+
+// The journal is one file of lines, each a checksum and a JSON record. A process that is killed leaves at
+// most a torn last line: a line whose checksum is wrong is skipped and what stands before it counts.
+
+const (
+	journalName = "messages.journal"
+	// maxName bounds ids, keys and endpoint names, or what is written of a message would have no bound.
+	maxName = 128
+)
+
+// overhead is what all records on one message's attempts and end may come to, beside its take record.
+func overhead(id string) int64 { return 1536 + 14*int64(len(id)) }
+
+// record is one line. Times are the clock's: Unix nanoseconds.
+type record struct {
+	Op string `json:"op"` // take, send, end, over, told
+	ID string `json:"id"`
+
+	// take: the message as its client handed it in; in a compacted file with what came of it so far
+	Key      string        `json:"key,omitempty"`
+	Class    string        `json:"class,omitempty"`
+	Tenant   string        `json:"tenant,omitempty"`
+	Dest     uint32        `json:"dest,omitempty"`
+	Deadline time.Duration `json:"deadline,omitempty"`
+	Body     []byte        `json:"body,omitempty"`
+	Tries    []try         `json:"tries,omitempty"`
+
+	Try int `json:"try,omitempty"` // end: which attempt, from 0
+	// send: the new attempt; end: that it never ran
+	Sent  *try `json:"sent,omitempty"`
+	Never bool `json:"never,omitempty"`
+
+	How     string `json:"how,omitempty"` // over
+	RetryMS int64  `json:"retry_ms,omitempty"`
+}
+
+// try is an attempt of a message. One without an outcome may have run.
+type try struct {
+	At       time.Duration `json:"at"`
+	Endpoint string        `json:"endpoint"`
+	Zone     int           `json:"zone,omitempty"`
+	Never    bool          `json:"never,omitempty"` // it surely never ran
+}
+
+// Ends of a message. Those that a notice tells of carry the notice's word.
+const (
+	delivered  = "delivered"
+	answered   = "answered" // refused or failed in the answer to its client, or withdrawn
+	givenUp    = "given_up"
+	handedBack = "handed_back"
+)
+
+// stored is a message as the journal holds it.
+type stored struct {
+	record        // of op take
+	how    string // its end, if a notice of it is still owed
+	retry  int64
+	cost   int64 // what it may take in the file
+}
+
+func (m *stored) apply(r *record) {
+	switch r.Op {
+	case "send":
+		if r.Sent != nil {
+			m.Tries = append(m.Tries, *r.Sent)
+		}
+	case "end":
+		if r.Try >= 0 && r.Try < len(m.Tries) {
+			m.Tries[r.Try].Never = r.Never
+		}
+	case "over":
+		m.how, m.retry, m.Body = r.How, r.RetryMS, nil
+	}
+}
+
+// firstRun is the first attempt that may have run.
+func (m *stored) firstRun() (try, bool) {
+	for _, t := range m.Tries {
+		if !t.Never {
+			return t, true
+		}
+	}
+	return try{}, false
+}
+
+var errNoRoom = errors.New("no room in the journal")
+
+// journal keeps what was taken on. It belongs to the loop.
+type journal struct {
+	path   string
+	file   *os.File
+	budget int64 // bytes that old and new file may hold together
+	size   int64
+	live   int64 // the sum of costs: an upper bound of a compacted file and all that follows on its messages
+	buf    bytes.Buffer
+	failed bool // the last write failed: nothing new is taken until a compaction succeeds
+	byID   map[string]*stored
+	order  []*stored // in the order taken; ended ones are dropped when compacting
+}
+
+// openJournal reads what an earlier process left and begins a compacted file.
+func openJournal(dir string, budget int64) (*journal, error) {
+	j := &journal{path: filepath.Join(dir, journalName), budget: budget, byID: map[string]*stored{}}
+	old, err := os.Open(j.path)
+	if err == nil {
+		err = j.replay(old)
+		old.Close()
+	} else if errors.Is(err, os.ErrNotExist) {
+		err = nil
+	}
+	if err != nil {
+		return nil, fmt.Errorf("journal: %w", err)
+	}
+	if err := j.compact(); err != nil {
+		// A full disk: go on with the old file, take nothing new, and try again later.
+		j.failed = true
+		if j.file, err = os.OpenFile(j.path, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600); err != nil {
+			return nil, fmt.Errorf("journal: %w", err)
+		}
+		if j.size, err = j.file.Seek(0, io.SeekEnd); err != nil {
+			return nil, fmt.Errorf("journal: %w", err)
+		}
+		// The old file may end in a torn line, which must not swallow the next record.
+		j.buf.WriteByte('\n')
+	}
+	return j, nil
+}
+
+func (j *journal) replay(r io.Reader) error {
+	lines := bufio.NewReaderSize(r, 1<<16)
+	for {
+		line, err := lines.ReadBytes('\n')
+		if err == io.EOF {
+			return nil // a line without its end was not written whole
+		}
+		if err != nil {
+			return err
+		}
+		var rec record
+		if !decode(line, &rec) {
+			continue
+		}
+		switch m := j.byID[rec.ID]; {
+		case rec.Op == "take":
+			if m != nil { // an id is used again only once its message is over
+				j.remove(m)
+			}
+			j.add(&stored{record: rec, how: rec.How, retry: rec.RetryMS, cost: int64(len(line)) + overhead(rec.ID)})
+		case m == nil:
+		case rec.Op == "told" || rec.Op == "over" && (rec.How == delivered || rec.How == answered):
+			j.remove(m)
+		default:
+			m.apply(&rec)
+		}
+	}
+}
+
+func decode(line []byte, rec *record) bool {
+	if len(line) < 10 {
+		return false
+	}
+	sum, err := strconv.ParseUint(string(line[:8]), 16, 32)
+	text := line[9 : len(line)-1]
+	return err == nil && uint32(sum) == crc32.ChecksumIEEE(text) && json.Unmarshal(text, rec) == nil
+}
+
+func encode(w io.Writer, rec *record) (int, error) {
+	text, err := json.Marshal(rec)
+	if err != nil {
+		return 0, err
+	}
+	return fmt.Fprintf(w, "%08x %s\n", crc32.ChecksumIEEE(text), text)
+}
+
+func (j *journal) add(m *stored) {
+	j.byID[m.ID] = m
+	j.order = append(j.order, m)
+	j.live += m.cost
+}
+
+func (j *journal) remove(m *stored) {
+	if j.byID[m.ID] == m {
+		delete(j.byID, m.ID)
+		j.live -= m.cost
+		m.Body = nil
+	}
+}
+
+// take writes down a message that is about to be taken on; without room for it, it does not.
+func (j *journal) take(rec record) (*stored, error) {
+	rec.Op = "take"
+	var line bytes.Buffer
+	if _, err := encode(&line, &rec); err != nil {
+		return nil, fmt.Errorf("journal: %w", err)
+	}
+	m := &stored{record: rec, cost: int64(line.Len()) + overhead(rec.ID)}
+	fits := func(size int64) bool { return size+j.live+2*m.cost <= j.budget }
+	if !fits(j.live) && !fits(j.size+int64(j.buf.Len())) {
+		return nil, errNoRoom
+	}
+	if j.failed || !fits(j.size+int64(j.buf.Len())) {
+		if err := j.compact(); err != nil {
+			return nil, err
+		}
+	}
+	j.buf.Write(line.Bytes())
+	j.add(m)
+	if err := j.flush(); err != nil {
+		j.remove(m)
+		return nil, err
+	}
+	return m, nil
+}
+
+// note adds a record on a message; flush writes it.
+func (j *journal) note(m *stored, rec record) {
+	rec.ID = m.ID
+	if _, err := encode(&j.buf, &rec); err != nil {
+		j.failed = true
+	}
+	m.apply(&rec)
+	if rec.Op == "told" || rec.Op == "over" && (rec.How == delivered || rec.How == answered) {
+		j.remove(m)
+	}
+}
+
+// flush writes what was noted. After a failure the file ends where it ended before, if that can be done,
+// and the records are lost to it: the next compaction writes the state that they led to.
+func (j *journal) flush() error {
+	if j.buf.Len() == 0 {
+		return nil
+	}
+	if !j.failed && j.size+int64(j.buf.Len())+j.live > j.budget {
+		return j.compact() // it holds what was noted, too
+	}
+	n, err := j.file.Write(j.buf.Bytes())
+	j.buf.Reset()
+	if err != nil {
+		j.failed = true
+		if n > 0 && j.file.Truncate(j.size) != nil {
+			j.size += int64(n)
+			j.buf.WriteByte('\n') // ends the torn line
+		}
+		return fmt.Errorf("journal: %w", err)
+	}
+	j.size += int64(n)
+	return nil
+}
+
+// compact writes a new file of what is still owed and puts it in the old one's place. A kill in between
+// leaves the old file whole, and beside it at most a new one that nobody reads.
+func (j *journal) compact() error {
+	err := j.rewrite()
+	j.failed = err != nil
+	if err != nil {
+		os.Remove(j.path + ".new")
+		return fmt.Errorf("journal: %w", err)
+	}
+	return nil
+}
+
+func (j *journal) rewrite() error {
+	f, err := os.OpenFile(j.path+".new", os.O_CREATE|os.O_TRUNC|os.O_WRONLY|os.O_APPEND, 0o600)
+	if err != nil {
+		return err
+	}
+	w := bufio.NewWriterSize(f, 1<<16)
+	var size int64
+	kept := make([]*stored, 0, len(j.byID))
+	for _, m := range j.order {
+		if j.byID[m.ID] != m {
+			continue
+		}
+		kept = append(kept, m)
+		rec := m.record
+		rec.How, rec.RetryMS = m.how, m.retry
+		n, err := encode(w, &rec)
+		size += int64(n)
+		if err != nil {
+			f.Close()
+			return err
+		}
+	}
+	if err := w.Flush(); err != nil {
+		f.Close()
+		return err
+	}
+	if err := os.Rename(j.path+".new", j.path); err != nil {
+		f.Close()
+		return err
+	}
+	if j.file != nil {
+		j.file.Close()
+	}
+	j.file, j.size, j.order = f, size, kept
+	j.buf.Reset()
+	return nil
+}
+
+func (j *journal) close() error {
+	err := j.flush()
+	return errors.Join(err, j.file.Close())
+}
--- /dev/null
+++ b/internal/sender/loop.go
@@ -0,0 +1,433 @@
+package sender
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"dockshift.example/dockshift/brain"
+)
+
+const (
+	// After SIGTERM the sender goes on as ever for graceTime: clients come for a while yet, and what is
+	// delivered now does not wait for the next process. Then no call is begun, and it waits for those that
+	// are out until leaveTime. The platform kills what is left at 3.7 s.
+	graceTime = 2200 * time.Millisecond
+	leaveTime = 3200 * time.Millisecond
+
+	eventRoom   = 1024 // events on their way to the loop
+	batchMost   = 256  // taken in by one step
+	idleLook    = time.Second
+	journalPart = 0.9 // of the disk's limit: the rest is for what the file system adds
+)
+
+// message is one that the Brain holds.
+type message struct {
+	*stored
+	number brain.MessageID
+	base   int                        // attempts made by earlier processes
+	answer chan answerLine            // its client still waits; nil once answered
+	calls  map[int]context.CancelFunc // out, by the Brain's number of the attempt
+	ended  bool
+}
+
+// Sender is one real sender.
+type Sender struct {
+	c       *Config
+	log     *slog.Logger
+	clock   clock
+	brain   *brain.Brain
+	journal *journal
+	pool    *pool
+	list    endpoints
+	disc    *discovery
+	server  *server
+
+	events   chan any
+	asked    chan struct{}
+	notices  chan []notice
+	owed     []notice // to be told
+	telling  bool     // a batch of them is out
+	messages map[brain.MessageID]*message
+	byID     map[string]*message
+	last     brain.MessageID
+	held     int // messages taken on that have not ended
+	out      int // calls out
+	alarm    *time.Timer
+	quitting bool // no more steps: what comes in is only written down
+}
+
+type (
+	listEvent   struct{ Targets }
+	failedEvent struct{ err error }
+	toldEvent   struct{ notices []notice }
+)
+
+// New opens the journal; Run does the rest.
+func New(c *Config, log *slog.Logger) (*Sender, error) {
+	j, err := openJournal(c.State, int64(c.Limits.DiskMB*1e6*journalPart))
+	if err != nil {
+		return nil, err
+	}
+	s := &Sender{c: c, log: log, clock: newClock(), brain: brain.New(c.Settings, c.Seed), journal: j, pool: newPool(c),
+		list: endpoints{byID: map[string]*endpoint{}}, disc: newDiscovery(c.Discovery), events: make(chan any, eventRoom),
+		asked: make(chan struct{}, 1), notices: make(chan []notice, 1), messages: map[brain.MessageID]*message{},
+		byID: map[string]*message{}, alarm: time.NewTimer(time.Hour)}
+	s.server = newServer(c, s.clock, log, func(ctx context.Context, sub submission) bool { return s.post(ctx, sub) })
+	return s, nil
+}
+
+// post hands an event to the loop; false if that has ended.
+func (s *Sender) post(ctx context.Context, e any) bool {
+	select {
+	case s.events <- e:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// Run serves on the listener until ctx ends, and then for the grace. What is not done by then stays in
+// the journal.
+func (s *Sender) Run(ctx context.Context, l net.Listener) error {
+	work, stop := context.WithCancel(context.Background())
+	defer stop()
+	known := s.c.Known.Version
+	if len(s.c.Known.Servers) == 0 {
+		known = -1
+	}
+	go s.disc.follow(work, known, s.asked,
+		func(t Targets) { s.post(work, listEvent{t}) }, func(err error) { s.post(work, failedEvent{err}) })
+	go s.disc.tell(work, s.notices, func(n []notice) { s.post(work, toldEvent{n}) })
+
+	s.resume(work)
+	served := make(chan error, 1)
+	go func() { served <- s.server.serve(l) }()
+	s.server.ready.Store(true)
+	s.log.Info("ready", "name", s.c.Name, "listen", l.Addr().String(), "resumed", s.held, "notices", len(s.owed))
+
+	var grace, leave <-chan time.Time
+	idle := time.NewTicker(idleLook)
+	defer idle.Stop()
+	done := ctx.Done()
+	for {
+		select {
+		case e := <-s.events:
+			s.turn(work, e)
+		case <-s.alarm.C:
+			s.turn(work, brain.Alarm{})
+		case <-idle.C:
+			for _, e := range s.list.byNumber {
+				e.closeIdle(s.pool.keep)
+			}
+		case <-done:
+			done = nil
+			s.log.Info("stopping", "held", s.held, "calls", s.out)
+			s.server.closing.Store(true)
+			grace, leave = time.After(graceTime), time.After(leaveTime)
+		case <-grace:
+			grace = nil
+			s.quitting = true
+			go s.server.http.Shutdown(work)
+		case <-leave:
+			return s.leave(stop)
+		case err := <-served:
+			if err != nil {
+				return errors.Join(fmt.Errorf("clients: %w", err), s.leave(stop))
+			}
+			served = nil
+		}
+		if s.quitting && s.out == 0 && len(s.owed) == 0 && served == nil {
+			return s.leave(stop)
+		}
+	}
+}
+
+// leave ends the process's work: what is out is cut off and stays written down as such.
+func (s *Sender) leave(stop context.CancelFunc) error {
+	stop()
+	s.server.http.Close()
+	s.log.Info("stopped", "held", s.held, "calls", s.out, "notices", len(s.owed))
+	return s.journal.close()
+}
+
+// resume hands the Brain what an earlier process left, before any client is heard.
+func (s *Sender) resume(ctx context.Context) {
+	events := []brain.Event{s.news(s.c.Known, true)}
+	for _, m := range s.journal.order {
+		if m.how != "" {
+			s.owed = append(s.owed, m.notice())
+			continue
+		}
+		first, may := m.firstRun()
+		events = append(events, brain.Message{ID: s.hold(m, nil), Class: place(s.c.Classes, m.Class, -1),
+			Tenant: place(s.c.Tenants, m.Tenant, -1), Destination: brain.DestinationID(m.Dest), Deadline: m.Deadline,
+			Tried: len(m.Tries), MayRun: may, FirstRun: first.At, RanZone: first.Zone})
+	}
+	s.step(ctx, events)
+}
+
+// hold gives a message its number.
+func (s *Sender) hold(st *stored, answer chan answerLine) brain.MessageID {
+	s.last++
+	m := &message{stored: st, number: s.last, base: len(st.Tries), answer: answer, calls: map[int]context.CancelFunc{}}
+	s.messages[m.number], s.byID[st.ID] = m, m
+	s.held++
+	return m.number
+}
+
+// turn takes in an event and all others that wait, and lets the Brain decide once.
+func (s *Sender) turn(ctx context.Context, first any) {
+	var events []brain.Event
+	for e, n := first, 0; e != nil && n < batchMost; n++ {
+		if ev := s.take(e); ev != nil {
+			events = append(events, ev)
+		}
+		select {
+		case e = <-s.events:
+		default:
+			e = nil
+		}
+	}
+	if s.quitting {
+		s.flush()
+		s.tell()
+		return
+	}
+	s.step(ctx, events)
+}
+
+// take books one event and translates it for the Brain; nil if that need not know.
+func (s *Sender) take(e any) brain.Event {
+	switch e := e.(type) {
+	case brain.Alarm:
+		return e
+	case submission:
+		return s.submitted(e)
+	case callEnd:
+		return s.callEnded(e)
+	case listEvent:
+		return s.news(e.Targets, e.Full)
+	case failedEvent:
+		s.log.Warn("discovery failed", "err", e.err)
+		return brain.ListNews{Failed: true}
+	case toldEvent:
+		s.telling = false
+		s.owed = s.owed[len(e.notices):]
+		for _, n := range e.notices {
+			if m := s.journal.byID[n.Message]; m != nil && m.how != "" {
+				s.journal.note(m, record{Op: "told"})
+			}
+		}
+	}
+	return nil
+}
+
+// submitted writes a message down before the Brain hears of it. What cannot be held is refused here; it
+// has not been sent, so its client may come again.
+func (s *Sender) submitted(sub submission) brain.Event {
+	refuse := func(why string) brain.Event {
+		hold := s.c.Settings.MaxHoldOff
+		if hold <= 0 {
+			hold = refusedRetry
+		}
+		sub.answer <- answerLine{http.StatusServiceUnavailable, hold, why}
+		return nil
+	}
+	if s.quitting {
+		return refuse("shutting down")
+	}
+	if s.journal.byID[sub.ID] != nil { // handed in twice: it is ours already
+		sub.answer <- answerLine{status: http.StatusAccepted}
+		return nil
+	}
+	if most := s.c.Settings.MostHeld; most > 0 && s.held >= most {
+		return refuse("all room for messages is taken")
+	}
+	st, err := s.journal.take(sub.record)
+	if err != nil {
+		return refuse("no room to keep the message")
+	}
+	return brain.Message{ID: s.hold(st, sub.answer), Class: sub.class, Tenant: sub.tenant,
+		Destination: brain.DestinationID(sub.Dest), Deadline: sub.Deadline}
+}
+
+func (s *Sender) callEnded(e callEnd) brain.Event {
+	m := e.message
+	s.out--
+	m.calls[e.attempt]()
+	delete(m.calls, e.attempt)
+	e.Message, e.Attempt = m.number, e.attempt
+	if !m.ended {
+		switch {
+		case e.Outcome == brain.Served:
+			s.end(m, record{How: delivered})
+		case e.Over:
+			s.end(m, record{How: answered})
+		default:
+			never := e.Outcome == brain.Refused || e.Outcome == brain.ConnectFailed || e.Outcome == brain.NotSent
+			s.journal.note(m.stored, record{Op: "end", Try: m.base + e.attempt, Never: never})
+		}
+	}
+	s.forget(m)
+	return e.AttemptEnd
+}
+
+// end writes down that a message is over. A client that still waits hears it from the caller.
+func (s *Sender) end(m *message, rec record) {
+	rec.Op = "over"
+	s.journal.note(m.stored, rec)
+	m.ended = true
+	s.held--
+}
+
+func (s *Sender) forget(m *message) {
+	if m.ended && len(m.calls) == 0 {
+		delete(s.messages, m.number)
+		if s.byID[m.ID] == m {
+			delete(s.byID, m.ID)
+		}
+	}
+}
+
+func (s *Sender) news(t Targets, whole bool) brain.Event {
+	news := brain.ListNews{Whole: whole}
+	for _, line := range t.Servers {
+		news.Endpoints = append(news.Endpoints, s.list.line(line, s.c))
+	}
+	return news
+}
+
+// flush writes the journal. What fails here fails again at the next message, which is refused.
+func (s *Sender) flush() bool {
+	err := s.journal.flush()
+	if err != nil {
+		s.log.Warn("journal", "err", err)
+	}
+	return err == nil
+}
+
+// step lets the Brain decide, writes down what it does, and only then does it.
+func (s *Sender) step(ctx context.Context, events []brain.Event) {
+	now := s.clock.now()
+	actions := s.brain.Step(now, events)
+	for _, a := range actions {
+		switch a := a.(type) {
+		case brain.Send:
+			if m, e := s.messages[a.Message], s.endpoint(a.Endpoint); m != nil && e != nil {
+				s.journal.note(m.stored, record{Op: "send", Sent: &try{At: now, Endpoint: e.id[:min(len(e.id), maxName)], Zone: e.zone}})
+			}
+		case brain.Refuse:
+			s.close(a.Message, handedBack, http.StatusServiceUnavailable, a.HoldOff)
+		case brain.Fail:
+			s.close(a.Message, givenUp, http.StatusInternalServerError, 0)
+		}
+	}
+	written := s.flush()
+	for _, e := range events {
+		if m, ok := e.(brain.Message); ok {
+			s.reply(s.messages[m.ID], answerLine{status: http.StatusAccepted})
+		}
+	}
+	for _, a := range actions {
+		switch a := a.(type) {
+		case brain.Send:
+			s.send(ctx, a, written)
+		case brain.Cancel:
+			if m := s.messages[a.Message]; m != nil && m.calls[a.Attempt] != nil {
+				m.calls[a.Attempt]()
+			}
+		case brain.CloseIdle:
+			if e := s.endpoint(a.Endpoint); e != nil {
+				e.closeIdle(0)
+			}
+		case brain.SetAlarm: // each is earlier than the one set before
+			s.alarm.Reset(max(0, a.At-s.clock.now()))
+		case brain.WatchList:
+			select {
+			case s.asked <- struct{}{}:
+			default:
+			}
+		case brain.Log:
+			s.log.Info(a.Line)
+		}
+	}
+	s.tell()
+}
+
+func (s *Sender) endpoint(n brain.EndpointID) *endpoint {
+	e, err := s.list.number(n)
+	if err != nil {
+		s.log.Error("the module names an endpoint", "err", err)
+		return nil
+	}
+	return e
+}
+
+// reply answers the client of m, if it still waits.
+func (s *Sender) reply(m *message, a answerLine) bool {
+	if m == nil || m.answer == nil {
+		return false
+	}
+	m.answer <- a
+	m.answer = nil
+	return true
+}
+
+// close ends a message as the Brain has it: in the answer to its client, or where that has been told
+// that the message is taken on, by a notice; either way at once.
+func (s *Sender) close(id brain.MessageID, how string, status int, hold time.Duration) {
+	m := s.messages[id]
+	if m == nil || m.ended {
+		return
+	}
+	if s.reply(m, answerLine{status, hold, how}) {
+		s.end(m, record{How: answered})
+	} else {
+		s.end(m, record{How: how, RetryMS: hold.Milliseconds()})
+		s.owed = append(s.owed, m.notice())
+	}
+	s.forget(m)
+}
+
+func (m *stored) notice() notice {
+	n := notice{Message: m.ID, Outcome: m.how}
+	if m.how == handedBack && m.retry > 0 {
+		n.RetryMS = &m.retry
+	}
+	return n
+}
+
+// tell passes on the notices owed, one batch at a time.
+func (s *Sender) tell() {
+	if !s.telling && len(s.owed) > 0 {
+		s.telling = true
+		s.notices <- s.owed[:min(len(s.owed), noticeMost)]
+	}
+}
+
+// send starts one call. One that could not be written down is not made: after a kill nobody would know
+// that the message may have run.
+func (s *Sender) send(ctx context.Context, a brain.Send, written bool) {
+	m, e := s.messages[a.Message], s.endpoint(a.Endpoint)
+	if m == nil || e == nil {
+		return
+	}
+	attempt := len(m.Tries) - 1 - m.base
+	call, cancel := context.WithTimeout(ctx, a.Timeout)
+	m.calls[attempt] = cancel
+	s.out++
+	began, rec := time.Now(), m.record // a copy: the loop may drop the body meanwhile
+	go func() {
+		end := brain.AttemptEnd{Endpoint: e.number, Outcome: brain.NotSent}
+		if written {
+			end = s.pool.call(call, e, rec, a.Timeout)
+		}
+		end.Elapsed = time.Since(began)
+		s.post(ctx, callEnd{m, attempt, end})
+	}()
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,112 @@
+// Package settings translates what a sender is told at its start into the decision module's Settings.
+// The simulator states it as path=value lines, a real sender's configuration as nested JSON with the
+// same names; both are read through the same keys, so that the two cannot drift apart.
+package settings
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"math"
+	"sort"
+	"strings"
+	"time"
+
+	"dockshift.example/dockshift/brain"
+	"dockshift.example/dockshift/internal/wire"
+)
+
+// Span turns milliseconds into a duration, to the microsecond that the simulator counts in.
+func Span(ms float64) time.Duration {
+	us := math.Round(ms * 1000)
+	if limit := float64(math.MaxInt64 / 2000); us > limit || us < -limit {
+		us = math.Copysign(limit, us)
+	}
+	return time.Duration(us) * time.Microsecond
+}
+
+// Translate reads the settings; unknown keys are skipped. Unreadable ones show in env.Err.
+func Translate(env *wire.Env) brain.Settings {
+	ms := func(key string) time.Duration { return Span(env.Float(key)) }
+	s := brain.Settings{
+		Senders: env.Int("balancers"), Zone: env.Int("zone"), Slots: env.Int("familyInfo.callsOut"),
+		MostHeld: env.Int("limits.mostHeld"), MaxAttempts: env.Int("limits.maxAttempts"),
+		MayCancel: env.Bool("limits.cancel"), IdleConnections: ms("limits.connIdle"),
+		TellsHoldOff: env.Bool("limits.retryAfter"), MaxHoldOff: ms("limits.maxRetryAfter"),
+		AsksForList: env.Word("discovery", "pushed", "on_request") == 1, Step: ms("step"),
+		SettleAfterDoubt: ms("rules.settleAfterDoubt"), FallMultiple: env.Float("rules.fallMultiple"),
+		StartCapacity: env.Float("rules.startCapacity"), OverloadFor: ms("rules.overloadFor"), Cold: ms("rules.cold"),
+		OverShareWorth: env.Float("overShareWorth"),
+		CrossZonePrice: env.Float("costs.crossZone"),
+		Halving:        env.Word("familyInfo.fades", "linear", "halving") == 1,
+		RatedLimits:    env.Word("weights", "none", "nominal", "rough", "live")%3 != 0,
+		ZoneFees:       env.Floats("familyInfo.toll"),
+	}
+	apart, calls := env.Bools("familyInfo.routesApart"), env.Floats("familyInfo.perCall")
+	for i := range env.List("models") {
+		k := brain.Kind{PerCall: 1}
+		if i < len(apart) {
+			k.Apart = apart[i]
+		}
+		if i < len(calls) {
+			k.PerCall = int(calls[i])
+		}
+		s.Kinds = append(s.Kinds, k)
+	}
+	for i := range env.Count("services") {
+		p := fmt.Sprintf("services.%d.", i)
+		s.Classes = append(s.Classes, brain.Class{Aim: ms(p + "slo"), Deadline: ms(p + "giveUp"),
+			Effect:    brain.Effect(env.Word(p+"effect", "read_like", "idempotency_key", "non_idempotent")),
+			KeyInZone: env.Word(p+"dedupScope", "all", "zone", "cell") != 0, KeyWindow: ms(p + "dedupWindow"),
+			Ordered: env.Bool(p + "oneAtATime"), Worth: env.Float(p + "worth"), LateWorth: env.Float(p + "lateValue")})
+	}
+	for i := range env.Count("orgs") {
+		p := fmt.Sprintf("orgs.%d.", i)
+		s.Tenants = append(s.Tenants, brain.Tenant{Share: env.Float(p + "share"), Allowance: env.Float(p + "allowancePerS")})
+	}
+	return s
+}
+
+// Flatten turns nested JSON into the simulator's path=value form: a list of plain values is joined by
+// commas, a list of objects states its length under .count and its items under .0, .1 and so forth.
+func Flatten(raw []byte) (*wire.Env, error) {
+	d := json.NewDecoder(bytes.NewReader(raw))
+	d.UseNumber()
+	var root map[string]any
+	if err := d.Decode(&root); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	var lines []string
+	flatten("", root, &lines)
+	sort.Strings(lines)
+	return wire.ParseEnv(strings.Join(lines, "\n"))
+}
+
+// plain replaces what separates lines and list items.
+var plain = strings.NewReplacer(" ", "_", ",", "_", "\n", "_", "\r", "_")
+
+func flatten(path string, value any, lines *[]string) {
+	switch v := value.(type) {
+	case map[string]any:
+		for key, item := range v {
+			flatten(strings.TrimPrefix(path+"."+key, "."), item, lines)
+		}
+	case []any:
+		var words []string
+		for i, item := range v {
+			if _, nested := item.(map[string]any); nested {
+				flatten(fmt.Sprintf("%s.%d", path, i), item, lines)
+			} else {
+				words = append(words, plain.Replace(fmt.Sprint(item)))
+			}
+		}
+		if len(v) > 0 && words == nil {
+			*lines = append(*lines, fmt.Sprintf("%s.count=%d", path, len(v)))
+		} else {
+			*lines = append(*lines, path+"="+strings.Join(words, ","))
+		}
+	case nil:
+	default:
+		*lines = append(*lines, path+"="+plain.Replace(fmt.Sprint(v)))
+	}
+}
