--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -766,3 +766,39 @@
 		t.Fatal("a clock that starts below zero")
 	}
 }
+
+// A message that an earlier process had keeps what was done with it: a key out of its window, an unsafe
+// one that may have run and one without attempts left are not sent again.
+func TestResumedMessages(t *testing.T) {
+	for name, c := range map[string]struct {
+		class int
+		m     Message
+		sent  bool
+	}{
+		"never sent":             {2, Message{}, true},
+		"unsafe, never ran":      {2, Message{Tried: 2}, true},
+		"unsafe, may have run":   {2, Message{Tried: 1, MayRun: true, FirstRun: time.Hour - time.Second}, false},
+		"keyed, in its window":   {1, Message{Tried: 1, MayRun: true, FirstRun: time.Hour - time.Second}, true},
+		"keyed, past its window": {1, Message{Tried: 1, MayRun: true, FirstRun: time.Hour - 6*time.Second}, false},
+		"safe, long ago":         {0, Message{Tried: 1, MayRun: true, FirstRun: time.Hour - 15*time.Second}, true},
+		"no attempt left":        {0, Message{Tried: 6, MayRun: true, FirstRun: time.Hour - time.Second}, false},
+	} {
+		r := newRig(t, settings())
+		m := r.message(c.class, 0, 0)
+		m.Tried, m.MayRun, m.FirstRun = c.m.Tried, c.m.MayRun, c.m.FirstRun
+		if sends := r.step(m); len(sends) == 1 != c.sent || r.failed[m.ID] == c.sent {
+			t.Errorf("%s: %d sends, failed %v", name, len(sends), r.failed[m.ID])
+		}
+	}
+	// Its window counts from the first send of all, also after further attempts.
+	r := newRig(t, settings())
+	m := r.message(1, 0, 0)
+	m.Tried, m.MayRun, m.FirstRun = 1, true, r.now-5*time.Second
+	s := r.step(m)[0]
+	r.now += 500 * ms
+	r.step(r.end(s, Errored))
+	r.now += 600 * ms
+	if sends := r.step(Alarm{}); len(sends) != 0 || !r.failed[m.ID] {
+		t.Errorf("past its window: %d sends, failed %v", len(sends), r.failed[m.ID])
+	}
+}
--- /dev/null
+++ b/cmd/saffronyard/main_test.go
@@ -0,0 +1,179 @@
+package main
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	st "dockshift.example/dockshift/internal/sendertest"
+)
+
+// TestMain is the sender itself when a test starts it as a process of its own.
+func TestMain(m *testing.M) {
+	if os.Getenv("SAFFRONYARD_TEST_CHILD") != "" {
+		main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// process is a sender that can be killed.
+type process struct {
+	*exec.Cmd
+	addr string
+}
+
+// start runs a sender and waits until it is ready.
+func start(t *testing.T, p *st.Platform, state string) *process {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := l.Addr().String()
+	l.Close()
+	raw, err := json.Marshal(st.Config(p, state))
+	if err != nil {
+		t.Fatal(err)
+	}
+	config := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(config, raw, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	c := &process{exec.Command(os.Args[0]), addr}
+	c.Env = append(os.Environ(), "SAFFRONYARD_TEST_CHILD=1", "GORACE=atexit_sleep_ms=0", "EDGE_CONFIG="+config, "EDGE_LISTEN="+addr, "EDGE_STATE="+state)
+	c.Stderr = os.Stderr
+	if err := c.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Process.Kill(); c.Wait() })
+	for end := time.Now().Add(st.Wait); ; time.Sleep(10 * time.Millisecond) {
+		resp, err := http.Get("http://" + addr + "/-/ready")
+		if err == nil {
+			resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return c
+			}
+		}
+		if time.Now().After(end) {
+			t.Fatal("the sender does not become ready")
+		}
+	}
+}
+
+// What was taken on outlasts a kill: a message whose call was out goes out again with its id, key and body
+// where its class allows a repeat, and ends by a notice where it does not. What was delivered stays so.
+func TestKillAndRestart(t *testing.T) {
+	silent := st.NewEndpoint(t, st.Silent)
+	good := st.NewEndpoint(t, st.Status(200))
+	p := st.NewPlatform(t, good.Addr, silent.Addr, silent.Addr)
+	state := t.TempDir()
+	s := start(t, p, state)
+	st.HandIn(t, s.addr, "done", "unsafe", 0, 15*time.Second)
+	good.Next(t)
+	st.HandIn(t, s.addr, "keyed", "keyed", 1, 15*time.Second)
+	first := silent.Next(t)
+	st.HandIn(t, s.addr, "unsafe", "unsafe", 2, 15*time.Second)
+	silent.Next(t)
+	// The answer to "done" is read by the sender in its own time: its end shows in a second message.
+	st.HandIn(t, s.addr, "done-2", "unsafe", 0, 15*time.Second)
+	good.Next(t)
+	waitFor(t, filepath.Join(state, "messages.journal"), 2, `"how":"delivered"`)
+	s.Process.Kill()
+	s.Wait()
+
+	again := st.NewEndpoint(t, st.Status(200))
+	p.Change(st.Target("s-1", again.Addr, 1, "SERVING"))
+	start(t, p, state)
+	if c := again.Next(t); c.ID != "keyed" || c.Key != first.Key || c.Body != first.Body {
+		t.Errorf("resumed as %+v, was %+v", c, first)
+	}
+	if n := st.Receive(t, p.Notices); n.Message != "unsafe" || n.Outcome != "given_up" {
+		t.Errorf("notice %+v", n)
+	}
+	select {
+	case c := <-good.Calls:
+		t.Errorf("%s was delivered and is sent again", c.ID)
+	default:
+	}
+}
+
+// waitFor waits until a text stands so often in a file.
+func waitFor(t *testing.T, file string, times int, text string) {
+	t.Helper()
+	for end := time.Now().Add(st.Wait); ; time.Sleep(5 * time.Millisecond) {
+		raw, _ := os.ReadFile(file)
+		n := 0
+		for i := 0; i+len(text) <= len(raw); i++ {
+			if string(raw[i:i+len(text)]) == text {
+				n++
+			}
+		}
+		if n >= times {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatalf("%s holds %q %d times", file, text, n)
+		}
+	}
+}
+
+// After SIGTERM clients that come are still served, on connections that end with the answer; the process
+// leaves by itself in time, and what is not done is done by the next.
+func TestTerminate(t *testing.T) {
+	silent := st.NewEndpoint(t, st.Silent)
+	good := st.NewEndpoint(t, st.Status(200))
+	p := st.NewPlatform(t, good.Addr, silent.Addr)
+	state := t.TempDir()
+	s := start(t, p, state)
+	st.HandIn(t, s.addr, "slow", "keyed", 1, 15*time.Second)
+	silent.Next(t)
+	began := time.Now()
+	if err := s.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	for n := 0; ; n++ { // until the signal has been taken in
+		resp, body := st.Do(t, st.Message(t, s.addr, "late"+time.Duration(n).String(), "keyed", 0, 15*time.Second, "late"))
+		if resp.StatusCode != http.StatusAccepted {
+			t.Fatalf("after SIGTERM: %s %s", resp.Status, body)
+		}
+		good.Next(t)
+		if resp.Close {
+			break
+		}
+		if time.Since(began) > time.Second {
+			t.Fatal("connections are kept after SIGTERM")
+		}
+	}
+	if err := s.Wait(); err != nil {
+		t.Errorf("it leaves with %v", err)
+	}
+	if took := time.Since(began); took > 3700*time.Millisecond {
+		t.Errorf("it left after %v", took)
+	}
+	again := st.NewEndpoint(t, st.Status(200))
+	p.Change(st.Target("s-1", again.Addr, 1, "SERVING"))
+	start(t, p, state)
+	if c := again.Next(t); c.ID != "slow" {
+		t.Errorf("resumed %+v", c)
+	}
+}
+
+func TestUnreadableConfigurationIsAPlainError(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(file, []byte(`{"settings":{"step":"soon"}}`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	c := exec.Command(os.Args[0])
+	c.Env = append(os.Environ(), "SAFFRONYARD_TEST_CHILD=1", "EDGE_CONFIG="+file)
+	out, err := c.CombinedOutput()
+	if err == nil || len(out) == 0 {
+		t.Errorf("%v: %s", err, out)
+	}
+}
--- a/internal/sender/endpoints.go
+++ b/internal/sender/endpoints.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -39,13 +40,24 @@
 	r     *bufio.Reader
 	addr  string
 	since time.Time // it has been idle
+	first []byte    // of the answer that is being read
+}
+
+// served is how an answer begins from which on the message is delivered, whatever becomes of the rest.
+const served = "HTTP/1.1 200"
+
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.first = append(c.first, b[:min(n, len(served)-len(c.first))]...)
+	return n, err
 }
 
 // pool opens, keeps and closes connections.
 type pool struct {
 	connectTimeout time.Duration
 	keep           time.Duration // how long an idle one is kept
-	most           int           // idle ones kept to one endpoint
+	most           int64         // idle ones kept in all: the descriptors are few
+	idle           atomic.Int64
 	fields         []string
 	dialer         net.Dialer
 }
@@ -54,7 +66,7 @@
 	// An endpoint closes an idle connection at IdleConnections at the latest, and what is written to one
 	// that it has closed is a reset that may have run: ours are closed a good deal before.
 	return &pool{connectTimeout: c.ConnectTimeout, keep: c.Settings.IdleConnections * 9 / 10,
-		most: max(2, c.Settings.Slots), fields: c.Fields}
+		most: int64(max(2, c.Limits.Sockets/4)), fields: c.Fields}
 }
 
 // get takes the idle connection used last, or opens one.
@@ -64,6 +76,7 @@
 	for n := len(e.idle) - 1; n >= 0; n = len(e.idle) - 1 {
 		c := e.idle[n]
 		e.idle = e.idle[:n]
+		p.idle.Add(-1)
 		if c.addr == addr && time.Since(c.since) < p.keep && quiet(c.Conn) {
 			e.mu.Unlock()
 			return c, nil
@@ -77,7 +90,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: nc, r: bufio.NewReaderSize(nc, 1024), addr: addr}, nil
+	c := &conn{Conn: nc, addr: addr}
+	c.r = bufio.NewReaderSize(c, 1024)
+	return c, nil
 }
 
 // quiet reports whether an idle connection still stands: nothing has come on it, not even its end. A call
@@ -104,21 +119,23 @@
 func (p *pool) put(e *endpoint, c *conn) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if c.addr != e.addr || len(e.idle) >= p.most {
+	if c.addr != e.addr || p.idle.Load() >= p.most {
 		c.Close()
 		return
 	}
+	p.idle.Add(1)
 	c.since = time.Now()
 	e.idle = append(e.idle, c)
 }
 
 // closeIdle closes the idle connections to e that have been so for a time.
-func (e *endpoint) closeIdle(after time.Duration) {
+func (p *pool) closeIdle(e *endpoint, after time.Duration) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.idle = slices.DeleteFunc(e.idle, func(c *conn) bool {
 		old := time.Since(c.since) >= after
 		if old {
+			p.idle.Add(-1)
 			c.Close()
 		}
 		return old
@@ -168,10 +185,13 @@
 		c.Close()
 		return end
 	}
+	c.first = c.first[:0]
 	resp, err := answer(c.r)
 	if err != nil {
 		c.Close()
 		switch {
+		case string(c.first) == served:
+			end.Outcome, end.Over = brain.Served, true
 		case errors.Is(ctx.Err(), context.DeadlineExceeded):
 			end.Outcome = brain.TimedOut
 		case ctx.Err() != nil:
@@ -249,7 +269,7 @@
 }
 
 // line books a line of the list and translates it for the Brain.
-func (l *endpoints) line(t Target, c *Config) brain.Endpoint {
+func (l *endpoints) line(t Target, c *Config, p *pool) brain.Endpoint {
 	e := l.byID[t.ID]
 	if e == nil {
 		e = &endpoint{number: brain.EndpointID(len(l.byNumber)), id: t.ID}
@@ -264,7 +284,7 @@
 	}
 	e.mu.Unlock()
 	if !ready {
-		e.closeIdle(0)
+		p.closeIdle(e, 0)
 	}
 	return brain.Endpoint{ID: e.number, Destination: brain.DestinationID(t.Cell), Kind: place(c.Kinds, t.Kind, 0),
 		Zone: e.zone, Ready: ready, Rating: t.Weight}
--- a/internal/sender/journal.go
+++ b/internal/sender/journal.go
@@ -21,6 +21,8 @@
 	journalName = "messages.journal"
 	// maxName bounds ids, keys and endpoint names, or what is written of a message would have no bound.
 	maxName = 128
+	// tryAgain is the pause between compactions while they fail.
+	tryAgain = 200 * time.Millisecond
 )
 
 // overhead is what all records on one message's attempts and end may come to, beside its take record.
@@ -108,7 +110,8 @@
 	size   int64
 	live   int64 // the sum of costs: an upper bound of a compacted file and all that follows on its messages
 	buf    bytes.Buffer
-	failed bool // the last write failed: nothing new is taken until a compaction succeeds
+	failed bool      // the last write failed: nothing more is written until a compaction succeeds
+	tried  time.Time // the last compaction
 	byID   map[string]*stored
 	order  []*stored // in the order taken; ended ones are dropped when compacting
 }
@@ -126,18 +129,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("journal: %w", err)
 	}
-	if err := j.compact(); err != nil {
-		// A full disk: go on with the old file, take nothing new, and try again later.
-		j.failed = true
-		if j.file, err = os.OpenFile(j.path, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600); err != nil {
-			return nil, fmt.Errorf("journal: %w", err)
-		}
-		if j.size, err = j.file.Seek(0, io.SeekEnd); err != nil {
-			return nil, fmt.Errorf("journal: %w", err)
-		}
-		// The old file may end in a torn line, which must not swallow the next record.
-		j.buf.WriteByte('\n')
-	}
+	// On a full disk it goes on without: the old file stays as it is, and nothing new is taken or sent
+	// until a compacted one can be written.
+	j.compact()
 	return j, nil
 }
 
@@ -213,6 +207,9 @@
 	if !fits(j.live) && !fits(j.size+int64(j.buf.Len())) {
 		return nil, errNoRoom
 	}
+	if j.failed && time.Since(j.tried) < tryAgain {
+		return nil, errNoRoom
+	}
 	if j.failed || !fits(j.size+int64(j.buf.Len())) {
 		if err := j.compact(); err != nil {
 			return nil, err
@@ -239,26 +236,27 @@
 	}
 }
 
-// flush writes what was noted. After a failure the file ends where it ended before, if that can be done,
-// and the records are lost to it: the next compaction writes the state that they led to.
+// flush writes what was noted. After a failed write the file may lack records, so nothing more is added
+// to it: the way on is a compaction, which writes the state that they led to.
 func (j *journal) flush() error {
 	if j.buf.Len() == 0 {
 		return nil
 	}
-	if !j.failed && j.size+int64(j.buf.Len())+j.live > j.budget {
+	if j.failed && time.Since(j.tried) < tryAgain {
+		j.buf.Reset()
+		return errNoRoom
+	}
+	if j.failed || j.size+int64(j.buf.Len())+j.live > j.budget {
+		j.buf.Reset()
 		return j.compact() // it holds what was noted, too
 	}
 	n, err := j.file.Write(j.buf.Bytes())
 	j.buf.Reset()
+	j.size += int64(n)
 	if err != nil {
 		j.failed = true
-		if n > 0 && j.file.Truncate(j.size) != nil {
-			j.size += int64(n)
-			j.buf.WriteByte('\n') // ends the torn line
-		}
 		return fmt.Errorf("journal: %w", err)
 	}
-	j.size += int64(n)
 	return nil
 }
 
@@ -266,7 +264,7 @@
 // leaves the old file whole, and beside it at most a new one that nobody reads.
 func (j *journal) compact() error {
 	err := j.rewrite()
-	j.failed = err != nil
+	j.failed, j.tried = err != nil, time.Now()
 	if err != nil {
 		os.Remove(j.path + ".new")
 		return fmt.Errorf("journal: %w", err)
@@ -314,5 +312,8 @@
 
 func (j *journal) close() error {
 	err := j.flush()
-	return errors.Join(err, j.file.Close())
+	if j.file != nil {
+		err = errors.Join(err, j.file.Close())
+	}
+	return err
 }
--- /dev/null
+++ b/internal/sender/journal_test.go
@@ -0,0 +1,176 @@
+package sender
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+)
+
+func openTest(t *testing.T, dir string, budget int64) *journal {
+	t.Helper()
+	j, err := openJournal(dir, budget)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return j
+}
+
+func takeTest(t *testing.T, j *journal, id string) *stored {
+	t.Helper()
+	m, err := j.take(record{ID: id, Class: "keyed", Key: "k" + id, Dest: 3, Deadline: 99, Body: []byte("body " + id)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return m
+}
+
+func TestJournalReplay(t *testing.T) {
+	dir := t.TempDir()
+	j := openTest(t, dir, 1<<20)
+	a, b, c, d := takeTest(t, j, "a"), takeTest(t, j, "b"), takeTest(t, j, "c"), takeTest(t, j, "d")
+	j.note(a, record{Op: "send", Sent: &try{At: 10, Endpoint: "s"}})
+	j.note(a, record{Op: "end", Try: 0, Never: true})
+	j.note(a, record{Op: "send", Sent: &try{At: 20, Endpoint: "s", Zone: 1}}) // no outcome: it may have run
+	j.note(a, record{Op: "send", Sent: &try{At: 30, Endpoint: "s"}})
+	j.note(b, record{Op: "over", How: delivered})
+	j.note(c, record{Op: "over", How: handedBack, RetryMS: 500})
+	j.note(d, record{Op: "over", How: givenUp})
+	j.note(d, record{Op: "told"})
+	if err := j.flush(); err != nil {
+		t.Fatal(err)
+	}
+	check := func(j *journal) {
+		t.Helper()
+		if len(j.byID) != 2 || len(j.order) != 2 {
+			t.Fatalf("holds %d messages", len(j.byID))
+		}
+		m := j.byID["a"]
+		first, may := m.firstRun()
+		if !may || first.At != 20 || first.Zone != 1 || len(m.Tries) != 3 || string(m.Body) != "body a" || m.Key != "ka" || m.Dest != 3 || m.Deadline != 99 {
+			t.Errorf("a is %+v", m)
+		}
+		if m := j.byID["c"]; m.how != handedBack || m.retry != 500 {
+			t.Errorf("c is %+v", m)
+		}
+	}
+	check(openTest(t, dir, 1<<20)) // as after a kill: nothing was closed
+	check(openTest(t, dir, 1<<20)) // and from the compacted file
+}
+
+// A kill may tear the last record at any byte; nothing before it is lost, and a damaged line hides no other.
+func TestTornJournal(t *testing.T) {
+	dir := t.TempDir()
+	j := openTest(t, dir, 1<<20)
+	takeTest(t, j, "a")
+	whole := j.size
+	takeTest(t, j, "b")
+	raw, err := os.ReadFile(j.path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for n := whole; n < int64(len(raw)); n++ {
+		if err := os.WriteFile(j.path, raw[:n], 0o600); err != nil {
+			t.Fatal(err)
+		}
+		torn := openTest(t, dir, 1<<20)
+		if len(torn.byID) != 1 || torn.byID["a"] == nil {
+			t.Fatalf("cut at %d: holds %d messages", n, len(torn.byID))
+		}
+		takeTest(t, torn, "c")
+		if again := openTest(t, dir, 1<<20); len(again.byID) != 2 {
+			t.Fatalf("cut at %d: what was written after it is lost", n)
+		}
+	}
+	damaged := bytes.Replace(raw, []byte(`"id":"a"`), []byte(`"id":"x"`), 1)
+	if err := os.WriteFile(j.path, damaged, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if j := openTest(t, dir, 1<<20); len(j.byID) != 1 || j.byID["b"] == nil {
+		t.Errorf("a damaged line: holds %d messages", len(j.byID))
+	}
+}
+
+// Old and new file together stay within the budget, however long it goes on; without room for a message
+// it is refused, and one that ends makes room again.
+func TestJournalStaysWithinItsBudget(t *testing.T) {
+	const budget = 64 << 10
+	dir := t.TempDir()
+	j := openTest(t, dir, budget)
+	var held []*stored
+	refused := 0
+	for i := range 3000 {
+		m, err := j.take(record{ID: fmt.Sprint(i), Body: bytes.Repeat([]byte("x"), i%700)})
+		if errors.Is(err, errNoRoom) {
+			refused++
+		} else if err != nil {
+			t.Fatal(err)
+		} else {
+			held = append(held, m)
+			for n := range 6 {
+				j.note(m, record{Op: "send", Sent: &try{At: 1 << 60, Endpoint: "s-5be2a07c"}})
+				j.note(m, record{Op: "end", Try: n, Never: true})
+			}
+			if err := j.flush(); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if j.size+j.live > budget {
+			t.Fatalf("after %d: %d bytes and a compaction of up to %d", i, j.size, j.live)
+		}
+		if i%3 == 0 && len(held) > 0 {
+			j.note(held[0], record{Op: "over", How: delivered})
+			held = held[1:]
+		}
+	}
+	if refused == 0 || len(held) == 0 || refused == 3000 {
+		t.Errorf("%d refused, %d held", refused, len(held))
+	}
+	if err := j.close(); err != nil {
+		t.Fatal(err)
+	}
+	if again := openTest(t, dir, budget); len(again.byID) != len(held) {
+		t.Errorf("%d of %d came back", len(again.byID), len(held))
+	}
+	if _, err := os.Stat(filepath.Join(dir, journalName+".new")); !os.IsNotExist(err) {
+		t.Errorf("the new file is left: %v", err)
+	}
+}
+
+// A disk that takes nothing more: work is refused, nothing is lost that was written, and when there is
+// room again the state is written whole.
+func TestFullDisk(t *testing.T) {
+	dir := t.TempDir()
+	j := openTest(t, dir, 1<<20)
+	a := takeTest(t, j, "a")
+	full, err := os.OpenFile("/dev/full", os.O_WRONLY, 0)
+	if err != nil {
+		t.Skip(err)
+	}
+	j.file.Close()
+	j.file = full
+	// No new file can be made either: a folder stands in its place.
+	if err := os.MkdirAll(filepath.Join(j.path+".new", "x"), 0o700); err != nil {
+		t.Fatal(err)
+	}
+	j.note(a, record{Op: "send", Sent: &try{At: 5}})
+	if err := j.flush(); err == nil {
+		t.Fatal("a full disk took a record")
+	}
+	for range 2 {
+		if _, err := j.take(record{ID: "b"}); err == nil {
+			t.Fatal("a message was taken on a full disk")
+		}
+	}
+	if err := os.RemoveAll(j.path + ".new"); err != nil {
+		t.Fatal(err)
+	}
+	j.tried = j.tried.Add(-tryAgain)
+	takeTest(t, j, "c")
+	again := openTest(t, dir, 1<<20)
+	if m := again.byID["a"]; len(again.byID) != 2 || m == nil || len(m.Tries) != 1 {
+		t.Errorf("came back with %d messages, a is %+v", len(again.byID), m)
+	}
+}
--- a/internal/sender/loop.go
+++ b/internal/sender/loop.go
@@ -122,7 +122,7 @@
 			s.turn(work, brain.Alarm{})
 		case <-idle.C:
 			for _, e := range s.list.byNumber {
-				e.closeIdle(s.pool.keep)
+				s.pool.closeIdle(e, s.pool.keep)
 			}
 		case <-done:
 			done = nil
@@ -231,11 +231,7 @@
 // has not been sent, so its client may come again.
 func (s *Sender) submitted(sub submission) brain.Event {
 	refuse := func(why string) brain.Event {
-		hold := s.c.Settings.MaxHoldOff
-		if hold <= 0 {
-			hold = refusedRetry
-		}
-		sub.answer <- answerLine{http.StatusServiceUnavailable, hold, why}
+		sub.answer <- answerLine{http.StatusServiceUnavailable, s.c.Settings.MaxHoldOff, why}
 		return nil
 	}
 	if s.quitting {
@@ -297,7 +293,7 @@
 func (s *Sender) news(t Targets, whole bool) brain.Event {
 	news := brain.ListNews{Whole: whole}
 	for _, line := range t.Servers {
-		news.Endpoints = append(news.Endpoints, s.list.line(line, s.c))
+		news.Endpoints = append(news.Endpoints, s.list.line(line, s.c, s.pool))
 	}
 	return news
 }
@@ -343,7 +339,7 @@
 			}
 		case brain.CloseIdle:
 			if e := s.endpoint(a.Endpoint); e != nil {
-				e.closeIdle(0)
+				s.pool.closeIdle(e, 0)
 			}
 		case brain.SetAlarm: // each is earlier than the one set before
 			s.alarm.Reset(max(0, a.At-s.clock.now()))
--- /dev/null
+++ b/internal/sender/sender_test.go
@@ -0,0 +1,266 @@
+package sender
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	st "dockshift.example/dockshift/internal/sendertest"
+)
+
+// run starts a sender in this process and gives its address; edit may change its configuration.
+func run(t *testing.T, p *st.Platform, edit func(c *Config)) string {
+	t.Helper()
+	raw, err := json.Marshal(st.Config(p, t.TempDir()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := ParseConfig(raw)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if edit != nil {
+		edit(c)
+	}
+	s, err := New(c, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	l, err := net.Listen("tcp", c.Listen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- s.Run(ctx, l) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := st.Receive(t, done); err != nil {
+			t.Error(err)
+		}
+	})
+	return l.Addr().String()
+}
+
+func TestDelivery(t *testing.T) {
+	t.Parallel()
+	e := st.NewEndpoint(t, st.Status(200))
+	addr := run(t, st.NewPlatform(t, e.Addr), nil)
+	body := string([]byte{0, 255, '\r', '\n'}) + strings.Repeat("x", maxBody-4)
+	r := st.Message(t, addr, "m1", "keyed", 0, 5*time.Second, body)
+	r.Header.Set("X-Addressing", "other=1, dest=0")
+	if resp, text := st.Do(t, r); resp.StatusCode != http.StatusAccepted {
+		t.Fatalf("%s %s", resp.Status, text)
+	}
+	if c := e.Next(t); c.ID != "m1" || c.Key != "key-m1" || c.Body != body {
+		t.Errorf("%s %s, %d bytes", c.ID, c.Key, len(c.Body))
+	}
+}
+
+// Input that is not sound gets a plain line, goes no further, and leaves the sender serving.
+func TestBadInput(t *testing.T) {
+	t.Parallel()
+	e := st.NewEndpoint(t, st.Status(200))
+	addr := run(t, st.NewPlatform(t, e.Addr), nil)
+	for name, c := range map[string]struct {
+		edit   func(*http.Request)
+		status int
+	}{
+		"no id":            {func(r *http.Request) { r.Header.Del("X-Request-Id") }, 400},
+		"endless id":       {func(r *http.Request) { r.Header.Set("X-Request-Id", strings.Repeat("i", 200)) }, 400},
+		"id not ASCII":     {func(r *http.Request) { r.Header.Set("X-Request-Id", "\xff") }, 400},
+		"no class":         {func(r *http.Request) { r.Header.Del("X-Class") }, 400},
+		"unknown class":    {func(r *http.Request) { r.Header.Set("X-Class", "other") }, 400},
+		"unknown tenant":   {func(r *http.Request) { r.Header.Set("X-Tenant", "other") }, 400},
+		"no key":           {func(r *http.Request) { r.Header.Del("Idempotency-Key") }, 400},
+		"no deadline":      {func(r *http.Request) { r.Header.Del("X-Deadline-Ms") }, 400},
+		"deadline a word":  {func(r *http.Request) { r.Header.Set("X-Deadline-Ms", "soon") }, 400},
+		"deadline below 0": {func(r *http.Request) { r.Header.Set("X-Deadline-Ms", "-5") }, 400},
+		"deadline endless": {func(r *http.Request) { r.Header.Set("X-Deadline-Ms", "9223372036854775807") }, 400},
+		"no dest":          {func(r *http.Request) { r.Header.Del("X-Addressing") }, 400},
+		"dest a word":      {func(r *http.Request) { r.Header.Set("X-Addressing", "dest=here") }, 400},
+		"dest too high":    {func(r *http.Request) { r.Header.Set("X-Addressing", "dest=70000") }, 400},
+		"body too long": {func(r *http.Request) {
+			r.Body, r.ContentLength = io.NopCloser(bytes.NewReader(make([]byte, maxBody+1))), maxBody+1
+		}, 413},
+		"chunked, too long": {func(r *http.Request) {
+			r.Body, r.ContentLength = io.NopCloser(bytes.NewReader(make([]byte, maxBody+1))), -1
+		}, 413},
+		"wrong path":   {func(r *http.Request) { r.URL.Path = "/other" }, 404},
+		"wrong method": {func(r *http.Request) { r.Method = http.MethodPut }, 405},
+	} {
+		r := st.Message(t, addr, "bad", "keyed", 0, 5*time.Second, "x")
+		c.edit(r)
+		resp, text := st.Do(t, r)
+		if resp.StatusCode != c.status || strings.Count(text, "\n") != 1 || len(text) < 5 {
+			t.Errorf("%s: %s %q", name, resp.Status, text)
+		}
+	}
+	st.HandIn(t, addr, "good", "keyed", 0, 5*time.Second)
+	if c := e.Next(t); c.ID != "good" {
+		t.Errorf("the endpoint got %s", c.ID)
+	}
+}
+
+// What cannot be held is refused before it is sent, and its client is told when to come back.
+func TestNoRoomIsARefusal(t *testing.T) {
+	t.Parallel()
+	for name, edit := range map[string]func(*Config){
+		"held limit": func(c *Config) { c.Settings.MostHeld = 3 },
+		"disk":       func(c *Config) { c.Limits.DiskMB = 0.012 },
+	} {
+		e := st.NewEndpoint(t, st.Silent)
+		addr := run(t, st.NewPlatform(t, e.Addr), edit)
+		refused := false
+		for i := 0; i < 20 && !refused; i++ {
+			resp, _ := st.Do(t, st.Message(t, addr, "m"+strconv.Itoa(i), "safe", 0, 15*time.Second, "body"))
+			switch resp.StatusCode {
+			case http.StatusAccepted:
+			case http.StatusServiceUnavailable:
+				refused = true
+				if wait, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); err != nil || wait != 2 {
+					t.Errorf("%s: Retry-After %q", name, resp.Header.Get("Retry-After"))
+				}
+			default:
+				t.Fatalf("%s: %s", name, resp.Status)
+			}
+			if i == 0 && refused {
+				t.Errorf("%s: the first is refused", name)
+			}
+		}
+		if !refused {
+			t.Errorf("%s: nothing is refused", name)
+		}
+	}
+}
+
+// What the module gives up ends at once: in the answer if that is not given yet, else by a notice, which
+// is repeated until it is taken.
+func TestEnds(t *testing.T) {
+	t.Parallel()
+	e := st.NewEndpoint(t, st.Status(500))
+	p := st.NewPlatform(t, e.Addr)
+	p.Deaf(true)
+	addr := run(t, p, nil)
+	if resp, _ := st.Do(t, st.Message(t, addr, "late", "safe", 0, 0, "")); resp.StatusCode != http.StatusInternalServerError {
+		t.Errorf("a message out of time is answered %s", resp.Status)
+	}
+	began := time.Now()
+	st.HandIn(t, addr, "doubt", "unsafe", 0, 19*time.Second)
+	e.Next(t)
+	p.Deaf(false)
+	if n := st.Receive(t, p.Notices); n.Message != "doubt" || n.Outcome != "given_up" {
+		t.Errorf("notice %+v", n)
+	}
+	if took := time.Since(began); took > 10*time.Second {
+		t.Errorf("it was held back for %v", took)
+	}
+	if len(e.Calls) != 0 {
+		t.Error("an unsafe message that may have run was sent again")
+	}
+}
+
+// A message that the module hands back after it was taken on is told of with the time to come back.
+func TestHandedBack(t *testing.T) {
+	t.Parallel()
+	e := st.NewEndpoint(t, st.Silent)
+	p := st.NewPlatform(t, e.Addr)
+	addr := run(t, p, func(c *Config) { c.Settings.MostHeld = 20 })
+	for i := range 20 { // the module makes room from 95% on
+		resp, body := st.Do(t, st.Message(t, addr, "m"+strconv.Itoa(i), "safe", 0, 15*time.Second, ""))
+		if resp.StatusCode != http.StatusAccepted && resp.StatusCode != http.StatusServiceUnavailable {
+			t.Fatalf("%s %s", resp.Status, body)
+		}
+		if resp.StatusCode == http.StatusServiceUnavailable {
+			if resp.Header.Get("Retry-After") != "2.000" {
+				t.Errorf("Retry-After %q", resp.Header.Get("Retry-After"))
+			}
+			return
+		}
+	}
+	if n := st.Receive(t, p.Notices); n.Outcome != "handed_back" || n.RetryMS != 2000 {
+		t.Errorf("notice %+v", n)
+	}
+}
+
+// Told to wait, nothing goes to that destination before the wait is over.
+func TestWait(t *testing.T) {
+	t.Parallel()
+	var first atomic.Bool
+	told := make(chan time.Time, 1)
+	e := st.NewEndpoint(t, func(c st.Call, nc net.Conn) bool {
+		if first.CompareAndSwap(false, true) {
+			told <- time.Now()
+			return st.Status(429, "X-RateLimit-Wait-Ms: 700")(c, nc)
+		}
+		return st.Status(200)(c, nc)
+	})
+	addr := run(t, st.NewPlatform(t, e.Addr), nil)
+	st.HandIn(t, addr, "a", "keyed", 0, 15*time.Second)
+	e.Next(t)
+	from := st.Receive(t, told)
+	time.Sleep(50 * time.Millisecond) // not an event: the refusal's way back, which the rule excuses too
+	st.HandIn(t, addr, "b", "keyed", 0, 15*time.Second)
+	e.Next(t)
+	if waited := time.Since(from); waited < 700*time.Millisecond {
+		t.Errorf("a call after %v", waited)
+	}
+}
+
+// watching waits until the sender watches from that version on.
+func watching(t *testing.T, p *st.Platform, version int) {
+	t.Helper()
+	for !strings.HasPrefix(st.Receive(t, p.Lists), "after="+strconv.Itoa(version)+"&") {
+	}
+}
+
+func TestDrain(t *testing.T) {
+	t.Parallel()
+	old, other := st.NewEndpoint(t, st.Status(200)), st.NewEndpoint(t, st.Status(200))
+	p := st.NewPlatform(t, old.Addr)
+	addr := run(t, p, nil)
+	st.HandIn(t, addr, "a", "keyed", 0, 15*time.Second)
+	old.Next(t)
+	watching(t, p, 1)
+	p.Change(st.Target("s-0", old.Addr, 0, "DRAINING"))
+	watching(t, p, 2)
+	st.HandIn(t, addr, "b", "keyed", 0, 15*time.Second)
+	p.Change(st.Target("s-9", other.Addr, 0, "SERVING"))
+	if c := other.Next(t); c.ID != "b" {
+		t.Errorf("the new endpoint got %s", c.ID)
+	}
+	if len(old.Calls) != 0 {
+		t.Error("the draining endpoint got a call")
+	}
+}
+
+// While discovery is down the sender goes on with what it knows; then it asks for the whole list, as the
+// changes in between never come, and watches from there.
+func TestDiscoveryOutage(t *testing.T) {
+	t.Parallel()
+	e, other := st.NewEndpoint(t, st.Status(200)), st.NewEndpoint(t, st.Status(200))
+	p := st.NewPlatform(t, e.Addr)
+	addr := run(t, p, nil)
+	watching(t, p, 1)
+	p.Down(true)
+	for st.Receive(t, p.Lists) != "" { // it asks for the whole, in vain
+	}
+	st.HandIn(t, addr, "a", "keyed", 0, 15*time.Second)
+	e.Next(t)
+	p.Change(st.Target("s-0", other.Addr, 0, "SERVING"))
+	p.Down(false)
+	watching(t, p, 2)
+	st.HandIn(t, addr, "b", "keyed", 0, 15*time.Second)
+	if c := other.Next(t); c.ID != "b" {
+		t.Errorf("the new address got %s", c.ID)
+	}
+}
--- a/internal/sender/server.go
+++ b/internal/sender/server.go
@@ -37,7 +37,7 @@
 // answerLine is the answer to a client.
 type answerLine struct {
 	status int
-	retry  time.Duration // Retry-After, 0 for none
+	retry  time.Duration // Retry-After of a refusal, 0 for the usual
 	text   string
 }
 
@@ -98,14 +98,17 @@
 	http.NewResponseController(w).SetReadDeadline(time.Time{})
 	// Once handed over the message may be held, so its answer is waited for even if the client goes away.
 	if !s.submit(r.Context(), *sub) {
-		writeAnswer(w, answerLine{http.StatusServiceUnavailable, refusedRetry, "shutting down"})
+		writeAnswer(w, answerLine{http.StatusServiceUnavailable, 0, "shutting down"})
 		return
 	}
 	writeAnswer(w, <-sub.answer)
 }
 
 func writeAnswer(w http.ResponseWriter, a answerLine) {
-	if a.retry > 0 {
+	if a.status == http.StatusServiceUnavailable {
+		if a.retry <= 0 {
+			a.retry = refusedRetry
+		}
 		w.Header().Set("Retry-After", strconv.FormatFloat(a.retry.Seconds(), 'f', 3, 64))
 	}
 	if a.status == http.StatusAccepted {
--- /dev/null
+++ b/internal/sendertest/platform.go
@@ -0,0 +1,318 @@
+// Package sendertest stands in for what a sender talks to, in tests: discovery with its notices, and
+// endpoints that answer as a test scripts them. All of it listens on loopback addresses, port 0.
+package sendertest
+
+import (
+	"bufio"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// Wait is how long a test waits for an event that should come.
+const Wait = 20 * time.Second
+
+// Call is a request as an endpoint got it.
+type Call struct {
+	ID, Key, Body string
+	Header        http.Header
+	Conn          int // which connection it came on, from 1
+}
+
+// Endpoint is a destination's endpoint. Answer gets each whole call and the connection to answer on; if it
+// reports false the connection is closed without more.
+type Endpoint struct {
+	Addr  string
+	Calls chan Call
+	close func()
+}
+
+// NewEndpoint starts an endpoint.
+func NewEndpoint(t testing.TB, answer func(Call, net.Conn) bool) *Endpoint {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	e := &Endpoint{Addr: l.Addr().String(), Calls: make(chan Call, 1000)}
+	var mu sync.Mutex
+	var conns []net.Conn
+	e.close = func() {
+		l.Close()
+		mu.Lock()
+		defer mu.Unlock()
+		for _, c := range conns {
+			c.Close()
+		}
+	}
+	t.Cleanup(e.close)
+	go func() {
+		for n := 1; ; n++ {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			conns = append(conns, c)
+			mu.Unlock()
+			go e.serve(c, n, answer)
+		}
+	}()
+	return e
+}
+
+func (e *Endpoint) serve(c net.Conn, n int, answer func(Call, net.Conn) bool) {
+	defer c.Close()
+	r := bufio.NewReader(c)
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(req.Body)
+		if err != nil {
+			return
+		}
+		call := Call{req.Header.Get("X-Request-Id"), req.Header.Get("Idempotency-Key"), string(body), req.Header, n}
+		e.Calls <- call
+		if !answer(call, c) {
+			return
+		}
+	}
+}
+
+// Status is the script of an endpoint that gives every call one answer, with further header lines.
+func Status(code int, lines ...string) func(Call, net.Conn) bool {
+	text := "HTTP/1.1 " + strconv.Itoa(code) + " X\r\nContent-Length: 0\r\n"
+	for _, l := range lines {
+		text += l + "\r\n"
+	}
+	return func(_ Call, c net.Conn) bool {
+		_, err := io.WriteString(c, text+"\r\n")
+		return err == nil
+	}
+}
+
+// Silent answers nothing and keeps the connection until its other side closes it.
+func Silent(_ Call, c net.Conn) bool {
+	io.Copy(io.Discard, c)
+	return false
+}
+
+// Reset breaks the connection.
+func Reset(_ Call, c net.Conn) bool {
+	c.(*net.TCPConn).SetLinger(0)
+	return false
+}
+
+// Next waits for the next call.
+func (e *Endpoint) Next(t testing.TB) Call {
+	t.Helper()
+	return Receive(t, e.Calls)
+}
+
+// Receive waits for a value.
+func Receive[T any](t testing.TB, c <-chan T) T {
+	t.Helper()
+	select {
+	case v := <-c:
+		return v
+	case <-time.After(Wait):
+		t.Fatal("nothing came")
+		panic("unreachable")
+	}
+}
+
+// Notice is a line that discovery was told.
+type Notice struct {
+	Message string `json:"message"`
+	Outcome string `json:"outcome"`
+	RetryMS int64  `json:"retry_in_ms"`
+}
+
+// Platform is discovery: the list, its watches and notices.
+type Platform struct {
+	Addr    string
+	Notices chan Notice
+	Lists   chan string // the query of each call for the list
+
+	mu      sync.Mutex
+	version int
+	targets []map[string]any
+	changed chan struct{}
+	down    bool
+	deaf    bool // notices are answered 503
+}
+
+// NewPlatform starts discovery with a list of endpoints: that at place i is for destination i.
+func NewPlatform(t testing.TB, addrs ...string) *Platform {
+	p := &Platform{Notices: make(chan Notice, 1000), Lists: make(chan string, 1000), version: 1, changed: make(chan struct{})}
+	for i, a := range addrs {
+		p.targets = append(p.targets, Target("s-"+strconv.Itoa(i), a, i, "SERVING"))
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /api/targets", p.list)
+	mux.HandleFunc("POST /v1/notices", p.notices)
+	s := httptest.NewServer(mux)
+	t.Cleanup(func() { s.CloseClientConnections(); s.Close() })
+	p.Addr = strings.TrimPrefix(s.URL, "http://")
+	return p
+}
+
+// Target is a line of the list.
+func Target(id, addr string, cell int, state string) map[string]any {
+	return map[string]any{"id": id, "addr": addr, "cell": cell, "state": state, "zone": "a", "kind": "plain", "weight": 1.0, "started_ms": 0}
+}
+
+// Known is the list for a configuration.
+func (p *Platform) Known() map[string]any {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return map[string]any{"version": p.version, "full": true, "servers": p.targets}
+}
+
+// Change sets a line and lets the watches know.
+func (p *Platform) Change(line map[string]any) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.version++
+	for i := range p.targets {
+		if p.targets[i]["id"] == line["id"] {
+			p.targets = append(p.targets[:i:i], p.targets[i+1:]...)
+			break
+		}
+	}
+	p.targets = append(p.targets, line)
+	p.wake()
+}
+
+func (p *Platform) wake() {
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+// Down makes calls for the list fail, or lets them work again; watches end.
+func (p *Platform) Down(down bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.down = down
+	p.wake()
+}
+
+// Deaf makes notices fail, or lets them work again.
+func (p *Platform) Deaf(deaf bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.deaf = deaf
+}
+
+func (p *Platform) list(w http.ResponseWriter, r *http.Request) {
+	p.Lists <- r.URL.RawQuery
+	after, err := strconv.Atoi(r.URL.Query().Get("after"))
+	for {
+		p.mu.Lock()
+		version, changed, down := p.version, p.changed, p.down
+		answer, _ := json.Marshal(map[string]any{"version": p.version, "full": true, "servers": p.targets})
+		p.mu.Unlock()
+		if down {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		if err != nil || version > after {
+			w.Write(answer)
+			return
+		}
+		select {
+		case <-changed:
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (p *Platform) notices(w http.ResponseWriter, r *http.Request) {
+	p.mu.Lock()
+	deaf := p.deaf
+	p.mu.Unlock()
+	if deaf {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	dec := json.NewDecoder(r.Body)
+	for {
+		var n Notice
+		if err := dec.Decode(&n); err == io.EOF {
+			break
+		} else if err != nil {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		p.Notices <- n
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// Config is a sender's configuration: classes "safe", "keyed" and "unsafe", one tenant "acme", ten slots.
+func Config(p *Platform, state string) map[string]any {
+	class := func(name, effect string) map[string]any {
+		return map[string]any{"name": name, "slo": 2500.0, "giveUp": 20000.0, "effect": effect, "dedupWindow": 7500.0,
+			"dedupScope": "all", "worth": 1.0, "lateValue": 0.5}
+	}
+	return map[string]any{"name": "n0", "listen": "127.0.0.1:0", "discovery": p.Addr, "state": state, "seed": "5",
+		"limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024, "disk_mb": 3},
+		"known":  p.Known(),
+		"settings": map[string]any{"balancers": 1, "discovery": "on_request", "step": 5.0, "zone": 0, "zones": []any{"a"},
+			"models":     []any{"plain"},
+			"familyInfo": map[string]any{"callsOut": 10, "fades": "halving", "routesApart": []any{false}, "perCall": []any{1}},
+			"limits": map[string]any{"cancel": true, "connIdle": 15000.0, "connectTimeout": 1500.0, "maxAttempts": 6,
+				"mostHeld": 100, "retryAfter": true, "maxRetryAfter": 2000.0},
+			"rules": map[string]any{"fallMultiple": 2.0, "startCapacity": 0.2, "overloadFor": 3000.0, "cold": 14000.0},
+			"services": []any{class("safe", "read_like"), class("keyed", "idempotency_key"),
+				class("unsafe", "non_idempotent")},
+			"orgs":      []any{map[string]any{"name": "acme", "share": 1.0, "allowancePerS": 1000.0}},
+			"telemetry": map[string]any{"fields": []any{"x0", "x1"}, "via": "answers"}}}
+}
+
+// Message is a request that hands in a message.
+func Message(t testing.TB, addr, id, class string, dest int, deadline time.Duration, body string) *http.Request {
+	t.Helper()
+	r, err := http.NewRequest("POST", "http://"+addr+"/api", strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for k, v := range map[string]string{"X-Request-Id": id, "X-Class": class, "X-Tenant": "acme", "Idempotency-Key": "key-" + id,
+		"X-Deadline-Ms": strconv.FormatInt(deadline.Milliseconds(), 10), "X-Addressing": "dest=" + strconv.Itoa(dest)} {
+		r.Header.Set(k, v)
+	}
+	return r
+}
+
+// Do hands a request in and returns the answer, its body read.
+func Do(t testing.TB, r *http.Request) (*http.Response, string) {
+	t.Helper()
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp, string(body)
+}
+
+// HandIn hands a message in and wants it taken on.
+func HandIn(t testing.TB, addr, id, class string, dest int, deadline time.Duration) {
+	t.Helper()
+	if resp, body := Do(t, Message(t, addr, id, class, dest, deadline, "body of "+id)); resp.StatusCode != http.StatusAccepted {
+		t.Fatalf("%s is answered %s: %s", id, resp.Status, body)
+	}
+}
