Resumed work waits for discovery's first answer; stale idle connections go

Now the first list is awaited, 300 ms at most, before resumed work and before clients; idle connections from before a call that timed out are closed; notices get 500 ms a try; idle clients 2 minutes. The first two have tests over loopback sockets.

--- a/cmd/saffronyard/main.go
+++ b/cmd/saffronyard/main.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"fmt"
 	"log/slog"
 	"math"
 	"net"
@@ -45,9 +44,5 @@
 	if err != nil {
 		return err
 	}
-	l, err := net.Listen("tcp", c.Listen)
-	if err != nil {
-		return fmt.Errorf("listen: %w", err)
-	}
-	return s.Run(ctx, l)
+	return s.Run(ctx, func() (net.Listener, error) { return net.Listen("tcp", c.Listen) })
 }
--- a/internal/sender/discovery.go
+++ b/internal/sender/discovery.go
@@ -14,6 +14,7 @@
 const (
 	watchWait  = 20 * time.Second       // a watch call waits so long for news
 	answerTime = 2 * time.Second        // and an answer takes no longer than this besides
+	noticeTime = 500 * time.Millisecond // notices are answered at once, or the connection says nothing any more
 	backOff    = 100 * time.Millisecond // first pause after a failure; doubles
 	backOffTop = 2 * time.Second
 	noticeMost = 256     // notices in one call
@@ -167,7 +168,7 @@
 }
 
 func (d *discovery) post(ctx context.Context, lines []byte) error {
-	ctx, cancel := context.WithTimeout(ctx, answerTime)
+	ctx, cancel := context.WithTimeout(ctx, noticeTime)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, d.base+"/v1/notices", bytes.NewReader(lines))
 	if err != nil {
--- a/internal/sender/loop.go
+++ b/internal/sender/loop.go
@@ -22,7 +22,8 @@
 	eventRoom   = 1024 // events on their way to the loop
 	batchMost   = 256  // taken in by one step
 	idleLook    = time.Second
-	journalPart = 0.9 // of the disk's limit: the rest is for what the file system adds
+	firstList   = 300 * time.Millisecond // the list is waited for at the start
+	journalPart = 0.9                    // of the disk's limit: the rest is for what the file system adds
 )
 
 // message is one that the Brain holds.
@@ -77,6 +78,9 @@
 		list: endpoints{byID: map[string]*endpoint{}}, disc: newDiscovery(c.Discovery), events: make(chan any, eventRoom),
 		asked: make(chan struct{}, 1), notices: make(chan []notice, 1), messages: map[brain.MessageID]*message{},
 		byID: map[string]*message{}, alarm: time.NewTimer(time.Hour)}
+	if j.failed {
+		log.Warn("the journal can't be written: nothing is taken on until it can", "folder", c.State)
+	}
 	s.server = newServer(c, s.clock, log, func(ctx context.Context, sub submission) bool { return s.post(ctx, sub) })
 	return s, nil
 }
@@ -91,9 +95,9 @@
 	}
 }
 
-// Run serves on the listener until ctx ends, and then for the grace. What is not done by then stays in
-// the journal.
-func (s *Sender) Run(ctx context.Context, l net.Listener) error {
+// Run takes up what the journal holds, then listens, and serves until ctx ends and for the grace after it.
+// What is not done by then stays in the journal.
+func (s *Sender) Run(ctx context.Context, listen func() (net.Listener, error)) error {
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
 	known := s.c.Known.Version
@@ -105,6 +109,10 @@
 	go s.disc.tell(work, s.notices, func(n []notice) { s.post(work, toldEvent{n}) })
 
 	s.resume(work)
+	l, err := listen()
+	if err != nil {
+		return errors.Join(fmt.Errorf("listen: %w", err), s.leave(stop))
+	}
 	served := make(chan error, 1)
 	go func() { served <- s.server.serve(l) }()
 	s.server.ready.Store(true)
@@ -155,9 +163,17 @@
 	return s.journal.close()
 }
 
-// resume hands the Brain what an earlier process left, before any client is heard.
+// resume hands the Brain what an earlier process left, before any client is heard. The list in the
+// configuration may be older than what that process had been told, and an endpoint on it may have drained
+// since: nothing is sent until discovery has answered once, or has had its time.
 func (s *Sender) resume(ctx context.Context) {
-	events := []brain.Event{s.news(s.c.Known, true)}
+	s.step(ctx, []brain.Event{s.news(s.c.Known, true)})
+	var events []brain.Event
+	select {
+	case e := <-s.events:
+		events = append(events, s.take(e))
+	case <-time.After(firstList):
+	}
 	for _, m := range s.journal.order {
 		if m.how != "" {
 			s.owed = append(s.owed, m.notice())
@@ -258,6 +274,11 @@
 	m.calls[e.attempt]()
 	delete(m.calls, e.attempt)
 	e.Message, e.Attempt = m.number, e.attempt
+	if e.Outcome == brain.TimedOut {
+		// Where a machine vanished or was cut off, the connections from before say nothing either, and are
+		// reset when it is back: each would cost a further call its time-out. Those used since may stay.
+		s.pool.closeIdle(s.list.byNumber[e.Endpoint], e.Elapsed)
+	}
 	if !m.ended {
 		switch {
 		case e.Outcome == brain.Served:
--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -35,20 +35,24 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	l, err := net.Listen("tcp", c.Listen)
-	if err != nil {
-		t.Fatal(err)
+	addr := make(chan string, 1)
+	listen := func() (net.Listener, error) {
+		l, err := net.Listen("tcp", c.Listen)
+		if err == nil {
+			addr <- l.Addr().String()
+		}
+		return l, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
-	go func() { done <- s.Run(ctx, l) }()
+	go func() { done <- s.Run(ctx, listen) }()
 	t.Cleanup(func() {
 		cancel()
 		if err := st.Receive(t, done); err != nil {
 			t.Error(err)
 		}
 	})
-	return l.Addr().String()
+	return st.Receive(t, addr)
 }
 
 func TestDelivery(t *testing.T) {
@@ -264,3 +268,86 @@
 		t.Errorf("the new address got %s", c.ID)
 	}
 }
+
+// The configuration's list may be older than what the earlier process was told: what it resumes does not go
+// to an endpoint that has drained since.
+func TestResumedMessageHeedsAnEarlierDrain(t *testing.T) {
+	t.Parallel()
+	old, other := st.NewEndpoint(t, st.Status(200)), st.NewEndpoint(t, st.Status(200))
+	p := st.NewPlatform(t, old.Addr)
+	p.Change(st.Target("s-0", old.Addr, 0, "DRAINING"))
+	p.Change(st.Target("s-1", other.Addr, 0, "SERVING"))
+	run(t, p, func(c *Config) {
+		c.Known = Targets{Version: 1, Full: true, Servers: []Target{{ID: "s-0", Addr: old.Addr, State: "SERVING", Zone: "a", Kind: "plain"}}}
+		j := openTest(t, c.State, 1<<20)
+		if _, err := j.take(record{ID: "m", Class: "keyed", Key: "k", Tenant: "acme", Deadline: newClock().now() + 15*time.Second}); err != nil {
+			t.Fatal(err)
+		}
+		if err := j.close(); err != nil {
+			t.Fatal(err)
+		}
+	})
+	if c := other.Next(t); c.ID != "m" {
+		t.Errorf("the new endpoint got %s", c.ID)
+	}
+	if len(old.Calls) != 0 {
+		t.Error("the drained endpoint got a call")
+	}
+}
+
+// A machine that was cut off leaves idle connections that say nothing any more: after a call there timed
+// out, the next opens a new one.
+func TestIdleConnectionsGoAfterATimeOut(t *testing.T) {
+	t.Parallel()
+	var cut atomic.Bool
+	both := make(chan struct{}, 2)
+	answer := make(chan struct{})
+	e := st.NewEndpoint(t, func(c st.Call, nc net.Conn) bool {
+		if c.Conn <= 2 && cut.Load() {
+			return st.Silent(c, nc)
+		}
+		if c.Conn <= 2 {
+			both <- struct{}{}
+			<-answer // two connections are needed
+		}
+		return st.Status(200)(c, nc)
+	})
+	p := st.NewPlatform(t, e.Addr)
+	raw, err := json.Marshal(st.Config(p, t.TempDir()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := ParseConfig(raw)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := New(c, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	at := &endpoint{addr: e.Addr}
+	s.list.byNumber = append(s.list.byNumber, at)
+	served := make(chan struct{}, 2)
+	for range 2 {
+		go func() { callOnce(s.pool, at, st.Wait, ""); served <- struct{}{} }()
+	}
+	st.Receive(t, both)
+	st.Receive(t, both)
+	close(answer)
+	st.Receive(t, served)
+	st.Receive(t, served)
+	if n := s.pool.idle.Load(); n != 2 {
+		t.Fatalf("%d idle connections", n)
+	}
+	cut.Store(true)
+	began := time.Now()
+	end := callOnce(s.pool, at, 30*time.Millisecond, "")
+	end.Elapsed = time.Since(began)
+	s.callEnded(callEnd{&message{stored: &stored{}, ended: true, calls: map[int]context.CancelFunc{0: func() {}}}, 0, end})
+	if n := s.pool.idle.Load(); n != 0 {
+		t.Errorf("%d idle connections after a time-out", n)
+	}
+	if got := callOnce(s.pool, at, st.Wait, ""); !got.Over {
+		t.Errorf("the next call: %+v", got)
+	}
+}
--- a/internal/sender/server.go
+++ b/internal/sender/server.go
@@ -23,6 +23,7 @@
 	maxHeader    = 16 << 10
 	readTime     = 5 * time.Second // a request that has begun comes within this
 	headerTime   = 30 * time.Second
+	idleTime     = 2 * time.Minute // a client that was cut off would hold its connection for good
 	maxDeadline  = 24 * time.Hour
 	refusedRetry = time.Second // Retry-After where the settings tell none
 )
@@ -61,7 +62,7 @@
 		}
 	})
 	mux.HandleFunc("GET /-/healthy", func(http.ResponseWriter, *http.Request) {})
-	s.http = &http.Server{Handler: s.header(mux), MaxHeaderBytes: maxHeader, ReadHeaderTimeout: headerTime,
+	s.http = &http.Server{Handler: s.header(mux), MaxHeaderBytes: maxHeader, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime,
 		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug)}
 	return s
 }
