--- a/internal/sender/loop.go
+++ b/internal/sender/loop.go
@@ -60,6 +60,8 @@
 	out      int // calls out
 	alarm    *time.Timer
 	quitting bool // no more steps: what comes in is only written down
+
+	grace, leaveAfter time.Duration
 }
 
 type (
@@ -77,7 +79,7 @@
 	s := &Sender{c: c, log: log, clock: newClock(), brain: brain.New(c.Settings, c.Seed), journal: j, pool: newPool(c),
 		list: endpoints{byID: map[string]*endpoint{}}, disc: newDiscovery(c.Discovery), events: make(chan any, eventRoom),
 		asked: make(chan struct{}, 1), notices: make(chan []notice, 1), messages: map[brain.MessageID]*message{},
-		byID: map[string]*message{}, alarm: time.NewTimer(time.Hour)}
+		byID: map[string]*message{}, alarm: time.NewTimer(time.Hour), grace: graceTime, leaveAfter: leaveTime}
 	if j.failed {
 		log.Warn("the journal can't be written: nothing is taken on until it can", "folder", c.State)
 	}
@@ -137,7 +139,7 @@
 			done = nil
 			s.log.Info("stopping", "held", s.held, "calls", s.out)
 			s.server.closing.Store(true)
-			grace, leave = time.After(graceTime), time.After(leaveTime)
+			grace, leave = time.After(s.grace), time.After(s.leaveAfter)
 		case <-grace:
 			grace = nil
 			s.quitting = true
--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -17,8 +17,8 @@
 	st "dockshift.example/dockshift/internal/sendertest"
 )
 
-// run starts a sender in this process and gives its address; edit may change its configuration.
-func run(t *testing.T, p *st.Platform, edit func(c *Config)) string {
+// newTest makes a sender that leaves quickly; edit may change its configuration.
+func newTest(t *testing.T, p *st.Platform, edit func(c *Config)) *Sender {
 	t.Helper()
 	raw, err := json.Marshal(st.Config(p, t.TempDir()))
 	if err != nil {
@@ -35,9 +35,17 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	s.grace, s.leaveAfter = 0, 100*time.Millisecond
+	return s
+}
+
+// run starts a sender in this process and gives its address.
+func run(t *testing.T, p *st.Platform, edit func(c *Config)) string {
+	t.Helper()
+	s := newTest(t, p, edit)
 	addr := make(chan string, 1)
 	listen := func() (net.Listener, error) {
-		l, err := net.Listen("tcp", c.Listen)
+		l, err := net.Listen("tcp", s.c.Listen)
 		if err == nil {
 			addr <- l.Addr().String()
 		}
@@ -313,18 +321,7 @@
 		return st.Status(200)(c, nc)
 	})
 	p := st.NewPlatform(t, e.Addr)
-	raw, err := json.Marshal(st.Config(p, t.TempDir()))
-	if err != nil {
-		t.Fatal(err)
-	}
-	c, err := ParseConfig(raw)
-	if err != nil {
-		t.Fatal(err)
-	}
-	s, err := New(c, slog.New(slog.NewTextHandler(io.Discard, nil)))
-	if err != nil {
-		t.Fatal(err)
-	}
+	s := newTest(t, p, nil)
 	at := &endpoint{addr: e.Addr}
 	s.list.byNumber = append(s.list.byNumber, at)
 	served := make(chan struct{}, 2)
