Attempts are numbered as they are sent

The module does so now, but nothing says that it must; two sends in one step would share a number and one outcome would go astray. A count of sends does not depend on it.

--- a/internal/sender/loop.go
+++ b/internal/sender/loop.go
@@ -31,6 +31,7 @@
 	*stored
 	number brain.MessageID
 	base   int                        // attempts made by earlier processes
+	sends  int                        // and by this one
 	answer chan answerLine            // its client still waits; nil once answered
 	calls  map[int]context.CancelFunc // out, by the Brain's number of the attempt
 	ended  bool
@@ -442,7 +443,8 @@
 	if m == nil || e == nil {
 		return
 	}
-	attempt := len(m.Tries) - 1 - m.base
+	attempt := m.sends
+	m.sends++
 	call, cancel := context.WithTimeout(ctx, a.Timeout)
 	m.calls[attempt] = cancel
 	s.out++
