SIGHUP has the configuration read again; discovery moves at once

Cause: cmd/saffronyard/main.go caught SIGTERM and SIGINT only, so SIGHUP ended the process. Ruled out: a crash of our own (log ends without a panic; 129 is 128+SIGHUP). Now: SIGHUP reads the file again; discovery.go moves to the file's address, ends the watch and pauses of the old one, asks the new one for the whole list at once and sends notices there, also a batch under retry. An unreadable file changes nothing. Probe: after a restart EDGE_DISCOVERY and the file agree.

--- a/cmd/saffronyard/main.go
+++ b/cmd/saffronyard/main.go
@@ -1,4 +1,5 @@
-// Command saffronyard is the real sender: it reads its configuration, listens, and serves until SIGTERM.
+// Command saffronyard is the real sender: it reads its configuration, listens, and serves until SIGTERM; SIGHUP
+// has it read the configuration again.
 package main
 
 import (
@@ -30,6 +31,11 @@
 func run(log *slog.Logger) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
+	// SIGHUP means that the configuration was replaced. It would end a process that does not catch it, so
+	// it is caught from the first moment on.
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
 	c, err := sender.LoadConfig(os.Getenv)
 	if err != nil {
 		return err
@@ -44,5 +50,25 @@
 	if err != nil {
 		return err
 	}
+	running := make(chan struct{})
+	defer close(running)
+	go reload(running, hup, s, log)
 	return s.Run(ctx, func() (net.Listener, error) { return net.Listen("tcp", c.Listen) })
 }
+
+// reload reads the configuration again with each SIGHUP, until the sender has left. One that can't be read changes nothing.
+func reload(running <-chan struct{}, hup <-chan os.Signal, s *sender.Sender, log *slog.Logger) {
+	for {
+		select {
+		case <-running:
+			return
+		case <-hup:
+		}
+		c, err := sender.ReloadConfig(os.Getenv)
+		if err != nil {
+			log.Error("the configuration is kept as it was", "err", err)
+			continue
+		}
+		s.Reload(c)
+	}
+}
--- a/cmd/saffronyard/main_test.go
+++ b/cmd/saffronyard/main_test.go
@@ -27,7 +27,20 @@
 // process is a sender that can be killed.
 type process struct {
 	*exec.Cmd
-	addr string
+	addr   string
+	config string // its file
+}
+
+// configure writes a configuration's file.
+func configure(t *testing.T, file string, p *st.Platform, state string) {
+	t.Helper()
+	raw, err := json.Marshal(st.Config(p, state))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(file, raw, 0o600); err != nil {
+		t.Fatal(err)
+	}
 }
 
 // start runs a sender and waits until it is ready.
@@ -39,15 +52,9 @@
 	}
 	addr := l.Addr().String()
 	l.Close()
-	raw, err := json.Marshal(st.Config(p, state))
-	if err != nil {
-		t.Fatal(err)
-	}
 	config := filepath.Join(t.TempDir(), "config.json")
-	if err := os.WriteFile(config, raw, 0o600); err != nil {
-		t.Fatal(err)
-	}
-	c := &process{exec.Command(os.Args[0]), addr}
+	configure(t, config, p, state)
+	c := &process{exec.Command(os.Args[0]), addr, config}
 	c.Env = append(os.Environ(), "SAFFRONYARD_TEST_CHILD=1", "GORACE=atexit_sleep_ms=0", "EDGE_CONFIG="+config, "EDGE_LISTEN="+addr, "EDGE_STATE="+state)
 	c.Stderr = os.Stderr
 	if err := c.Start(); err != nil {
@@ -170,6 +177,63 @@
 	}
 }
 
+// SIGHUP has the configuration read again: discovery is asked at its new address at once, for the whole list
+// and then for changes, and what is owed to it goes there, also notices that the old one did not take. What
+// the process was started with stands against it in EDGE_DISCOVERY and is older. A file that can't be read
+// changes nothing. A sender that does not catch SIGHUP ends on it.
+func TestReload(t *testing.T) {
+	e := st.NewEndpoint(t, st.Status(500))
+	moved := st.NewEndpoint(t, st.Status(200))
+	old := st.NewPlatform(t, e.Addr)
+	state := t.TempDir()
+	t.Setenv("EDGE_DISCOVERY", old.Addr)
+	s := start(t, old, state)
+	hup := func() {
+		t.Helper()
+		if err := s.Process.Signal(syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+	}
+	old.Deaf(true)
+	st.HandIn(t, s.addr, "doubt", "unsafe", 0, 15*time.Second)
+	e.Next(t)
+	waitFor(t, filepath.Join(state, "messages.journal"), 1, `"how":"given_up"`)
+
+	for name, text := range map[string]string{"no JSON": "{", "no discovery": `{"settings":{}}`} {
+		if err := os.WriteFile(s.config, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		hup()
+		if resp, _ := st.Do(t, st.Message(t, s.addr, "x", "safe", 0, 0, "")); resp.StatusCode != http.StatusInternalServerError {
+			t.Errorf("%s: a message out of time is answered %s", name, resp.Status)
+		}
+	}
+	other := st.NewPlatform(t, moved.Addr)
+	configure(t, s.config, other, state)
+	hup()
+	if q := st.Receive(t, other.Lists); q != "" {
+		t.Errorf("the new address is first asked %q", q)
+	}
+	if q := st.Receive(t, other.Lists); q != "after=1&wait_ms=20000" {
+		t.Errorf("then it is asked %q", q)
+	}
+	if n := st.Receive(t, other.Notices); n.Message != "doubt" || n.Outcome != "given_up" {
+		t.Errorf("notice %+v", n)
+	}
+	st.HandIn(t, s.addr, "next", "keyed", 0, 15*time.Second)
+	if c := moved.Next(t); c.ID != "next" {
+		t.Errorf("the new list's endpoint got %+v", c)
+	}
+	for len(old.Lists) > 0 {
+		<-old.Lists
+	}
+	other.Change(st.Target("s-5", e.Addr, 5, "SERVING"))
+	st.Receive(t, other.Lists)
+	if len(old.Lists) > 0 {
+		t.Error("the old address is asked still")
+	}
+}
+
 func TestUnreadableConfigurationIsAPlainError(t *testing.T) {
 	file := filepath.Join(t.TempDir(), "config.json")
 	if err := os.WriteFile(file, []byte(`{"settings":{"step":"soon"}}`), 0o600); err != nil {
--- a/internal/sender/config.go
+++ b/internal/sender/config.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"os"
 	"slices"
@@ -41,13 +42,9 @@
 
 // LoadConfig reads the file that EDGE_CONFIG names. The other variables win over what it says.
 func LoadConfig(getenv func(string) string) (*Config, error) {
-	raw, err := os.ReadFile(getenv("EDGE_CONFIG"))
-	if err != nil {
-		return nil, fmt.Errorf("configuration: %w", err)
-	}
-	c, err := ParseConfig(raw)
+	c, err := readConfig(getenv)
 	if err != nil {
-		return nil, fmt.Errorf("configuration: %w", err)
+		return nil, err
 	}
 	for name, field := range map[string]*string{"EDGE_NAME": &c.Name, "EDGE_LISTEN": &c.Listen,
 		"EDGE_DISCOVERY": &c.Discovery, "EDGE_STATE": &c.State} {
@@ -61,6 +58,28 @@
 	return c, nil
 }
 
+// ReloadConfig reads the file again for Sender.Reload. Here the file wins: it is newer than the variables
+// that the process was started with.
+func ReloadConfig(getenv func(string) string) (*Config, error) {
+	c, err := readConfig(getenv)
+	if err == nil && c.Discovery == "" {
+		err = errors.New("configuration: discovery is not set")
+	}
+	return c, err
+}
+
+func readConfig(getenv func(string) string) (*Config, error) {
+	raw, err := os.ReadFile(getenv("EDGE_CONFIG"))
+	if err != nil {
+		return nil, fmt.Errorf("configuration: %w", err)
+	}
+	c, err := ParseConfig(raw)
+	if err != nil {
+		return nil, fmt.Errorf("configuration: %w", err)
+	}
+	return c, nil
+}
+
 // ParseConfig reads the configuration's JSON.
 func ParseConfig(raw []byte) (*Config, error) {
 	var file struct {
--- a/internal/sender/discovery.go
+++ b/internal/sender/discovery.go
@@ -8,6 +8,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"sync"
 	"time"
 )
 
@@ -39,48 +40,98 @@
 	Servers []Target `json:"servers"`
 }
 
-// discovery speaks with the platform: the list and its changes, and notices.
+// discovery speaks with the platform: the list and its changes, and notices. Where it listens may change
+// while calls are out.
 type discovery struct {
-	base   string
+	mu  sync.Mutex
+	now *office
+}
+
+// office is one address of discovery and the connections to it. left ends when discovery has moved away:
+// with it end the calls there and the pauses after failures of the old address.
+type office struct {
+	addr   string
 	client *http.Client
+	left   context.Context
+	leave  context.CancelFunc
 }
 
-func newDiscovery(addr string) *discovery {
-	return &discovery{base: "http://" + addr, client: &http.Client{
+func newDiscovery(addr string) *discovery { return &discovery{now: newOffice(addr)} }
+
+func newOffice(addr string) *office {
+	o := &office{addr: addr, client: &http.Client{
 		Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 2, ResponseHeaderTimeout: watchWait + answerTime},
 		CheckRedirect: func(*http.Request, []*http.Request) error {
 			return http.ErrUseLastResponse
 		}}}
+	o.left, o.leave = context.WithCancel(context.Background())
+	return o
+}
+
+func (d *discovery) office() *office {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.now
+}
+
+// move leaves the address for another one: the watch is begun anew there with the whole list, and notices
+// under way are sent again there. It reports whether the address is another.
+func (d *discovery) move(addr string) bool {
+	d.mu.Lock()
+	old := d.now
+	if old.addr == addr {
+		d.mu.Unlock()
+		return false
+	}
+	d.now = newOffice(addr)
+	d.mu.Unlock()
+	old.leave()
+	old.client.CloseIdleConnections()
+	return true
+}
+
+// within gives a call at the office its context: it ends with ctx, after the limit, or when discovery moves.
+func (o *office) within(ctx context.Context, limit time.Duration) (context.Context, func()) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	stop := context.AfterFunc(o.left, cancel)
+	return ctx, func() {
+		stop()
+		cancel()
+		if o.left.Err() != nil {
+			o.client.CloseIdleConnections() // the connection of a call that was just over
+		}
+	}
 }
 
-// pause waits after the n-th failure in a row, a little less or more each time; false if ctx ended.
-func pause(ctx context.Context, n int) bool {
+// pause waits after the n-th failure in a row, a little less or more each time, but not once discovery has
+// moved; false if ctx ended.
+func (o *office) pause(ctx context.Context, n int) bool {
 	d := min(backOff<<min(n-1, 10), backOffTop)
 	t := time.NewTimer(d/2 + rand.N(d/2+1))
 	defer t.Stop()
 	select {
 	case <-t.C:
-		return true
+	case <-o.left.Done():
 	case <-ctx.Done():
-		return false
 	}
+	return ctx.Err() == nil
 }
 
 // list asks for the whole list, or after a version for what is newer, waiting for it.
-func (d *discovery) list(ctx context.Context, after int64) (Targets, error) {
+func (o *office) list(ctx context.Context, after int64) (Targets, error) {
 	var t Targets
-	url, limit := d.base+"/api/targets", answerTime
+	url, limit := "http://"+o.addr+"/api/targets", answerTime
 	if after >= 0 {
 		url += fmt.Sprintf("?after=%d&wait_ms=%d", after, watchWait.Milliseconds())
 		limit += watchWait
 	}
-	ctx, cancel := context.WithTimeout(ctx, limit)
-	defer cancel()
+	ctx, done := o.within(ctx, limit)
+	defer done()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return t, err
 	}
-	resp, err := d.client.Do(req)
+	resp, err := o.client.Do(req)
 	if err != nil {
 		return t, err
 	}
@@ -99,21 +150,26 @@
 	return t, nil
 }
 
-// watch follows the list from a version on, -1 for none, until a call fails; then it returns. The next
-// call goes out as soon as an answer is passed on: a gap would end the watch.
-func (d *discovery) watch(ctx context.Context, version int64, news func(Targets)) error {
+// watch follows the list at one office from a version on, -1 for none, until a call fails; then it returns.
+// The next call goes out as soon as an answer is passed on: a gap would end the watch.
+func (o *office) watch(ctx context.Context, version int64, news func(Targets)) error {
 	for {
-		t, err := d.list(ctx, version)
+		t, err := o.list(ctx, version)
 		if err != nil {
 			return err
 		}
 		version = t.Version
-		news(t)
+		news(t) // also what comes while discovery moves: it has been told
+		if o.left.Err() != nil {
+			return o.left.Err()
+		}
 	}
 }
 
 // follow watches when the Brain asks for it. After a failure the list is asked for whole, as changes may
-// have been missed; the Brain decides when, and failures in a row are told to it ever later.
+// have been missed; the Brain decides when, and failures in a row are told to it ever later. A move is no
+// failure: the watch goes on at the new address at once, from the whole list, as versions are each office's
+// own and the old one may not have told all that it had to.
 func (d *discovery) follow(ctx context.Context, version int64, asked <-chan struct{}, news func(Targets), failed func(error)) {
 	failures := 0
 	for {
@@ -122,15 +178,25 @@
 		case <-ctx.Done():
 			return
 		}
-		err := d.watch(ctx, version, func(t Targets) {
+		for {
+			o := d.office()
+			err := o.watch(ctx, version, func(t Targets) {
+				failures = 0
+				news(t)
+			})
+			version = -1
+			if failures++; o.left.Err() == nil && failures > 1 {
+				o.pause(ctx, failures-1)
+			}
+			if ctx.Err() != nil {
+				return
+			}
+			if o.left.Err() == nil {
+				failed(err)
+				break
+			}
 			failures = 0
-			news(t)
-		})
-		version = -1
-		if failures++; failures > 1 && !pause(ctx, failures-1) || ctx.Err() != nil {
-			return
 		}
-		failed(err)
 	}
 }
 
@@ -141,7 +207,7 @@
 	RetryMS *int64 `json:"retry_in_ms,omitempty"`
 }
 
-// tell posts notices until they are taken.
+// tell posts notices until they are taken, wherever discovery is by then.
 func (d *discovery) tell(ctx context.Context, notices <-chan []notice, told func([]notice)) {
 	for {
 		var batch []notice
@@ -156,26 +222,30 @@
 			enc.Encode(n) // strings and numbers only: it cannot fail
 		}
 		for failures := 0; ; {
-			if d.post(ctx, lines.Bytes()) == nil {
+			o := d.office()
+			if o.post(ctx, lines.Bytes()) == nil {
 				told(batch)
 				break
 			}
-			if failures++; !pause(ctx, failures) {
+			if failures++; !o.pause(ctx, failures) {
 				return
 			}
+			if o.left.Err() != nil {
+				failures = 0
+			}
 		}
 	}
 }
 
-func (d *discovery) post(ctx context.Context, lines []byte) error {
-	ctx, cancel := context.WithTimeout(ctx, noticeTime)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, d.base+"/v1/notices", bytes.NewReader(lines))
+func (o *office) post(ctx context.Context, lines []byte) error {
+	ctx, done := o.within(ctx, noticeTime)
+	defer done()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+o.addr+"/v1/notices", bytes.NewReader(lines))
 	if err != nil {
 		return err
 	}
 	req.Header.Set("Content-Type", "application/x-ndjson")
-	resp, err := d.client.Do(req)
+	resp, err := o.client.Do(req)
 	if err != nil {
 		return err
 	}
--- a/internal/sender/loop.go
+++ b/internal/sender/loop.go
@@ -88,6 +88,12 @@
 	return s, nil
 }
 
+// Reload takes over what a newly read configuration may change while the sender runs: where discovery is.
+// The rest of it, the settings above all, is read at the start only. It may be called from any goroutine.
+func (s *Sender) Reload(c *Config) {
+	s.log.Info("configuration read again", "discovery", c.Discovery, "moved", s.disc.move(c.Discovery))
+}
+
 // post hands an event to the loop; false if that has ended.
 func (s *Sender) post(ctx context.Context, e any) bool {
 	select {
