Clients' connections are kept here: bounded in time, size and number

Causes: server.go left framing to http.Server, which drops Content-Length beside Transfer-Encoding and reads what follows as a next request; LimitListener(Sockets/2) with 30 s for heads and 2 min idle let 1,260 connections that asked once and stayed keep all others out. Ruled out: descriptors (193 of 256), CPU (0.06 of a second), the module (nothing reached it). Now: parsing stays net/http's, connections are ours. A first request comes whole within 2 s of connecting; when room is short, silent and half-sent connections go after 200 ms, idle ones after 2 s, never one that is answered or whose request is here; Transfer-Encoding, names that are no tokens, bytes behind a body and destinations that no list names are 4xx and the end. A first attempt stood still: the look at a connection used RawConn.Read, which waits for its reader; now Control.

--- a/internal/sender/endpoints.go
+++ b/internal/sender/endpoints.go
@@ -107,11 +107,10 @@
 		return false
 	}
 	stands := false
-	err = raw.Read(func(fd uintptr) bool {
+	err = raw.Control(func(fd uintptr) { // not Read: that would wait for one that is under way
 		var b [1]byte
 		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		stands = err == syscall.EAGAIN
-		return true
 	})
 	return err == nil && stands
 }
@@ -259,6 +258,7 @@
 type endpoints struct {
 	byID     map[string]*endpoint
 	byNumber []*endpoint
+	cells    map[uint32]struct{} // destinations that a list has ever named; no more than there are numbers
 }
 
 func (l *endpoints) number(n brain.EndpointID) (*endpoint, error) {
@@ -276,6 +276,9 @@
 		l.byID[t.ID] = e
 		l.byNumber = append(l.byNumber, e)
 	}
+	if t.Cell <= maxDest {
+		l.cells[t.Cell] = struct{}{}
+	}
 	e.zone = place(c.Zones, t.Zone, 0)
 	ready := t.State == "SERVING"
 	e.mu.Lock()
--- a/internal/sender/loop.go
+++ b/internal/sender/loop.go
@@ -78,7 +78,7 @@
 		return nil, err
 	}
 	s := &Sender{c: c, log: log, clock: newClock(), brain: brain.New(c.Settings, c.Seed), journal: j, pool: newPool(c),
-		list: endpoints{byID: map[string]*endpoint{}}, disc: newDiscovery(c.Discovery), events: make(chan any, eventRoom),
+		list: endpoints{byID: map[string]*endpoint{}, cells: map[uint32]struct{}{}}, disc: newDiscovery(c.Discovery), events: make(chan any, eventRoom),
 		asked: make(chan struct{}, 1), notices: make(chan []notice, 1), messages: map[brain.MessageID]*message{},
 		byID: map[string]*message{}, alarm: time.NewTimer(time.Hour), grace: graceTime, leaveAfter: leaveTime}
 	if j.failed {
@@ -151,7 +151,7 @@
 			grace = nil
 			s.quitting = true
 			go func() { // it ends when every request that has come is answered
-				s.server.http.Shutdown(work)
+				s.server.shutdown()
 				close(shut)
 			}()
 		case <-leave:
@@ -173,7 +173,7 @@
 // leave ends the process's work: what is out is cut off and stays written down as such.
 func (s *Sender) leave(stop context.CancelFunc) error {
 	stop()
-	s.server.http.Close()
+	s.server.close()
 	s.log.Info("stopped", "held", s.held, "calls", s.out, "notices", len(s.owed))
 	return s.journal.close()
 }
@@ -272,6 +272,11 @@
 		sub.answer <- answerLine{status: http.StatusAccepted}
 		return nil
 	}
+	// A destination without endpoints just now may get some; one that no list has ever named does not exist.
+	if _, known := s.list.cells[sub.Dest]; !known && len(s.list.cells) > 0 {
+		sub.answer <- answerLine{http.StatusBadRequest, 0, "X-Addressing names a destination that does not exist"}
+		return nil
+	}
 	if most := s.c.Settings.MostHeld; most > 0 && s.held >= most {
 		return refuse("all room for messages is taken")
 	}
--- /dev/null
+++ b/internal/sender/server_test.go
@@ -0,0 +1,235 @@
+package sender
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	st "dockshift.example/dockshift/internal/sendertest"
+)
+
+// head is a request that hands in message id, up to its last header lines.
+func head(id, lines string) string {
+	return "POST /api HTTP/1.1\r\nHost: backend.local\r\nX-Request-Id: " + id + "\r\nX-Class: keyed\r\nX-Tenant: acme\r\n" +
+		"X-Deadline-Ms: 9000\r\nIdempotency-Key: k\r\nX-Addressing: dest=0\r\n" + lines + "\r\n"
+}
+
+func dial(t *testing.T, addr string) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(st.Wait))
+	return c
+}
+
+// answers reads the status codes on a connection until it ends, be it by a reset.
+func answers(t *testing.T, c net.Conn) []int {
+	t.Helper()
+	var codes []int
+	r := bufio.NewReader(c)
+	for {
+		resp, err := http.ReadResponse(r, nil)
+		if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) {
+			return codes
+		}
+		if err != nil {
+			t.Fatalf("after %v: %v", codes, err)
+		}
+		io.Copy(io.Discard, resp.Body)
+		codes = append(codes, resp.StatusCode)
+	}
+}
+
+// A client that sends what is no request of the protocol gets one error and the end of its connection, soon;
+// nothing of it is taken on, above all no message that stands in the body of another or behind it.
+func TestHostileRequests(t *testing.T) {
+	t.Parallel()
+	e := st.NewEndpoint(t, st.Status(200))
+	addr := run(t, st.NewPlatform(t, e.Addr), nil)
+	hidden := head("hidden", "Content-Length: 1\r\n") + "x"
+	chunks := "0\r\n\r\n" + hidden
+	length := "Content-Length: " + strconv.Itoa(len(chunks)) + "\r\n"
+	for name, c := range map[string]struct {
+		text string
+		want int // 0: the connection just ends
+	}{
+		"chunked":                 {head("m", "Transfer-Encoding: chunked\r\n") + "1\r\nx\r\n0\r\n\r\n", 400},
+		"hidden, length first":    {head("m", length+"Transfer-Encoding: chunked\r\n") + chunks, 400},
+		"hidden, length last":     {head("m", "Transfer-Encoding: chunked\r\n"+length) + chunks, 400},
+		"hidden, other case":      {head("m", "tRANSFER-eNCODING: ChunkeD\r\n"+length) + chunks, 400},
+		"hidden, other coding":    {head("m", "Transfer-Encoding: identity\r\n"+length) + chunks, 400},
+		"hidden, two codings":     {head("m", "Transfer-Encoding: gzip, chunked\r\n"+length) + chunks, 400},
+		"hidden, folded":          {head("m", "Transfer-Encoding:\r\n chunked\r\n"+length) + chunks, 400},
+		"hidden, empty coding":    {head("m", "Transfer-Encoding:\r\n"+length) + chunks, 400},
+		"hidden, blank in a name": {head("m", "Transfer-Encoding : chunked\r\n"+length) + chunks, 400},
+		"hidden, HTTP/1.0":        {strings.Replace(head("m", "Transfer-Encoding: chunked\r\n"+length), "HTTP/1.1", "HTTP/1.0", 1) + chunks, 505},
+		"hidden, two lengths":     {head("m", "Content-Length: 5\r\n"+length) + chunks, 400},
+		"hidden in a GET":         {"GET /-/ready HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n" + length + "\r\n" + chunks, 400},
+		"hidden behind an error":  {"GET /other HTTP/1.1\r\nHost: x\r\n\r\n" + hidden, 404},
+		"two at once":             {head("m", "Content-Length: 1\r\n") + "x" + hidden, 400},
+		"length too short":        {head("m", "Content-Length: 3\r\n") + "xxxxxx", 400},
+		"length too long":         {head("m", "Content-Length: 30\r\n") + "xxx", 408},
+		"length below 0":          {head("m", "Content-Length: -1\r\n") + "xxx", 400},
+		"length a word":           {head("m", "Content-Length: some\r\n") + "xxx", 400},
+		"length beyond numbers":   {head("m", "Content-Length: 99999999999999999999\r\n") + "xxx", 400},
+		"length huge":             {head("m", "Content-Length: 3000000000\r\n") + "xxx", 413},
+		"no length":               {head("m", ""), 411},
+		"no host":                 {strings.Replace(head("m", "Content-Length: 0\r\n"), "Host:", "Guest:", 1), 400},
+		"two ids":                 {head("m", "Content-Length: 0\r\nX-Request-Id: other\r\n"), 400},
+		"no such destination":     {strings.Replace(head("m", "Content-Length: 0\r\n"), "dest=0", "dest=77", 1), 400},
+		"noise":                   {"\x00\x01\x02\xff\r\n\r\n", 400},
+		"a head without end":      {head("m", "X-More: "+strings.Repeat("m", maxHead)), 431},
+		"lines without end":       {head("m", strings.Repeat("X-More: m\r\n", maxHead)), 431},
+		"half a head":             {"POST /api HTTP/1.1\r\nHost: x", 408},
+		"nothing":                 {"", 0},
+		"a long body":             {head("m", "Content-Length: 1000000\r\n") + strings.Repeat("x", 1000000), 413},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			began := time.Now()
+			nc := dial(t, addr)
+			go io.WriteString(nc, c.text) // it may be cut off on the way
+			codes := answers(t, nc)
+			if c.want == 0 && len(codes) > 0 || c.want > 0 && (len(codes) != 1 || codes[0] != c.want) {
+				t.Errorf("answered %v, want %d", codes, c.want)
+			}
+			if took := time.Since(began); took > 3*time.Second {
+				t.Errorf("it took %v", took)
+			}
+		})
+	}
+	t.Cleanup(func() { // once all of them are over
+		st.HandIn(t, addr, "good", "keyed", 0, 5*time.Second)
+		if c := e.Next(t); c.ID != "good" {
+			t.Errorf("the endpoint got %s", c.ID)
+		}
+	})
+}
+
+// A client may end its sending with its request, and may ask before it sends a body.
+func TestUnusualButSoundRequests(t *testing.T) {
+	t.Parallel()
+	e := st.NewEndpoint(t, st.Status(200))
+	addr := run(t, st.NewPlatform(t, e.Addr), nil)
+	c := dial(t, addr)
+	io.WriteString(c, head("m1", "Content-Length: 1\r\n")+"x")
+	c.(*net.TCPConn).CloseWrite()
+	if codes := answers(t, c); len(codes) != 1 || codes[0] != 202 {
+		t.Errorf("with its sending ended: %v", codes)
+	}
+	c = dial(t, addr)
+	io.WriteString(c, head("m2", "Content-Length: 1\r\nExpect: 100-continue\r\nConnection: close\r\n"))
+	line, err := bufio.NewReader(io.LimitReader(c, 25)).ReadString('\n')
+	if err != nil || line != "HTTP/1.1 100 Continue\r\n" {
+		t.Errorf("asked before its body: %q, %v", line, err)
+	}
+	io.WriteString(c, "x")
+	if codes := answers(t, c); len(codes) != 1 || codes[0] != 202 {
+		t.Errorf("then: %v", codes)
+	}
+}
+
+// Connections that say nothing, stop within a request, or stay after one, may take all the room that clients
+// have: the next client is served all the same.
+func TestRoomForClients(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct {
+		text string
+		want int
+	}{
+		"silent":            {"", 0},
+		"half a head":       {"POST /api HTTP/1.1\r\nX-Cl", 0},
+		"half a body":       {head("half", "Content-Length: 2\r\n") + "x", 0},
+		"asked once, stays": {"GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n", 200},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			e := st.NewEndpoint(t, st.Status(200))
+			addr := run(t, st.NewPlatform(t, e.Addr), func(c *Config) { c.Limits.Sockets = 16 })
+			for range 8 {
+				nc := dial(t, addr)
+				io.WriteString(nc, c.text)
+				if c.want > 0 {
+					if resp, err := http.ReadResponse(bufio.NewReader(nc), nil); err != nil || resp.StatusCode != c.want {
+						t.Fatal(resp, err)
+					}
+				}
+			}
+			nc := dial(t, addr)
+			io.WriteString(nc, head("m", "Content-Length: 1\r\nConnection: close\r\n")+"x")
+			if codes := answers(t, nc); len(codes) != 1 || codes[0] != 202 {
+				t.Errorf("the next is answered %v", codes)
+			}
+			e.Next(t)
+		})
+	}
+}
+
+// Which connection goes when room is short: never one whose request is being answered, nor one whose request
+// has come and is not read yet.
+func TestEvict(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	type kept struct {
+		state  clientState
+		age    time.Duration
+		unread bool
+	}
+	for name, c := range map[string]struct {
+		kept []kept
+		want int // its place, -1: none may go
+	}{
+		"none":                      {nil, -1},
+		"answered is owed":          {[]kept{{answering, time.Hour, false}}, -1},
+		"young ones":                {[]kept{{fresh, slowTime / 2, false}, {reading, slowTime / 2, false}, {idling, idleLeast / 2, false}}, -1},
+		"its request is here":       {[]kept{{fresh, time.Hour, true}, {idling, time.Hour, true}}, -1},
+		"silent":                    {[]kept{{answering, time.Hour, false}, {fresh, 2 * slowTime, false}}, 1},
+		"the longest silent":        {[]kept{{fresh, 2 * slowTime, false}, {fresh, 3 * slowTime, false}}, 1},
+		"half, though more comes":   {[]kept{{reading, 2 * slowTime, true}}, 0},
+		"idle":                      {[]kept{{idling, 2 * idleLeast, false}, {answering, time.Hour, false}}, 0},
+		"the longest idle":          {[]kept{{idling, 2 * idleLeast, false}, {idling, 3 * idleLeast, false}}, 1},
+		"silent before longer idle": {[]kept{{idling, 3 * idleLeast, false}, {fresh, 2 * slowTime, false}}, 1},
+	} {
+		s := newServer(&Config{Limits: Limits{Sockets: 64}}, newClock(), slog.Default(), nil)
+		var all []*client
+		for _, k := range c.kept {
+			other := dial(t, l.Addr().String())
+			nc, err := l.Accept()
+			if err != nil {
+				t.Fatal(err)
+			}
+			if k.unread {
+				io.WriteString(other, "x")
+				for quiet(nc) {
+					time.Sleep(time.Millisecond)
+				}
+			}
+			all = append(all, &client{Conn: nc, state: k.state, since: time.Now().Add(-k.age)})
+			s.clients[all[len(all)-1]] = struct{}{}
+		}
+		went := s.evict()
+		for i, k := range all {
+			if (k.state == gone) != (i == c.want) {
+				t.Errorf("%s: place %d, state %d", name, i, k.state)
+			}
+			k.Close()
+		}
+		if went != (c.want >= 0) {
+			t.Errorf("%s: evict says %v", name, went)
+		}
+	}
+}
