Answers of endpoints are read with bounds, and doubted where they are spoilt

Seen in the code (endpoints.go): http.ReadResponse read heads and interim answers without a bound; noise without a line's end, or a body that keeps coming, held slot, client and outcome until the time-out; a spoilt 503 or 429 counted as one that never ran; 2000 passed for 200; X-Load took NaN, Inf and negative figures into the module, and a wait could be 11 days.

--- a/internal/sender/endpoints.go
+++ b/internal/sender/endpoints.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -40,15 +41,16 @@
 	r     *bufio.Reader
 	addr  string
 	since time.Time // it has been idle
-	first []byte    // of the answer that is being read
+	left  int       // bytes that may be read yet of this answer
 }
 
-// served is how an answer begins from which on the message is delivered, whatever becomes of the rest.
-const served = "HTTP/1.1 200"
-
+// Read bounds what an endpoint can make us hold: a head may have no end, and a body gigabytes.
 func (c *conn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	c.first = append(c.first, b[:min(n, len(served)-len(c.first))]...)
+	if c.left <= 0 {
+		return 0, errLongAnswer
+	}
+	n, err := c.Conn.Read(b[:min(len(b), c.left)])
+	c.left -= n
 	return n, err
 }
 
@@ -91,7 +93,7 @@
 		return nil, err
 	}
 	c := &conn{Conn: nc, addr: addr}
-	c.r = bufio.NewReaderSize(c, 1024)
+	c.r = bufio.NewReaderSize(c, maxLine)
 	return c, nil
 }
 
@@ -184,51 +186,148 @@
 		c.Close()
 		return end
 	}
-	c.first = c.first[:0]
-	resp, err := answer(c.r)
+	reusable, err := p.answer(ctx, c, &end)
+	if err == nil && reusable && stop() {
+		p.put(e, c)
+		return end
+	}
+	c.Close()
 	if err != nil {
-		c.Close()
 		switch {
-		case string(c.first) == served:
-			end.Outcome, end.Over = brain.Served, true
+		case errors.Is(err, errSpoilt):
+			end.Outcome = brain.Errored
 		case errors.Is(ctx.Err(), context.DeadlineExceeded):
 			end.Outcome = brain.TimedOut
 		case ctx.Err() != nil:
 			end.Outcome = brain.Cancelled
+		case errors.Is(err, os.ErrDeadlineExceeded): // the connection's clock was a little ahead
+			end.Outcome = brain.TimedOut
 		default:
 			end.Outcome = brain.Broken
 		}
-		return end
-	}
-	p.read(resp, &end)
-	// The status is the outcome; what follows only decides whether the connection can be used again.
-	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxBody+1))
-	if err != nil || n > maxBody || resp.Close || c.r.Buffered() > 0 || !stop() {
-		c.Close()
-	} else {
-		p.put(e, c)
 	}
 	return end
 }
 
-// answer reads a response, passing over interim ones.
-func answer(r *bufio.Reader) (*http.Response, error) {
+const (
+	maxLine    = 4 << 10                // bytes of a status line, and of what is read at once
+	maxAnswer  = 128 << 10              // bytes of an answer: head, interim answers and body
+	maxInterim = 16                     // interim answers ahead of one
+	restTime   = 200 * time.Millisecond // what follows an answer's first byte comes within this
+	maxWait    = time.Minute            // no endpoint is told to be left alone for longer
+	maxRate    = 1e6                    // calls a second that a destination may take
+)
+
+var (
+	errLongAnswer = errors.New("the answer is too long")
+	errSpoilt     = errors.New("the answer can't be read")
+)
+
+// answer reads the answer to a call and says how the call ended, and whether the connection is of further
+// use. A 200 in the first line is true whatever follows. Any other status holds only if the answer is sound
+// as a whole: a spoilt one, which comes from an endpoint that has run the call, may read as a refusal, and
+// says nothing but that the call may have run. Once it has begun, the rest gets restTime: a body that keeps
+// coming, or a head without end, must not hold the slot and the outcome until the time-out.
+func (p *pool) answer(ctx context.Context, c *conn, end *brain.AttemptEnd) (reusable bool, err error) {
+	c.left = maxAnswer
+	for range maxInterim {
+		status, err := c.status(ctx)
+		if err != nil {
+			return false, err
+		}
+		served := status == http.StatusOK
+		if served {
+			end.Outcome, end.Over = brain.Served, true
+		}
+		resp, err := http.ReadResponse(c.r, &http.Request{Method: http.MethodPost})
+		if err != nil || status == http.StatusSwitchingProtocols { // the latter nobody asked for
+			return false, spoilt(served)
+		}
+		if status < 200 {
+			continue
+		}
+		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxBody+1))
+		if err != nil || n > maxBody {
+			return false, spoilt(served)
+		}
+		p.read(resp, end)
+		// What stands behind an answer would be read as the next one.
+		return !resp.Close && c.r.Buffered() == 0, nil
+	}
+	return false, errSpoilt
+}
+
+// spoilt is what becomes of an answer that goes wrong behind its status line.
+func spoilt(served bool) error {
+	if served {
+		return nil
+	}
+	return errSpoilt
+}
+
+// status waits for an answer and looks at its first line, which is left to be read. From its first byte on
+// the rest of the answer has restTime. What can't become a status line is not waited for: behind noise the
+// connection may stay open and silent.
+func (c *conn) status(ctx context.Context) (int, error) {
+	deadline, _ := ctx.Deadline()
+	c.SetReadDeadline(deadline)
+	if err := ctx.Err(); err != nil {
+		return 0, err // its end may have set the deadline just before we did
+	}
+	if _, err := c.r.Peek(1); err != nil {
+		return 0, err
+	}
+	c.SetReadDeadline(time.Now().Add(restTime))
 	for {
-		resp, err := http.ReadResponse(r, &http.Request{Method: http.MethodPost})
-		if err != nil || resp.StatusCode >= 200 {
-			return resp, err
+		line, _ := c.r.Peek(c.r.Buffered())
+		i := bytes.IndexByte(line, '\n')
+		if i >= 0 {
+			line = line[:i]
 		}
+		status, ok := parseStatus(line)
+		const begin = "HTTP/1."
+		n := min(len(line), len(begin))
+		switch {
+		case i >= 0 && ok:
+			return status, nil
+		case i >= 0 || len(line) >= maxLine || string(line[:n]) != begin[:n]:
+			return 0, errSpoilt
+		}
+		if _, err := c.r.Peek(len(line) + 1); err != nil {
+			var waited net.Error
+			switch {
+			case ok:
+				return status, nil // cut off behind the status
+			case errors.As(err, &waited) && waited.Timeout():
+				return 0, errSpoilt
+			}
+			return 0, err
+		}
+	}
+}
+
+// parseStatus reads the status of a first line. The parser proper takes 2000 and 0200 for 200.
+func parseStatus(line []byte) (int, bool) {
+	rest, ok := bytes.CutPrefix(line, []byte("HTTP/1."))
+	if !ok || len(rest) < 5 || rest[0] != '0' && rest[0] != '1' || rest[1] != ' ' {
+		return 0, false
+	}
+	code, more := rest[2:5], rest[5:]
+	if len(more) > 0 && more[0] != ' ' && more[0] != '\r' {
+		return 0, false
 	}
+	n, err := strconv.ParseUint(string(code), 10, 16)
+	return int(n), err == nil && n >= 100
 }
 
-// read translates an answer.
+// read translates an answer. Figures that no sound endpoint sends count as not told.
 func (p *pool) read(resp *http.Response, end *brain.AttemptEnd) {
 	switch resp.StatusCode {
 	case http.StatusOK:
 		end.Outcome, end.Over = brain.Served, true
 	case http.StatusTooManyRequests:
 		end.Outcome = brain.Refused
-		if ms, err := strconv.ParseFloat(resp.Header.Get("X-RateLimit-Wait-Ms"), 64); err == nil && ms > 0 && ms < 1e9 {
+		if ms, err := strconv.ParseFloat(resp.Header.Get("X-RateLimit-Wait-Ms"), 64); err == nil && ms > 0 && ms <= float64(maxWait.Milliseconds()) {
 			end.Wait = time.Duration(ms * float64(time.Millisecond))
 		}
 	case http.StatusServiceUnavailable:
@@ -243,15 +342,25 @@
 	default:
 		end.Outcome = brain.Errored
 	}
+	end.Left, end.Limit, end.Reported = p.load(resp.Header.Get("X-Load"))
+}
+
+// load reads a load report. One with a figure that can't be is no report: the others are as doubtful.
+func (p *pool) load(text string) (left, limit float64, ok bool) {
 	report := map[string]float64{}
-	for _, part := range strings.Split(resp.Header.Get("X-Load"), ",") {
+	for _, part := range strings.Split(text, ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
-		if v, err := strconv.ParseFloat(value, 64); err == nil && slices.Contains(p.fields, name) {
-			report[name] = v
+		if !slices.Contains(p.fields, name) {
+			continue
+		}
+		v, err := strconv.ParseFloat(value, 64)
+		if err != nil || !(v >= 0 && v <= maxRate) { // neither NaN nor infinite, too
+			return 0, 0, false
 		}
+		report[name] = v
 	}
-	end.Left, end.Reported = report["x0"]
-	end.Limit = report["x1"]
+	left, ok = report["x0"]
+	return min(left, 1), report["x1"], ok
 }
 
 // endpoints is the list as the loop knows it. Numbers stay with ids, also of those that are gone.
--- a/internal/sender/endpoints_test.go
+++ b/internal/sender/endpoints_test.go
@@ -36,7 +36,11 @@
 		"no attempts": {st.Status(504), brain.AttemptEnd{Outcome: brain.NotSent}},
 		"over":        {st.Status(410), brain.AttemptEnd{Outcome: brain.NotSent, Over: true}},
 		"redirect":    {st.Status(307, "Location: /elsewhere"), brain.AttemptEnd{Outcome: brain.Errored}},
-		"reset":       {st.Reset, brain.AttemptEnd{Outcome: brain.Broken}},
+		"interim answers ahead": {func(c st.Call, nc net.Conn) bool {
+			io.WriteString(nc, strings.Repeat("HTTP/1.1 103 X\r\nLink: x\r\n\r\n", 3))
+			return st.Status(200)(c, nc)
+		}, brain.AttemptEnd{Outcome: brain.Served, Over: true}},
+		"reset": {st.Reset, brain.AttemptEnd{Outcome: brain.Broken}},
 		// Delivered as soon as the first line is written, whatever breaks then.
 		"cut after 200": {func(_ st.Call, c net.Conn) bool {
 			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-")
@@ -62,6 +66,119 @@
 	}
 }
 
+// Answers that are spoilt, or bring more than belongs to them, on a connection that stays open: a 200 in the
+// first line is true, any other spoilt one may have run, whatever it reads like; none holds its slot until
+// the time-out, and the connection is not used again.
+func TestSpoiltAnswers(t *testing.T) {
+	errored := brain.AttemptEnd{Outcome: brain.Errored}
+	delivered := brain.AttemptEnd{Outcome: brain.Served, Over: true}
+	good := "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+	for name, c := range map[string]struct {
+		answer  string
+		endless string // sent again and again behind it
+		want    brain.AttemptEnd
+	}{
+		"noise":                    {"\x00\xff\x13\x37", "", errored},
+		"noise, a line":            {"\x00\xff\x13\x37\r\n\r\n", "", errored},
+		"noise without end":        {"", "\x00\xff\x13\x37", errored},
+		"a line without end":       {"HTTP/1.1 500 ", "x", errored},
+		"half a first line":        {"HTTP/1.", "", errored},
+		"another protocol":         {"HTTP/2 200 OK\r\n\r\n", "", errored},
+		"status too long":          {"HTTP/1.1 2000 OK\r\nContent-Length: 0\r\n\r\n", "", errored},
+		"status below 0":           {"HTTP/1.1 -20 OK\r\nContent-Length: 0\r\n\r\n", "", errored},
+		"status too short":         {"HTTP/1.1 20\r\nContent-Length: 0\r\n\r\n", "", errored},
+		"200, no more":             {"HTTP/1.1 200", "", delivered},
+		"200, half a head":         {"HTTP/1.1 200 OK\r\nContent-Le", "", delivered},
+		"200, no head":             {"HTTP/1.1 200 OK\r\n\x00\x01\r\n\r\n", "", delivered},
+		"200, head without end":    {"HTTP/1.1 200 OK\r\n", "X-More: more\r\n", delivered},
+		"200, length a word":       {"HTTP/1.1 200 OK\r\nContent-Length: some\r\n\r\n", "", delivered},
+		"200, length below 0":      {"HTTP/1.1 200 OK\r\nContent-Length: -5\r\n\r\n", "", delivered},
+		"200, two lengths":         {"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nxx", "", delivered},
+		"200, body too short":      {"HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\nxx", "", delivered},
+		"200, 3 GB":                {"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n", strings.Repeat("x", 1<<16), delivered},
+		"200, no length":           {"HTTP/1.1 200 OK\r\n\r\n", "x", delivered},
+		"200, bad chunks":          {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", "", delivered},
+		"500, 3 GB":                {"HTTP/1.1 500 X\r\nContent-Length: 3000000000\r\n\r\n", strings.Repeat("x", 1<<16), errored},
+		"503, head without end":    {"HTTP/1.1 503 X\r\n", "X-More: more\r\n", errored},
+		"503, body too short":      {"HTTP/1.1 503 X\r\nContent-Length: 50\r\n\r\nxx", "", errored},
+		"503, length a word":       {"HTTP/1.1 503 X\r\nContent-Length: some\r\n\r\n", "", errored},
+		"429, half a head":         {"HTTP/1.1 429 X\r\nX-RateLimit-Wait-Ms: 900\r\n", "", errored},
+		"410, no head":             {"HTTP/1.1 410 X\r\n\x00\r\n\r\n", "", errored},
+		"switching":                {"HTTP/1.1 101 X\r\n\r\n", "", errored},
+		"interim without end":      {"", "HTTP/1.1 100 Continue\r\n\r\n", errored},
+		"interim and silence":      {"HTTP/1.1 100 X\r\n\r\nHTTP/1.1 2", "", errored},
+		"a second copy":            {good + good, "", delivered},
+		"noise behind":             {good + "\x00\x01", "", delivered},
+		"a refusal, noise behind":  {"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n\x00", "", brain.AttemptEnd{Outcome: brain.Refused}},
+		"a refusal after interims": {"HTTP/1.1 100 X\r\n\r\nHTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n\x00", "", brain.AttemptEnd{Outcome: brain.Refused}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			e := st.NewEndpoint(t, func(call st.Call, nc net.Conn) bool {
+				if call.Conn > 1 {
+					return st.Status(200)(call, nc)
+				}
+				_, err := io.WriteString(nc, c.answer)
+				for err == nil && c.endless != "" {
+					_, err = io.WriteString(nc, c.endless)
+				}
+				return st.Silent(call, nc)
+			})
+			p, at := testPool(), &endpoint{addr: e.Addr}
+			began := time.Now()
+			if got := callOnce(p, at, st.Wait, "x"); got != c.want {
+				t.Errorf("got %+v, want %+v", got, c.want)
+			}
+			if took := time.Since(began); took > st.Wait/2 {
+				t.Errorf("it took %v", took)
+			}
+			if got := callOnce(p, at, st.Wait, "x"); got != delivered {
+				t.Errorf("the next call: %+v", got)
+			}
+			if e.Next(t); e.Next(t).Conn != 2 {
+				t.Error("the connection was used again")
+			}
+		})
+	}
+}
+
+// Figures that no sound endpoint sends count as not told: they would go into the module's sums.
+func TestFiguresFromEndpoints(t *testing.T) {
+	served := brain.AttemptEnd{Outcome: brain.Served, Over: true}
+	for line, want := range map[string]brain.AttemptEnd{
+		"X-Load: x0=0.5,x1=20":       {Outcome: brain.Served, Over: true, Reported: true, Left: 0.5, Limit: 20},
+		"X-Load: x1=20, x0=0":        {Outcome: brain.Served, Over: true, Reported: true, Limit: 20},
+		"X-Load: x0=1.04,x1=20":      {Outcome: brain.Served, Over: true, Reported: true, Left: 1, Limit: 20},
+		"X-Load: x0=NaN,x1=20":       served,
+		"X-Load: x0=0.5,x1=NaN":      served,
+		"X-Load: x0=0.5,x1=Inf":      served,
+		"X-Load: x0=0.5,x1=-Inf":     served,
+		"X-Load: x0=-0.5,x1=20":      served,
+		"X-Load: x0=0.5,x1=-20":      served,
+		"X-Load: x0=0.5,x1=1e300":    served,
+		"X-Load: x0=0.5,x1=":         served,
+		"X-Load: x0=0.5,x1=many":     served,
+		"X-Load: x0;x1":              served,
+		"X-Load: =,=,,=5":            served,
+		"X-RateLimit-Wait-Ms: 250":   {Outcome: brain.Refused, Wait: 250 * time.Millisecond},
+		"X-RateLimit-Wait-Ms: 60000": {Outcome: brain.Refused, Wait: time.Minute},
+		"X-RateLimit-Wait-Ms: -250":  {Outcome: brain.Refused},
+		"X-RateLimit-Wait-Ms: NaN":   {Outcome: brain.Refused},
+		"X-RateLimit-Wait-Ms: Inf":   {Outcome: brain.Refused},
+		"X-RateLimit-Wait-Ms: 9e8":   {Outcome: brain.Refused},
+		"X-RateLimit-Wait-Ms: soon":  {Outcome: brain.Refused},
+	} {
+		code := 200
+		if want.Outcome == brain.Refused {
+			code = 429
+		}
+		e := st.NewEndpoint(t, st.Status(code, line))
+		if got := callOnce(testPool(), &endpoint{addr: e.Addr}, st.Wait, ""); got != want {
+			t.Errorf("%s: got %+v, want %+v", line, got, want)
+		}
+	}
+}
+
 // A library may repeat a request with an Idempotency-Key by itself when a reused connection breaks; each
 // would count as a call that the module knows nothing of.
 func TestOneSendIsOneCall(t *testing.T) {
