What leaves the list is forgotten; descriptors are shared out

Seen in the code: endpoints.byID/byNumber, the module's endpoints, routes, dests and order kept every id ever listed, each with idle connections or a histogram; an endpoint that a whole list lacked kept its idle connections; a dial without descriptors counted against the endpoint. Now: an endpoint that is deleted, or not in a whole list, goes with its connections, and its number is never given again; the module drops endpoints without calls, own routes and empty destinations (the latter two after two minutes, as waits and outages outlast a list's gap). Clients get half of the descriptors, calls the rest less a reserve, and the module is told no more slots than that. EMFILE and its like are NotSent.

--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -802,3 +802,47 @@
 		t.Errorf("past its window: %d sends, failed %v", len(sends), r.failed[m.ID])
 	}
 }
+
+// Endpoints under ever new ids leave nothing behind, and a destination that nobody lists or wants any more
+// neither; a call that is out when its endpoint goes ends as it does, and a told wait outlasts the endpoint.
+func TestWhatLeavesTheListIsForgotten(t *testing.T) {
+	r := newRig(t, settings())
+	list := func(ids ...EndpointID) ListNews {
+		n := ListNews{Whole: true}
+		for _, id := range ids { // even ones of a shared destination, odd ones routes apart
+			n.Endpoints = append(n.Endpoints, Endpoint{ID: id, Destination: 10 + DestinationID(id%2), Kind: int(id % 2), Ready: true})
+		}
+		return n
+	}
+	for id := EndpointID(100); id < 2100; id += 2 {
+		sends := append(r.step(list(id, id+1), r.message(0, 10, 0)), r.step(r.message(0, 11, 0))...)
+		r.now += 300 * ms
+		r.step(list(id+2, id+3)) // they go while their calls are out
+		for _, s := range sends {
+			r.step(r.end(s, Served))
+		}
+		r.now += 5 * time.Second
+	}
+	r.step(list(5000))
+	if e, n, d, o := len(r.b.endpoints), len(r.b.routes), len(r.b.dests), len(r.b.order); e > 100 || n > 100 || d > 5 || o != d {
+		t.Errorf("%d endpoints, %d routes, %d destinations, %d in order", e, n, d, o)
+	}
+	if len(r.failed)+len(r.refused)+len(r.b.byID) > 0 {
+		t.Errorf("failed %v, refused %v, %d messages held", r.failed, r.refused, len(r.b.byID))
+	}
+	r.now += 2 * forgetAfter
+	r.step(list())
+	if len(r.b.endpoints)+len(r.b.routes)+len(r.b.dests)+len(r.b.order) > 0 {
+		t.Errorf("an empty list leaves %d endpoints, %d routes, %d destinations", len(r.b.endpoints), len(r.b.routes), len(r.b.dests))
+	}
+
+	s := r.step(list(7001), r.message(0, 11, 0))
+	e := r.end(s[0], Refused)
+	e.Wait = 2 * forgetAfter
+	r.step(e)
+	r.step(list())
+	r.now += forgetAfter + time.Second
+	if got := r.step(list(), list(7001), r.message(0, 11, 0)); len(got) > 0 {
+		t.Error("a told wait is forgotten with the endpoint")
+	}
+}
--- a/brain/state.go
+++ b/brain/state.go
@@ -85,6 +85,7 @@
 
 type endpoint struct {
 	Endpoint
+	listed  bool
 	route   *route
 	calls   int
 	recent  float64 // recent latency, s
@@ -98,6 +99,7 @@
 	endpoints []*endpoint
 	shared    *route // nil where routes are apart
 	waiting   []*message
+	held      int // messages that are not over
 }
 
 type call struct {
@@ -206,6 +208,7 @@
 
 func (b *Brain) drop(id EndpointID) {
 	if e := b.endpoints[id]; e != nil {
+		e.listed = false
 		d := b.destination(e.Destination)
 		d.endpoints = without(d.endpoints, e)
 	}
@@ -215,7 +218,7 @@
 	line.Kind, line.Zone = max(0, line.Kind), max(0, line.Zone)
 	d := b.destination(line.Destination)
 	e := b.endpoints[line.ID]
-	if e == nil {
+	if e == nil || e.Destination != line.Destination {
 		e = &endpoint{}
 		b.endpoints[line.ID] = e
 		if line.Kind < len(b.s.Kinds) && b.s.Kinds[line.Kind].Apart {
@@ -227,7 +230,7 @@
 			e.route = d.shared
 		}
 	}
-	e.Endpoint = line
+	e.Endpoint, e.listed = line, true
 	if b.s.RatedLimits && positive(line.Rating) {
 		b.learnLimit(e.route, line.Rating)
 	}
@@ -303,6 +306,38 @@
 			}
 		}
 	}
+	b.forget()
+}
+
+// forgetAfter is how long something that left the list is remembered: longer than any outage or wait.
+const forgetAfter = 2 * time.Minute
+
+// forget drops what has left the list for good, as ids are ever new: endpoints without a call, their own
+// routes, and destinations without endpoints or messages. A route may be told to wait, and a destination
+// may get new endpoints, so these are remembered for a while.
+func (b *Brain) forget() {
+	past := func(r *route) bool {
+		return r.calls == 0 && b.now >= r.closedUntil && b.now-max(r.sentAt, r.filled) > forgetAfter
+	}
+	for id, e := range b.endpoints {
+		if e.listed || e.calls > 0 {
+			continue
+		}
+		if d := b.dests[e.Destination]; d == nil || e.route != d.shared {
+			if !past(e.route) {
+				continue
+			}
+			b.routes = without(b.routes, e.route)
+		}
+		delete(b.endpoints, id)
+	}
+	for id, d := range b.dests {
+		if len(d.endpoints) > 0 || d.held > 0 || d.shared != nil && !past(d.shared) {
+			continue
+		}
+		delete(b.dests, id)
+		b.order, b.routes = without(b.order, d), without(b.routes, d.shared)
+	}
 }
 
 // positive reports whether x is of use as a figure: a report or a list may hold anything.
@@ -318,6 +353,7 @@
 	b.byID[m.ID] = m
 	b.held = append(b.held, m)
 	m.dest.waiting = append(m.dest.waiting, m)
+	m.dest.held++
 	b.came.add(b.now, arrivalSpan)
 	if m.class.Ordered && m.Key != 0 {
 		if m.turn = b.turns[m.Key]; m.turn == nil {
@@ -343,7 +379,8 @@
 		b.held = without(b.held, m)
 		m.dest.waiting = without(m.dest.waiting, m)
 	}
-	if m.out == 0 {
+	if m.out == 0 && b.byID[m.ID] == m {
+		m.dest.held--
 		delete(b.byID, m.ID)
 		if t := m.turn; t != nil {
 			t.queue = without(t.queue, m)
--- a/internal/sender/config.go
+++ b/internal/sender/config.go
@@ -24,6 +24,13 @@
 	DiskMB   float64 `json:"disk_mb"`
 }
 
+// clients is how many of the descriptors may be clients' connections.
+func (l Limits) clients() int { return max(1, l.Sockets/2) }
+
+// calls is how many may be connections to endpoints, in use or idle. The rest is for files, the listener
+// and discovery.
+func (l Limits) calls() int { return max(1, l.Sockets-l.clients()-min(24, l.Sockets/8)) }
+
 // Config is what a sender is told at its start.
 type Config struct {
 	Name      string
@@ -121,6 +128,11 @@
 	if c.Limits.Sockets <= 0 {
 		c.Limits.Sockets = 1024
 	}
+	// The module foresees a shortage of slots; a call that finds no descriptor would fail for no fault of its
+	// endpoint's.
+	if most := c.Limits.calls(); c.Settings.Slots <= 0 || c.Settings.Slots > most {
+		c.Settings.Slots = most
+	}
 	if c.Limits.DiskMB <= 0 {
 		c.Limits.DiskMB = 3
 	}
--- a/internal/sender/endpoints.go
+++ b/internal/sender/endpoints.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -68,7 +67,7 @@
 	// An endpoint closes an idle connection at IdleConnections at the latest, and what is written to one
 	// that it has closed is a reset that may have run: ours are closed a good deal before.
 	return &pool{connectTimeout: c.ConnectTimeout, keep: c.Settings.IdleConnections * 9 / 10,
-		most: int64(max(2, c.Limits.Sockets/4)), fields: c.Fields}
+		most: int64(c.Limits.calls() - c.Settings.Slots), fields: c.Fields}
 }
 
 // get takes the idle connection used last, or opens one.
@@ -97,6 +96,12 @@
 	return c, nil
 }
 
+// shortage reports whether a connection failed for want of something of our own machine's.
+func shortage(err error) bool {
+	return slices.ContainsFunc([]error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL},
+		func(lack error) bool { return errors.Is(err, lack) })
+}
+
 // quiet reports whether an idle connection still stands: nothing has come on it, not even its end. A call
 // on one that the endpoint has closed already would count as one that may have run.
 func quiet(c net.Conn) bool {
@@ -129,8 +134,11 @@
 	e.idle = append(e.idle, c)
 }
 
-// closeIdle closes the idle connections to e that have been so for a time.
+// closeIdle closes the idle connections to e that have been so for a time; e may be one that is gone.
 func (p *pool) closeIdle(e *endpoint, after time.Duration) {
+	if e == nil {
+		return
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.idle = slices.DeleteFunc(e.idle, func(c *conn) bool {
@@ -174,6 +182,9 @@
 	// Nothing has been written yet: however it fails up to the last byte, the call never ran.
 	c, err := p.get(ctx, e)
 	if err != nil {
+		if shortage(err) {
+			end.Outcome = brain.NotSent
+		}
 		return end
 	}
 	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
@@ -363,27 +374,64 @@
 	return min(left, 1), report["x1"], ok
 }
 
-// endpoints is the list as the loop knows it. Numbers stay with ids, also of those that are gone.
+// endpoints is the list as the loop knows it. Endpoints come and go all day: of one that is gone nothing is
+// kept, and a number is never given again, so that one which comes back, or another at its address, starts
+// with no connection and no past.
 type endpoints struct {
 	byID     map[string]*endpoint
-	byNumber []*endpoint
+	byNumber map[brain.EndpointID]*endpoint
+	last     brain.EndpointID
 	cells    map[uint32]struct{} // destinations that a list has ever named; no more than there are numbers
 }
 
-func (l *endpoints) number(n brain.EndpointID) (*endpoint, error) {
-	if int(n) >= len(l.byNumber) {
-		return nil, fmt.Errorf("endpoint %d is not known", n)
+func newEndpoints() endpoints {
+	return endpoints{byID: map[string]*endpoint{}, byNumber: map[brain.EndpointID]*endpoint{}, cells: map[uint32]struct{}{}}
+}
+
+// news books news of the list and translates them for the Brain.
+func (l *endpoints) news(t Targets, whole bool, c *Config, p *pool) brain.ListNews {
+	news := brain.ListNews{Whole: whole}
+	listed := make(map[string]bool, len(t.Servers))
+	for _, line := range t.Servers {
+		listed[line.ID] = true
+		news.Endpoints = append(news.Endpoints, l.line(line, c, p))
+	}
+	for _, line := range t.Servers {
+		if line.State == "DELETED" {
+			l.forget(l.byID[line.ID], p)
+		}
 	}
-	return l.byNumber[n], nil
+	if whole {
+		for id, e := range l.byID {
+			if !listed[id] {
+				l.forget(e, p)
+			}
+		}
+	}
+	return news
+}
+
+// forget drops an endpoint that is gone. Calls that are out there end as they do, and their connections with
+// them.
+func (l *endpoints) forget(e *endpoint, p *pool) {
+	if e == nil {
+		return
+	}
+	delete(l.byID, e.id)
+	delete(l.byNumber, e.number)
+	e.mu.Lock()
+	e.addr = ""
+	e.mu.Unlock()
+	p.closeIdle(e, 0)
 }
 
 // line books a line of the list and translates it for the Brain.
 func (l *endpoints) line(t Target, c *Config, p *pool) brain.Endpoint {
 	e := l.byID[t.ID]
 	if e == nil {
-		e = &endpoint{number: brain.EndpointID(len(l.byNumber)), id: t.ID}
-		l.byID[t.ID] = e
-		l.byNumber = append(l.byNumber, e)
+		l.last++
+		e = &endpoint{number: l.last, id: t.ID}
+		l.byID[t.ID], l.byNumber[e.number] = e, e
 	}
 	if t.Cell <= maxDest {
 		l.cells[t.Cell] = struct{}{}
--- a/internal/sender/endpoints_test.go
+++ b/internal/sender/endpoints_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -231,6 +234,31 @@
 	}
 }
 
+// Out of descriptors, a call is not made: that is our own shortage and says nothing of the endpoint. It is
+// foreseen, too: the module hears of no more slots than there are descriptors for.
+func TestOutOfDescriptors(t *testing.T) {
+	for err, want := range map[error]brain.Outcome{syscall.EMFILE: brain.NotSent, syscall.ENFILE: brain.NotSent,
+		syscall.ENOBUFS: brain.NotSent, syscall.ECONNREFUSED: brain.ConnectFailed} {
+		p := testPool()
+		p.dialer.Control = func(string, string, syscall.RawConn) error { return err }
+		if got := callOnce(p, &endpoint{addr: "127.0.0.1:9"}, st.Wait, ""); got.Outcome != want {
+			t.Errorf("%v: %+v", err, got)
+		}
+	}
+	for sockets, want := range map[int]int{1024: 100, 256: 100, 128: 48, 16: 6} {
+		c, err := ParseConfig([]byte(fmt.Sprintf(`{"limits":{"sockets":%d},"settings":{"familyInfo":{"callsOut":100}}}`, sockets)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := c.Settings.Slots; got != want {
+			t.Errorf("%d descriptors: %d slots, want %d", sockets, got, want)
+		}
+		if all := newServer(c, newClock(), slog.Default(), nil).most + int(newPool(c).most) + c.Settings.Slots; all >= sockets {
+			t.Errorf("%d descriptors: %d given out, none left for files", sockets, all)
+		}
+	}
+}
+
 func TestNobodyListens(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -330,3 +358,62 @@
 		t.Errorf("%d idle connections where none may be kept, counted %d", len(at.idle), p.idle.Load())
 	}
 }
+
+// All day endpoints are replaced under new ids, some at the address of one that has gone: of what is gone
+// nothing is kept, its connections are closed at once, also those that were in use then, and what comes in
+// its place starts with none.
+func TestEndpointsThatGo(t *testing.T) {
+	for name, gone := range map[string]Targets{
+		"deleted":                   {Servers: []Target{{ID: "old", State: "DELETED"}}},
+		"not in the whole list":     {Full: true},
+		"deleted in the whole list": {Full: true, Servers: []Target{{ID: "old", State: "DELETED"}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			hold, closed := make(chan struct{}), make(chan int, 2)
+			e := st.NewEndpoint(t, func(c st.Call, nc net.Conn) bool {
+				if c.Conn == 2 {
+					<-hold
+				}
+				st.Status(200)(c, nc)
+				if c.Conn <= 2 {
+					st.Silent(c, nc)
+					closed <- c.Conn
+				}
+				return c.Conn > 2
+			})
+			c, p, list := &Config{}, testPool(), newEndpoints()
+			news := func(t Targets) { list.news(t, t.Full, c, p) }
+			news(Targets{Full: true, Servers: []Target{{ID: "old", Addr: e.Addr, State: "SERVING"}}})
+			old := list.byID["old"]
+			if got := callOnce(p, old, st.Wait, "x"); got.Outcome != brain.Served || len(old.idle) != 1 {
+				t.Fatalf("%+v, %d idle", got, len(old.idle))
+			}
+			kept := old.idle[0]
+			p.idle.Add(-1)
+			old.idle = nil // as if it were in use, so that a second one is opened
+			ended := make(chan brain.AttemptEnd, 1)
+			go func() { ended <- callOnce(p, old, st.Wait, "x") }()
+			e.Next(t)
+			e.Next(t)
+			p.put(old, kept)
+			news(gone)
+			if n := st.Receive(t, closed); n != 1 {
+				t.Errorf("connection %d is closed first", n)
+			}
+			close(hold)
+			if got := st.Receive(t, ended); got.Outcome != brain.Served {
+				t.Errorf("the call that was out: %+v", got)
+			}
+			st.Receive(t, closed)
+			if len(list.byID)+len(list.byNumber) > 0 || p.idle.Load() != 0 {
+				t.Errorf("%d endpoints, %d idle connections", len(list.byID), p.idle.Load())
+			}
+			news(Targets{Servers: []Target{{ID: "new", Addr: e.Addr, State: "SERVING"}}})
+			if at := list.byID["new"]; at.number == old.number {
+				t.Error("its number is given again")
+			} else if callOnce(p, at, st.Wait, "x"); e.Next(t).Conn != 3 {
+				t.Error("the new endpoint got an old connection")
+			}
+		})
+	}
+}
--- a/internal/sender/loop.go
+++ b/internal/sender/loop.go
@@ -78,7 +78,7 @@
 		return nil, err
 	}
 	s := &Sender{c: c, log: log, clock: newClock(), brain: brain.New(c.Settings, c.Seed), journal: j, pool: newPool(c),
-		list: endpoints{byID: map[string]*endpoint{}, cells: map[uint32]struct{}{}}, disc: newDiscovery(c.Discovery), events: make(chan any, eventRoom),
+		list: newEndpoints(), disc: newDiscovery(c.Discovery), events: make(chan any, eventRoom),
 		asked: make(chan struct{}, 1), notices: make(chan []notice, 1), messages: map[brain.MessageID]*message{},
 		byID: map[string]*message{}, alarm: time.NewTimer(time.Hour), grace: graceTime, leaveAfter: leaveTime}
 	if j.failed {
@@ -331,13 +331,7 @@
 	}
 }
 
-func (s *Sender) news(t Targets, whole bool) brain.Event {
-	news := brain.ListNews{Whole: whole}
-	for _, line := range t.Servers {
-		news.Endpoints = append(news.Endpoints, s.list.line(line, s.c, s.pool))
-	}
-	return news
-}
+func (s *Sender) news(t Targets, whole bool) brain.Event { return s.list.news(t, whole, s.c, s.pool) }
 
 // flush writes the journal. What fails here fails again at the next message, which is refused.
 func (s *Sender) flush() bool {
@@ -355,7 +349,7 @@
 	for _, a := range actions {
 		switch a := a.(type) {
 		case brain.Send:
-			if m, e := s.messages[a.Message], s.endpoint(a.Endpoint); m != nil && e != nil {
+			if m, e := s.messages[a.Message], s.list.byNumber[a.Endpoint]; m != nil && e != nil {
 				s.journal.note(m.stored, record{Op: "send", Sent: &try{At: now, Endpoint: e.id[:min(len(e.id), maxName)], Zone: e.zone}})
 			}
 		case brain.Refuse:
@@ -379,9 +373,7 @@
 				m.calls[a.Attempt]()
 			}
 		case brain.CloseIdle:
-			if e := s.endpoint(a.Endpoint); e != nil {
-				s.pool.closeIdle(e, 0)
-			}
+			s.pool.closeIdle(s.list.byNumber[a.Endpoint], 0)
 		case brain.SetAlarm: // each is earlier than the one set before
 			s.alarm.Reset(max(0, a.At-s.clock.now()))
 		case brain.WatchList:
@@ -396,15 +388,6 @@
 	s.tell()
 }
 
-func (s *Sender) endpoint(n brain.EndpointID) *endpoint {
-	e, err := s.list.number(n)
-	if err != nil {
-		s.log.Error("the module names an endpoint", "err", err)
-		return nil
-	}
-	return e
-}
-
 // reply answers the client of m, if it still waits.
 func (s *Sender) reply(m *message, a answerLine) bool {
 	if m == nil || m.answer == nil {
@@ -450,8 +433,9 @@
 // send starts one call. One that could not be written down is not made: after a kill nobody would know
 // that the message may have run.
 func (s *Sender) send(ctx context.Context, a brain.Send, written bool) {
-	m, e := s.messages[a.Message], s.endpoint(a.Endpoint)
+	m, e := s.messages[a.Message], s.list.byNumber[a.Endpoint]
 	if m == nil || e == nil {
+		s.log.Error("the module names what is not there", "message", a.Message, "endpoint", a.Endpoint)
 		return
 	}
 	attempt := m.sends
--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -320,7 +320,7 @@
 	p := st.NewPlatform(t, e.Addr)
 	s := newTest(t, p, nil)
 	at := &endpoint{addr: e.Addr}
-	s.list.byNumber = append(s.list.byNumber, at)
+	s.list.byNumber[0] = at
 	served := make(chan struct{}, 2)
 	for range 2 {
 		go func() { callOnce(s.pool, at, st.Wait, ""); served <- struct{}{} }()
--- a/internal/sender/server.go
+++ b/internal/sender/server.go
@@ -122,7 +122,7 @@
 }
 
 func newServer(c *Config, k clock, log *slog.Logger, submit func(context.Context, submission) bool) *server {
-	s := &server{c: c, clock: k, log: log, most: max(1, c.Limits.Sockets/2), submit: submit,
+	s := &server{c: c, clock: k, log: log, most: c.Limits.clients(), submit: submit,
 		freed: make(chan struct{}, 1), clients: map[*client]struct{}{}}
 	s.ended, s.end = context.WithCancel(context.Background())
 	return s
