--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -850,7 +850,9 @@
 // Where a destination is out, the messages nearest their deadline would each cut the one call that goes there
 // before it is answered, and the destination would seem silent for as long as they come.
 func TestProbeHasTimeForItsAnswer(t *testing.T) {
-	r := newRig(t, settings())
+	late := settings() // all that are late are worth the same
+	late.Halving, late.Classes[1].Aim, late.Classes[1].LateWorth = true, 200*ms, 0.5
+	r := newRig(t, late)
 	r.serve(30, 0, 100*ms)
 	for i := 0; r.b.destination(0).shared.state != out; i++ {
 		if i > 100 {
