Idle clients hold a sixth of the descriptors at most

Traced: clients held exactly 128 of 384 connections idle, the third that they may hold, each after one answer; 64 silent ones took the rest of our room. Ruled out: the module (nothing reached it), EMFILE (no such line), our own accepting (the queue was the clients'). Cause: server.go closed idle connections only when our own room of half the descriptors was taken, so those that ask once and stay kept the clients' whole third, and younger than 2 s none could go. Now a sixth of the descriptors may be idle; beyond it the longest idle for 2 s goes, or else the answer says that the connection ends, which crosses no request.

--- a/internal/sender/config.go
+++ b/internal/sender/config.go
@@ -27,6 +27,10 @@
 // clients is how many of the descriptors may be clients' connections.
 func (l Limits) clients() int { return max(1, l.Sockets/2) }
 
+// idleClients is how many of those may be idle: clients hold a third of the descriptors at most, and those
+// who wait for a connection must find some left of that.
+func (l Limits) idleClients() int { return max(1, l.Sockets/6) }
+
 // calls is how many may be connections to endpoints, in use or idle. The rest is for files, the listener
 // and discovery.
 func (l Limits) calls() int { return max(1, l.Sockets-l.clients()-min(24, l.Sockets/8)) }
--- a/internal/sender/server.go
+++ b/internal/sender/server.go
@@ -82,13 +82,14 @@
 	gone                         // closed, or on its way there
 )
 
-// client is a connection from a client. state and since belong to the server's lock.
+// client is a connection from a client. state, since and stays belong to the server's lock.
 type client struct {
 	net.Conn
 	r     *bufio.Reader
 	left  int // bytes that may be read yet for this request
 	state clientState
 	since time.Time
+	stays bool // it is counted as staying
 }
 
 // Read bounds what a peer can make us hold: a head may have no end.
@@ -107,6 +108,7 @@
 	clock   clock
 	log     *slog.Logger
 	most    int // connections at once: the other descriptors are for calls and files
+	idles   int // those of them that may wait for a further request
 	submit  func(context.Context, submission) bool
 	ready   atomic.Bool
 	closing atomic.Bool     // answers say that the connection ends
@@ -118,11 +120,12 @@
 	mu       sync.Mutex
 	listener net.Listener
 	leaving  bool // no request is begun any more
+	staying  int  // connections that are idle, or will be after their answer
 	clients  map[*client]struct{}
 }
 
 func newServer(c *Config, k clock, log *slog.Logger, submit func(context.Context, submission) bool) *server {
-	s := &server{c: c, clock: k, log: log, most: c.Limits.clients(), submit: submit,
+	s := &server{c: c, clock: k, log: log, most: c.Limits.clients(), idles: c.Limits.idleClients(), submit: submit,
 		freed: make(chan struct{}, 1), clients: map[*client]struct{}{}}
 	s.ended, s.end = context.WithCancel(context.Background())
 	return s
@@ -185,45 +188,70 @@
 // evict closes the connection that has been without a request for longest: first one that has not got its
 // request out in a time that is plenty for an honest client, then one that has had none for a while.
 func (s *server) evict() bool {
+	return s.evictOldest(func(c *client, age time.Duration) bool {
+		return (c.state == fresh || c.state == reading) && age > slowTime
+	}) || s.evictIdle()
+}
+
+func (s *server) evictIdle() bool {
+	return s.evictOldest(func(c *client, age time.Duration) bool { return c.state == idling && age >= idleLeast })
+}
+
+func (s *server) evictOldest(may func(*client, time.Duration) bool) bool {
 	var victim *client
-	now, slow := time.Now(), false
+	now := time.Now()
 	for c := range s.clients {
-		age := now.Sub(c.since)
-		late := (c.state == fresh || c.state == reading) && age > slowTime
-		if !late && (c.state != idling || age < idleLeast) {
-			continue
-		}
-		if victim != nil && (slow && !late || slow == late && c.since.After(victim.since)) {
+		if !may(c, now.Sub(c.since)) || victim != nil && c.since.After(victim.since) {
 			continue
 		}
-		if c.state != reading && !quiet(c.Conn) {
-			continue // its request is here and only waits for us
+		if c.state == reading || quiet(c.Conn) { // else its request is here and only waits for us
+			victim = c
 		}
-		victim, slow = c, late
 	}
 	if victim == nil {
 		return false
 	}
-	victim.state = gone
+	s.set(victim, gone)
 	victim.Close()
 	delete(s.clients, victim)
 	return true
 }
 
+// set books what a connection is about.
+func (s *server) set(c *client, state clientState) {
+	if c.stays && state != idling {
+		c.stays = false
+		s.staying--
+	}
+	c.state = state
+}
+
 // become books what a connection is about; false if it was closed meanwhile.
 func (s *server) become(c *client, state clientState) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if c.state == gone {
-		return false
-	}
-	if state == idling && s.leaving {
+	if c.state == gone || state == idling && s.leaving {
 		return false
 	}
 	if state == idling || c.state == idling {
 		c.since = time.Now() // a first request's time counts from the connection's begin
 	}
-	c.state = state
+	s.set(c, state)
+	return true
+}
+
+// mayStay reports whether a connection may wait for a further request after its answer. Clients that ask
+// once and keep their connection would soon hold all that they may: beyond a part of them, one that has been
+// idle for a while goes for each that stays; if there is none, the answer says that the connection ends,
+// which crosses no request.
+func (s *server) mayStay(c *client) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.staying >= s.idles && !s.evictIdle() {
+		return false
+	}
+	c.stays = true
+	s.staying++
 	return true
 }
 
@@ -231,7 +259,7 @@
 func (s *server) drop(c *client) {
 	c.Close()
 	s.mu.Lock()
-	c.state = gone
+	s.set(c, gone)
 	delete(s.clients, c)
 	s.mu.Unlock()
 	s.signal()
@@ -294,7 +322,7 @@
 			return
 		}
 		answer := s.answer(r, sub, arrived)
-		stays := !r.Close && r.ProtoAtLeast(1, 1) && !s.closing.Load() && answer.status/100 != 4
+		stays := !r.Close && r.ProtoAtLeast(1, 1) && !s.closing.Load() && answer.status/100 != 4 && s.mayStay(c)
 		if !write(c, answer, !stays) || !stays {
 			return
 		}
--- a/internal/sender/server_test.go
+++ b/internal/sender/server_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"syscall"
@@ -176,6 +177,42 @@
 	}
 }
 
+// Clients that ask once and keep their connection hold no more than a part of what clients may hold at all:
+// beyond it the answer says that the connection ends, or the longest idle one goes.
+func TestIdleClientsHoldAPart(t *testing.T) {
+	t.Parallel()
+	e := st.NewEndpoint(t, st.Status(200))
+	addr := run(t, st.NewPlatform(t, e.Addr), func(c *Config) { c.Limits.Sockets = 24 }) // 4 may be idle
+	ask := func() (net.Conn, bool) {
+		t.Helper()
+		nc := dial(t, addr)
+		io.WriteString(nc, "GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+		resp, err := http.ReadResponse(bufio.NewReader(nc), nil)
+		if err != nil || resp.StatusCode != 200 {
+			t.Fatal(resp, err)
+		}
+		return nc, !resp.Close
+	}
+	first, stays := ask()
+	for i := 1; i < 12; i++ {
+		if !stays != (i > 4) {
+			t.Errorf("connection %d stays: %v", i, stays)
+		}
+		_, stays = ask()
+	}
+	first.SetReadDeadline(time.Now().Add(idleLeast)) // it was idle for so long when this is over
+	if _, err := first.Read(make([]byte, 1)); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Fatalf("the first is closed early: %v", err)
+	}
+	if _, stays = ask(); !stays {
+		t.Error("no room, though one is idle for long")
+	}
+	first.SetReadDeadline(time.Now().Add(st.Wait))
+	if _, err := first.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
+		t.Errorf("the longest idle one: %v", err)
+	}
+}
+
 // Which connection goes when room is short: never one whose request is being answered, nor one whose request
 // has come and is not read yet.
 func TestEvict(t *testing.T) {
