Usual rates outlast the process: a restart within an outage keeps the pace of the return

Cause: goOut in brain.go takes the rate before the outage from what this process served; one that started within the outage had served nothing, so only the floor of bearable was left. Ruled out: time-outs (mended before), the window, refusals (none).

--- a/brain/api.go
+++ b/brain/api.go
@@ -80,7 +80,7 @@
 	DestinationID uint32
 )
 
-// Event is one of Message, AttemptEnd, Withdrawn, ListNews and Alarm.
+// Event is one of Message, AttemptEnd, Earlier, Withdrawn, ListNews and Alarm.
 type Event interface{ event() }
 
 // Message hands in a new message. The Brain ends it exactly once; one of a class that the settings lack is
@@ -129,6 +129,12 @@
 	Limit    float64       // its limit in calls a second, 0 if it has none
 }
 
+// Earlier is what this sender's earlier process knew of a destination, as Rates gave it.
+type Earlier struct {
+	Destination DestinationID
+	Rate        float64
+}
+
 // Withdrawn says that nobody wants the message any more.
 type Withdrawn struct{ Message MessageID }
 
@@ -154,6 +160,7 @@
 
 func (Message) event()    {}
 func (AttemptEnd) event() {}
+func (Earlier) event()    {}
 func (Withdrawn) event()  {}
 func (ListNews) event()   {}
 func (Alarm) event()      {}
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -261,7 +261,7 @@
 // goOut begins an outage. Before a second one the rate was held down by us, so the higher is kept.
 func (b *Brain) goOut(r *route) {
 	if r.state == well {
-		r.before = max(b.usual(r.done), r.limit/float64(max(1, b.s.Senders)))
+		r.before = max(b.usual(r.done), r.limit/float64(max(1, b.s.Senders)), b.earlier(r))
 		if r.served > inRow { // enough of them to go by the last seconds
 			r.before = max(r.before, r.rateServed())
 		}
@@ -296,6 +296,8 @@
 			if b.alarm <= now+b.s.Step {
 				b.alarm = never
 			}
+		case Earlier:
+			b.remember(e)
 		case Withdrawn:
 			if m := b.byID[e.Message]; m != nil {
 				b.close(m)
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -90,6 +90,22 @@
 	}
 }
 
+// fallOut fails calls to destination 0 until that is an outage.
+func (r *rig) fallOut() {
+	r.Helper()
+	for i := 0; r.b.destination(0).shared.state != out; i++ {
+		if i > 100 {
+			r.Fatal("failures make no outage")
+		}
+		sends := r.step(r.message(1, 0, 0))
+		for len(sends) > 0 {
+			s := sends[0]
+			sends = append(sends[1:], r.step(r.end(s, ConnectFailed))...)
+		}
+		r.now += 200 * ms
+	}
+}
+
 func TestOracleAgainstDirectComputation(t *testing.T) {
 	rnd := rand.New(rand.NewSource(1))
 	for round := range 20 {
@@ -854,15 +870,7 @@
 	late.Halving, late.Classes[1].Aim, late.Classes[1].LateWorth = true, 200*ms, 0.5
 	r := newRig(t, late)
 	r.serve(30, 0, 100*ms)
-	for i := 0; r.b.destination(0).shared.state != out; i++ {
-		if i > 100 {
-			t.Fatal("failures make no outage")
-		}
-		for _, s := range r.step(r.message(1, 0, 0)) {
-			r.step(r.end(s, ConnectFailed))
-		}
-		r.now += 200 * ms
-	}
+	r.fallOut()
 	for i := range 60 { // they run out of time one after another
 		m := r.message(1, 0, 0)
 		m.Deadline = r.now + time.Duration(i)*50*ms
@@ -884,3 +892,37 @@
 		t.Error("no probe")
 	}
 }
+
+// A process that restarts within an outage has served nothing itself: what its destination bears on its return
+// goes by what the process before it knew.
+func TestRatesOutlastTheProcess(t *testing.T) {
+	before := newRig(t, settings())
+	before.serve(300, 0, 80*ms) // ten a second
+	var kept []Event
+	for _, e := range before.b.Rates() {
+		if e.Destination == 0 && (e.Rate < 5 || e.Rate > 15) {
+			t.Errorf("a rate of %.1f where ten a second are served", e.Rate)
+		}
+		kept = append(kept, e)
+	}
+	rate := func(facts ...Event) float64 {
+		t.Helper()
+		r := newRig(t, settings())
+		r.step(facts...)
+		r.fallOut()
+		return r.b.bearable(r.b.destination(0).shared)
+	}
+	knew := rate(kept...)
+	if new := rate(); knew < 2*new {
+		t.Errorf("%.2f calls a second, %.2f without what was known", knew, new)
+	}
+	before.fallOut()
+	if same := before.b.bearable(before.b.destination(0).shared); knew > 1.1*same {
+		t.Errorf("%.2f calls a second, %.2f in the process that went on", knew, same)
+	}
+	for _, x := range []float64{math.NaN(), math.Inf(1), -1, 0} {
+		if odd := rate(Earlier{Rate: x}); odd != rate() {
+			t.Errorf("a rate of %v counts: %.2f", x, odd)
+		}
+	}
+}
--- a/brain/state.go
+++ b/brain/state.go
@@ -65,6 +65,7 @@
 	served      float64       // calls served, fading over rateSpan
 	firstServed time.Duration
 	before      float64       // our calls a second before the outage
+	past        float64       // and in an earlier process
 	outAt       time.Duration // begin of the outage
 	state       state
 	since       time.Duration // of the state
@@ -100,6 +101,7 @@
 	shared    *route // nil where routes are apart
 	waiting   []*message
 	held      int // messages that are not over
+	past      float64
 }
 
 type call struct {
@@ -226,6 +228,7 @@
 		} else {
 			if d.shared == nil {
 				d.shared = b.newRoute(uint32(line.Destination))
+				d.shared.past = d.past
 			}
 			e.route = d.shared
 		}
@@ -237,6 +240,38 @@
 	d.endpoints = append(d.endpoints, e)
 }
 
+// remember takes over what an earlier process knew.
+func (b *Brain) remember(e Earlier) {
+	if d := b.destination(e.Destination); positive(e.Rate) {
+		d.past = e.Rate
+		if d.shared != nil {
+			d.shared.past = e.Rate
+		}
+	}
+}
+
+// earlier is the rate of an earlier process, which counts for less the more this one has seen itself.
+func (b *Brain) earlier(r *route) float64 {
+	return r.past * math.Exp(-(b.now-b.started).Seconds()/arrivalSpan.Seconds())
+}
+
+// Rates tells the calls a second usually served at each destination whose endpoints share one route, for the
+// sender to keep: a process that restarts within an outage would else know nothing of what a destination
+// bears when it returns.
+func (b *Brain) Rates() []Earlier {
+	var rates []Earlier
+	for _, d := range b.order {
+		if r := d.shared; r != nil {
+			rate := r.before
+			if r.state == well {
+				rate = max(b.usual(r.done), b.earlier(r))
+			}
+			rates = append(rates, Earlier{DestinationID(r.name), rate})
+		}
+	}
+	return rates
+}
+
 func without[T comparable](list []T, x T) []T {
 	for i, y := range list {
 		if y == x {
--- a/internal/sender/journal.go
+++ b/internal/sender/journal.go
@@ -3,15 +3,20 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"hash/crc32"
 	"io"
+	"math"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"time"
+
+	"dockshift.example/dockshift/brain"
 )
 
 // The journal is one file of lines, each a checksum and a JSON record. A process that is killed leaves at
@@ -23,6 +28,9 @@
 	maxName = 128
 	// tryAgain is the pause between compactions while they fail.
 	tryAgain = 200 * time.Millisecond
+	// ratesMost bounds a record of rates, and ratesRoom what it takes.
+	ratesMost = 100
+	ratesRoom = 32 * ratesMost
 )
 
 // overhead is what all records on one message's attempts and end may come to, beside its take record.
@@ -30,7 +38,7 @@
 
 // record is one line. Times are the clock's: Unix nanoseconds.
 type record struct {
-	Op string `json:"op"` // take, send, end, over, told
+	Op string `json:"op"` // take, send, end, over, told, rates
 	ID string `json:"id"`
 
 	// take: the message as its client handed it in; in a compacted file with what came of it so far
@@ -49,6 +57,8 @@
 
 	How     string `json:"how,omitempty"` // over
 	RetryMS int64  `json:"retry_ms,omitempty"`
+
+	Rates map[uint32]float64 `json:"rates,omitempty"` // rates: by destination, as the module knows them
 }
 
 // try is an attempt of a message. One without an outcome may have run.
@@ -112,13 +122,14 @@
 	buf    bytes.Buffer
 	failed bool      // the last write failed: nothing more is written until a compaction succeeds
 	tried  time.Time // the last compaction
+	rates  map[uint32]float64
 	byID   map[string]*stored
 	order  []*stored // in the order taken; ended ones are dropped when compacting
 }
 
 // openJournal reads what an earlier process left and begins a compacted file.
 func openJournal(dir string, budget int64) (*journal, error) {
-	j := &journal{path: filepath.Join(dir, journalName), budget: budget, byID: map[string]*stored{}}
+	j := &journal{path: filepath.Join(dir, journalName), budget: budget, live: ratesRoom, byID: map[string]*stored{}}
 	old, err := os.Open(j.path)
 	if err == nil {
 		err = j.replay(old)
@@ -150,6 +161,8 @@
 			continue
 		}
 		switch m := j.byID[rec.ID]; {
+		case rec.Op == "rates":
+			j.rates = rec.Rates
 		case rec.Op == "take":
 			if m != nil { // an id is used again only once its message is over
 				j.remove(m)
@@ -236,6 +249,19 @@
 	}
 }
 
+// keepRates notes the rates of the busiest destinations in place of those noted before.
+func (j *journal) keepRates(rates []brain.Earlier) error {
+	slices.SortFunc(rates, func(a, b brain.Earlier) int { return cmp.Compare(b.Rate, a.Rate) })
+	j.rates = map[uint32]float64{}
+	for _, r := range rates[:min(len(rates), ratesMost)] {
+		j.rates[uint32(r.Destination)] = math.Round(r.Rate*1000) / 1000
+	}
+	if _, err := encode(&j.buf, &record{Op: "rates", Rates: j.rates}); err != nil {
+		j.failed = true
+	}
+	return j.flush()
+}
+
 // flush writes what was noted. After a failed write the file may lack records, so nothing more is added
 // to it: the way on is a compaction, which writes the state that they led to.
 func (j *journal) flush() error {
@@ -279,6 +305,14 @@
 	}
 	w := bufio.NewWriterSize(f, 1<<16)
 	var size int64
+	if len(j.rates) > 0 {
+		n, err := encode(w, &record{Op: "rates", Rates: j.rates})
+		size += int64(n)
+		if err != nil {
+			f.Close()
+			return err
+		}
+	}
 	kept := make([]*stored, 0, len(j.byID))
 	for _, m := range j.order {
 		if j.byID[m.ID] != m {
--- a/internal/sender/journal_test.go
+++ b/internal/sender/journal_test.go
@@ -7,6 +7,8 @@
 	"os"
 	"path/filepath"
 	"testing"
+
+	"dockshift.example/dockshift/brain"
 )
 
 func openTest(t *testing.T, dir string, budget int64) *journal {
@@ -60,6 +62,31 @@
 	check(openTest(t, dir, 1<<20)) // and from the compacted file
 }
 
+// What the module knows of rates is kept beside the messages, the newest only, and within a bound.
+func TestJournalKeepsRates(t *testing.T) {
+	dir := t.TempDir()
+	j := openTest(t, dir, 1<<20)
+	var many []brain.Earlier
+	for d := range brain.DestinationID(1000) {
+		many = append(many, brain.Earlier{Destination: d, Rate: float64(d) / 7})
+	}
+	for _, rates := range [][]brain.Earlier{{{Destination: 3, Rate: 1}, {Destination: 4, Rate: 2.25}}, many} {
+		if err := j.keepRates(rates); err != nil {
+			t.Fatal(err)
+		}
+	}
+	takeTest(t, j, "a")
+	for range 2 { // as after a kill, and from the compacted file
+		j = openTest(t, dir, 1<<20)
+		if len(j.rates) != ratesMost || j.rates[999] != 142.714 || j.rates[3] != 0 || len(j.byID) != 1 {
+			t.Errorf("%d rates, %v, %d messages", len(j.rates), j.rates[999], len(j.byID))
+		}
+	}
+	if j.size > ratesRoom+1000 {
+		t.Errorf("rates and one message take %d bytes", j.size)
+	}
+}
+
 // A kill may tear the last record at any byte; nothing before it is lost, and a damaged line hides no other.
 func TestTornJournal(t *testing.T) {
 	dir := t.TempDir()
--- a/internal/sender/loop.go
+++ b/internal/sender/loop.go
@@ -142,6 +142,9 @@
 			for _, e := range s.list.byNumber {
 				s.pool.closeIdle(e, s.pool.keep)
 			}
+			if !s.quitting { // after that nothing is served as usual
+				s.journal.keepRates(s.brain.Rates()) // what fails here fails again with the next message
+			}
 		case <-done:
 			done = nil
 			s.log.Info("stopping", "held", s.held, "calls", s.out)
@@ -189,6 +192,9 @@
 		events = append(events, s.take(e))
 	case <-time.After(firstList):
 	}
+	for dest, rate := range s.journal.rates {
+		events = append(events, brain.Earlier{Destination: brain.DestinationID(dest), Rate: rate})
+	}
 	for _, m := range s.journal.order {
 		if m.how != "" {
 			s.owed = append(s.owed, m.notice())
