A probe needs time for a slow answer only, not for the whole patience

Ruled out: clients (0 requests not taken), descriptors (135 of 256), memory, CPU (0.13 of a second). Cause: precedes asked for the route's patience, up to 4 s, so messages that could have waited were spent on destinations that hang, 4 s each, where those near their end had been. Now an answer three times slower than usual, 300 ms at the least, is enough.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -529,15 +529,17 @@
 	}
 }
 
-// precedes orders two messages of one destination. Where it is out, one that can wait for the answer
-// goes first: those about to run out of time lose most by waiting, but what answers slowly would be cut off
-// by each of them and never be seen to answer. In an outage a message that may be repeated tries the
-// destination, as one that may not is lost with the call.
+// precedes orders two messages of one destination. Where it is out, one goes first that can wait for an
+// answer some times slower than usual: those about to run out of time lose most by waiting, but what answers
+// slowly would be cut off by each of them and never be seen to answer. In an outage a message that may be
+// repeated tries the destination, as one that may not is lost with the call.
 func (b *Brain) precedes(m *message, e *endpoint, x float64, than *message, thanX float64) bool {
 	if e.route.state == out {
-		enough := b.now + e.route.patience()
-		if short, thanShort := m.Deadline < enough, than.Deadline < enough; short != thanShort {
-			return thanShort
+		slow := time.Duration(slowBy * max(e.route.mean, e.route.recent) * float64(time.Second))
+		enough := b.now + max(probeFirst, slow)
+		short := m.Deadline < enough
+		if short != (than.Deadline < enough) {
+			return !short
 		}
 	}
 	if e.route.state == out && (m.class.Effect == Unsafe) != (than.class.Effect == Unsafe) {
