Connections are asked to go, not closed from outside; docs say what is bounded

Cause by reading: server.go closed a connection that had no request booked and nothing unread in the kernel; its goroutine may have read the request and not yet booked it, and a first request counted as slow from the connection's begin. Now the connection's wait is ended and its own goroutine decides: what has come whole is answered.

--- a/internal/sender/server.go
+++ b/internal/sender/server.go
@@ -29,10 +29,12 @@
 	maxBody      = 64 << 10
 	maxHead      = 16 << 10
 	readTime     = 2 * time.Second        // a request comes whole within this: the first of a connection from its begin
+	lateTime     = 100 * time.Millisecond // or within this, if it began at the very end of that
 	answerWrite  = time.Second            // and its answer is taken within this
 	idleTime     = 30 * time.Second       // a connection without a request is kept so long, if there is room
 	idleLeast    = 2 * time.Second        // and so long in any case
-	slowTime     = 200 * time.Millisecond // when room is short, no request takes longer to begin or to come whole
+	silentTime   = 200 * time.Millisecond // when room is short, no connection may go longer without a request
+	halfTime     = 400 * time.Millisecond // nor a request take longer: its client has given up waiting by then
 	roomLook     = 20 * time.Millisecond  // when room is short, connections are looked at so often
 	lingerTime   = 300 * time.Millisecond // what still comes behind an error is read so long, lest a reset overtake it
 	lingerMost   = 256 << 10
@@ -79,17 +81,18 @@
 	reading                      // one is coming
 	answering                    // one has come whole and is owed its answer
 	idling                       // the last one is answered
-	gone                         // closed, or on its way there
 )
 
-// client is a connection from a client. state, since and stays belong to the server's lock.
+// client is a connection from a client. What follows state belongs to the server's lock.
 type client struct {
 	net.Conn
 	r     *bufio.Reader
+	born  time.Time
 	left  int // bytes that may be read yet for this request
 	state clientState
-	since time.Time
-	stays bool // it is counted as staying
+	since time.Time // of the state
+	stays bool      // it is counted as staying
+	asked bool      // it was asked to go
 }
 
 // Read bounds what a peer can make us hold: a head may have no end.
@@ -121,6 +124,7 @@
 	listener net.Listener
 	leaving  bool // no request is begun any more
 	staying  int  // connections that are idle, or will be after their answer
+	asked    int  // connections that were asked to go and have not yet said yes or no
 	clients  map[*client]struct{}
 }
 
@@ -150,9 +154,9 @@
 			time.Sleep(roomLook)
 			continue
 		}
-		c := &client{Conn: nc, since: time.Now()}
-		c.r = bufio.NewReaderSize(c, 4096)
-		c.SetReadDeadline(c.since.Add(readTime))
+		c := &client{Conn: nc, born: time.Now()}
+		c.since, c.r = c.born, bufio.NewReaderSize(c, 4096)
+		c.SetReadDeadline(c.born.Add(readTime))
 		if !s.admit(c) {
 			nc.Close()
 			return nil
@@ -170,12 +174,13 @@
 			s.mu.Unlock()
 			return false
 		}
-		if len(s.clients) < s.most || s.evict() {
+		if len(s.clients) < s.most {
 			s.clients[c] = struct{}{}
 			s.talks.Add(1)
 			s.mu.Unlock()
 			return true
 		}
+		s.makeRoom()
 		s.mu.Unlock()
 		select {
 		case <-s.freed:
@@ -185,61 +190,66 @@
 	}
 }
 
-// evict closes the connection that has been without a request for longest: first one that has not got its
-// request out in a time that is plenty for an honest client, then one that has had none for a while.
-func (s *server) evict() bool {
-	return s.evictOldest(func(c *client, age time.Duration) bool {
-		return (c.state == fresh || c.state == reading) && age > slowTime
-	}) || s.evictIdle()
+// makeRoom asks the connection to go that has been without a request for longest: one that has not got its
+// request out in a time that is plenty for an honest client, or else one that has had none for a while.
+func (s *server) makeRoom() bool {
+	return s.askOldest(func(c *client, age time.Duration) bool {
+		return c.state == fresh && age > silentTime || c.state == reading && age > halfTime
+	}) || s.askIdle()
 }
 
-func (s *server) evictIdle() bool {
-	return s.evictOldest(func(c *client, age time.Duration) bool { return c.state == idling && age >= idleLeast })
+func (s *server) askIdle() bool {
+	return s.askOldest(func(c *client, age time.Duration) bool { return c.state == idling && age >= idleLeast })
 }
 
-func (s *server) evictOldest(may func(*client, time.Duration) bool) bool {
+// askOldest asks the oldest of some connections to go, one at a time, by ending its wait for bytes. It is not
+// closed from here: its request may have been read just now, and a request that has come whole is answered.
+func (s *server) askOldest(may func(*client, time.Duration) bool) bool {
 	var victim *client
 	now := time.Now()
 	for c := range s.clients {
-		if !may(c, now.Sub(c.since)) || victim != nil && c.since.After(victim.since) {
+		if s.asked > 0 || !may(c, now.Sub(c.since)) || victim != nil && c.since.After(victim.since) {
 			continue
 		}
-		if c.state == reading || quiet(c.Conn) { // else its request is here and only waits for us
+		if quiet(c.Conn) { // else something is here and only waits for us
 			victim = c
 		}
 	}
 	if victim == nil {
 		return false
 	}
-	s.set(victim, gone)
-	victim.Close()
-	delete(s.clients, victim)
+	victim.asked = true
+	s.asked++
+	victim.SetReadDeadline(time.Unix(1, 0))
 	return true
 }
 
-// set books what a connection is about.
-func (s *server) set(c *client, state clientState) {
-	if c.stays && state != idling {
-		c.stays = false
-		s.staying--
-	}
-	c.state = state
-}
-
-// become books what a connection is about; false if it was closed meanwhile.
+// become books what a connection is about; false if it is to end.
 func (s *server) become(c *client, state clientState) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if c.state == gone || state == idling && s.leaving {
+	if state == idling && s.leaving {
 		return false
 	}
-	if state == idling || c.state == idling {
-		c.since = time.Now() // a first request's time counts from the connection's begin
+	if state != idling {
+		s.settle(c)
 	}
-	s.set(c, state)
+	c.state, c.since = state, time.Now()
 	return true
 }
 
+// settle takes a connection out of the counts of those that stay and of those that were asked to go.
+func (s *server) settle(c *client) {
+	if c.stays {
+		c.stays = false
+		s.staying--
+	}
+	if c.asked {
+		c.asked = false
+		s.asked--
+	}
+}
+
 // mayStay reports whether a connection may wait for a further request after its answer. Clients that ask
 // once and keep their connection would soon hold all that they may: beyond a part of them, one that has been
 // idle for a while goes for each that stays; if there is none, the answer says that the connection ends,
@@ -247,7 +257,7 @@
 func (s *server) mayStay(c *client) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.staying >= s.idles && !s.evictIdle() {
+	if s.staying >= s.idles && !s.askIdle() {
 		return false
 	}
 	c.stays = true
@@ -259,7 +269,7 @@
 func (s *server) drop(c *client) {
 	c.Close()
 	s.mu.Lock()
-	s.set(c, gone)
+	s.settle(c)
 	delete(s.clients, c)
 	s.mu.Unlock()
 	s.signal()
@@ -306,21 +316,26 @@
 // talk serves one connection, a request at a time.
 func (s *server) talk(c *client) {
 	defer s.drop(c)
-	for {
+	for first := true; ; first = false {
 		c.left = maxHead
 		if !s.begins(c) || !s.become(c, reading) {
 			return
 		}
-		c.SetReadDeadline(c.since.Add(readTime))
+		until := c.since.Add(readTime)
+		if first { // its time counts from the connection's begin, if it is not over with this byte
+			until = c.born.Add(readTime)
+			if least := c.since.Add(lateTime); until.Before(least) {
+				until = least
+			}
+		}
+		c.SetReadDeadline(until)
 		r, sub, err := s.request(c)
 		if err != nil {
 			s.refuse(c, err)
 			return
 		}
 		arrived := s.clock.now()
-		if !s.become(c, answering) {
-			return
-		}
+		s.become(c, answering)
 		answer := s.answer(r, sub, arrived)
 		stays := !r.Close && r.ProtoAtLeast(1, 1) && !s.closing.Load() && answer.status/100 != 4 && s.mayStay(c)
 		if !write(c, answer, !stays) || !stays {
@@ -338,7 +353,7 @@
 func (s *server) begins(c *client) bool {
 	_, err := c.r.Peek(1)
 	if errors.Is(err, os.ErrDeadlineExceeded) && !quiet(c.Conn) {
-		// It came just as the wait ended, or the wait was ended by shutdown: it is owed an answer.
+		// It came just as the wait ended, by itself or as the connection was asked to go: it is owed an answer.
 		c.SetReadDeadline(time.Now().Add(readTime))
 		_, err = c.r.Peek(1)
 	}
