--- a/internal/sender/endpoints.go
+++ b/internal/sender/endpoints.go
@@ -36,21 +36,10 @@
 }
 
 type conn struct {
-	net.Conn
+	bounded
 	r     *bufio.Reader
 	addr  string
 	since time.Time // it has been idle
-	left  int       // bytes that may be read yet of this answer
-}
-
-// Read bounds what an endpoint can make us hold: a head may have no end, and a body gigabytes.
-func (c *conn) Read(b []byte) (int, error) {
-	if c.left <= 0 {
-		return 0, errLongAnswer
-	}
-	n, err := c.Conn.Read(b[:min(len(b), c.left)])
-	c.left -= n
-	return n, err
 }
 
 // pool opens, keeps and closes connections.
@@ -91,7 +80,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{Conn: nc, addr: addr}
+	c := &conn{bounded: bounded{nc, 0, errLongAnswer}, addr: addr}
 	c.r = bufio.NewReaderSize(c, maxLine)
 	return c, nil
 }
--- a/internal/sender/server.go
+++ b/internal/sender/server.go
@@ -83,28 +83,17 @@
 	idling                       // the last one is answered
 )
 
-// client is a connection from a client. What follows state belongs to the server's lock.
+// client is a connection from a client. state and what follows it belong to the server's lock.
 type client struct {
-	net.Conn
+	bounded
 	r     *bufio.Reader
 	born  time.Time
-	left  int // bytes that may be read yet for this request
 	state clientState
 	since time.Time // of the state
 	stays bool      // it is counted as staying
 	asked bool      // it was asked to go
 }
 
-// Read bounds what a peer can make us hold: a head may have no end.
-func (c *client) Read(b []byte) (int, error) {
-	if c.left <= 0 {
-		return 0, errLongHead
-	}
-	n, err := c.Conn.Read(b[:min(len(b), c.left)])
-	c.left -= n
-	return n, err
-}
-
 // server takes messages in from clients.
 type server struct {
 	c       *Config
@@ -118,7 +107,7 @@
 	ended   context.Context // no answer is waited for any more
 	end     context.CancelFunc
 	talks   sync.WaitGroup
-	freed   chan struct{} // a connection was closed or became idle
+	freed   chan struct{} // a connection was closed, or became idle
 
 	mu       sync.Mutex
 	listener net.Listener
@@ -154,7 +143,7 @@
 			time.Sleep(roomLook)
 			continue
 		}
-		c := &client{Conn: nc, born: time.Now()}
+		c := &client{bounded: bounded{nc, 0, errLongHead}, born: time.Now()}
 		c.since, c.r = c.born, bufio.NewReaderSize(c, 4096)
 		c.SetReadDeadline(c.born.Add(readTime))
 		if !s.admit(c) {
--- a/internal/sender/server_test.go
+++ b/internal/sender/server_test.go
@@ -233,7 +233,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	c := &client{Conn: nc, born: time.Now().Add(-time.Hour), since: time.Now().Add(-time.Hour)}
+	c := &client{bounded: bounded{Conn: nc}, born: time.Now().Add(-time.Hour), since: time.Now().Add(-time.Hour)}
 	c.r = bufio.NewReader(c)
 	s.server.clients[c] = struct{}{}
 	s.server.talks.Add(1)
@@ -298,7 +298,7 @@
 					time.Sleep(time.Millisecond)
 				}
 			}
-			all = append(all, &client{Conn: nc, state: k.state, since: time.Now().Add(-k.age)})
+			all = append(all, &client{bounded: bounded{Conn: nc}, state: k.state, since: time.Now().Add(-k.age)})
 			s.clients[all[len(all)-1]] = struct{}{}
 		}
 		if went := s.makeRoom(); went != (c.want >= 0) {
