--- /dev/null
+++ b/cmd/rehearse/list.go
@@ -0,0 +1,62 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"slices"
+
+	"dockshift.example/dockshift/internal/rehearsal/judge"
+	"dockshift.example/dockshift/internal/rehearsal/script"
+)
+
+// folder is where the scripts that ship lie, below the sources.
+const folder = "rehearsals"
+
+// listScripts names the scripts of a folder and those to be laid over them.
+func listScripts(_ context.Context, args []string, out, errs io.Writer) (int, error) {
+	f := flags("list [FOLDER]", errs)
+	if err := parse(f, args); err != nil {
+		return 0, err
+	}
+	dir := f.Arg(0)
+	if dir == "" {
+		dir = folder
+		if _, err := os.Stat(dir); err != nil {
+			root, err := sources()
+			if err != nil {
+				return judge.ExitScript, fmt.Errorf("no folder %s here: name one", folder)
+			}
+			dir = filepath.Join(root, folder)
+		}
+	}
+	var paths []string
+	for _, pattern := range []string{"*.toml", "*/*.toml"} {
+		found, err := filepath.Glob(filepath.Join(dir, pattern))
+		if err != nil {
+			return judge.ExitScript, err
+		}
+		slices.Sort(found)
+		paths = append(paths, found...)
+	}
+	if len(paths) == 0 {
+		return judge.ExitScript, fmt.Errorf("no scripts in %s", dir)
+	}
+	code := 0
+	for _, p := range paths {
+		s, err := script.Load(p)
+		if err != nil {
+			fmt.Fprintln(errs, "rehearse:", err)
+			code = judge.ExitScript
+			continue
+		}
+		kind := "laid over a day"
+		if s.Day != nil {
+			kind = fmt.Sprintf("%.0f s", s.Day.Seconds)
+		}
+		fmt.Fprintf(out, "%-38s %-16s %s\n", p, kind, s.About)
+	}
+	return code, nil
+}
--- /dev/null
+++ b/internal/rehearsal/day/late.go
@@ -0,0 +1,92 @@
+package day
+
+import (
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"dockshift.example/dockshift/internal/rehearsal/eventlog"
+)
+
+// lateness measures how late the kit itself runs: by how much messages are handed in after their time, and
+// by how much a beat comes after its own. Both are written down once a second.
+type lateness struct {
+	log  *eventlog.Log
+	quit chan struct{}
+	done chan struct{}
+
+	mu      sync.Mutex
+	samples []time.Duration
+	started bool
+}
+
+func newLateness(log *eventlog.Log) *lateness {
+	return &lateness{log: log, quit: make(chan struct{}), done: make(chan struct{})}
+}
+
+func (l *lateness) add(d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.samples = append(l.samples, max(0, d))
+}
+
+func (l *lateness) begin() {
+	l.mu.Lock()
+	l.started = true
+	l.mu.Unlock()
+	go func() {
+		defer close(l.done)
+		t := time.NewTimer(beat)
+		defer t.Stop()
+		due, told := time.Now().Add(beat), time.Now()
+		for {
+			select {
+			case <-t.C:
+			case <-l.quit:
+				return
+			}
+			now := time.Now()
+			l.add(now.Sub(due))
+			if now.Sub(told) >= time.Second {
+				told = now
+				l.flush()
+			}
+			due = time.Now().Add(beat)
+			t.Reset(beat)
+		}
+	}()
+}
+
+// flush writes down what was measured since the last time.
+func (l *lateness) flush() {
+	l.mu.Lock()
+	s := l.samples
+	l.samples = nil
+	l.mu.Unlock()
+	if len(s) == 0 {
+		return
+	}
+	slices.Sort(s)
+	l.log.Add(eventlog.Event{Kind: eventlog.Slip, MaxUS: s[len(s)-1].Microseconds(), P99US: s[(len(s)*99-1)/100].Microseconds(), Count: len(s)})
+}
+
+func (l *lateness) stop() {
+	l.mu.Lock()
+	was := l.started
+	l.started = false
+	l.mu.Unlock()
+	if was {
+		close(l.quit)
+		<-l.done
+	}
+}
+
+// kitCPU is the CPU time that this process has used.
+func kitCPU() time.Duration {
+	var u syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &u) != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
--- /dev/null
+++ b/internal/rehearsal/fleet/fleet.go
@@ -0,0 +1,297 @@
+// Package fleet starts, kills and restarts sender processes as the platform does.
+package fleet
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"dockshift.example/dockshift/internal/rehearsal/eventlog"
+)
+
+const (
+	// TermTime is from SIGTERM to SIGKILL, DownTime from the end of a process to the next one's start.
+	TermTime = 3700 * time.Millisecond
+	DownTime = 600 * time.Millisecond
+
+	frontNotices = 300 * time.Millisecond // after SIGTERM clients come for so long
+
+	readyTime = 30 * time.Second // a sender is ready within this of its start
+	readyLook = 10 * time.Millisecond
+)
+
+// Sender is one sender machine: its address, its folder and its processes, one after another.
+type Sender struct {
+	Name, Listen string
+	folder       string
+	command      []string
+	log          *eventlog.Log
+	configure    func(run int, fresh bool) (map[string]any, error)
+
+	mu     sync.Mutex
+	cmd    *exec.Cmd
+	run    int
+	asked  bool // its end was asked for
+	ready  bool
+	termed time.Time     // SIGTERM to the present process
+	ended  chan struct{} // of the present process
+	closed bool
+	cpu    time.Duration
+	memory int64 // most, bytes
+}
+
+// New makes a sender's machine below folder. configure gives the configuration of its next process; the
+// sender's address and folder are added to it here.
+func New(name, listen, folder string, command []string, log *eventlog.Log, configure func(run int, fresh bool) (map[string]any, error)) (*Sender, error) {
+	s := &Sender{Name: name, Listen: listen, folder: folder, command: command, log: log, configure: configure}
+	return s, s.empty()
+}
+
+// empty makes the lasting folder anew.
+func (s *Sender) empty() error {
+	if err := os.RemoveAll(s.state()); err != nil {
+		return fmt.Errorf("sender %s: %w", s.Name, err)
+	}
+	if err := os.MkdirAll(s.state(), 0o755); err != nil {
+		return fmt.Errorf("sender %s: %w", s.Name, err)
+	}
+	return nil
+}
+
+func (s *Sender) state() string { return filepath.Join(s.folder, s.Name, "state") }
+
+// Log is the file with what the sender's processes wrote.
+func (s *Sender) Log() string { return filepath.Join(s.folder, s.Name, "sender.log") }
+
+// Configure writes the configuration's file as a whole: a reader finds the old one or the new one.
+func (s *Sender) Configure(config map[string]any) (string, error) {
+	config["name"], config["listen"], config["state"] = s.Name, s.Listen, s.state()
+	raw, err := json.MarshalIndent(config, "", " ")
+	if err != nil {
+		return "", err
+	}
+	path := filepath.Join(s.folder, s.Name, "config.json")
+	if err := os.WriteFile(path+".new", raw, 0o644); err != nil {
+		return "", err
+	}
+	return path, os.Rename(path+".new", path)
+}
+
+// Start starts the next process and waits until it is ready or has ended.
+func (s *Sender) Start(fresh bool) error {
+	s.mu.Lock()
+	if s.closed || s.cmd != nil {
+		s.mu.Unlock()
+		return nil
+	}
+	s.run++
+	run := s.run
+	s.mu.Unlock()
+	config, err := s.configure(run, fresh)
+	if err != nil {
+		return fmt.Errorf("sender %s: %w", s.Name, err)
+	}
+	path, err := s.Configure(config)
+	if err != nil {
+		return fmt.Errorf("sender %s: configuration: %w", s.Name, err)
+	}
+	tmp := filepath.Join(s.folder, s.Name, "tmp")
+	os.RemoveAll(tmp)
+	if err := os.MkdirAll(tmp, 0o755); err != nil {
+		return fmt.Errorf("sender %s: %w", s.Name, err)
+	}
+	out, err := os.OpenFile(s.Log(), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return fmt.Errorf("sender %s: %w", s.Name, err)
+	}
+	defer out.Close()
+	cmd := exec.Command(s.command[0], s.command[1:]...)
+	cmd.Stdout, cmd.Stderr = out, out
+	discovery, _ := config["discovery"].(string)
+	cmd.Env = []string{"TMPDIR=" + tmp, "HOME=" + tmp, "PATH=" + os.Getenv("PATH"), "EDGE_NAME=" + s.Name, "EDGE_LISTEN=" + s.Listen,
+		"EDGE_DISCOVERY=" + discovery, "EDGE_STATE=" + s.state(), "EDGE_CONFIG=" + path}
+	// A kit that is killed takes its senders with it; ^C reaches the kit alone, which then ends them.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL, Setpgid: true}
+	s.mu.Lock()
+	if s.closed {
+		s.mu.Unlock()
+		return nil
+	}
+	note := ""
+	if fresh {
+		note = "new"
+	}
+	s.log.Add(eventlog.Event{Kind: eventlog.Start, Sender: s.Name, Run: run, Note: note})
+	if err := cmd.Start(); err != nil {
+		s.mu.Unlock()
+		return fmt.Errorf("sender %s: %w", s.Name, err)
+	}
+	s.cmd, s.asked, s.ready, s.ended = cmd, false, false, make(chan struct{})
+	ended := s.ended
+	s.mu.Unlock()
+	go s.wait(cmd, run, ended)
+
+	limit := time.Now().Add(readyTime)
+	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: time.Second}
+	for {
+		resp, err := client.Get("http://" + s.Listen + "/-/ready")
+		if err == nil {
+			io.Copy(io.Discard, resp.Body)
+			resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				break
+			}
+		}
+		select {
+		case <-ended:
+			return fmt.Errorf("sender %s ended before it was ready; its log is %s", s.Name, s.Log())
+		case <-time.After(readyLook):
+		}
+		if time.Now().After(limit) {
+			return fmt.Errorf("sender %s is not ready after %v; its log is %s", s.Name, readyTime, s.Log())
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.cmd == cmd && !s.asked {
+		s.ready = true
+		s.log.Add(eventlog.Event{Kind: eventlog.Ready, Sender: s.Name, Run: run})
+	}
+	return nil
+}
+
+func (s *Sender) wait(cmd *exec.Cmd, run int, ended chan struct{}) {
+	cmd.Wait()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := eventlog.Event{Kind: eventlog.Exit, Sender: s.Name, Run: run, Status: cmd.ProcessState.ExitCode()}
+	if !s.asked {
+		e.Note = "crash"
+	}
+	s.log.Add(e)
+	s.cpu += cmd.ProcessState.UserTime() + cmd.ProcessState.SystemTime()
+	if u, ok := cmd.ProcessState.SysUsage().(*syscall.Rusage); ok {
+		s.memory = max(s.memory, u.Maxrss*1024)
+	}
+	s.cmd, s.ready = nil, false
+	close(ended)
+}
+
+// signal sends a signal to the present process; ended is nil if there is none.
+func (s *Sender) signal(sig syscall.Signal, e eventlog.Event) (ended chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.cmd == nil {
+		return nil
+	}
+	if sig != syscall.SIGHUP {
+		s.asked, s.ready = true, false
+		if sig == syscall.SIGTERM {
+			s.termed = time.Now()
+		}
+		e.Sender, e.Run = s.Name, s.run
+		s.log.Add(e)
+	}
+	s.cmd.Process.Signal(sig)
+	return s.ended
+}
+
+// Kill ends the process with SIGKILL; lost takes its folder too.
+func (s *Sender) Kill(lost bool) error {
+	e := eventlog.Event{Kind: eventlog.Killed}
+	if lost {
+		e.Note = "lost"
+	}
+	ended := s.signal(syscall.SIGKILL, e)
+	if ended == nil {
+		return nil
+	}
+	<-ended
+	if lost {
+		return s.empty()
+	}
+	return nil
+}
+
+// Term ends the process with SIGTERM, and with SIGKILL if it has not left by TermTime.
+func (s *Sender) Term() {
+	ended := s.signal(syscall.SIGTERM, eventlog.Event{Kind: eventlog.Term})
+	if ended == nil {
+		return
+	}
+	select {
+	case <-ended:
+	case <-time.After(TermTime):
+		s.signal(syscall.SIGKILL, eventlog.Event{Kind: eventlog.Killed})
+		<-ended
+	}
+}
+
+// Reload replaces the configuration and sends SIGHUP.
+func (s *Sender) Reload(config map[string]any) error {
+	if _, err := s.Configure(config); err != nil {
+		return fmt.Errorf("sender %s: configuration: %w", s.Name, err)
+	}
+	if s.signal(syscall.SIGHUP, eventlog.Event{}) == nil {
+		return errors.New("sender " + s.Name + " does not run")
+	}
+	return nil
+}
+
+// Ready is whether clients may use it: it runs, and its end has not been asked for.
+func (s *Sender) Ready() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ready
+}
+
+// Accepts is whether clients still open connections to it: until a little after SIGTERM they do.
+func (s *Sender) Accepts() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ready || (s.cmd != nil && time.Since(s.termed) < frontNotices)
+}
+
+// Addr is where it listens.
+func (s *Sender) Addr() string { return s.Listen }
+
+// Running is whether there is a process at all.
+func (s *Sender) Running() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.cmd != nil
+}
+
+// Used is the CPU time of the processes that have ended and the most memory that one of them held.
+func (s *Sender) Used() (time.Duration, int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.cpu, s.memory
+}
+
+// Close ends the sender for good.
+func (s *Sender) Close() {
+	s.mu.Lock()
+	s.closed = true
+	s.mu.Unlock()
+	s.Kill(false)
+}
+
+// FreeAddr is an address at a host that nothing listens on.
+func FreeAddr(host string) (string, error) {
+	l, err := net.Listen("tcp", host+":0")
+	if err != nil {
+		return "", err
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
--- /dev/null
+++ b/internal/rehearsal/platform/platform.go
@@ -0,0 +1,408 @@
+// Package platform stands in for discovery and notices: one list for all senders, told to each at an
+// address of its own, since nothing else says who asks.
+package platform
+
+import (
+	"bufio"
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"dockshift.example/dockshift/internal/rehearsal/eventlog"
+)
+
+// Target is a line of the list.
+type Target struct {
+	ID        string  `json:"id"`
+	Addr      string  `json:"addr"`
+	Zone      string  `json:"zone"`
+	Kind      string  `json:"kind"`
+	Cell      int     `json:"cell"`
+	State     string  `json:"state"` // SERVING, DRAINING or, among changes only, DELETED
+	Weight    float64 `json:"weight"`
+	StartedMS int64   `json:"started_ms"`
+}
+
+// Targets is an answer.
+type Targets struct {
+	Version int64    `json:"version"`
+	Full    bool     `json:"full"`
+	Servers []Target `json:"servers"`
+}
+
+// The states of an endpoint.
+const (
+	Serving  = "SERVING"
+	Draining = "DRAINING"
+	Deleted  = "DELETED"
+)
+
+const (
+	askWithin   = 10 * time.Second // a sender that neither watches nor asks counts as told after this
+	afterFailed = 4                // times as long after a call that failed
+	watchGap    = 200 * time.Millisecond
+	watchMost   = time.Minute
+	oldCloses   = 1500 * time.Millisecond // an address that discovery has left closes its connections after this
+)
+
+type change struct {
+	version int64
+	at      time.Duration
+	target  Target
+}
+
+// Platform is discovery with its list.
+type Platform struct {
+	log    *eventlog.Log
+	host   func() string
+	notice func(sender, id, outcome string, retry time.Duration)
+
+	mu      sync.Mutex
+	version int64
+	list    map[string]Target // with Deleted ones
+	changes []change
+	wake    chan struct{}
+	down    bool
+	offices map[string]*office // by sender
+	stop    chan struct{}
+}
+
+// office is where one sender asks.
+type office struct {
+	sender string
+	addr   string
+	server *http.Server
+
+	// Under the Platform's lock. What a sender was told outlasts its moves and its processes.
+	run      int
+	told     map[string]string // endpoint to state
+	watching int
+	last     time.Duration // when a call last ended
+	failed   bool          // that one
+	version  int64         // of the list as told
+}
+
+// New starts a platform without senders. notice hears of every line that is told.
+func New(log *eventlog.Log, host func() string, notice func(sender, id, outcome string, retry time.Duration)) *Platform {
+	p := &Platform{log: log, host: host, notice: notice, list: map[string]Target{}, wake: make(chan struct{}), offices: map[string]*office{}, stop: make(chan struct{})}
+	go p.deem()
+	return p
+}
+
+// Open gives a sender its address.
+func (p *Platform) Open(sender string) (string, error) {
+	o := &office{sender: sender, told: map[string]string{}, last: p.log.Now()}
+	if err := p.serve(o); err != nil {
+		return "", err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.offices[sender] = o
+	return o.addr, nil
+}
+
+func (p *Platform) serve(o *office) error {
+	l, err := net.Listen("tcp", p.host()+":0")
+	if err != nil {
+		return fmt.Errorf("discovery for %s: %w", o.sender, err)
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /api/targets", func(w http.ResponseWriter, r *http.Request) { p.targets(o, w, r) })
+	mux.HandleFunc("POST /v1/notices", func(w http.ResponseWriter, r *http.Request) { p.notices(o, w, r) })
+	o.addr, o.server = l.Addr().String(), &http.Server{Handler: mux}
+	go o.server.Serve(l)
+	return nil
+}
+
+// Move gives a sender a new address. The old one takes no new connections and closes the open ones later.
+func (p *Platform) Move(sender string) (string, error) {
+	p.mu.Lock()
+	old := p.offices[sender]
+	p.mu.Unlock()
+	if old == nil {
+		return "", fmt.Errorf("discovery has no address for %s", sender)
+	}
+	next := &office{sender: sender}
+	if err := p.serve(next); err != nil {
+		return "", err
+	}
+	p.mu.Lock()
+	next.run, next.told, next.last, next.version = old.run, old.told, p.log.Now(), old.version
+	old.told = map[string]string{} // what still waits there is told nothing that counts
+	p.offices[sender] = next
+	p.mu.Unlock()
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), oldCloses)
+		defer cancel()
+		old.server.Shutdown(ctx) // closes the listener at once and idle connections
+		old.server.Close()
+	}()
+	return next.addr, nil
+}
+
+// Started tells that a sender's next process begins, and returns the list as that sender last had it, or
+// for a new one the list as it stands.
+func (p *Platform) Started(sender string, run int, fresh bool) Targets {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	o := p.offices[sender]
+	o.run, o.last, o.failed = run, p.log.Now(), false
+	if fresh || len(o.told) == 0 {
+		o.told = map[string]string{}
+		whole := p.whole()
+		p.tell(o, whole, "known")
+		return whole
+	}
+	known := Targets{Version: o.version, Full: true, Servers: []Target{}}
+	for _, t := range p.sorted() {
+		if state, ok := o.told[t.ID]; ok && state != Deleted {
+			t.State = state
+			known.Servers = append(known.Servers, t)
+		}
+	}
+	p.tell(o, known, "known")
+	return known
+}
+
+// Addr is where a sender asks now.
+func (p *Platform) Addr(sender string) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.offices[sender].addr
+}
+
+// Set changes a line of the list.
+func (p *Platform) Set(t Target) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.version++
+	p.list[t.ID] = t
+	p.changes = append(p.changes, change{p.version, p.log.Now(), t})
+	p.log.Add(eventlog.Event{Kind: eventlog.Changed, Endpoint: t.ID, Dest: t.Cell, State: t.State})
+	p.wakeAll()
+}
+
+// State is an endpoint's state in the list; "" if it was never there.
+func (p *Platform) State(id string) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.list[id].State
+}
+
+func (p *Platform) wakeAll() {
+	close(p.wake)
+	p.wake = make(chan struct{})
+}
+
+// Down makes calls for the list fail, or work again; watches end.
+func (p *Platform) Down(down bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.down = down
+	p.wakeAll()
+}
+
+// Close ends the platform.
+func (p *Platform) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	close(p.stop)
+	for _, o := range p.offices {
+		o.server.Close()
+	}
+}
+
+func (p *Platform) sorted() []Target {
+	all := make([]Target, 0, len(p.list))
+	for _, t := range p.list {
+		all = append(all, t)
+	}
+	slices.SortFunc(all, func(a, b Target) int { return cmp.Or(cmp.Compare(a.Cell, b.Cell), cmp.Compare(a.ID, b.ID)) })
+	return all
+}
+
+func (p *Platform) whole() Targets {
+	t := Targets{Version: p.version, Full: true, Servers: []Target{}}
+	for _, line := range p.sorted() {
+		if line.State != Deleted {
+			t.Servers = append(t.Servers, line)
+		}
+	}
+	return t
+}
+
+// since is what changed after a version: the last state of each endpoint.
+func (p *Platform) since(version int64) Targets {
+	t := Targets{Version: p.version, Servers: []Target{}}
+	seen := map[string]bool{}
+	for i := len(p.changes) - 1; i >= 0 && p.changes[i].version > version; i-- {
+		if c := p.changes[i]; !seen[c.target.ID] {
+			seen[c.target.ID] = true
+			t.Servers = append(t.Servers, c.target)
+		}
+	}
+	slices.Reverse(t.Servers)
+	return t
+}
+
+// tell books what a sender has been told. The lock is held.
+func (p *Platform) tell(o *office, t Targets, how string) {
+	lines := t.Servers
+	if t.Full {
+		listed := map[string]bool{}
+		for _, line := range t.Servers {
+			listed[line.ID] = true
+		}
+		for id, state := range o.told {
+			if !listed[id] && state != Deleted {
+				line := p.list[id]
+				line.State = Deleted
+				lines = append(lines, line)
+			}
+		}
+	}
+	slices.SortStableFunc(lines, func(a, b Target) int { return cmp.Compare(a.ID, b.ID) })
+	for _, line := range lines {
+		if o.told[line.ID] == line.State {
+			continue
+		}
+		o.told[line.ID] = line.State
+		p.log.Add(eventlog.Event{Kind: eventlog.Told, Sender: o.sender, Run: o.run, Endpoint: line.ID, Dest: line.Cell, State: line.State, Note: how})
+	}
+	if how != "deemed" {
+		o.version = max(o.version, t.Version)
+	}
+}
+
+func (p *Platform) targets(o *office, w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
+	watch := err == nil
+	wait, _ := strconv.ParseInt(r.URL.Query().Get("wait_ms"), 10, 64)
+	limit := time.NewTimer(min(time.Duration(wait)*time.Millisecond, watchMost))
+	defer limit.Stop()
+	p.mu.Lock()
+	o.watching++
+	end := func(failed bool) {
+		o.watching--
+		o.last, o.failed = p.log.Now(), failed
+		p.mu.Unlock()
+	}
+	for over := false; ; {
+		if p.down {
+			end(true)
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		if !watch || p.version > after || over {
+			break
+		}
+		wake := p.wake
+		p.mu.Unlock()
+		select {
+		case <-wake:
+		case <-limit.C:
+			over = true
+		case <-r.Context().Done():
+			p.mu.Lock()
+			end(true)
+			return
+		case <-p.stop:
+			p.mu.Lock()
+			end(true)
+			return
+		}
+		p.mu.Lock()
+	}
+	t := p.whole()
+	if watch {
+		t = p.since(after)
+	}
+	p.mu.Unlock()
+	raw, err := json.Marshal(t)
+	if err == nil {
+		w.Header().Set("Content-Type", "application/json")
+		if _, err = w.Write(raw); err == nil {
+			err = http.NewResponseController(w).Flush()
+		}
+	}
+	p.mu.Lock()
+	if err == nil {
+		p.tell(o, t, "")
+	}
+	end(err != nil)
+}
+
+// deem books as told what a sender that neither watches nor asks should have asked for.
+func (p *Platform) deem() {
+	tick := time.NewTicker(250 * time.Millisecond)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+		case <-p.stop:
+			return
+		}
+		p.mu.Lock()
+		now := p.log.Now()
+		for _, o := range p.offices {
+			within := askWithin
+			if o.failed {
+				within *= afterFailed
+			}
+			if o.run == 0 || o.watching > 0 || now-o.last <= max(within, watchGap) {
+				continue
+			}
+			listed := Targets{}
+			for _, c := range p.changes {
+				if c.at <= now-within {
+					listed.Servers = append(listed.Servers, c.target)
+				}
+			}
+			last := map[string]Target{}
+			for _, t := range listed.Servers {
+				last[t.ID] = t
+			}
+			listed.Servers = listed.Servers[:0]
+			for _, t := range last {
+				listed.Servers = append(listed.Servers, t)
+			}
+			p.tell(o, listed, "deemed")
+		}
+		p.mu.Unlock()
+	}
+}
+
+func (p *Platform) notices(o *office, w http.ResponseWriter, r *http.Request) {
+	type line struct {
+		Message string  `json:"message"`
+		Outcome string  `json:"outcome"`
+		RetryMS float64 `json:"retry_in_ms"`
+	}
+	var lines []line
+	in := bufio.NewReader(io.LimitReader(r.Body, 8<<20))
+	d := json.NewDecoder(in)
+	for {
+		var l line
+		if err := d.Decode(&l); errors.Is(err, io.EOF) {
+			break
+		} else if err != nil || l.Message == "" || (l.Outcome != "given_up" && l.Outcome != "handed_back") || l.RetryMS < 0 {
+			p.log.Add(eventlog.Event{Kind: eventlog.Notice, Sender: o.sender, Outcome: "unreadable"})
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		lines = append(lines, l)
+	}
+	for _, l := range lines {
+		p.notice(o.sender, l.Message, l.Outcome, time.Duration(l.RetryMS*float64(time.Millisecond)))
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
--- /dev/null
+++ b/internal/rehearsal/report/report.go
@@ -0,0 +1,317 @@
+// Package report tells of a day what the rules don't: how much worth was served, where the least, and what
+// each second was like. It reads the event log alone and does no I/O.
+package report
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"dockshift.example/dockshift/internal/rehearsal/eventlog"
+)
+
+// Second is what happened within one second of a day.
+type Second struct {
+	Arrived, Delivered, HandedBack, Failed, AboveLimit int
+	Asked, Served                                      float64 // worth, by when it was asked for
+}
+
+// Member is a member's part.
+type Member struct {
+	Name          string
+	Asked, Served float64
+	Messages      int
+}
+
+// Share is the part of what was asked that was served.
+func (m Member) Share() float64 { return share(m.Served, m.Asked) }
+
+// Band is a trouble of a receiver, or a sender's absence.
+type Band struct {
+	Row, What string
+	From, To  float64 // seconds
+	Kind      string  // trouble, outage, cold, sender, list
+}
+
+// Flight is how many calls are out at a receiver, at the end of each fifth of a second.
+type Flight struct {
+	Receiver string
+	Out      []int
+}
+
+// Summary is a day in figures.
+type Summary struct {
+	Name             string
+	Messages, Calls  int
+	HandIns          int
+	Delivered        int
+	Share            float64 // of the worth asked
+	Worst            float64 // the same in the worst 10 s
+	WorstFrom        float64 // when those begin
+	WorstMember      Member
+	AboveLimit       int // calls answered 429 or 503
+	Failed           int // messages without delivery at the end
+	Seconds          []Second
+	Members          []Member
+	Bands            []Band
+	Flights          []Flight
+	Latency50, Lat99 float64 // seconds from a message's first hand-in to its 200
+	Length           float64 // seconds
+	MostLateMS       float64
+}
+
+func share(served, asked float64) float64 {
+	if asked == 0 {
+		return 1
+	}
+	return served / asked
+}
+
+// worth is what a message is worth that is delivered so long after it was asked for: in full within the aim,
+// then half with each further aim, down to the late worth.
+func worth(c eventlog.Class, late int64) float64 {
+	aim := float64(c.Aim)
+	ms := float64(late) / 1000
+	switch {
+	case ms <= aim:
+		return 1
+	case ms > float64(c.Deadline):
+		return 0
+	}
+	return max(c.Worth, math.Pow(0.5, (ms-aim)/aim))
+}
+
+// Make sums a day up.
+func Make(events []eventlog.Event) Summary {
+	var s Summary
+	var fig eventlog.Figures
+	type message struct {
+		first     int64
+		class     eventlog.Class
+		member    string
+		delivered int64
+		done      bool
+	}
+	msgs := map[string]*message{}
+	var order []*message
+	of := map[string]*message{}
+	valid := map[string]bool{}
+	end := int64(0)
+	for _, e := range events {
+		end = max(end, e.T)
+		switch e.Kind {
+		case eventlog.World:
+			if e.Figures != nil {
+				fig = *e.Figures
+			}
+		case eventlog.HandIn:
+			s.HandIns++
+			m := msgs[e.Msg]
+			if m == nil {
+				m = &message{first: e.T, class: fig.Classes[e.Class], member: e.Tenant}
+				msgs[e.Msg] = m
+				order = append(order, m)
+			}
+			of[e.ID] = m
+		case eventlog.Answer:
+			valid[e.ID] = e.Status != 0
+		case eventlog.Slip:
+			s.MostLateMS = max(s.MostLateMS, float64(e.MaxUS)/1000)
+		}
+	}
+	s.Name, s.Length = fig.Name, float64(end)/1e6
+	s.Seconds = make([]Second, int(end/1e6)+1)
+	sec := func(t int64) *Second { return &s.Seconds[min(max(0, int(t/1e6)), len(s.Seconds)-1)] }
+	for _, e := range events {
+		switch e.Kind {
+		case eventlog.Call:
+			s.Calls++
+		case eventlog.Done:
+			if e.Status == 429 || e.Status == 503 {
+				s.AboveLimit++
+				sec(e.T).AboveLimit++
+			}
+			if m := of[e.ID]; m != nil && e.Status == 200 && valid[e.ID] && !m.done {
+				m.done, m.delivered = true, e.T
+				sec(e.T).Delivered++
+			}
+		case eventlog.Notice:
+			if e.Outcome == "handed_back" {
+				sec(e.T).HandedBack++
+			} else {
+				sec(e.T).Failed++
+			}
+		case eventlog.Answer:
+			if e.Status == 429 || e.Status == 503 {
+				sec(e.T).HandedBack++
+			} else if e.Status != 200 && e.Status != 202 {
+				sec(e.T).Failed++
+			}
+		}
+	}
+	members := map[string]*Member{}
+	var latencies []float64
+	asked, served := 0.0, 0.0
+	for _, m := range order {
+		s.Messages++
+		w := 0.0
+		if m.done {
+			s.Delivered++
+			w = worth(m.class, m.delivered-m.first)
+			latencies = append(latencies, float64(m.delivered-m.first)/1e6)
+		} else {
+			s.Failed++
+		}
+		x := sec(m.first)
+		x.Arrived++
+		x.Asked++
+		x.Served += w
+		asked++
+		served += w
+		if members[m.member] == nil {
+			members[m.member] = &Member{Name: m.member}
+		}
+		k := members[m.member]
+		k.Asked++
+		k.Served += w
+		k.Messages++
+	}
+	s.Share = share(served, asked)
+	for _, m := range members {
+		s.Members = append(s.Members, *m)
+	}
+	slices.SortFunc(s.Members, func(a, b Member) int { return cmp.Or(cmp.Compare(a.Share(), b.Share()), cmp.Compare(a.Name, b.Name)) })
+	if len(s.Members) > 0 {
+		s.WorstMember = s.Members[0]
+	}
+	s.worst(fig.Seconds)
+	slices.Sort(latencies)
+	if n := len(latencies); n > 0 {
+		s.Latency50, s.Lat99 = latencies[(n-1)/2], latencies[(n*99-1)/100]
+	}
+	s.bands(events, fig, end)
+	s.flights(events, fig, end)
+	return s
+}
+
+// worst finds the ten seconds of arrivals with the least share served.
+func (s *Summary) worst(length float64) {
+	s.Worst = s.Share
+	n := min(int(math.Ceil(length)), len(s.Seconds))
+	first := true
+	for from := 0; from+10 <= n; from++ {
+		a, v := 0.0, 0.0
+		for _, x := range s.Seconds[from : from+10] {
+			a, v = a+x.Asked, v+x.Served
+		}
+		if w := share(v, a); a > 0 && (first || w < s.Worst) {
+			s.Worst, s.WorstFrom, first = w, float64(from), false
+		}
+	}
+}
+
+func (s *Summary) bands(events []eventlog.Event, fig eventlog.Figures, end int64) {
+	seconds := func(t int64) float64 { return max(0, float64(t)/1e6) }
+	name := func(dest int) string {
+		if dest >= 0 && dest < len(fig.Receivers) {
+			return fig.Receivers[dest].Name
+		}
+		return "?"
+	}
+	type open struct{ row, what, kind string }
+	var list []open
+	from := map[open][]int64{}
+	begin := func(o open, t int64) {
+		if len(from[o]) == 0 {
+			list = append(list, o)
+		}
+		from[o] = append(from[o], t)
+	}
+	finish := func(o open, t int64) {
+		if at := from[o]; len(at) > 0 {
+			s.Bands = append(s.Bands, Band{o.row, o.what, seconds(at[0]), seconds(t), o.kind})
+			from[o] = at[1:]
+		}
+	}
+	for _, e := range events {
+		switch e.Kind {
+		case eventlog.Trouble:
+			o := open{name(e.Dest), e.Note, "trouble"}
+			if e.Note == "cold" {
+				continue
+			}
+			if e.State == "on" {
+				begin(o, e.T)
+			} else {
+				finish(o, e.T)
+			}
+		case eventlog.Outage:
+			o := open{name(e.Dest), "cold", "cold"}
+			if e.State == "off" {
+				begin(o, e.T)
+			} else if at := from[o]; len(at) > 0 { // an outage while it was warming
+				finish(o, min(e.T, at[0]+fig.Cold*1000))
+			}
+		case eventlog.Fell:
+			begin(open{name(e.Dest), "fallen", "outage"}, e.T)
+		case eventlog.Term, eventlog.Killed:
+			if o := (open{e.Sender, "away", "sender"}); len(from[o]) == 0 {
+				begin(o, e.T)
+			}
+		case eventlog.Ready:
+			finish(open{e.Sender, "away", "sender"}, e.T)
+		}
+	}
+	for _, o := range list {
+		for len(from[o]) > 0 {
+			to := end
+			if o.kind == "cold" {
+				to = min(end, from[o][0]+fig.Cold*1000)
+			}
+			finish(o, to)
+		}
+	}
+	slices.SortStableFunc(s.Bands, func(a, b Band) int { return cmp.Or(cmp.Compare(a.Row, b.Row), cmp.Compare(a.From, b.From)) })
+}
+
+// step is the grain of the calls in flight, in microseconds.
+const step = 200_000
+
+func (s *Summary) flights(events []eventlog.Event, fig eventlog.Figures, end int64) {
+	if end < 0 {
+		return
+	}
+	n := int(end/step) + 1
+	out := make([][]int, len(fig.Receivers))
+	for i := range out {
+		out[i] = make([]int, n+1)
+	}
+	at := map[int64]eventlog.Event{}
+	mark := func(dest int, t int64, by int) {
+		if dest >= 0 && dest < len(out) {
+			out[dest][min(max(0, int((t+step-1)/step)), n)] += by
+		}
+	}
+	for _, e := range events {
+		switch e.Kind {
+		case eventlog.Call:
+			if e.Call != 0 {
+				at[e.Call] = e
+				mark(e.Dest, e.T, 1)
+			}
+		case eventlog.Done:
+			if c, ok := at[e.Call]; ok {
+				mark(c.Dest, e.T, -1)
+				delete(at, e.Call)
+			}
+		}
+	}
+	for i, r := range fig.Receivers {
+		sum, line := 0, make([]int, n)
+		for j := range n {
+			sum += out[i][j]
+			line[j] = sum
+		}
+		s.Flights = append(s.Flights, Flight{r.Name, line})
+	}
+}
--- /dev/null
+++ b/internal/rehearsal/script/plan.go
@@ -0,0 +1,367 @@
+package script
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"time"
+
+	"dockshift.example/dockshift/internal/rehearsal/receiver"
+	"dockshift.example/dockshift/internal/rehearsal/trouble"
+)
+
+// Plan is a day with everything drawn: the same script and seed give the same plan.
+type Plan struct {
+	Name      string
+	Day       Day
+	Classes   []Class
+	Members   []Member
+	Receivers []Receiver
+	Arrivals  []Arrival
+	Acts      []Act
+	Senders   int // at the start; joins add to them
+}
+
+// Receiver is a destination as drawn; its number is its place.
+type Receiver struct {
+	Name, Kind, Member string
+	Share              float64 // of the traffic
+	Endpoints          int
+	Spec               receiver.Spec
+}
+
+// Arrival is a message that a client hands in.
+type Arrival struct {
+	At     time.Duration
+	Sender int // whose client; one that is not there is replaced by the next that is
+	Class  int
+	Dest   int
+	Order  string // key of the order, in an ordered class
+}
+
+// Act is something that happens at a time.
+type Act struct {
+	At      time.Duration
+	Do      string // trouble, end, replace, down, up, late, punctual, move, kill, restart, lose, join
+	Trouble trouble.Trouble
+	Number  int // of the trouble; its end carries the same
+	Dests   []int
+	Only    int
+	Sender  int
+	Delay   time.Duration
+}
+
+// Make draws the day. It fails, with file and line, if a happening names what the day has not.
+func (s *Script) Make() (*Plan, error) {
+	if s.Day == nil {
+		return nil, fmt.Errorf("%s: no [day]", s.Path)
+	}
+	d := *s.Day
+	p := &Plan{Name: s.Name(), Day: d, Classes: s.Classes, Members: s.Members, Senders: d.Senders}
+	if len(p.Classes) == 0 {
+		c := Class{Name: "card-event"}
+		if err := c.check(s.Path); err != nil {
+			return nil, err
+		}
+		p.Classes = []Class{c}
+	}
+	kinds := s.Kinds
+	if len(kinds) == 0 {
+		kinds = []Kind{{Name: "processor", Share: 1, Large: true, Limit: "window", Reports: true}, {Name: "retailer", Share: 4, Connections: 3}}
+		for i := range kinds {
+			if err := kinds[i].check(s.Path); err != nil {
+				return nil, err
+			}
+		}
+	}
+	if len(p.Members) == 0 {
+		p.Members = []Member{{"evergreen", 0.4}, {"sound", 0.25}, {"ridge", 0.2}, {"tide", 0.15}}
+	}
+	// Each part of the plan draws from a stream of its own, so that a trouble more does not change arrivals.
+	stream := func(n uint64) *rand.Rand { return rand.New(rand.NewPCG(d.Seed, n)) }
+	p.receivers(kinds, stream(1))
+	if err := p.arrivals(s.Surges, stream(2)); err != nil {
+		return nil, err
+	}
+	if err := p.acts(s, stream(3)); err != nil {
+		return nil, err
+	}
+	return p, nil
+}
+
+func (p *Plan) receivers(kinds []Kind, rng *rand.Rand) {
+	d := p.Day
+	n := d.Receivers
+	// Kinds by their shares, those with much traffic first.
+	order := slices.Clone(kinds)
+	slices.SortStableFunc(order, func(a, b Kind) int {
+		if a.Large == b.Large {
+			return 0
+		}
+		if a.Large {
+			return -1
+		}
+		return 1
+	})
+	total := 0.0
+	for _, k := range order {
+		total += k.Share
+	}
+	var of []Kind
+	sum := 0.0
+	for i, k := range order {
+		sum += k.Share
+		for to := int(math.Round(sum / total * float64(n))); len(of) < to || (i == len(order)-1 && len(of) < n); {
+			of = append(of, k)
+		}
+	}
+	weights, all := make([]float64, n), 0.0
+	for i := range weights {
+		weights[i] = math.Pow(float64(i+1), -d.Zipf)
+		all += weights[i]
+	}
+	// Members: each receiver goes to the member that is furthest below its share.
+	got, shares := make([]float64, len(p.Members)), 0.0
+	for _, m := range p.Members {
+		shares += m.Share
+	}
+	full := d.Rate / d.Load
+	draw := func(r []float64) float64 { return r[0] + (r[1]-r[0])*rng.Float64() }
+	for i := range n {
+		k, share := of[i], weights[i]/all
+		best := 0
+		for j, m := range p.Members {
+			if got[j]-m.Share/shares < got[best]-p.Members[best].Share/shares {
+				best = j
+			}
+		}
+		got[best] += share
+		endpoints := d.Endpoints[0] + rng.IntN(d.Endpoints[1]-d.Endpoints[0]+1)
+		want := max(k.LeastRate, full*share*draw(k.Headroom))
+		slots := max(1, int(math.Ceil(want*k.Service.D().Seconds()/float64(endpoints))))
+		spec := receiver.Spec{
+			Slots: slots, Queue: max(1, int(want*k.Queue.D().Seconds()/float64(endpoints))),
+			Service: k.Service.D(), Spread: k.Spread, Times: k.Times,
+			LimitKind: k.Limit, Window: k.Window.D(), TellsWait: k.TellsWait.D(),
+			IdleClose: k.IdleClose.D(), Reports: k.Reports && k.Limit != "none",
+			ReportEach: d.ReportEach.D(), ReportLate: d.ReportLate.D(),
+			ColdFrom: d.ColdFrom, Cold: d.Cold.D(), FallMultiple: d.FallMultiple, FallSpan: d.FallSpan.D(),
+		}
+		spec.Capacity = float64(slots*endpoints) / k.Service.D().Seconds()
+		if k.Limit != "none" {
+			spec.Limit = max(k.LeastRate, full*share*draw(k.LimitRoom))
+			spec.Capacity = max(spec.Capacity, spec.Limit)
+		}
+		if k.Connections > 0 {
+			spec.MostConns = max(k.LeastConns, int(k.Connections*float64(slots)))
+		}
+		p.Receivers = append(p.Receivers, Receiver{Name: "r" + strconv.Itoa(i), Kind: k.Name, Member: p.Members[best].Name,
+			Share: share, Endpoints: endpoints, Spec: spec})
+	}
+}
+
+// arrivals draws a Poisson stream, thinned from the highest rate, with clumps among it.
+func (p *Plan) arrivals(surges []Surge, rng *rand.Rand) error {
+	d := p.Day
+	shares := d.SenderShares
+	if shares == nil {
+		shares = slices.Repeat([]float64{1}, d.Senders)
+	}
+	for _, g := range surges {
+		if g.Member != "" && !slices.ContainsFunc(p.Members, func(m Member) bool { return m.Name == g.Member }) {
+			return fmt.Errorf("%s: no member is called %q", g.where, g.Member)
+		}
+		if g.Sender != "" {
+			if _, err := p.sender(g.Sender, g.where); err != nil {
+				return err
+			}
+		}
+	}
+	// factor is by how much the stream of a sender to a receiver is raised at a time.
+	factor := func(at time.Duration, sender, dest int) float64 {
+		f := 1.0
+		for _, g := range surges {
+			if at < g.At.D() || at >= g.At.D()+g.For.D() || (g.Member != "" && g.Member != p.Receivers[dest].Member) ||
+				(g.Sender != "" && g.Sender != "n"+strconv.Itoa(sender)) {
+				continue
+			}
+			f *= g.Factor
+		}
+		return f
+	}
+	top := 1.0
+	for _, g := range surges {
+		top *= max(1, g.Factor)
+	}
+	receivers := make([]float64, len(p.Receivers))
+	for i, r := range p.Receivers {
+		receivers[i] = r.Share
+	}
+	classes := make([]float64, len(p.Classes))
+	for i, c := range p.Classes {
+		classes[i] = c.Share
+	}
+	one := func(at time.Duration, sender, dest int) {
+		class := pick(rng, classes)
+		a := Arrival{At: at, Sender: sender, Class: class, Dest: dest}
+		if c := p.Classes[class]; c.Ordered {
+			a.Order = fmt.Sprintf("%s-k%d", p.Receivers[dest].Name, rng.IntN(c.Keys))
+		}
+		p.Arrivals = append(p.Arrivals, a)
+	}
+	// A clump of a receiver is as many as it takes in clump_span; clumps come so often that they make up
+	// their share of the whole.
+	size := func(dest int) int { return max(2, int(p.Receivers[dest].rate()*d.ClumpSpan.D().Seconds())) }
+	mean := 0.0
+	for i, r := range p.Receivers {
+		mean += r.Share * float64(size(i))
+	}
+	single, clump := d.Rate*(1-d.Clumps), d.Rate*d.Clumps/max(1, mean)
+	end := time.Duration(d.Seconds * float64(time.Second))
+	for at := time.Duration(0); ; {
+		at += time.Duration(rng.ExpFloat64() / ((single + clump) * top) * float64(time.Second))
+		if at >= end {
+			break
+		}
+		sender, dest := pick(rng, shares), pick(rng, receivers)
+		isClump := rng.Float64()*(single+clump) < clump
+		if rng.Float64()*top >= factor(at, sender, dest) {
+			continue
+		}
+		if !isClump {
+			one(at, sender, dest)
+			continue
+		}
+		for range size(dest) {
+			one(at+time.Duration(rng.Float64()*float64(50*time.Millisecond)), sender, dest)
+		}
+	}
+	slices.SortStableFunc(p.Arrivals, func(a, b Arrival) int { return cmp.Compare(a.At, b.At) })
+	return nil
+}
+
+// rate is what a receiver takes in a second.
+func (r Receiver) rate() float64 {
+	if r.Spec.Limit > 0 {
+		return min(r.Spec.Limit, r.Spec.Capacity)
+	}
+	return r.Spec.Capacity
+}
+
+func pick(rng *rand.Rand, weights []float64) int {
+	sum := 0.0
+	for _, w := range weights {
+		sum += w
+	}
+	x := rng.Float64() * sum
+	for i, w := range weights {
+		if x -= w; x < 0 {
+			return i
+		}
+	}
+	return len(weights) - 1
+}
+
+func (p *Plan) sender(name, where string) (int, error) {
+	if len(name) > 1 && name[0] == 'n' {
+		if i, err := strconv.Atoi(name[1:]); err == nil && i >= 0 && i < p.Senders {
+			return i, nil
+		}
+	}
+	return 0, fmt.Errorf("%s: no sender is called %q; there are n0 to n%d", where, name, p.Senders-1)
+}
+
+// who resolves the receivers that are struck. Random ones draw in the order of the file.
+func (p *Plan) who(w Who, where string, rng *rand.Rand) ([]int, error) {
+	var dests []int
+	order := rng.Perm(len(p.Receivers)) // drawn in any case, so that another who changes no later draw
+	switch {
+	case w.Random > 0:
+		if w.Random > len(order) {
+			return nil, fmt.Errorf("%s: random = %d of %d receivers", where, w.Random, len(order))
+		}
+		dests = order[:w.Random]
+	case w.Traffic > 0:
+		sum := 0.0
+		for _, i := range order {
+			if share := p.Receivers[i].Share; sum+share <= w.Traffic {
+				dests, sum = append(dests, i), sum+share
+			}
+		}
+		if len(dests) == 0 { // all are larger: the smallest comes nearest
+			dests = []int{len(p.Receivers) - 1}
+		}
+	default:
+		for i, r := range p.Receivers {
+			if r.Name == w.Name || (w.Kind != "" && r.Kind == w.Kind) || (w.Member != "" && r.Member == w.Member) {
+				dests = append(dests, i)
+			}
+		}
+	}
+	if len(dests) == 0 {
+		return nil, fmt.Errorf("%s: who names no receiver of this day: name %q, kind %q, member %q", where, w.Name, w.Kind, w.Member)
+	}
+	slices.Sort(dests)
+	return dests, nil
+}
+
+func (p *Plan) acts(s *Script, rng *rand.Rand) error {
+	for i, t := range s.Troubles {
+		dests, err := p.who(t.Who, t.where, rng)
+		if err != nil {
+			return err
+		}
+		a := Act{At: t.At.D(), Do: "trouble", Number: i, Dests: dests, Only: t.Only,
+			Trouble: trouble.Trouble{Kind: t.What, Share: t.Share, Factor: t.Factor, Wait: t.Wait.D()}}
+		p.Acts = append(p.Acts, a)
+		if t.What != trouble.Cold {
+			a.At, a.Do = a.At+t.For.D(), "end"
+			p.Acts = append(p.Acts, a)
+		}
+	}
+	for _, l := range s.Lists {
+		a := Act{At: l.At.D(), Do: l.Do, Delay: l.Delay.D()}
+		switch l.Do {
+		case "replace":
+			dests, err := p.who(l.Who, l.where, rng)
+			if err != nil {
+				return err
+			}
+			for i, dest := range dests {
+				p.Acts = append(p.Acts, Act{At: a.At + time.Duration(i)*l.Each.D(), Do: "replace", Dests: []int{dest}})
+			}
+			continue
+		case "down", "late":
+			p.Acts = append(p.Acts, Act{At: a.At + l.For.D(), Do: map[string]string{"down": "up", "late": "punctual"}[l.Do]})
+		}
+		p.Acts = append(p.Acts, a)
+	}
+	joined := p.Senders
+	for _, c := range s.Senders {
+		a := Act{At: c.At.D(), Do: c.Do}
+		switch {
+		case c.Do == "join":
+			a.Sender = joined
+			joined++
+			p.Acts = append(p.Acts, a)
+		case c.Which == "all":
+			for i := range p.Senders {
+				a.Sender = i
+				p.Acts = append(p.Acts, a)
+				a.At += c.Each.D()
+			}
+		default:
+			i, err := p.sender(c.Which, c.where)
+			if err != nil {
+				return err
+			}
+			a.Sender = i
+			p.Acts = append(p.Acts, a)
+		}
+	}
+	slices.SortStableFunc(p.Acts, func(a, b Act) int { return cmp.Compare(a.At, b.At) })
+	return nil
+}
--- /dev/null
+++ b/internal/rehearsal/traffic/clients.go
@@ -0,0 +1,370 @@
+package traffic
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"sync"
+	"time"
+
+	"dockshift.example/dockshift/internal/rehearsal/eventlog"
+	"dockshift.example/dockshift/internal/rehearsal/script"
+)
+
+const (
+	avoidTime  = time.Second            // clients stay away so long from a sender that refused a connection
+	otherPause = 250 * time.Millisecond // and try another after this
+	againLeast = 540 * time.Millisecond // what a lost sender held comes again after this
+	againMost  = 1500 * time.Millisecond
+	retryMost  = 2 * time.Second        // the longest Retry-After that is heeded
+	leftLeast  = 100 * time.Millisecond // with less time left a message is not handed in again
+	owedMost   = 3 * time.Second        // an end that comes later than this after the time is up is not waited for
+	idleConns  = 64                     // connections kept to a sender
+)
+
+// Target is a sender as clients see it.
+type Target interface {
+	// Accepts is whether new connections still come to it: it runs, or is only just leaving.
+	Accepts() bool
+	// Addr is where it listens.
+	Addr() string
+}
+
+// Clients hand in the messages of a day.
+type Clients struct {
+	plan  *script.Plan
+	log   *eventlog.Log
+	book  *Book
+	late  func(time.Duration) // hears by how much each message was handed in late
+	kept  *rand.Rand          // under mu
+	mu    sync.Mutex
+	pools []*pool // by sender; grows when one joins
+	wg    sync.WaitGroup
+}
+
+type pool struct {
+	name   string
+	target Target
+
+	mu    sync.Mutex
+	idle  []*link
+	avoid time.Time
+}
+
+type link struct {
+	net.Conn
+	r *bufio.Reader
+}
+
+// New makes the clients of a plan.
+func New(plan *script.Plan, log *eventlog.Log, book *Book, late func(time.Duration)) *Clients {
+	return &Clients{plan: plan, log: log, book: book, late: late, kept: rand.New(rand.NewPCG(plan.Day.Seed, 77))}
+}
+
+// Join lets clients use one more sender.
+func (c *Clients) Join(name string, t Target) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.pools = append(c.pools, &pool{name: name, target: t})
+}
+
+// draw is a number in [0, n) from the day's seed.
+func (c *Clients) draw(n float64) float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.kept.Float64() * n
+}
+
+// Run hands in every message when its time has come, and returns when all have come to their end, their
+// ends are overdue, or ctx ends.
+func (c *Clients) Run(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for n, a := range c.plan.Arrivals {
+		if wait := a.At - c.log.Now(); wait > 0 {
+			timer.Reset(wait)
+			select {
+			case <-timer.C:
+			case <-ctx.Done():
+			}
+		}
+		if ctx.Err() != nil {
+			break
+		}
+		c.late(c.log.Now() - a.At)
+		c.wg.Add(1)
+		go func() {
+			defer c.wg.Done()
+			c.message(ctx, n, a)
+		}()
+	}
+	c.wg.Wait()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, p := range c.pools {
+		p.drop()
+	}
+}
+
+func (p *pool) drop() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, l := range p.idle {
+		l.Close()
+	}
+	p.idle = nil
+}
+
+// usable is whether a client would turn to this sender now.
+func (p *pool) usable() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return time.Now().After(p.avoid) && (p.target.Accepts() || len(p.idle) > 0)
+}
+
+// choose is the client's own sender, or the next that can be used; nil if there is none.
+func (c *Clients) choose(own int) *pool {
+	c.mu.Lock()
+	pools := c.pools
+	c.mu.Unlock()
+	for i := range pools {
+		if p := pools[(own+i)%len(pools)]; p.usable() {
+			return p
+		}
+	}
+	return nil
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// message is one message from its arrival to its end, over all its hand-ins.
+func (c *Clients) message(ctx context.Context, n int, a script.Arrival) {
+	class := c.plan.Classes[a.Class]
+	unsafe := class.Effect == "unsafe"
+	began := c.log.Now()
+	expires := began + class.Deadline.D()
+	retries := *c.plan.Day.Retries
+	pause := c.plan.Day.Pause.D()
+	mark := ""
+	for try := 0; ; {
+		left := expires - c.log.Now()
+		if left < leftLeast {
+			return
+		}
+		p := c.choose(a.Sender)
+		if p == nil {
+			if !sleep(ctx, otherPause/2) {
+				return
+			}
+			continue
+		}
+		h := &handIn{id: c.id(), sender: p.name, dest: a.Dest, unsafe: unsafe, ends: make(chan end, 1)}
+		c.book.open(h)
+		ans := c.handIn(p, h, n, try, a, class, left, mark)
+		var wait time.Duration
+		switch {
+		case ans.note == "down": // nothing was sent
+			c.book.close(h)
+			if !sleep(ctx, otherPause) {
+				return
+			}
+			continue
+		case ans.status == 0: // no answer: what becomes of that id counts for nothing
+			c.book.close(h)
+			if unsafe {
+				return // it may have been taken on, and might run twice
+			}
+			wait, mark = 0, "again"
+		case ans.status == http.StatusAccepted || ans.status == http.StatusOK:
+			e, ok := c.owed(ctx, h, expires)
+			switch {
+			case !ok || e.how == "delivered" || e.how == "given_up":
+				return
+			case e.how == "lost":
+				wait, mark = againLeast+time.Duration(c.draw(float64(againMost-againLeast))), "again"
+				if !sleep(ctx, wait) {
+					return
+				}
+				try++ // it is no refusal: it counts against nothing
+				continue
+			default: // handed_back
+				wait, mark = max(e.retry, 0), "1"
+				if e.retry == 0 {
+					wait = pause
+				}
+			}
+		case ans.status == http.StatusTooManyRequests || ans.status == http.StatusServiceUnavailable:
+			c.book.close(h)
+			wait, mark = min(ans.retry, retryMost), "1"
+			if ans.retry == 0 {
+				wait = pause
+			}
+		default: // failed
+			c.book.close(h)
+			return
+		}
+		if try++; retries == 0 {
+			return
+		}
+		retries--
+		pause *= 2
+		// A little apart, so that those refused together do not come back together.
+		if !sleep(ctx, wait+time.Duration(c.draw(float64(wait)/5))) {
+			return
+		}
+	}
+}
+
+// owed waits for the end of a message that was taken on.
+func (c *Clients) owed(ctx context.Context, h *handIn, expires time.Duration) (end, bool) {
+	t := time.NewTimer(expires - c.log.Now() + owedMost)
+	defer t.Stop()
+	select {
+	case e := <-h.ends:
+		return e, true
+	case <-t.C:
+	case <-ctx.Done():
+	}
+	return end{}, false
+}
+
+func (c *Clients) id() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return fmt.Sprintf("%016x", c.kept.Uint64())
+}
+
+type reply struct {
+	status int
+	retry  time.Duration
+	note   string
+}
+
+// Request is the text of a hand-in (PROTOCOL, "Clients to senders").
+func Request(id, class, tenant string, deadline time.Duration, key, order, mark string, dest int, body []byte) []byte {
+	text := fmt.Sprintf("POST /api HTTP/1.1\r\nHost: backend.local\r\nX-Request-Id: %s\r\nX-Class: %s\r\nX-Tenant: %s\r\nX-Deadline-Ms: %d\r\nX-Addressing: dest=%d\r\n",
+		id, class, tenant, deadline.Milliseconds(), dest)
+	if key != "" {
+		text += "Idempotency-Key: " + key + "\r\n"
+	}
+	if order != "" {
+		text += "X-Order-Key: " + order + "\r\n"
+	}
+	if mark != "" {
+		text += "X-Retry: " + mark + "\r\n"
+	}
+	return append([]byte(text+"Content-Length: "+strconv.Itoa(len(body))+"\r\n\r\n"), body...)
+}
+
+// handIn hands a message in once and waits for the answer as long as clients do.
+func (c *Clients) handIn(p *pool, h *handIn, n, try int, a script.Arrival, class script.Class, left time.Duration, mark string) reply {
+	r := c.plan.Receivers[a.Dest]
+	msg := "m" + strconv.Itoa(n)
+	key := ""
+	if class.Effect == "keyed" {
+		key = fmt.Sprintf("key-%d-%s", c.plan.Day.Seed, msg)
+	}
+	body := make([]byte, c.plan.Day.Body)
+	for i := range body {
+		body[i] = 'a' + byte((i+n)%26)
+	}
+	text := Request(h.id, class.Name, r.Member, left, key, a.Order, mark, a.Dest, body)
+	e := eventlog.Event{Kind: eventlog.HandIn, Sender: p.name, ID: h.id, Msg: msg, Class: class.Name, Tenant: r.Member, Dest: a.Dest,
+		Order: a.Order, Deadline: left.Milliseconds(), Try: try}
+	logged := false
+	ans := p.do(text, c.plan.Day.Patience.D(), func() {
+		if !logged {
+			logged = true
+			c.log.Add(e)
+		}
+	})
+	if ans.note == "down" && !logged {
+		return ans
+	}
+	ans2 := eventlog.Event{Kind: eventlog.Answer, Sender: p.name, ID: h.id, Status: ans.status, RetryMS: ans.retry.Milliseconds(), Note: ans.note}
+	if ans.status == http.StatusAccepted || ans.status == http.StatusOK {
+		c.book.take(h)
+	}
+	c.log.Add(ans2)
+	return ans
+}
+
+// do sends a request. A connection kept from before may have been closed as the request crossed: it is then
+// sent once more on a new one. writing is called right before each write.
+func (p *pool) do(text []byte, patience time.Duration, writing func()) reply {
+	for {
+		p.mu.Lock()
+		var l *link
+		if n := len(p.idle); n > 0 {
+			l, p.idle = p.idle[n-1], p.idle[:n-1]
+		}
+		p.mu.Unlock()
+		kept := l != nil
+		if !kept {
+			conn, err := net.DialTimeout("tcp", p.target.Addr(), patience)
+			if err != nil {
+				p.mu.Lock()
+				p.avoid = time.Now().Add(avoidTime)
+				p.mu.Unlock()
+				return reply{note: "down"}
+			}
+			l = &link{conn, bufio.NewReader(conn)}
+		}
+		writing()
+		l.SetDeadline(time.Now().Add(patience))
+		_, err := l.Write(text)
+		var resp *http.Response
+		if err == nil {
+			if _, err = l.r.Peek(1); err != nil && kept && !errors.Is(err, os.ErrDeadlineExceeded) {
+				l.Close()
+				continue
+			}
+		} else if kept {
+			l.Close()
+			continue
+		}
+		if err == nil {
+			resp, err = http.ReadResponse(l.r, nil)
+		}
+		if err == nil {
+			_, err = io.Copy(io.Discard, resp.Body)
+		}
+		if err != nil {
+			l.Close()
+			if errors.Is(err, os.ErrDeadlineExceeded) {
+				return reply{note: "patience"}
+			}
+			return reply{note: "closed"}
+		}
+		a := reply{status: resp.StatusCode}
+		if v, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); err == nil && v > 0 {
+			a.retry = time.Duration(v * float64(time.Second))
+		}
+		p.mu.Lock()
+		if !resp.Close && len(p.idle) < idleConns {
+			p.idle = append(p.idle, l)
+			l = nil
+		}
+		p.mu.Unlock()
+		if l != nil {
+			l.Close()
+		}
+		return a
+	}
+}
