--- a/internal/sender/journal.go
+++ b/internal/sender/journal.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"hash/crc32"
+	"hash/fnv"
 	"io"
 	"math"
 	"os"
@@ -43,6 +44,7 @@
 
 	// take: the message as its client handed it in; in a compacted file with what came of it so far
 	Key      string        `json:"key,omitempty"`
+	Order    string        `json:"order,omitempty"` // key of the order, in an ordered class
 	Class    string        `json:"class,omitempty"`
 	Tenant   string        `json:"tenant,omitempty"`
 	Dest     uint32        `json:"dest,omitempty"`
@@ -110,6 +112,17 @@
 	return try{}, false
 }
 
+// orderKey is the Brain's number for the key of the order, 0 for none. Two keys of one number go in one turn,
+// which keeps both orders.
+func (m *stored) orderKey() uint64 {
+	if m.Order == "" {
+		return 0
+	}
+	h := fnv.New64a()
+	io.WriteString(h, m.Order)
+	return max(1, h.Sum64())
+}
+
 var errNoRoom = errors.New("no room in the journal")
 
 // journal keeps what was taken on. It belongs to the loop.
--- a/internal/sender/loop.go
+++ b/internal/sender/loop.go
@@ -202,7 +202,7 @@
 		}
 		first, may := m.firstRun()
 		events = append(events, brain.Message{ID: s.hold(m, nil), Class: place(s.c.Classes, m.Class, -1),
-			Tenant: place(s.c.Tenants, m.Tenant, -1), Destination: brain.DestinationID(m.Dest), Deadline: m.Deadline,
+			Tenant: place(s.c.Tenants, m.Tenant, -1), Destination: brain.DestinationID(m.Dest), Key: m.orderKey(), Deadline: m.Deadline,
 			Tried: len(m.Tries), MayRun: may, FirstRun: first.At, RanZone: first.Zone})
 	}
 	s.step(ctx, events)
@@ -291,7 +291,7 @@
 		return refuse("no room to keep the message")
 	}
 	return brain.Message{ID: s.hold(st, sub.answer), Class: sub.class, Tenant: sub.tenant,
-		Destination: brain.DestinationID(sub.Dest), Deadline: sub.Deadline}
+		Destination: brain.DestinationID(sub.Dest), Key: st.orderKey(), Deadline: sub.Deadline}
 }
 
 func (s *Sender) callEnded(e callEnd) brain.Event {
--- /dev/null
+++ b/internal/sender/order_test.go
@@ -0,0 +1,104 @@
+package sender
+
+import (
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"dockshift.example/dockshift/brain"
+	st "dockshift.example/dockshift/internal/sendertest"
+)
+
+// ordered adds a class that keeps an order.
+func ordered(c *Config) {
+	c.Classes = append(c.Classes, "ordered")
+	c.Settings.Classes = append(c.Settings.Classes, brain.Class{Aim: 2500 * time.Millisecond, Deadline: 20 * time.Second,
+		Effect: brain.Safe, Ordered: true, Worth: 1, LateWorth: 0.5})
+}
+
+// held is two destinations; calls to the first are answered when release is closed.
+func held(t *testing.T) (first, second *st.Endpoint, p *st.Platform, release chan struct{}) {
+	release = make(chan struct{})
+	first = st.NewEndpoint(t, func(c st.Call, nc net.Conn) bool {
+		<-release
+		return st.Status(200)(c, nc)
+	})
+	second = st.NewEndpoint(t, st.Status(200))
+	return first, second, st.NewPlatform(t, first.Addr, second.Addr), release
+}
+
+// inTurn wants b, of the same key as a, to wait for a's end while c, that has no key, does not wait.
+func inTurn(t *testing.T, addr string, first, second *st.Endpoint, release chan struct{}) {
+	t.Helper()
+	if c := first.Next(t); c.ID != "a" {
+		t.Fatalf("the first destination got %s", c.ID)
+	}
+	if resp, text := st.Do(t, st.Message(t, addr, "c", "ordered", 1, 15*time.Second, "c")); resp.StatusCode != http.StatusAccepted {
+		t.Fatalf("%s %s", resp.Status, text)
+	}
+	if c := second.Next(t); c.ID != "c" {
+		t.Errorf("%s was sent while an earlier message of its key was out", c.ID)
+	}
+	close(release)
+	if c := second.Next(t); c.ID != "b" {
+		t.Errorf("after the first of its key came %s", c.ID)
+	}
+}
+
+func inOrder(t *testing.T, addr, id, key string, dest int) {
+	t.Helper()
+	r := st.Message(t, addr, id, "ordered", dest, 15*time.Second, id)
+	r.Header.Set("X-Order-Key", key)
+	if resp, text := st.Do(t, r); resp.StatusCode != http.StatusAccepted {
+		t.Fatalf("%s %s", resp.Status, text)
+	}
+}
+
+// The messages of a key go out one at a time, in the sequence in which they were taken on, whatever their
+// destinations.
+func TestOrderKey(t *testing.T) {
+	t.Parallel()
+	first, second, p, release := held(t)
+	addr := run(t, p, ordered)
+	inOrder(t, addr, "a", "k", 0)
+	inOrder(t, addr, "b", "k", 1)
+	inTurn(t, addr, first, second, release)
+}
+
+// A restart keeps the order: the key stands in the journal, also in a compacted one.
+func TestOrderKeyOverARestart(t *testing.T) {
+	t.Parallel()
+	first, second, p, release := held(t)
+	addr := run(t, p, func(c *Config) {
+		ordered(c)
+		j := openTest(t, c.State, 1<<20)
+		for dest, id := range []string{"a", "b"} {
+			if _, err := j.take(record{ID: id, Class: "ordered", Tenant: "acme", Order: "k", Dest: uint32(dest), Deadline: newClock().now() + 15*time.Second}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if err := j.compact(); err != nil {
+			t.Fatal(err)
+		}
+		if err := j.close(); err != nil {
+			t.Fatal(err)
+		}
+	})
+	inTurn(t, addr, first, second, release)
+}
+
+// A key of the order that can't be kept is refused; in a class without an order it means nothing.
+func TestOrderKeyBounds(t *testing.T) {
+	t.Parallel()
+	e := st.NewEndpoint(t, st.Status(200))
+	addr := run(t, st.NewPlatform(t, e.Addr), ordered)
+	for class, status := range map[string]int{"ordered": http.StatusBadRequest, "safe": http.StatusAccepted} {
+		r := st.Message(t, addr, class, class, 0, 15*time.Second, "x")
+		r.Header.Set("X-Order-Key", strings.Repeat("k", maxName+1))
+		if resp, text := st.Do(t, r); resp.StatusCode != status {
+			t.Errorf("class %s: %s %q", class, resp.Status, text)
+		}
+	}
+}
--- a/internal/sender/server.go
+++ b/internal/sender/server.go
@@ -544,6 +544,12 @@
 		return nil, bad("X-Deadline-Ms %q is not a sensible time", r.Header.Get("X-Deadline-Ms"))
 	}
 	sub.Deadline = time.Duration(ms) * time.Millisecond
+	if s.c.Settings.Classes[sub.class].Ordered {
+		// Without a key a message of such a class goes as it comes.
+		if sub.Order, err = name(r, "X-Order-Key"); err != nil {
+			return nil, err
+		}
+	}
 	sub.Dest, err = destination(r.Header.Get("X-Addressing"))
 	return sub, err
 }
