--- a/brain/brain.go
+++ b/brain/brain.go
@@ -5,6 +5,7 @@
 // docs/design.md tells what is the paper's, what is ours, and when each departure acts.
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"sort"
@@ -205,7 +206,7 @@
 // get one in the mean, so that a sender which has seen few yet is not misled by them.
 func (b *Brain) usual(n fading) float64 {
 	counted := arrivalSpan.Seconds() * (1 - math.Exp(-(b.now-b.started).Seconds()/arrivalSpan.Seconds()))
-	each := float64(max(1, len(b.routes))) * (counted + 1) / (b.came.at(b.now, arrivalSpan) + 1)
+	each := float64(max(1, b.routes)) * (counted + 1) / (b.came.at(b.now, arrivalSpan) + 1)
 	return (n.at(b.now, arrivalSpan) + 1) / (counted + each)
 }
 
@@ -339,22 +340,13 @@
 // expire fails what cannot be served any more, in time: too little time left for the quickest call
 // served there, no attempt left, or a repeat that would not be lawful.
 func (b *Brain) expire() {
-	for _, m := range append([]*message(nil), b.held...) {
-		if m.out > 0 {
-			continue
-		}
-		last := m.Deadline - max(m.route().quickest, b.s.Step)
-		spent := b.s.MaxAttempts > 0 && m.tries() >= b.s.MaxAttempts
-		if b.now >= last || spent || !b.mayRepeat(m, b.now) {
-			b.acts = append(b.acts, Fail{m.ID})
-			b.close(m)
-			continue
-		}
-		if m.mayRun && m.class.Effect == Keyed {
-			last = min(last, m.firstRun+m.class.KeyWindow-m.route().quickest-b.s.Step)
-		}
-		b.wakeAt(last)
+	gone, next := b.lapsed()
+	slices.SortFunc(gone, func(x, y *message) int { return cmp.Compare(x.number, y.number) })
+	for _, m := range gone {
+		b.acts = append(b.acts, Fail{m.ID})
+		b.close(m)
 	}
+	b.wakeAt(next)
 	for len(b.resting) > 0 && (len(b.resting[0].queue) > 0 || b.resting[0].restUntil <= b.now) {
 		if t := b.resting[0]; len(t.queue) == 0 {
 			delete(b.turns, t.key)
@@ -367,14 +359,13 @@
 // with the longest queue, of a tenant beyond its share first: its client can come back, and others would
 // be turned away unseen.
 func (b *Brain) makeRoom() {
-	for b.s.MostHeld > 0 && float64(len(b.held)) > holdFull*float64(b.s.MostHeld) {
+	for b.s.MostHeld > 0 && float64(b.held) > holdFull*float64(b.s.MostHeld) {
 		var victim *message
 		longest := 0.0
-		for _, d := range b.order {
-			for _, m := range d.waiting {
+		for _, d := range b.active {
+			for _, m := range d.newest() {
 				w := b.tenantWorth(m.Tenant)
-				wait := float64(len(d.waiting)) / (0.1 + m.route().rateServed()) / (w * w)
-				if !m.mayRun && wait >= longest {
+				if wait := float64(d.count) / (0.1 + m.route().rateServed()) / (w * w); wait >= longest {
 					victim, longest = m, wait
 				}
 			}
@@ -413,13 +404,15 @@
 	if i < 0 || i >= len(b.tenants) || b.s.Senders == 0 {
 		return 1
 	}
-	parts := make([]float64, 0, len(b.tenants))
-	for j, t := range b.tenants {
-		parts = append(parts, t.usual/max(b.s.Tenants[j].Allowance, 1e-9))
+	if !b.partKnown {
+		parts := make([]float64, 0, len(b.tenants))
+		for j, t := range b.tenants {
+			parts = append(parts, t.usual/max(b.s.Tenants[j].Allowance, 1e-9))
+		}
+		sort.Float64s(parts) // the middle one: a tenant that surges does not widen its own share
+		b.part, b.partKnown = min(1, max(1/float64(b.s.Senders), parts[len(parts)/2])), true
 	}
-	sort.Float64s(parts) // the middle one: a tenant that surges does not widen its own share
-	part := min(1, max(1/float64(b.s.Senders), parts[len(parts)/2]))
-	beyond := b.tenants[i].recent / max(shareBeyond*part*b.s.Tenants[i].Allowance, 1e-9)
+	beyond := b.tenants[i].recent / max(shareBeyond*b.part*b.s.Tenants[i].Allowance, 1e-9)
 	if beyond <= 1 {
 		return 1
 	}
@@ -440,64 +433,62 @@
 
 // sendAll fills the free slots, the best message first.
 func (b *Brain) sendAll() {
-	type offer struct {
-		m     *message
-		e     *endpoint
-		index float64
-	}
-	offers := make([]offer, len(b.order))
-	find := func(i int) {
-		offers[i] = offer{}
-		d := b.order[i]
-		if len(d.waiting) == 0 || len(d.endpoints) == 0 {
-			return
+	b.offers = b.offers[:0]
+	for _, d := range b.active {
+		if o := b.offer(d); o.m != nil {
+			b.offers = append(b.offers, o)
 		}
-		var usable []*endpoint
-		closed := d.shared != nil && !b.open(d.shared)
-		for _, e := range d.endpoints {
-			full := b.batch(e) > 1 && e.sentAt == b.now && e.calls > 0 // further sends would join that call
-			if !full && (e.route == d.shared && !closed || e.route != d.shared && b.open(e.route)) {
-				usable = append(usable, e)
-			}
+	}
+	b.offers.init()
+	all := b.offers
+	for len(b.offers) > 0 {
+		if b.s.Slots > 0 && b.calls >= b.s.Slots {
+			b.takeBack(len(b.offers))
+			break
 		}
-		for _, m := range d.waiting {
-			if !b.ready(m) {
-				continue
-			}
-			if e := b.pick(m, usable); e != nil {
-				x := b.index(m, e.route)
-				if best := offers[i]; best.m == nil || b.precedes(m, e, x, best.m, best.index) {
-					offers[i] = offer{m, e, x}
-				}
-			}
+		best := b.offers[0]
+		b.sendCall(best.m, best.e)
+		if b.offers[0] = b.offer(best.d); b.offers[0].m == nil {
+			last := len(b.offers) - 1
+			b.offers[0] = b.offers[last]
+			b.offers = b.offers[:last]
 		}
+		b.offers.down(0)
 	}
-	for i := range b.order {
-		find(i)
+	clear(all) // what is sent or over is not held here
+}
+
+// offer is the message that d would have sent next, and where to.
+func (b *Brain) offer(d *destination) (best offer) {
+	if d.count == 0 || len(d.endpoints) == 0 {
+		return best
 	}
-	for {
-		best := -1
-		for i := range offers {
-			if offers[i].m != nil && (best < 0 || offers[i].index > offers[best].index) {
-				best = i
-			}
+	b.usable = b.usable[:0]
+	closed := d.shared != nil && !b.open(d.shared)
+	for _, e := range d.endpoints {
+		full := b.batch(e) > 1 && e.sentAt == b.now && e.calls > 0 // further sends would join that call
+		if !full && (e.route == d.shared && !closed || e.route != d.shared && b.open(e.route)) {
+			b.usable = append(b.usable, e)
 		}
-		if best < 0 {
-			return
+	}
+	if len(b.usable) == 0 && d.inOrder == 0 { // none can go, so only their pauses matter
+		if at, ok := d.pauses.next(b.now); ok {
+			b.wakeAt(at)
 		}
-		if b.s.Slots > 0 && b.calls >= b.s.Slots {
-			waiting := 0
-			for i := range offers {
-				if offers[i].m != nil {
-					waiting++
-				}
+		return best
+	}
+	for m := d.first; m != nil; m = m.after {
+		if !b.ready(m) {
+			continue
+		}
+		if e := b.pick(m, b.usable); e != nil {
+			x := b.index(m, e.route)
+			if best.m == nil || b.precedes(m, e, x, best.m, best.index) {
+				best = offer{d, m, e, x}
 			}
-			b.takeBack(waiting)
-			return
 		}
-		b.sendCall(offers[best].m, offers[best].e)
-		find(best)
 	}
+	return best
 }
 
 // takeBack calls off overdue calls while messages wait for slots, the longest overdue first. A call that
@@ -507,7 +498,7 @@
 	for b.s.MayCancel && b.takenBack < waiting {
 		var victim *call
 		longest := time.Duration(0)
-		for _, r := range b.routes {
+		for _, r := range b.unanswered {
 			for _, c := range r.unanswered {
 				over := b.now - c.sent - b.haste(c)
 				if over > longest && !c.takenBack {
@@ -564,23 +555,19 @@
 
 // closeIdle shuts connections that have been idle for longer than they are kept.
 func (b *Brain) closeIdle() {
-	kept := b.idle[:0]
-	for _, e := range b.idle {
+	for _, e := range b.keptShorter() {
 		keep, _ := b.keepFor(e)
 		until := e.idleAt + keep
 		switch {
 		case e.calls > 0 || b.now >= e.idleAt+b.s.IdleConnections:
-			continue
+			e.idleNo = 0
 		case b.now >= until:
 			b.acts = append(b.acts, CloseIdle{e.ID})
-			e.idleAt = 0
-			continue
+			e.idleAt, e.idleNo = 0, 0
 		case keep < b.s.IdleConnections:
 			b.wakeAt(until)
 		}
-		kept = append(kept, e)
 	}
-	b.idle = kept
 }
 
 // ready: m may be sent now, as far as m itself goes.
@@ -641,11 +628,14 @@
 	r.tokens--
 	r.tried.add(b.now, arrivalSpan)
 	r.sentAt = b.now
+	if len(r.unanswered) == 0 {
+		b.busy(r)
+	}
 	r.unanswered = append(r.unanswered, c)
 	b.send(m, c)
 	for n := 1; n < b.batch(e) && !c.probe; n++ {
 		var next *message
-		for _, o := range m.dest.waiting {
+		for o := m.dest.first; o != nil; o = o.after {
 			fits := b.ready(o) && b.pick(o, []*endpoint{e}) != nil
 			if fits && (next == nil || b.index(o, r) > b.index(next, r)) {
 				next = o
@@ -697,7 +687,7 @@
 	m.out++
 	c.left++
 	c.messages = append(c.messages, m)
-	m.dest.waiting = without(m.dest.waiting, m)
+	b.leave(m)
 	b.acts = append(b.acts, Send{m.ID, c.at.ID, a.timeout})
 }
 
@@ -746,11 +736,9 @@
 		}
 		a.at.calls--
 		if a.at.calls == 0 {
-			if a.at.idleAt = b.now; !slices.Contains(b.idle, a.at) {
-				b.idle = append(b.idle, a.at)
-			}
+			b.becomesIdle(a.at)
 		}
-		a.route.unanswered = without(a.route.unanswered, a.call)
+		b.answered(a.call)
 		if a.probe && a.sent >= a.route.since && a.route.state == out {
 			a.route.probes--
 		}
@@ -765,7 +753,7 @@
 		a.booked = true
 		b.judge(m, a, e)
 	}
-	b.learn(a, e)
+	b.learn(m, a, e)
 	switch e.Outcome {
 	case Refused, ConnectFailed, NotSent:
 		b.neverRan(m)
@@ -779,18 +767,22 @@
 		return
 	}
 	if m.out == 0 {
-		m.dest.waiting = append(m.dest.waiting, m)
 		if e.Outcome != TimedOut {
 			m.notBefore = b.now + retryPause<<min(len(m.attempts)-1, 4)
 		}
+		b.wait(m)
 	}
 }
 
 // learn gives the oracle its sample: served first attempts only (Karn); an expiry doubles.
-func (b *Brain) learn(a *attempt, e AttemptEnd) {
+func (b *Brain) learn(m *message, a *attempt, e AttemptEnd) {
 	switch {
 	case e.Outcome == Served && a.weight > 0:
+		first := a.route.quickest == 0
 		a.route.sample(e.Elapsed, a.weight, false)
+		if first { // those that wait have less time from now on
+			b.retime(m.dest)
+		}
 		b.all.sample(e.Elapsed, a.weight, false)
 		a.route.doubled = 0
 	case e.Outcome == TimedOut && a.uncut && a.weight > 0:
@@ -838,7 +830,7 @@
 	case e.Outcome == ConnectFailed: // it may hold all the connections that it takes
 		_, kind := b.keepFor(a.at)
 		*kind /= keepCut
-		a.at.crowded = b.s.IdleConnections
+		b.crowd(a.at, b.s.IdleConnections)
 	case e.Outcome == Refused:
 		b.refused(r, a, e)
 	case e.Outcome == TimedOut && r.doubled > 0:
@@ -863,11 +855,12 @@
 	}
 	more := time.Duration(keepGrow * float64(b.s.IdleConnections))
 	_, kind := b.keepFor(a.at)
-	*kind, a.at.crowded = min(b.s.IdleConnections, *kind+more), max(0, a.at.crowded-more)
+	*kind = min(b.s.IdleConnections, *kind+more)
+	b.crowd(a.at, max(0, a.at.crowded-more))
 	// Quickly served after a try on a connection that had been idle was not: such are dropped unseen.
 	if n := len(m.attempts); n > 1 && m.attempts[n-2].idle > 0 && m.attempts[n-2].doubt && s < slowBy*r.mean {
 		*kind = min(*kind, m.attempts[n-2].idle/2)
-		a.at.crowded = max(a.at.crowded, b.s.IdleConnections-*kind)
+		b.crowd(a.at, max(a.at.crowded, b.s.IdleConnections-*kind))
 	}
 	b.countServed(r)
 	r.servedSent = max(r.servedSent, a.sent)
@@ -875,7 +868,7 @@
 	if r.state == out {
 		r.state, r.since, r.window, r.tokens, r.filled = cold, b.now, 1, 0, b.now
 		if b.enough(r) >= inRow/2 {
-			a.at.crowded = 0 // an outage as such: its connects did not fail for a full table
+			b.crowd(a.at, 0) // an outage as such: its connects did not fail for a full table
 		}
 		r.fails = min(r.fails, failing)
 		b.log(r, "answers again; warming up")
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -268,7 +268,7 @@
 	}
 	r.now = deadline
 	r.step(r.end(sends[0], TimedOut))
-	if !r.failed[b.ID] || len(r.b.byID) != 0 || len(r.b.held) != 0 {
+	if !r.failed[b.ID] || len(r.b.byID) != 0 || r.b.held != 0 {
 		t.Fatalf("failed %v, still known %d", r.failed, len(r.b.byID))
 	}
 }
@@ -369,7 +369,7 @@
 			}
 			events = append(events, r.end(x, o))
 		}
-		if len(r.b.held) < 60 {
+		if r.b.held < 60 {
 			events = append(events, r.message(0, 0, 0))
 		}
 		open = r.step(append(events, Alarm{})...)
@@ -489,8 +489,8 @@
 	for range 12 {
 		r.step(r.message(2, 9, 0))
 	}
-	if len(r.refused) == 0 || len(r.b.held) > 10 {
-		t.Fatalf("%d refused, %d held", len(r.refused), len(r.b.held))
+	if len(r.refused) == 0 || r.b.held > 10 {
+		t.Fatalf("%d refused, %d held", len(r.refused), r.b.held)
 	}
 }
 
@@ -840,7 +840,7 @@
 		r.now += 5 * time.Second
 	}
 	r.step(list(5000))
-	if e, n, d, o := len(r.b.endpoints), len(r.b.routes), len(r.b.dests), len(r.b.order); e > 100 || n > 100 || d > 5 || o != d {
+	if e, n, d, o := len(r.b.endpoints), r.b.routes, len(r.b.dests), len(r.b.order); e > 100 || n > 100 || d > 5 || o != d {
 		t.Errorf("%d endpoints, %d routes, %d destinations, %d in order", e, n, d, o)
 	}
 	if len(r.failed)+len(r.refused)+len(r.b.byID) > 0 {
@@ -848,8 +848,8 @@
 	}
 	r.now += 2 * forgetAfter
 	r.step(list())
-	if len(r.b.endpoints)+len(r.b.routes)+len(r.b.dests)+len(r.b.order) > 0 {
-		t.Errorf("an empty list leaves %d endpoints, %d routes, %d destinations", len(r.b.endpoints), len(r.b.routes), len(r.b.dests))
+	if len(r.b.endpoints)+r.b.routes+len(r.b.dests)+len(r.b.order) > 0 {
+		t.Errorf("an empty list leaves %d endpoints, %d routes, %d destinations", len(r.b.endpoints), r.b.routes, len(r.b.dests))
 	}
 
 	s := r.step(list(7001), r.message(0, 11, 0))
--- /dev/null
+++ b/brain/equal_test.go
@@ -0,0 +1,384 @@
+package brain_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"reflect"
+	"testing"
+	"time"
+
+	"dockshift.example/dockshift/brain"
+	"dockshift.example/dockshift/brain/internal/reference"
+)
+
+// decider is the Brain, or the one that it is held against.
+type decider interface {
+	Step(time.Duration, []brain.Event) []brain.Action
+	Rates() []brain.Earlier
+}
+
+// due is an event that is to come.
+type due struct {
+	at    time.Duration
+	n     int
+	event brain.Event
+}
+
+type agenda []due
+
+func (a agenda) Len() int { return len(a) }
+func (a agenda) Less(i, j int) bool {
+	return a[i].at < a[j].at || a[i].at == a[j].at && a[i].n < a[j].n
+}
+func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
+func (a *agenda) Push(x any)   { *a = append(*a, x.(due)) }
+func (a *agenda) Pop() any {
+	last := (*a)[len(*a)-1]
+	*a = (*a)[:len(*a)-1]
+	return last
+}
+
+// world feeds both with what a generated day brings: destinations that serve, fail, refuse, tell waits, hang
+// and change, lists that churn, and processes that start again.
+type world struct {
+	t      *testing.T
+	seed   uint64
+	rng    *rand.Rand
+	s      brain.Settings
+	now    time.Duration
+	agenda agenda
+	n      int
+	both   [2]decider
+	mode   map[brain.DestinationID]int
+	dest   map[brain.EndpointID]brain.DestinationID
+	listed map[brain.EndpointID]brain.Endpoint
+	nextE  brain.EndpointID
+	nextM  brain.MessageID
+	dests  int
+	held   map[brain.MessageID]*holding
+	counts map[string]int
+}
+
+type holding struct {
+	msg   brain.Message
+	sends int
+	out   map[int]brain.EndpointID
+	tried int
+	over  bool
+}
+
+const ms = time.Millisecond
+
+func settings(rng *rand.Rand) brain.Settings {
+	s := brain.Settings{Senders: 1 + rng.IntN(4), Zone: rng.IntN(2), Slots: []int{0, 3, 8, 40}[rng.IntN(4)], MostHeld: []int{0, 20, 60, 400}[rng.IntN(4)],
+		MaxAttempts: []int{0, 2, 6}[rng.IntN(3)], MayCancel: rng.IntN(2) == 0, TellsHoldOff: rng.IntN(2) == 0, MaxHoldOff: 2 * time.Second,
+		IdleConnections: []time.Duration{0, 500 * ms, 15 * time.Second}[rng.IntN(3)], AsksForList: rng.IntN(2) == 0, Step: []time.Duration{0, 5 * ms}[rng.IntN(2)],
+		SettleAfterDoubt: 400 * ms, FallMultiple: 2, StartCapacity: 0.2, OverloadFor: 3 * time.Second, Cold: 10 * time.Second, OverShareWorth: 0.05,
+		CrossZonePrice: 0.02 * float64(rng.IntN(2)), Halving: rng.IntN(2) == 0, RatedLimits: rng.IntN(3) == 0}
+	apart := rng.IntN(3)
+	for k := range 2 {
+		s.Kinds = append(s.Kinds, brain.Kind{Apart: apart == 2 || apart == 1 && k == 1, PerCall: 1 + 2*rng.IntN(2)*rng.IntN(2)})
+	}
+	for _, e := range []brain.Effect{brain.Safe, brain.Keyed, brain.Unsafe} {
+		for _, ordered := range []bool{false, true} {
+			s.Classes = append(s.Classes, brain.Class{Aim: 2 * time.Second, Deadline: time.Duration(3+rng.IntN(20)) * time.Second, Effect: e, Ordered: ordered,
+				KeyInZone: rng.IntN(3) == 0, KeyWindow: time.Duration(1+rng.IntN(8)) * time.Second, Worth: 1 + float64(rng.IntN(2)), LateWorth: 0.5})
+		}
+	}
+	for range rng.IntN(4) {
+		s.Tenants = append(s.Tenants, brain.Tenant{Share: 0.3, Allowance: 1 + 20*rng.Float64()})
+	}
+	return s
+}
+
+func (w *world) at(d time.Duration, e brain.Event) {
+	w.n++
+	heap.Push(&w.agenda, due{w.now + d, w.n, e})
+}
+
+func (w *world) endpoint(d brain.DestinationID) brain.Endpoint {
+	w.nextE++
+	w.dest[w.nextE] = d
+	return brain.Endpoint{ID: w.nextE, Destination: d, Kind: int(d) % 2, Zone: w.rng.IntN(2), Ready: true, Rating: 20 * w.rng.Float64() * float64(w.rng.IntN(2))}
+}
+
+// news is a list: a few changes, or all of it, with endpoints that come, drain, go and come again.
+func (w *world) news() brain.ListNews {
+	if w.rng.IntN(15) == 0 {
+		return brain.ListNews{Failed: true}
+	}
+	var n brain.ListNews
+	for range 1 + w.rng.IntN(4) {
+		d := brain.DestinationID(w.rng.IntN(w.dests))
+		var of []brain.EndpointID
+		for id := range w.nextE + 1 { // in order: a map's would differ from run to run
+			if e, ok := w.listed[id]; ok && e.Destination == d {
+				of = append(of, id)
+			}
+		}
+		switch {
+		case len(of) > 0 && w.rng.IntN(3) > 0:
+			id := of[w.rng.IntN(len(of))]
+			e := w.listed[id]
+			switch w.rng.IntN(4) {
+			case 0: // it drains, and may serve again
+				e.Ready = false
+				delete(w.listed, id)
+				if back := e; w.rng.IntN(2) == 0 {
+					back.Ready = true
+					w.at(time.Duration(w.rng.IntN(5000))*ms, brain.ListNews{Endpoints: []brain.Endpoint{back}})
+				}
+			case 1: // its id comes back under another destination
+				e.Destination = brain.DestinationID(w.rng.IntN(w.dests))
+				w.listed[id], w.dest[id] = e, e.Destination
+			case 2:
+				e.Zone = 1 - e.Zone
+				w.listed[id] = e
+			}
+			n.Endpoints = append(n.Endpoints, e)
+		case len(of) < 4:
+			e := w.endpoint(d)
+			w.listed[e.ID] = e
+			n.Endpoints = append(n.Endpoints, e)
+		}
+	}
+	if w.rng.IntN(6) == 0 {
+		n = brain.ListNews{Whole: true}
+		for id := range w.nextE + 1 {
+			if e, ok := w.listed[id]; ok {
+				n.Endpoints = append(n.Endpoints, e)
+			}
+		}
+		if w.rng.IntN(8) == 0 { // for a while nothing is listed at all
+			n.Endpoints = nil
+		}
+	}
+	return n
+}
+
+func (w *world) message() brain.Message {
+	w.nextM++
+	class := w.rng.IntN(len(w.s.Classes)+1) - w.rng.IntN(20)/19
+	m := brain.Message{ID: w.nextM, Class: class, Tenant: w.rng.IntN(len(w.s.Tenants)+2) - 1, Destination: brain.DestinationID(w.rng.IntN(w.dests)),
+		Deadline: w.now + time.Duration(w.rng.IntN(12_000))*ms}
+	if w.rng.IntN(2) == 0 {
+		m.Key = uint64(1 + w.rng.IntN(6))
+	}
+	w.held[m.ID] = &holding{msg: m, out: map[int]brain.EndpointID{}}
+	return m
+}
+
+// outcome is what becomes of a call at its destination, and when.
+func (w *world) outcome(s brain.Send, n int) (time.Duration, brain.AttemptEnd) {
+	e := brain.AttemptEnd{Message: s.Message, Attempt: n, Endpoint: s.Endpoint}
+	if w.rng.IntN(4) == 0 {
+		e.Reported, e.Left, e.Limit = true, w.rng.Float64(), float64(w.rng.IntN(30))
+	}
+	takes := time.Duration(w.rng.ExpFloat64()*80) * ms
+	switch w.mode[w.dest[s.Endpoint]] {
+	case 1: // fails
+		e.Outcome = []brain.Outcome{brain.Errored, brain.Broken, brain.Served}[w.rng.IntN(3)]
+	case 2: // refuses
+		if e.Outcome = brain.Refused; w.rng.IntN(3) == 0 {
+			e.Wait = time.Duration(w.rng.IntN(6000)) * ms
+		}
+	case 3: // hangs
+		takes = time.Hour
+	case 4: // slow
+		takes *= 20
+	case 5: // no connection comes up
+		if e.Outcome, takes = brain.ConnectFailed, takes/4; w.rng.IntN(10) == 0 {
+			e.Outcome = brain.NotSent
+		}
+	default:
+		if w.rng.IntN(30) == 0 {
+			e.Outcome = brain.Outcome(w.rng.IntN(8))
+		}
+	}
+	if takes >= s.Timeout {
+		takes, e.Outcome = s.Timeout, brain.TimedOut
+	}
+	e.Elapsed = takes
+	e.Over = e.Outcome == brain.Served || w.rng.IntN(200) == 0
+	return takes, e
+}
+
+// step gives both the same batch, wants the same of both, and lets the world act on it.
+func (w *world) step(events []brain.Event) {
+	w.t.Helper()
+	got := w.both[0].Step(w.now, append([]brain.Event(nil), events...))
+	want := w.both[1].Step(w.now, append([]brain.Event(nil), events...))
+	if len(got) != len(want) || len(got) > 0 && !reflect.DeepEqual(got, want) {
+		i := 0
+		for i < min(len(got), len(want)) && got[i] == want[i] {
+			i++
+		}
+		w.t.Fatalf("seed %d at %v, events %+v:\naction %d of %d and %d differs\n got %s\nwant %s", w.seed, w.now, events, i, len(got), len(want), show(got, i), show(want, i))
+	}
+	for _, a := range got {
+		w.counts[fmt.Sprintf("%T", a)]++
+		switch a := a.(type) {
+		case brain.Send:
+			h := w.held[a.Message]
+			n := h.sends
+			h.sends++
+			h.out[n] = a.Endpoint
+			takes, e := w.outcome(a, n)
+			w.at(takes, e)
+		case brain.Cancel:
+			if h := w.held[a.Message]; h != nil {
+				if e, ok := h.out[a.Attempt]; ok && w.rng.IntN(10) > 0 {
+					w.at(ms, brain.AttemptEnd{Message: a.Message, Attempt: a.Attempt, Endpoint: e, Outcome: brain.Cancelled, Elapsed: ms})
+				}
+			}
+		case brain.Refuse:
+			w.held[a.Message].over = true
+		case brain.Fail:
+			w.held[a.Message].over = true
+		case brain.SetAlarm:
+			w.at(a.At-w.now, brain.Alarm{})
+		case brain.WatchList:
+			w.at(50*ms, w.news())
+		}
+	}
+}
+
+func show(actions []brain.Action, i int) string {
+	if i < len(actions) {
+		return fmt.Sprintf("%T%+v", actions[i], actions[i])
+	}
+	return "nothing"
+}
+
+// restart begins two new processes with what the old ones held, as the journal would tell it.
+func (w *world) restart() {
+	rates, old := w.both[0].Rates(), w.both[1].Rates()
+	if !reflect.DeepEqual(rates, old) {
+		w.t.Fatalf("seed %d at %v: rates %v, want %v", w.seed, w.now, rates, old)
+	}
+	w.both = [2]decider{brain.New(w.s, w.seed), reference.New(w.s, w.seed)}
+	w.agenda = nil
+	var events []brain.Event
+	list := brain.ListNews{Whole: true}
+	for id := range w.nextE + 1 {
+		if e, ok := w.listed[id]; ok {
+			list.Endpoints = append(list.Endpoints, e)
+		}
+	}
+	events = append(events, list)
+	for _, r := range rates {
+		events = append(events, r)
+	}
+	for id := range w.nextM + 1 {
+		h := w.held[id]
+		if h == nil {
+			continue
+		}
+		if h.over {
+			delete(w.held, id)
+			continue
+		}
+		m := h.msg
+		m.Tried = h.tried + h.sends
+		if h.sends > 0 && w.rng.IntN(2) == 0 {
+			m.MayRun, m.FirstRun = true, w.now-time.Duration(w.rng.IntN(4000))*ms
+		}
+		*h = holding{msg: m, out: map[int]brain.EndpointID{}, tried: m.Tried}
+		events = append(events, m)
+	}
+	w.step(events)
+}
+
+// day plays a generated day of so many batches.
+func day(t *testing.T, seed uint64, batches int) map[string]int {
+	rng := rand.New(rand.NewPCG(seed, 11))
+	w := &world{t: t, seed: seed, rng: rng, s: settings(rng), now: time.Duration(rng.IntN(3)) * time.Hour, mode: map[brain.DestinationID]int{},
+		dest: map[brain.EndpointID]brain.DestinationID{}, listed: map[brain.EndpointID]brain.Endpoint{}, dests: 1 + rng.IntN(12),
+		held: map[brain.MessageID]*holding{}, counts: map[string]int{}}
+	w.both = [2]decider{brain.New(w.s, seed), reference.New(w.s, seed)}
+	w.step([]brain.Event{w.news(), w.news()})
+	busy := 1 + rng.IntN(4)
+	for range batches {
+		var events []brain.Event
+		switch gap := time.Duration(rng.ExpFloat64() * 30 * float64(ms)); {
+		case rng.IntN(3) == 0 && len(w.agenda) > 0: // the next thing due, alone or with all that is due soon after
+			w.now = max(w.now, w.agenda[0].at) + gap/10*time.Duration(rng.IntN(2))
+		case rng.IntN(400) == 0: // long silence
+			w.now += time.Duration(rng.IntN(90)) * time.Minute
+		case rng.IntN(60) == 0:
+			w.now += time.Duration(rng.IntN(8)) * time.Second
+		default:
+			w.now += gap
+		}
+		for len(w.agenda) > 0 && w.agenda[0].at <= w.now {
+			e := heap.Pop(&w.agenda).(due).event
+			if end, ok := e.(brain.AttemptEnd); ok {
+				h := w.held[end.Message]
+				if h == nil {
+					continue
+				}
+				if _, out := h.out[end.Attempt]; !out && rng.IntN(5) > 0 {
+					continue // twice now and then
+				}
+				delete(h.out, end.Attempt)
+				h.over = h.over || end.Over
+			}
+			events = append(events, e)
+		}
+		for range rng.IntN(busy + 1) {
+			events = append(events, w.message())
+		}
+		if rng.IntN(40) == 0 { // a burst, and for one destination
+			d := brain.DestinationID(rng.IntN(w.dests))
+			for range rng.IntN(40) {
+				m := w.message()
+				m.Destination = d
+				w.held[m.ID].msg = m
+				events = append(events, m)
+			}
+		}
+		switch x := rng.IntN(60); {
+		case x == 0:
+			events = append(events, w.news())
+		case x < 4:
+			w.mode[brain.DestinationID(rng.IntN(w.dests))] = rng.IntN(7)
+		case x == 4 && w.nextM > 0:
+			id := 1 + brain.MessageID(rng.IntN(int(w.nextM)))
+			events = append(events, brain.Withdrawn{Message: id})
+			if h := w.held[id]; h != nil {
+				h.over = true
+			}
+		case x == 5:
+			events = append(events, brain.Alarm{})
+		case x == 6 && rng.IntN(8) == 0:
+			w.restart()
+		}
+		if rng.IntN(5) == 0 {
+			rng.Shuffle(len(events), func(i, j int) { events[i], events[j] = events[j], events[i] })
+		}
+		w.step(events)
+	}
+	return w.counts
+}
+
+// The books by what is due change no decision: the same events give the same actions, in the same order,
+// alarms and log lines too, as when each step looked at everything.
+func TestSameDecisionsAsTheScan(t *testing.T) {
+	seeds := 1500
+	if testing.Short() {
+		seeds = 200
+	}
+	all := map[string]int{}
+	for seed := range uint64(seeds) {
+		for what, n := range day(t, seed, 250) {
+			all[what] += n
+		}
+	}
+	for _, what := range []string{"Send", "Refuse", "Fail", "Cancel", "CloseIdle", "SetAlarm", "WatchList", "Log"} {
+		if all["brain."+what] < seeds/10 {
+			t.Errorf("the days hardly ever came to %s: %d of it", what, all["brain."+what])
+		}
+	}
+	t.Log(all)
+}
--- a/brain/fleet_test.go
+++ b/brain/fleet_test.go
@@ -252,8 +252,8 @@
 		}
 		r.step(Alarm{})
 		over := name == "report out of range" || r.failed[1] || r.refused[1]
-		if !over || len(r.b.held) != 0 {
-			t.Errorf("%s: failed %v, refused %v, %d held", name, r.failed[1], r.refused[1], len(r.b.held))
+		if !over || r.b.held != 0 {
+			t.Errorf("%s: failed %v, refused %v, %d held", name, r.failed[1], r.refused[1], r.b.held)
 		}
 	}
 }
@@ -286,8 +286,8 @@
 				}
 			}
 		}
-		if len(r.b.held) != 0 {
-			t.Errorf("%s: %d messages without an answer", name, len(r.b.held))
+		if r.b.held != 0 {
+			t.Errorf("%s: %d messages without an answer", name, r.b.held)
 		}
 	}
 }
--- /dev/null
+++ b/brain/internal/reference/brain.go
@@ -0,0 +1,913 @@
+package reference
+
+// The decisions of a sender, top to bottom: constants, oracle, window and health, Step and its timer,
+// admission and ordering, choice, outcomes. The interface (settings, events, actions) is in api.go.
+// docs/design.md tells what is the paper's, what is ours, and when each departure acts.
+
+import (
+	"math"
+	"slices"
+	"sort"
+	"time"
+)
+
+const (
+	buckets   = 1000             // H: buckets of the latency histogram (paper, table I)
+	tauMax    = 60 * time.Second // the histogram's span (paper, table I)
+	tauFirst  = 4 * time.Second  // time-out before any sample (paper, table I)
+	restartC  = 0.0              // c, s: cost of a restart (paper, table I)
+	exploreIn = 20               // one first attempt in so many runs to its time left
+	exploreW  = 20               // samples: weight of such a run, as it stands for so many
+	ageing    = 1.005            // all samples weigh so much less with each new one: about 200 count
+	tauTie    = 1.1              // bounds within this factor of the least Ê are as good: take the longest
+	answered  = 0.99             // share of the answered calls that a time-out must leave, with
+	spare     = 2                // so many times their time, as the next may be slower than any seen
+	fewTimes  = 20               // samples before a time-out may be under tauFirst
+
+	capShare   = 0.75 // share of the slots that one destination stays under (design)
+	failing    = 0.3  // share of failed calls from which half the cap and a pace hold
+	mostFail   = 0.65 // share of failed calls that is an outage
+	inRow      = 8    // failures in a row that are an outage, where as many calls come in an overload span
+	leastInRow = 2    // and where hardly any come
+	recentPer  = 0.1  // weight of the newest call in the recent latency
+	healthPer  = 0.06 // weight of the newest call in the mean of failures
+	silentBy   = 8    // age of unanswered calls over the middle latency, from which slots are taken back
+	windowFade = 0.25 // of the window, by call served while less than half of it is in use
+	slowBy     = 3    // recent latency over the usual, from which a destination is slow
+
+	rateSpan    = 10 * time.Second       // span over which the served rate is seen
+	pauseFirst  = 100 * time.Millisecond // first pause after a refusal with no wait told; doubles
+	pauseMost   = time.Second            // and its end: about the span over which limits are counted
+	probeFirst  = 300 * time.Millisecond // least spacing of calls in an outage
+	fleetProbes = 24                     // calls in the time to warm that all senders may send anywhere
+	arrivalSpan = time.Minute            // span over which the messages for a destination are counted
+	besideOther = 0.3                    // part of the calls of the unaware that those add who saw failures
+	retryPause  = 150 * time.Millisecond // pause of one message after a failed attempt; doubles
+	paceStep    = 0.1                    // growth of the pace, in our even parts of the limit, by call served
+	paceCut     = 0.7                    // the pace after a refusal
+	plenty      = 0.3                    // share of the allowance left from which the pace may grow
+	passedOver  = 2 * time.Second        // how long a message passed over is thought to wait
+	anyWorth    = 0.1                    // weight of the worth itself beside its loss by waiting
+	holdFull    = 0.95                   // share of the room for messages from which some are refused
+	askAgain    = time.Second            // pause before a failed request for the list is repeated
+	shareSpan   = 3 * time.Second        // span over which a tenant's rate is seen
+	shareBeyond = 1.5                    // a tenant's rate over its share from which it is beyond it
+	keepCut     = 4                      // idle connections are kept so many times shorter where they harm
+	keepGrow    = 0.002                  // and longer again by this part of the full time, by call served
+	never       = time.Duration(math.MaxInt64)
+)
+
+// ---- Oracle: the paper's section III.D for one destination or route
+
+// sample books a first attempt's time, or with late one that was never answered.
+func (o *oracle) sample(d time.Duration, weight float64, late bool) {
+	for k := range o.bucket {
+		o.bucket[k].count /= ageing
+		o.bucket[k].sum /= ageing
+	}
+	o.past /= ageing
+	if late || d >= tauMax {
+		o.past += weight
+	} else {
+		k := int(d * buckets / tauMax)
+		for len(o.bucket) <= k {
+			o.bucket = append(o.bucket, bucket{})
+		}
+		o.seen++
+		o.bucket[k].count += weight
+		o.bucket[k].sum += weight * d.Seconds()
+		if o.quickest == 0 || d < o.quickest {
+			o.quickest = d
+		}
+	}
+	o.dirty = true
+}
+
+// expected is Ê of restarting at bound tau, for the weight and the mean of samples up to it.
+func expected(upTo, all, mean, tau float64) float64 {
+	f := upTo / all
+	return mean/f + (1-f)/f*(tau+restartC)
+}
+
+// optimum is the argmin of Ê. Where the curve is flat its least point is chance and may lie short,
+// so of the bounds that are as good the longest is taken: it restarts less. Nor does it cut calls that
+// come back: a repeat takes as long again, and the first may still run.
+func (o *oracle) optimum() time.Duration {
+	if !o.dirty {
+		return o.best
+	}
+	o.dirty = false
+	all := o.past
+	for _, k := range o.bucket {
+		all += k.count
+	}
+	least, longest := math.Inf(1), tauFirst
+	came, floor := all-o.past, time.Duration(0)
+	for pass := range 2 { // first the least Ê, then the longest bound that is as good
+		n, t := 0.0, 0.0
+		for k, at := range o.bucket {
+			if at.count == 0 {
+				continue
+			}
+			n += at.count
+			t += at.sum
+			bound := tauMax * time.Duration(k+1) / buckets
+			e := expected(n, all, t/n, bound.Seconds())
+			if pass == 0 {
+				least = min(least, e)
+			} else {
+				if e <= least*tauTie {
+					longest = bound
+				}
+				if n-at.count < came/2 {
+					o.median = bound
+				}
+				if n-at.count < answered*came {
+					floor = bound * spare
+				}
+			}
+		}
+		if n > 0 {
+			o.mean = t / n
+		}
+	}
+	if o.seen < fewTimes {
+		floor = max(floor, tauFirst)
+	}
+	o.best = min(max(longest, floor), tauMax)
+	return o.best
+}
+
+// tau is the time-out now.
+func (o *oracle) tau() time.Duration {
+	if o.doubled > 0 {
+		return o.doubled
+	}
+	if o.best == 0 && !o.dirty {
+		return tauFirst
+	}
+	return o.optimum()
+}
+
+// expired doubles the time-out, once for all calls that were out at the last doubling.
+func (o *oracle) expired(sent, now time.Duration) {
+	if o.doubled == 0 || sent >= o.doubledAt {
+		o.doubled, o.doubledAt = min(2*o.tau(), tauMax), now
+	}
+}
+
+// ---- Window and health of a route: a destination, or one endpoint where routes are apart
+
+// cap is how many calls r may have out. A failing, slow or silent one keeps half.
+func (b *Brain) cap(r *route) int {
+	most := math.Ceil(capShare*float64(b.s.Slots)) - 1
+	if r.fails > failing || r.recent > slowBy*r.mean && r.mean > 0 || b.silent(r, 1) {
+		most = math.Floor(most / 2)
+	}
+	return max(1, int(min(most, r.window)))
+}
+
+// silent: nothing was served since the oldest of n or more calls went out, long ago.
+func (b *Brain) silent(r *route, n int) bool {
+	if len(r.unanswered) < n {
+		return false
+	}
+	c := r.unanswered[0]
+	return r.lastServed <= c.sent && b.now-c.sent > r.patience()
+}
+
+// halve cuts the window, once for all calls that were out at the last cut.
+func (b *Brain) halve(r *route, sent time.Duration) {
+	if sent >= r.halvedAt {
+		r.window, r.halvedAt = max(1, r.window/2), b.now
+	}
+}
+
+// rate is how many calls a second r may get now, and how many at once. A window alone does not bound
+// the rate of quick failures, and a cold destination bears few calls, refused ones too.
+func (b *Brain) rate(r *route) (rate, burst float64) {
+	rate, burst = math.Inf(1), math.Inf(1)
+	if r.limit > 0 {
+		rate, burst = r.pace, max(1, r.pace)
+	}
+	switch {
+	case r.state == out:
+		rate, burst = min(rate, b.bearable(r), 1/probeFirst.Seconds()), 1
+	case r.state == cold:
+		rate, burst = min(rate, b.bearable(r)), 1
+	case r.fails > failing:
+		rate, burst = min(rate, max(1, 1.5*r.rateServed())), 1
+	}
+	return rate, burst
+}
+
+// usual is the rate of what was counted at a route: that, and one more in the time that a route takes to
+// get one in the mean, so that a sender which has seen few yet is not misled by them.
+func (b *Brain) usual(n fading) float64 {
+	counted := arrivalSpan.Seconds() * (1 - math.Exp(-(b.now-b.started).Seconds()/arrivalSpan.Seconds()))
+	each := float64(max(1, len(b.routes))) * (counted + 1) / (b.came.at(b.now, arrivalSpan) + 1)
+	return (n.at(b.now, arrivalSpan) + 1) / (counted + each)
+}
+
+// enough is how many failures in a row are an outage: as many calls as we make in an overload span, for a
+// sender with few there would not see eight fail before it is over; and more where senders are few.
+func (b *Brain) enough(r *route) int {
+	n := max(leastInRow+int(b.usual(r.tried)*b.s.OverloadFor.Seconds()), fleetProbes/max(1, b.s.Senders))
+	return min(inRow, n)
+}
+
+// bearable is our part of the calls a second that r bears in an outage, when it may return any moment, and
+// so long after its return. A sender's part is that of its usual traffic, whatever the number of senders.
+// Where we usually get no message in such a time, most others have seen no failure and send as ever: the
+// few who have may together send a part of that. Any destination bears a few calls from all of us.
+func (b *Brain) bearable(r *route) float64 {
+	share := b.s.StartCapacity
+	if r.state == cold && b.s.Cold > 0 {
+		share += (1 - share) * min(1, (b.now-r.since).Seconds()/b.s.Cold.Seconds())
+	}
+	unaware := besideOther / max(math.Expm1(r.before*(b.now-r.outAt).Seconds()), 1e-9)
+	few := fleetProbes / max(b.s.Cold.Seconds(), 1) / float64(max(1, b.s.Senders))
+	return max(few, r.before*max(max(1, b.s.FallMultiple)*share, unaware))
+}
+
+// open reports whether r may get a call now; if not but later, the alarm is set for then.
+func (b *Brain) open(r *route) bool {
+	if r.state == cold && b.now-r.since > b.s.Cold {
+		r.state, r.since = well, b.now
+	}
+	if r.state == well && b.silent(r, min(inRow/2, b.enough(r))-1) {
+		b.goOut(r)
+	}
+	if b.now < r.closedUntil {
+		b.wakeAt(r.closedUntil)
+		return false
+	}
+	if r.state == out && r.probes > 0 && b.now-r.probedAt < r.patience() {
+		b.wakeAt(r.probedAt + r.patience())
+		return false
+	}
+	if r.state != out && r.calls >= b.cap(r) {
+		return false
+	}
+	b.fill(r)
+	if r.tokens < 1 {
+		rate, _ := b.rate(r)
+		b.wakeAt(b.now + time.Duration((1-r.tokens)/rate*float64(time.Second)) + time.Millisecond)
+		return false
+	}
+	return true
+}
+
+// goOut begins an outage. Before a second one the rate was held down by us, so the higher is kept.
+func (b *Brain) goOut(r *route) {
+	if r.state == well {
+		r.before = max(b.usual(r.done), r.limit/float64(max(1, b.s.Senders)), b.earlier(r))
+		if r.served > inRow { // enough of them to go by the last seconds
+			r.before = max(r.before, r.rateServed())
+		}
+		r.outAt = b.now
+	}
+	spread := float64(b.draw(1000))/1000 - 0.5 // senders that fail in step do not go on in step
+	r.state, r.since, r.probes, r.tokens, r.filled = out, b.now, 0, spread, b.now
+	r.window = 1
+	b.log(r, "out: calls fail, are refused or go unanswered; one call at a time")
+}
+
+// ---- Step and its timer
+
+// Step takes in all events of a batch, then decides once. The actions are to be carried out in order.
+// Time never goes back; a batch dated before the last is taken as of the last.
+func (b *Brain) Step(now time.Duration, events []Event) []Action {
+	now = max(now, b.now)
+	b.now, b.wake, b.acts = now, never, nil
+	if b.started == -never {
+		b.started = now
+	}
+	if b.alarm <= now {
+		b.alarm = never
+	}
+	for _, e := range events {
+		switch e := e.(type) {
+		case Message:
+			b.admit(e)
+		case AttemptEnd:
+			b.ended(e)
+		case Alarm: // the clock may be coarser than ours: one that comes a little early is the one set
+			if b.alarm <= now+b.s.Step {
+				b.alarm = never
+			}
+		case Earlier:
+			b.remember(e)
+		case Withdrawn:
+			if m := b.byID[e.Message]; m != nil {
+				b.close(m)
+			}
+		case ListNews:
+			if !e.Failed {
+				b.news(e)
+			} else if b.s.AsksForList {
+				b.askAt = b.now + askAgain
+			}
+		}
+	}
+	if b.askAt <= now {
+		b.askAt = never
+		b.acts = append(b.acts, WatchList{})
+	}
+	b.wakeAt(b.askAt)
+	b.expire()
+	b.makeRoom()
+	b.sendAll()
+	b.closeIdle()
+	if b.wake < b.alarm {
+		b.alarm = max(b.wake, now+b.s.Step)
+		b.acts = append(b.acts, SetAlarm{At: b.alarm})
+	}
+	return b.acts
+}
+
+// ---- Admission and ordering
+
+// mayRepeat: no attempt may have run, or a repeat sent now surely does no harm.
+func (b *Brain) mayRepeat(m *message, at time.Duration) bool {
+	if !m.mayRun || m.class.Effect == Safe {
+		return true
+	}
+	return m.class.Effect == Keyed && at+b.s.Step+m.route().quickest < m.firstRun+m.class.KeyWindow
+}
+
+// expire fails what cannot be served any more, in time: too little time left for the quickest call
+// served there, no attempt left, or a repeat that would not be lawful.
+func (b *Brain) expire() {
+	for _, m := range append([]*message(nil), b.held...) {
+		if m.out > 0 {
+			continue
+		}
+		last := m.Deadline - max(m.route().quickest, b.s.Step)
+		spent := b.s.MaxAttempts > 0 && m.tries() >= b.s.MaxAttempts
+		if b.now >= last || spent || !b.mayRepeat(m, b.now) {
+			b.acts = append(b.acts, Fail{Message: m.ID})
+			b.close(m)
+			continue
+		}
+		if m.mayRun && m.class.Effect == Keyed {
+			last = min(last, m.firstRun+m.class.KeyWindow-m.route().quickest-b.s.Step)
+		}
+		b.wakeAt(last)
+	}
+	for len(b.resting) > 0 && (len(b.resting[0].queue) > 0 || b.resting[0].restUntil <= b.now) {
+		if t := b.resting[0]; len(t.queue) == 0 {
+			delete(b.turns, t.key)
+		}
+		b.resting = b.resting[1:]
+	}
+}
+
+// makeRoom refuses, when the room for messages is nearly full, the newest message of the destination
+// with the longest queue, of a tenant beyond its share first: its client can come back, and others would
+// be turned away unseen.
+func (b *Brain) makeRoom() {
+	for b.s.MostHeld > 0 && float64(len(b.held)) > holdFull*float64(b.s.MostHeld) {
+		var victim *message
+		longest := 0.0
+		for _, d := range b.order {
+			for _, m := range d.waiting {
+				w := b.tenantWorth(m.Tenant)
+				wait := float64(len(d.waiting)) / (0.1 + m.route().rateServed()) / (w * w)
+				if !m.mayRun && wait >= longest {
+					victim, longest = m, wait
+				}
+			}
+		}
+		if victim == nil {
+			return
+		}
+		hold := time.Duration(0)
+		if b.s.TellsHoldOff {
+			hold = b.s.MaxHoldOff
+		}
+		b.acts = append(b.acts, Refuse{Message: victim.ID, HoldOff: hold})
+		b.close(victim)
+	}
+}
+
+// worth is what m is worth if served at the time.
+func (b *Brain) worth(m *message, at time.Duration) float64 {
+	c := m.class
+	late := at - (m.Deadline - c.Deadline) - c.Aim
+	w := c.Worth * b.tenantWorth(m.Tenant)
+	switch {
+	case at >= m.Deadline:
+		return 0
+	case late <= 0:
+		return w
+	case b.s.Halving:
+		return w * max(c.LateWorth, math.Exp2(-late.Seconds()/c.Aim.Seconds()))
+	}
+	return w * (1 - (1-c.LateWorth)*late.Seconds()/(c.Deadline-c.Aim).Seconds())
+}
+
+// tenantWorth is the worth of a tenant's messages as a fraction: beyond its share, the mean of those
+// within and those beyond. Our part of the share is judged by what tenants usually send us.
+func (b *Brain) tenantWorth(i int) float64 {
+	if i < 0 || i >= len(b.tenants) || b.s.Senders == 0 {
+		return 1
+	}
+	parts := make([]float64, 0, len(b.tenants))
+	for j, t := range b.tenants {
+		parts = append(parts, t.usual/max(b.s.Tenants[j].Allowance, 1e-9))
+	}
+	sort.Float64s(parts) // the middle one: a tenant that surges does not widen its own share
+	part := min(1, max(1/float64(b.s.Senders), parts[len(parts)/2]))
+	beyond := b.tenants[i].recent / max(shareBeyond*part*b.s.Tenants[i].Allowance, 1e-9)
+	if beyond <= 1 {
+		return 1
+	}
+	return (1 + (beyond-1)*b.s.OverShareWorth) / beyond
+}
+
+// index orders messages for a scarce slot: the worth that a message loses if passed over, and a little of
+// its worth, for the slot time that it is likely to hold. Calls failed since one was served count against it.
+func (b *Brain) index(m *message, r *route) float64 {
+	takes := max(r.recent, r.mean, 0.05)
+	done := b.now + time.Duration(takes*float64(time.Second))
+	w := b.worth(m, done)
+	lost := float64(r.lost) * math.Exp(-(b.now-r.sentAt).Seconds()/passedOver.Seconds())
+	return (w - b.worth(m, done+passedOver) + anyWorth*w) * (1 - r.fails) / (takes * (1 + lost))
+}
+
+// ---- Choice
+
+// sendAll fills the free slots, the best message first.
+func (b *Brain) sendAll() {
+	type offer struct {
+		m     *message
+		e     *endpoint
+		index float64
+	}
+	offers := make([]offer, len(b.order))
+	find := func(i int) {
+		offers[i] = offer{}
+		d := b.order[i]
+		if len(d.waiting) == 0 || len(d.endpoints) == 0 {
+			return
+		}
+		var usable []*endpoint
+		closed := d.shared != nil && !b.open(d.shared)
+		for _, e := range d.endpoints {
+			full := b.batch(e) > 1 && e.sentAt == b.now && e.calls > 0 // further sends would join that call
+			if !full && (e.route == d.shared && !closed || e.route != d.shared && b.open(e.route)) {
+				usable = append(usable, e)
+			}
+		}
+		for _, m := range d.waiting {
+			if !b.ready(m) {
+				continue
+			}
+			if e := b.pick(m, usable); e != nil {
+				x := b.index(m, e.route)
+				if best := offers[i]; best.m == nil || b.precedes(m, e, x, best.m, best.index) {
+					offers[i] = offer{m, e, x}
+				}
+			}
+		}
+	}
+	for i := range b.order {
+		find(i)
+	}
+	for {
+		best := -1
+		for i := range offers {
+			if offers[i].m != nil && (best < 0 || offers[i].index > offers[best].index) {
+				best = i
+			}
+		}
+		if best < 0 {
+			return
+		}
+		if b.s.Slots > 0 && b.calls >= b.s.Slots {
+			waiting := 0
+			for i := range offers {
+				if offers[i].m != nil {
+					waiting++
+				}
+			}
+			b.takeBack(waiting)
+			return
+		}
+		b.sendCall(offers[best].m, offers[best].e)
+		find(best)
+	}
+}
+
+// takeBack calls off overdue calls while messages wait for slots, the longest overdue first. A call that
+// may not be repeated holds its slot to the deadline otherwise, and a few hung destinations, or calls lost
+// here and there, would take all slots. It hurts where a call would have been answered.
+func (b *Brain) takeBack(waiting int) {
+	for b.s.MayCancel && b.takenBack < waiting {
+		var victim *call
+		longest := time.Duration(0)
+		for _, r := range b.routes {
+			for _, c := range r.unanswered {
+				over := b.now - c.sent - b.haste(c)
+				if over > longest && !c.takenBack {
+					victim, longest = c, over
+				}
+			}
+		}
+		if victim == nil {
+			return
+		}
+		victim.takenBack = true
+		victim.route.takenBack++
+		b.takenBack++
+		for _, m := range victim.messages {
+			if n := len(m.attempts) - 1; !m.attempts[n].ended {
+				b.acts = append(b.acts, Cancel{Message: m.ID, Attempt: n})
+			}
+		}
+	}
+}
+
+// precedes orders two messages of one destination. Where it is out, one goes first that can wait for an
+// answer some times slower than usual: those about to run out of time lose most by waiting, but what answers
+// slowly would be cut off by each of them and never be seen to answer. In an outage a message that may be
+// repeated tries the destination, as one that may not is lost with the call.
+func (b *Brain) precedes(m *message, e *endpoint, x float64, than *message, thanX float64) bool {
+	if e.route.state == out {
+		slow := time.Duration(slowBy * max(e.route.mean, e.route.recent) * float64(time.Second))
+		enough := b.now + max(probeFirst, slow)
+		short := m.Deadline < enough
+		if short != (than.Deadline < enough) {
+			return !short
+		}
+	}
+	if e.route.state == out && (m.class.Effect == Unsafe) != (than.class.Effect == Unsafe) {
+		return than.class.Effect == Unsafe
+	}
+	return x > thanX
+}
+
+// keepFor is how long idle connections to e are kept, and to all of its kind. It is not known how many an
+// endpoint takes: that shows in connects that fail, and none is kept there then. What a sender with few calls
+// sees at one holds for the kind, as others see the same; one with many has seen for itself.
+func (b *Brain) keepFor(e *endpoint) (kept time.Duration, kind *time.Duration) {
+	for len(b.keep) <= e.Kind {
+		b.keep = append(b.keep, b.s.IdleConnections)
+	}
+	kept, kind = b.s.IdleConnections, &b.keep[e.Kind]
+	if b.enough(e.route) < inRow/2 {
+		kept = *kind
+	}
+	return max(0, kept-e.crowded), kind
+}
+
+// closeIdle shuts connections that have been idle for longer than they are kept.
+func (b *Brain) closeIdle() {
+	kept := b.idle[:0]
+	for _, e := range b.idle {
+		keep, _ := b.keepFor(e)
+		until := e.idleAt + keep
+		switch {
+		case e.calls > 0 || b.now >= e.idleAt+b.s.IdleConnections:
+			continue
+		case b.now >= until:
+			b.acts = append(b.acts, CloseIdle{Endpoint: e.ID})
+			e.idleAt = 0
+			continue
+		case keep < b.s.IdleConnections:
+			b.wakeAt(until)
+		}
+		kept = append(kept, e)
+	}
+	b.idle = kept
+}
+
+// ready: m may be sent now, as far as m itself goes.
+func (b *Brain) ready(m *message) bool {
+	if b.now < m.notBefore {
+		b.wakeAt(m.notBefore)
+		return false
+	}
+	if t := m.turn; t != nil {
+		if t.queue[0] != m {
+			return false
+		}
+		if b.now < t.restUntil && len(m.attempts) == 0 {
+			b.wakeAt(t.restUntil)
+			return false
+		}
+	}
+	return true
+}
+
+// pick is the endpoint for m with the least work of ours, by its recent latency and failures.
+func (b *Brain) pick(m *message, usable []*endpoint) *endpoint {
+	var best *endpoint
+	least := 0.0
+	for _, e := range usable {
+		if m.mayRun && m.class.KeyInZone && m.class.Effect == Keyed && e.Zone != m.ranZone {
+			continue
+		}
+		cost := float64(e.calls+1) * max(e.recent, 0.02) / max(0.05, 1-e.fails)
+		if e.Zone != b.s.Zone {
+			cost *= 1 + 10*b.s.CrossZonePrice
+		}
+		if e.Zone < len(b.s.ZoneFees) && e.route != m.dest.shared {
+			cost *= 1 + 10*b.s.ZoneFees[e.Zone]
+		}
+		if best == nil || cost < least {
+			best, least = e, cost
+		}
+	}
+	return best
+}
+
+// sendCall sends m, and with it, where messages share calls, the best others that may go along.
+func (b *Brain) sendCall(m *message, e *endpoint) {
+	r := e.route
+	c := &call{route: r, at: e, sent: b.now, probe: r.state == out}
+	if e.calls == 0 && e.idleAt > 0 && b.now < e.idleAt+b.s.IdleConnections {
+		c.idle = b.now - e.idleAt
+	}
+	b.calls++
+	r.calls++
+	e.calls++
+	e.sentAt = b.now
+	if c.probe {
+		r.probes++
+		r.probedAt = b.now
+	}
+	r.tokens--
+	r.tried.add(b.now, arrivalSpan)
+	r.sentAt = b.now
+	r.unanswered = append(r.unanswered, c)
+	b.send(m, c)
+	for n := 1; n < b.batch(e) && !c.probe; n++ {
+		var next *message
+		for _, o := range m.dest.waiting {
+			fits := b.ready(o) && b.pick(o, []*endpoint{e}) != nil
+			if fits && (next == nil || b.index(o, r) > b.index(next, r)) {
+				next = o
+			}
+		}
+		if next == nil {
+			break
+		}
+		b.send(next, c)
+	}
+}
+
+// send starts an attempt. Its time-out is the oracle's where a restart then is lawful, else the time left.
+func (b *Brain) send(m *message, c *call) {
+	r := c.route
+	left := m.Deadline - b.now
+	tau := r.tau()
+	if c.probe {
+		tau = max(r.patience(), probeFirst) // doubling would leave an outage unwatched
+	}
+	a := attempt{call: c, timeout: left, uncut: true}
+	first := m.tries() == 0
+	if first {
+		a.weight = 1
+	}
+	restartable := m.class.Effect == Safe
+	if m.class.Effect == Keyed {
+		tau = min(tau, m.class.KeyWindow/2) // a repeat needs time to be served in the window
+		from := b.now
+		if m.mayRun {
+			from = m.firstRun
+		}
+		restartable = b.now+tau+2*b.s.Step+r.quickest < from+m.class.KeyWindow
+	}
+	if b.s.MaxAttempts > 0 && m.tries()+1 >= b.s.MaxAttempts {
+		restartable = false
+	}
+	if restartable && tau < left {
+		if first && !c.probe && b.draw(exploreIn) == 0 {
+			a.weight = exploreW
+		} else {
+			a.timeout, a.uncut = tau, false
+		}
+	}
+	if !m.mayRun {
+		m.mayRun, m.firstRun, m.ranZone = true, b.now, c.at.Zone
+	}
+	m.attempts = append(m.attempts, a)
+	m.out++
+	c.left++
+	c.messages = append(c.messages, m)
+	m.dest.waiting = without(m.dest.waiting, m)
+	b.acts = append(b.acts, Send{Message: m.ID, Endpoint: c.at.ID, Timeout: a.timeout})
+}
+
+// patience is how old an unanswered call may be before it counts as silence. Calls that came back from
+// a hang lengthen the time-out; silence is judged as if they had not.
+func (r *route) patience() time.Duration { return min(r.optimumOrFirst(), tauFirst) }
+
+// haste is the patience for taking slots back: some times the usual latency, which for a route with few
+// samples is that of all routes, if a call sent later was served there already. It doubles with each
+// call taken back there until one is served: what turns slow then gets the time to show it.
+func (b *Brain) haste(c *call) time.Duration {
+	r := c.route
+	b.all.optimum()
+	usual := b.all.median
+	if r.seen >= fewTimes {
+		usual = r.median
+	} else if b.all.seen < fewTimes || r.servedSent <= c.sent {
+		return r.patience()
+	}
+	usual = max(silentBy*usual, time.Duration(slowBy*r.recent*float64(time.Second)), probeFirst)
+	return min(r.patience(), usual<<min(r.takenBack, 4))
+}
+
+func (r *route) optimumOrFirst() time.Duration {
+	if r.best == 0 && !r.dirty {
+		return tauFirst
+	}
+	return r.optimum()
+}
+
+// ---- Outcomes
+
+func (b *Brain) ended(e AttemptEnd) {
+	m := b.byID[e.Message]
+	if m == nil || e.Attempt < 0 || e.Attempt >= len(m.attempts) || m.attempts[e.Attempt].ended {
+		return
+	}
+	a := &m.attempts[e.Attempt]
+	a.ended, a.doubt, e.Elapsed = true, e.Outcome == TimedOut || e.Outcome == Broken, max(0, e.Elapsed)
+	m.out--
+	if a.left--; a.left == 0 {
+		b.calls--
+		a.route.calls--
+		if a.takenBack {
+			b.takenBack--
+		}
+		a.at.calls--
+		if a.at.calls == 0 {
+			if a.at.idleAt = b.now; !slices.Contains(b.idle, a.at) {
+				b.idle = append(b.idle, a.at)
+			}
+		}
+		a.route.unanswered = without(a.route.unanswered, a.call)
+		if a.probe && a.sent >= a.route.since && a.route.state == out {
+			a.route.probes--
+		}
+	}
+	if e.Reported && positive(e.Limit) {
+		b.learnLimit(a.route, e.Limit)
+	}
+	if e.Wait > 0 { // each outcome of a shared call may tell a later end
+		a.route.closedUntil = max(a.route.closedUntil, b.now+e.Wait+time.Millisecond)
+	}
+	if !a.booked && e.Outcome != NotSent {
+		a.booked = true
+		b.judge(m, a, e)
+	}
+	b.learn(a, e)
+	switch e.Outcome {
+	case Refused, ConnectFailed, NotSent:
+		b.neverRan(m)
+	case TimedOut, Broken, Cancelled:
+		if m.turn != nil {
+			m.turn.restUntil = max(m.turn.restUntil, b.now+b.s.SettleAfterDoubt)
+		}
+	}
+	if e.Over || m.over {
+		b.close(m)
+		return
+	}
+	if m.out == 0 {
+		m.dest.waiting = append(m.dest.waiting, m)
+		if e.Outcome != TimedOut {
+			m.notBefore = b.now + retryPause<<min(len(m.attempts)-1, 4)
+		}
+	}
+}
+
+// learn gives the oracle its sample: served first attempts only (Karn); an expiry doubles.
+func (b *Brain) learn(a *attempt, e AttemptEnd) {
+	switch {
+	case e.Outcome == Served && a.weight > 0:
+		a.route.sample(e.Elapsed, a.weight, false)
+		b.all.sample(e.Elapsed, a.weight, false)
+		a.route.doubled = 0
+	case e.Outcome == TimedOut && a.uncut && a.weight > 0:
+		a.route.sample(0, a.weight, true)
+	case e.Outcome == TimedOut && !a.uncut:
+		a.route.expired(a.sent, b.now)
+	}
+}
+
+// even is our even part of a limit; among many senders, where that is far below one call and those who have
+// messages there are few at a time, up to a call in the time over which limits are counted.
+func (b *Brain) even(limit float64) float64 {
+	n := float64(max(1, b.s.Senders))
+	return min(limit, max(limit/n, min(1, n/fleetProbes)/pauseMost.Seconds()))
+}
+
+// learnLimit takes a told limit; our pace starts at an even part of it.
+func (b *Brain) learnLimit(r *route, limit float64) {
+	if r.limit == 0 {
+		r.pace = b.even(limit)
+	} else {
+		r.pace *= limit / r.limit
+	}
+	r.limit = limit
+}
+
+// judge books a call's fate with its route and endpoint.
+func (b *Brain) judge(m *message, a *attempt, e AttemptEnd) {
+	r := a.route
+	bad := 0.0
+	if e.Outcome != Served && e.Outcome != Refused {
+		bad = 1
+	}
+	a.at.fails += healthPer * (bad - a.at.fails)
+	if e.Outcome != Refused {
+		r.fails += healthPer * (bad - r.fails)
+		r.lost++
+	}
+	if e.Outcome == Served {
+		b.judgeServed(m, a, e)
+		return
+	}
+	r.bad++
+	switch {
+	case e.Outcome == ConnectFailed: // it may hold all the connections that it takes
+		_, kind := b.keepFor(a.at)
+		*kind /= keepCut
+		a.at.crowded = b.s.IdleConnections
+	case e.Outcome == Refused:
+		b.refused(r, a, e)
+	case e.Outcome == TimedOut && r.doubled > 0:
+		b.halve(r, a.sent)
+	}
+	// Refusals come in runs where a limit is met, too: there it takes a while without any served.
+	long := e.Outcome != Refused || b.now-r.lastServed > b.s.OverloadFor/2
+	lasting := r.bad >= b.enough(r) && long || r.fails > mostFail
+	if r.state == well && lasting || r.state == cold && r.bad >= b.enough(r)/2+1 && long {
+		b.goOut(r)
+	}
+}
+
+func (b *Brain) judgeServed(m *message, a *attempt, e AttemptEnd) {
+	r := a.route
+	s := e.Elapsed.Seconds()
+	for _, recent := range []*float64{&r.recent, &a.at.recent} {
+		if *recent == 0 {
+			*recent = s
+		}
+		*recent += recentPer * (s - *recent)
+	}
+	more := time.Duration(keepGrow * float64(b.s.IdleConnections))
+	_, kind := b.keepFor(a.at)
+	*kind, a.at.crowded = min(b.s.IdleConnections, *kind+more), max(0, a.at.crowded-more)
+	// Quickly served after a try on a connection that had been idle was not: such are dropped unseen.
+	if n := len(m.attempts); n > 1 && m.attempts[n-2].idle > 0 && m.attempts[n-2].doubt && s < slowBy*r.mean {
+		*kind = min(*kind, m.attempts[n-2].idle/2)
+		a.at.crowded = max(a.at.crowded, b.s.IdleConnections-*kind)
+	}
+	b.countServed(r)
+	r.servedSent = max(r.servedSent, a.sent)
+	r.bad, r.lost, r.pause, r.takenBack = 0, 0, 0, 0
+	if r.state == out {
+		r.state, r.since, r.window, r.tokens, r.filled = cold, b.now, 1, 0, b.now
+		if b.enough(r) >= inRow/2 {
+			a.at.crowded = 0 // an outage as such: its connects did not fail for a full table
+		}
+		r.fails = min(r.fails, failing)
+		b.log(r, "answers again; warming up")
+	}
+	// A window that is not in use says nothing about what the destination bears: it grows in use only,
+	// and fades out of it, so that a destination that falls silent takes few slots before it is noticed.
+	if used := float64(r.calls + 1); 2*used >= r.window {
+		r.window = min(r.window+1, max(1, math.Ceil(capShare*float64(b.s.Slots))-1))
+	} else {
+		r.window = max(2, r.window-windowFade)
+	}
+	if r.limit > 0 && (e.Limit == 0 || e.Left > plenty) {
+		step := paceStep * b.even(r.limit)
+		if e.Limit == 0 {
+			step *= 2 // no allowance to use up: the listed rate is a capacity
+		}
+		r.pace = min(r.limit, r.pace+step)
+	}
+}
+
+// refused closes the route for the told wait, or for a growing pause if none was told.
+func (b *Brain) refused(r *route, a *attempt, e AttemptEnd) {
+	b.halve(r, a.sent)
+	if r.limit > 0 {
+		r.pace = max(r.pace*paceCut, b.even(r.limit)/2)
+	}
+	if e.Wait > 0 {
+		if e.Wait > b.s.OverloadFor && r.state != out {
+			b.goOut(r) // shut for longer than any limit is counted over: it comes back cold
+		}
+		return
+	}
+	r.pause = min(max(2*r.pause, pauseFirst), pauseMost)
+	r.closedUntil = max(r.closedUntil, b.now+r.pause)
+}
--- /dev/null
+++ b/brain/internal/reference/state.go
@@ -0,0 +1,462 @@
+package reference
+
+// What a sender remembers, and plain book-keeping on it. Nothing is decided here: that is brain.go.
+
+import (
+	"fmt"
+	"math"
+	"time"
+)
+
+// bucket holds the weighted samples of one bucket and their times (s).
+type bucket struct{ count, sum float64 }
+
+type oracle struct {
+	bucket    []bucket      // up to the last in use
+	seen      int           // samples taken
+	past      float64       // weighted calls unanswered past tauMax
+	best      time.Duration // argmin of Ê
+	median    time.Duration // of the samples
+	dirty     bool
+	mean      float64       // of all samples, s
+	quickest  time.Duration // call ever served
+	doubled   time.Duration // the time-out while doubled, 0 if not
+	doubledAt time.Duration
+}
+
+type state uint8
+
+const (
+	well state = iota
+	out        // an outage: one call at a time, spaced by a growing back-off
+	cold       // returned: a ramp until it is warm
+)
+
+// fading is a count that fades over a span.
+type fading struct {
+	n    float64
+	when time.Duration
+}
+
+func (f *fading) at(now, span time.Duration) float64 {
+	return f.n * math.Exp(-(now-f.when).Seconds()/span.Seconds())
+}
+
+func (f *fading) add(now, span time.Duration) { f.n, f.when = f.at(now, span)+1, now }
+
+type route struct {
+	oracle
+	tried, done fading // calls sent, and served
+	name        uint32
+	window      float64
+	calls       int // out now
+	halvedAt    time.Duration
+	closedUntil time.Duration // told to wait, or paused
+	pause       time.Duration
+	fails       float64 // mean share of failed calls
+	bad         int     // calls in a row that were not served
+	lost        int     // those of them that were not refused
+	recent      float64 // recent latency, s
+	lastServed  time.Duration
+	sentAt      time.Duration // of the last call
+	servedSent  time.Duration // latest sending of a call that was served
+	unanswered  []*call       // sent, in order
+	takenBack   int           // calls called off since one was served
+	served      float64       // calls served, fading over rateSpan
+	firstServed time.Duration
+	before      float64       // our calls a second before the outage
+	past        float64       // and in an earlier process
+	outAt       time.Duration // begin of the outage
+	state       state
+	since       time.Duration // of the state
+	probes      int           // calls out that were sent during this outage
+	probedAt    time.Duration
+	limit       float64 // calls a second that all senders may send, 0 if unknown
+	pace        float64 // our part of it
+	tokens      float64 // calls that the pace allows now
+	filled      time.Duration
+	logged      time.Duration
+}
+
+func (b *Brain) newRoute(id uint32) *route {
+	r := &route{name: id, window: 1, tokens: 1, filled: b.now, lastServed: b.now, logged: -never / 2}
+	b.routes = append(b.routes, r)
+	return r
+}
+
+type endpoint struct {
+	Endpoint
+	listed  bool
+	route   *route
+	calls   int
+	recent  float64 // recent latency, s
+	fails   float64
+	sentAt  time.Duration // last round with a call to it
+	crowded time.Duration // by so much its idle connections are kept shorter than its kind's
+	idleAt  time.Duration // since then there is no call to it, 0 if no connection may be open
+}
+
+type destination struct {
+	endpoints []*endpoint
+	shared    *route // nil where routes are apart
+	waiting   []*message
+	held      int // messages that are not over
+	past      float64
+}
+
+type call struct {
+	route  *route
+	at     *endpoint
+	sent   time.Duration
+	left   int           // messages without an outcome
+	probe  bool          // sent during an outage
+	booked bool          // its fate has been counted
+	idle   time.Duration // how long the connection had had no call, 0 for a fresh one
+
+	messages  []*message
+	takenBack bool
+}
+
+type attempt struct {
+	*call
+	timeout time.Duration
+	uncut   bool    // it ran to the time left
+	weight  float64 // of its sample, 0 if it gives none
+	ended   bool
+	doubt   bool // it ended by a time-out or a break
+}
+
+type message struct {
+	Message
+	class     *Class
+	dest      *destination
+	attempts  []attempt
+	out       int // attempts without an outcome
+	over      bool
+	mayRun    bool
+	firstRun  time.Duration // first send that may have run
+	ranZone   int
+	notBefore time.Duration
+	turn      *turn
+}
+
+// turn is the order of one key.
+type turn struct {
+	queue     []*message
+	restUntil time.Duration
+	key       uint64
+}
+
+type tenant struct{ recent, usual float64 } // messages a second, over shareSpan and over ten times that
+
+// Brain is one sender's decisions.
+type Brain struct {
+	s         Settings
+	random    uint64
+	now, wake time.Duration
+	alarm     time.Duration // the earliest alarm set, never if none
+	acts      []Action
+	byID      map[MessageID]*message
+	held      []*message // not over, in order of arrival
+	dests     map[DestinationID]*destination
+	order     []*destination // in order of first mention
+	endpoints map[EndpointID]*endpoint
+	turns     map[uint64]*turn
+	resting   []*turn
+	calls     int // slots in use
+	routes    []*route
+	all       oracle // of all routes together, for what is usual here
+	takenBack int    // calls called off, without an outcome
+	tenants   []tenant
+	tenantsAt time.Duration
+	askAt     time.Duration
+	idle      []*endpoint     // perhaps with an idle connection
+	keep      []time.Duration // how long to keep those, by kind of destination
+	started   time.Duration   // first batch
+	came      fading          // messages taken
+}
+
+// New makes the decisions of one sender that knows nothing yet but its settings.
+func New(s Settings, seed uint64) *Brain {
+	b := &Brain{s: s, random: seed, now: -never, started: -never, alarm: never, askAt: never, byID: map[MessageID]*message{},
+		dests: map[DestinationID]*destination{}, endpoints: map[EndpointID]*endpoint{},
+		turns: map[uint64]*turn{}, tenants: make([]tenant, len(s.Tenants))}
+	if s.AsksForList {
+		b.askAt = -never
+	}
+	return b
+}
+
+func (b *Brain) wakeAt(t time.Duration) { b.wake = min(b.wake, t) }
+
+// draw is the next random number below n (splitmix64).
+func (b *Brain) draw(n uint64) uint64 {
+	b.random += 0x9e3779b97f4a7c15
+	z := b.random
+	z = (z ^ z>>30) * 0xbf58476d1ce4e5b9
+	z = (z ^ z>>27) * 0x94d049bb133111eb
+	return (z ^ z>>31) % n
+}
+
+func (b *Brain) destination(id DestinationID) *destination {
+	d := b.dests[id]
+	if d == nil {
+		d = &destination{}
+		b.dests[id] = d
+		b.order = append(b.order, d)
+	}
+	return d
+}
+
+func (b *Brain) drop(id EndpointID) {
+	if e := b.endpoints[id]; e != nil {
+		e.listed = false
+		d := b.destination(e.Destination)
+		d.endpoints = without(d.endpoints, e)
+	}
+}
+
+func (b *Brain) add(line Endpoint) {
+	line.Kind, line.Zone = max(0, line.Kind), max(0, line.Zone)
+	d := b.destination(line.Destination)
+	e := b.endpoints[line.ID]
+	if e == nil || e.Destination != line.Destination {
+		e = &endpoint{}
+		b.endpoints[line.ID] = e
+		if line.Kind < len(b.s.Kinds) && b.s.Kinds[line.Kind].Apart {
+			e.route = b.newRoute(uint32(line.ID))
+		} else {
+			if d.shared == nil {
+				d.shared = b.newRoute(uint32(line.Destination))
+				d.shared.past = d.past
+			}
+			e.route = d.shared
+		}
+	}
+	e.Endpoint, e.listed = line, true
+	if b.s.RatedLimits && positive(line.Rating) {
+		b.learnLimit(e.route, line.Rating)
+	}
+	d.endpoints = append(d.endpoints, e)
+}
+
+// remember takes over what an earlier process knew.
+func (b *Brain) remember(e Earlier) {
+	if d := b.destination(e.Destination); positive(e.Rate) {
+		d.past = e.Rate
+		if d.shared != nil {
+			d.shared.past = e.Rate
+		}
+	}
+}
+
+// earlier is the rate of an earlier process, which counts for less the more this one has seen itself.
+func (b *Brain) earlier(r *route) float64 {
+	return r.past * math.Exp(-(b.now-b.started).Seconds()/arrivalSpan.Seconds())
+}
+
+// Rates tells the calls a second usually served at each destination whose endpoints share one route, for the
+// sender to keep: a process that restarts within an outage would else know nothing of what a destination
+// bears when it returns.
+func (b *Brain) Rates() []Earlier {
+	var rates []Earlier
+	for _, d := range b.order {
+		if r := d.shared; r != nil {
+			rate := r.before
+			if r.state == well {
+				rate = max(b.usual(r.done), b.earlier(r))
+			}
+			rates = append(rates, Earlier{Destination: DestinationID(r.name), Rate: rate})
+		}
+	}
+	return rates
+}
+
+func without[T comparable](list []T, x T) []T {
+	for i, y := range list {
+		if y == x {
+			return append(list[:i:i], list[i+1:]...)
+		}
+	}
+	return list
+}
+
+// route is the one that m was sent to last, or the first of its destination.
+func (m *message) route() *route {
+	if n := len(m.attempts); n > 0 {
+		return m.attempts[n-1].route
+	}
+	if m.dest.shared != nil || len(m.dest.endpoints) == 0 {
+		return orEmpty(m.dest.shared)
+	}
+	return m.dest.endpoints[0].route
+}
+
+func orEmpty(r *route) *route {
+	if r == nil {
+		return &route{}
+	}
+	return r
+}
+
+func (b *Brain) batch(e *endpoint) int {
+	if e.Kind < len(b.s.Kinds) {
+		return max(1, b.s.Kinds[e.Kind].PerCall)
+	}
+	return 1
+}
+
+func (b *Brain) log(r *route, text string) {
+	if b.now-r.logged >= 5*time.Second {
+		r.logged = b.now
+		b.acts = append(b.acts, Log{Line: fmt.Sprintf("%d %s", r.name, text)})
+	}
+}
+
+func (b *Brain) fadeTenants() {
+	dt := (b.now - b.tenantsAt).Seconds()
+	b.tenantsAt = b.now
+	for i := range b.tenants {
+		b.tenants[i].recent *= math.Exp(-dt / shareSpan.Seconds())
+		b.tenants[i].usual *= math.Exp(-dt / (10 * shareSpan.Seconds()))
+	}
+}
+
+// news takes in the list. What drains or is gone gets nothing new from this batch on.
+func (b *Brain) news(n ListNews) {
+	listed := map[EndpointID]bool{}
+	for _, e := range n.Endpoints {
+		listed[e.ID] = e.Ready
+		b.drop(e.ID)
+		if e.Ready {
+			b.add(e)
+		}
+	}
+	if n.Whole {
+		for _, d := range b.order {
+			for _, e := range append([]*endpoint(nil), d.endpoints...) {
+				if !listed[e.ID] {
+					b.drop(e.ID)
+				}
+			}
+		}
+	}
+	b.forget()
+}
+
+// forgetAfter is how long something that left the list is remembered: longer than any outage or wait.
+const forgetAfter = 2 * time.Minute
+
+// forget drops what has left the list for good, as ids are ever new: endpoints without a call, their own
+// routes, and destinations without endpoints or messages. A route may be told to wait, and a destination
+// may get new endpoints, so these are remembered for a while.
+func (b *Brain) forget() {
+	past := func(r *route) bool {
+		return r.calls == 0 && b.now >= r.closedUntil && b.now-max(r.sentAt, r.filled) > forgetAfter
+	}
+	for id, e := range b.endpoints {
+		if e.listed || e.calls > 0 {
+			continue
+		}
+		if d := b.dests[e.Destination]; d == nil || e.route != d.shared {
+			if !past(e.route) {
+				continue
+			}
+			b.routes = without(b.routes, e.route)
+		}
+		delete(b.endpoints, id)
+	}
+	for id, d := range b.dests {
+		if len(d.endpoints) > 0 || d.held > 0 || d.shared != nil && !past(d.shared) {
+			continue
+		}
+		delete(b.dests, id)
+		b.order, b.routes = without(b.order, d), without(b.routes, d.shared)
+	}
+}
+
+// positive reports whether x is of use as a figure: a report or a list may hold anything.
+func positive(x float64) bool { return x > 0 && !math.IsInf(x, 1) }
+
+func (b *Brain) admit(msg Message) {
+	if msg.Class < 0 || msg.Class >= len(b.s.Classes) {
+		b.acts = append(b.acts, Fail{Message: msg.ID}) // nothing is known of what it may do
+		return
+	}
+	m := &message{Message: msg, class: &b.s.Classes[msg.Class], dest: b.destination(msg.Destination),
+		mayRun: msg.MayRun, firstRun: msg.FirstRun, ranZone: msg.RanZone}
+	b.byID[m.ID] = m
+	b.held = append(b.held, m)
+	m.dest.waiting = append(m.dest.waiting, m)
+	m.dest.held++
+	b.came.add(b.now, arrivalSpan)
+	if m.class.Ordered && m.Key != 0 {
+		if m.turn = b.turns[m.Key]; m.turn == nil {
+			m.turn = &turn{key: m.Key}
+			b.turns[m.Key] = m.turn
+		}
+		m.turn.queue = append(m.turn.queue, m)
+		if m.mayRun { // an attempt from before a restart may be running yet
+			m.turn.restUntil = max(m.turn.restUntil, b.now+b.s.SettleAfterDoubt)
+		}
+	}
+	if m.Tenant >= 0 && m.Tenant < len(b.tenants) {
+		b.fadeTenants()
+		b.tenants[m.Tenant].recent += 1 / shareSpan.Seconds()
+		b.tenants[m.Tenant].usual += 1 / (10 * shareSpan.Seconds())
+	}
+}
+
+// close ends a message for us; its attempts may still be out.
+func (b *Brain) close(m *message) {
+	if !m.over {
+		m.over = true
+		b.held = without(b.held, m)
+		m.dest.waiting = without(m.dest.waiting, m)
+	}
+	if m.out == 0 && b.byID[m.ID] == m {
+		m.dest.held--
+		delete(b.byID, m.ID)
+		if t := m.turn; t != nil {
+			t.queue = without(t.queue, m)
+			b.resting = append(b.resting, t)
+		}
+	}
+}
+
+// tries counts the attempts made, those before a restart too.
+func (m *message) tries() int { return m.Tried + len(m.attempts) }
+
+// neverRan looks again for the first attempt that may have run.
+func (b *Brain) neverRan(m *message) {
+	last := len(m.attempts) - 1
+	if m.firstRun == m.attempts[last].sent {
+		m.mayRun = false
+	}
+}
+
+func (b *Brain) countServed(r *route) {
+	if r.served == 0 {
+		r.firstServed = b.now
+	}
+	r.served = r.served*math.Exp(-(b.now-r.lastServed).Seconds()/rateSpan.Seconds()) + 1
+	r.lastServed = b.now
+	r.done.add(b.now, arrivalSpan)
+}
+
+// rateServed is the rate of calls served as of the last of them.
+func (r *route) rateServed() float64 {
+	seen := max(r.lastServed-r.firstServed, time.Second).Seconds()
+	return r.served / (rateSpan.Seconds() * (1 - math.Exp(-seen/rateSpan.Seconds())))
+}
+
+// fill books the calls that the rate has allowed since the last look.
+func (b *Brain) fill(r *route) {
+	rate, burst := b.rate(r)
+	if math.IsInf(rate, 1) {
+		r.tokens = 1
+	} else {
+		r.tokens = min(burst, r.tokens+rate*(b.now-r.filled).Seconds())
+	}
+	r.filled = b.now
+}
--- a/brain/state.go
+++ b/brain/state.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -48,6 +49,8 @@
 	oracle
 	tried, done fading // calls sent, and served
 	name        uint32
+	place       uint64 // in the order of making
+	gone        bool
 	window      float64
 	calls       int // out now
 	halvedAt    time.Duration
@@ -79,9 +82,9 @@
 }
 
 func (b *Brain) newRoute(id uint32) *route {
-	r := &route{name: id, window: 1, tokens: 1, filled: b.now, lastServed: b.now, logged: -never / 2}
-	b.routes = append(b.routes, r)
-	return r
+	b.places++
+	b.routes++
+	return &route{name: id, place: b.places, window: 1, tokens: 1, filled: b.now, lastServed: b.now, logged: -never / 2}
 }
 
 type endpoint struct {
@@ -94,14 +97,25 @@
 	sentAt  time.Duration // last round with a call to it
 	crowded time.Duration // by so much its idle connections are kept shorter than its kind's
 	idleAt  time.Duration // since then there is no call to it, 0 if no connection may be open
+
+	idleNo               uint64 // in the order of becoming idle, 0 if nothing is to be closed
+	maybeIdle, inCrowded bool   // in the lists of those
 }
 
 type destination struct {
 	endpoints []*endpoint
 	shared    *route // nil where routes are apart
-	waiting   []*message
-	held      int // messages that are not over
+	apart     bool   // some endpoint has had a route of its own
+	held      int    // messages that are not over
 	past      float64
+	place     uint64 // in the order of first mention
+	gone      bool
+
+	first, last *message // that wait, in the order in which they came to
+	count       int
+	inOrder     int    // of those, how many keep an order
+	pauses      pauses // of those
+	byTenant    []refusable
 }
 
 type call struct {
@@ -138,6 +152,14 @@
 	ranZone   int
 	notBefore time.Duration
 	turn      *turn
+
+	number        uint64 // in the order of arrival
+	waits, listed bool   // for being sent; and among those that may be refused
+	place         uint64 // in the order of coming to wait
+	due           time.Duration
+	timer         int // its place in the heap
+
+	before, after, beforeSame, afterSame *message
 }
 
 // turn is the order of one key.
@@ -157,29 +179,47 @@
 	alarm     time.Duration // the earliest alarm set, never if none
 	acts      []Action
 	byID      map[MessageID]*message
-	held      []*message // not over, in order of arrival
+	held      int // messages that are not over
+	arrivals  uint64
 	dests     map[DestinationID]*destination
 	order     []*destination // in order of first mention
 	endpoints map[EndpointID]*endpoint
 	turns     map[uint64]*turn
 	resting   []*turn
-	calls     int // slots in use
-	routes    []*route
+	calls     int    // slots in use
+	routes    int    // how many there are
+	places    uint64 // given to routes and destinations
 	all       oracle // of all routes together, for what is usual here
 	takenBack int    // calls called off, without an outcome
 	tenants   []tenant
 	tenantsAt time.Duration
 	askAt     time.Duration
+	part      float64         // of the tenants' shares that is ours
+	partKnown bool            // until the next message
 	idle      []*endpoint     // perhaps with an idle connection
 	keep      []time.Duration // how long to keep those, by kind of destination
 	started   time.Duration   // first batch
 	came      fading          // messages taken
+
+	active     []*destination // with a message that waits, in the order of first mention
+	waitings   uint64
+	timers     timers // of all that wait
+	unanswered []*route
+	offers     offers
+	usable     []*endpoint
+	idles      uint64
+	idleKept   int
+	crowded    []*endpoint
+	looked     []*endpoint
+	unlisted   map[EndpointID]*endpoint       // left the list
+	bare       map[DestinationID]*destination // without endpoints
 }
 
 // New makes the decisions of one sender that knows nothing yet but its settings.
 func New(s Settings, seed uint64) *Brain {
 	b := &Brain{s: s, random: seed, now: -never, started: -never, alarm: never, askAt: never, byID: map[MessageID]*message{},
 		dests: map[DestinationID]*destination{}, endpoints: map[EndpointID]*endpoint{},
+		unlisted: map[EndpointID]*endpoint{}, bare: map[DestinationID]*destination{},
 		turns: map[uint64]*turn{}, tenants: make([]tenant, len(s.Tenants))}
 	if s.AsksForList {
 		b.askAt = -never
@@ -201,8 +241,9 @@
 func (b *Brain) destination(id DestinationID) *destination {
 	d := b.dests[id]
 	if d == nil {
-		d = &destination{}
-		b.dests[id] = d
+		b.places++
+		d = &destination{place: b.places}
+		b.dests[id], b.bare[id] = d, d
 		b.order = append(b.order, d)
 	}
 	return d
@@ -213,6 +254,13 @@
 		e.listed = false
 		d := b.destination(e.Destination)
 		d.endpoints = without(d.endpoints, e)
+		b.unlisted[id] = e
+		if len(d.endpoints) == 0 {
+			b.bare[e.Destination] = d
+		}
+		if d.shared == nil { // a message that was not sent yet goes by the first one's route
+			b.retime(d)
+		}
 	}
 }
 
@@ -224,7 +272,7 @@
 		e = &endpoint{}
 		b.endpoints[line.ID] = e
 		if line.Kind < len(b.s.Kinds) && b.s.Kinds[line.Kind].Apart {
-			e.route = b.newRoute(uint32(line.ID))
+			e.route, d.apart = b.newRoute(uint32(line.ID)), true
 		} else {
 			if d.shared == nil {
 				d.shared = b.newRoute(uint32(line.Destination))
@@ -238,6 +286,11 @@
 		b.learnLimit(e.route, line.Rating)
 	}
 	d.endpoints = append(d.endpoints, e)
+	delete(b.unlisted, line.ID)
+	delete(b.bare, line.Destination)
+	if d.shared == nil {
+		b.retime(d)
+	}
 }
 
 // remember takes over what an earlier process knew.
@@ -314,6 +367,7 @@
 }
 
 func (b *Brain) fadeTenants() {
+	b.partKnown = false
 	dt := (b.now - b.tenantsAt).Seconds()
 	b.tenantsAt = b.now
 	for i := range b.tenants {
@@ -354,24 +408,38 @@
 	past := func(r *route) bool {
 		return r.calls == 0 && b.now >= r.closedUntil && b.now-max(r.sentAt, r.filled) > forgetAfter
 	}
-	for id, e := range b.endpoints {
-		if e.listed || e.calls > 0 {
+	for id, e := range b.unlisted {
+		if e.calls > 0 {
 			continue
 		}
 		if d := b.dests[e.Destination]; d == nil || e.route != d.shared {
 			if !past(e.route) {
 				continue
 			}
-			b.routes = without(b.routes, e.route)
+			b.forgetRoute(e.route)
 		}
 		delete(b.endpoints, id)
+		delete(b.unlisted, id)
 	}
-	for id, d := range b.dests {
-		if len(d.endpoints) > 0 || d.held > 0 || d.shared != nil && !past(d.shared) {
+	some := false
+	for id, d := range b.bare {
+		if d.held > 0 || d.shared != nil && !past(d.shared) {
 			continue
 		}
 		delete(b.dests, id)
-		b.order, b.routes = without(b.order, d), without(b.routes, d.shared)
+		delete(b.bare, id)
+		b.forgetRoute(d.shared)
+		d.gone, some = true, true
+	}
+	if some {
+		b.order = shrink(slices.DeleteFunc(b.order, func(d *destination) bool { return d.gone }))
+	}
+}
+
+func (b *Brain) forgetRoute(r *route) {
+	if r != nil && !r.gone {
+		r.gone = true
+		b.routes--
 	}
 }
 
@@ -386,8 +454,9 @@
 	m := &message{Message: msg, class: &b.s.Classes[msg.Class], dest: b.destination(msg.Destination),
 		mayRun: msg.MayRun, firstRun: msg.FirstRun, ranZone: msg.RanZone}
 	b.byID[m.ID] = m
-	b.held = append(b.held, m)
-	m.dest.waiting = append(m.dest.waiting, m)
+	b.arrivals++
+	b.held++
+	m.number = b.arrivals
 	m.dest.held++
 	b.came.add(b.now, arrivalSpan)
 	if m.class.Ordered && m.Key != 0 {
@@ -400,6 +469,7 @@
 			m.turn.restUntil = max(m.turn.restUntil, b.now+b.s.SettleAfterDoubt)
 		}
 	}
+	b.wait(m)
 	if m.Tenant >= 0 && m.Tenant < len(b.tenants) {
 		b.fadeTenants()
 		b.tenants[m.Tenant].recent += 1 / shareSpan.Seconds()
@@ -411,8 +481,8 @@
 func (b *Brain) close(m *message) {
 	if !m.over {
 		m.over = true
-		b.held = without(b.held, m)
-		m.dest.waiting = without(m.dest.waiting, m)
+		b.held--
+		b.leave(m)
 	}
 	if m.out == 0 && b.byID[m.ID] == m {
 		m.dest.held--
