--- a/brain/brain.go
+++ b/brain/brain.go
@@ -320,6 +320,9 @@
 	b.makeRoom()
 	b.sendAll()
 	b.closeIdle()
+	if b.s.FoldAfter > 0 {
+		b.foldQuiet()
+	}
 	if b.wake < b.alarm {
 		b.alarm = max(b.wake, now+b.s.Step)
 		b.acts = append(b.acts, SetAlarm{b.alarm})
@@ -728,6 +731,7 @@
 	a := &m.attempts[e.Attempt]
 	a.ended, a.doubt, e.Elapsed = true, e.Outcome == TimedOut || e.Outcome == Broken, max(0, e.Elapsed)
 	m.out--
+	b.touch(m.dest)
 	if a.left--; a.left == 0 {
 		b.calls--
 		a.route.calls--
--- a/brain/equal_test.go
+++ b/brain/equal_test.go
@@ -50,6 +50,7 @@
 	agenda agenda
 	n      int
 	both   [2]decider
+	make   func() [2]decider
 	mode   map[brain.DestinationID]int
 	dest   map[brain.EndpointID]brain.DestinationID
 	listed map[brain.EndpointID]brain.Endpoint
@@ -58,6 +59,7 @@
 	dests  int
 	held   map[brain.MessageID]*holding
 	counts map[string]int
+	rules  *rules // what is checked beside; nil for nothing
 }
 
 type holding struct {
@@ -216,6 +218,9 @@
 		}
 		w.t.Fatalf("seed %d at %v, events %+v:\naction %d of %d and %d differs\n got %s\nwant %s", w.seed, w.now, events, i, len(got), len(want), show(got, i), show(want, i))
 	}
+	if w.rules != nil {
+		w.rules.check(w, events, got)
+	}
 	for _, a := range got {
 		w.counts[fmt.Sprintf("%T", a)]++
 		switch a := a.(type) {
@@ -257,8 +262,11 @@
 	if !reflect.DeepEqual(rates, old) {
 		w.t.Fatalf("seed %d at %v: rates %v, want %v", w.seed, w.now, rates, old)
 	}
-	w.both = [2]decider{brain.New(w.s, w.seed), reference.New(w.s, w.seed)}
+	w.both = w.make()
 	w.agenda = nil
+	if w.rules != nil {
+		w.rules.restart()
+	}
 	var events []brain.Event
 	list := brain.ListNews{Whole: true}
 	for id := range w.nextE + 1 {
@@ -290,13 +298,23 @@
 	w.step(events)
 }
 
-// day plays a generated day of so many batches.
+// day plays a generated day of so many batches, the Brain against the one that scans.
 func day(t *testing.T, seed uint64, batches int) map[string]int {
+	return newWorld(t, seed).play(batches)
+}
+
+func newWorld(t *testing.T, seed uint64) *world {
 	rng := rand.New(rand.NewPCG(seed, 11))
 	w := &world{t: t, seed: seed, rng: rng, s: settings(rng), now: time.Duration(rng.IntN(3)) * time.Hour, mode: map[brain.DestinationID]int{},
 		dest: map[brain.EndpointID]brain.DestinationID{}, listed: map[brain.EndpointID]brain.Endpoint{}, dests: 1 + rng.IntN(12),
 		held: map[brain.MessageID]*holding{}, counts: map[string]int{}}
-	w.both = [2]decider{brain.New(w.s, seed), reference.New(w.s, seed)}
+	w.make = func() [2]decider { return [2]decider{brain.New(w.s, seed), reference.New(w.s, seed)} }
+	return w
+}
+
+func (w *world) play(batches int) map[string]int {
+	rng := w.rng
+	w.both = w.make()
 	w.step([]brain.Event{w.news(), w.news()})
 	busy := 1 + rng.IntN(4)
 	for range batches {
@@ -330,7 +348,7 @@
 			events = append(events, w.message())
 		}
 		if rng.IntN(40) == 0 { // a burst, and for one destination
-			d := brain.DestinationID(rng.IntN(w.dests))
+			d := brain.DestinationID(w.rng.IntN(w.dests))
 			for range rng.IntN(40) {
 				m := w.message()
 				m.Destination = d
@@ -353,6 +371,7 @@
 			events = append(events, brain.Alarm{})
 		case x == 6 && rng.IntN(8) == 0:
 			w.restart()
+			events = nil // the new process was handed all that is held
 		}
 		if rng.IntN(5) == 0 {
 			rng.Shuffle(len(events), func(i, j int) { events[i], events[j] = events[j], events[i] })
--- /dev/null
+++ b/brain/fold_test.go
@@ -0,0 +1,425 @@
+package brain
+
+import (
+	"math"
+	"runtime"
+	"testing"
+	"time"
+)
+
+// sleepy is a rig whose destinations fold after a minute.
+func sleepy(t *testing.T) *rig {
+	s := settings()
+	s.FoldAfter = time.Minute
+	return newRig(t, s)
+}
+
+// sleep lets time pass with nothing for the destinations 0 and 1 until they have folded.
+func (r *rig) sleep(d time.Duration) {
+	r.Helper()
+	end := r.now + d
+	for r.now < end {
+		r.now = min(end, r.now+20*time.Second)
+		r.step(Alarm{})
+	}
+	if r.b.folded[0] == nil || r.b.dests[0] != nil {
+		r.Fatal("it has not folded")
+	}
+}
+
+// all ends every call that is out, again and again until none is.
+func (r *rig) all(sends []Send, o Outcome) {
+	for len(sends) > 0 {
+		s := sends[0]
+		sends = append(sends[1:], r.step(r.end(s, o))...)
+	}
+}
+
+// What was learnt goes by the rule of age, what was told stays.
+func TestTrust(t *testing.T) {
+	for age, want := range map[time.Duration]float64{-time.Second: 1, 0: 1, time.Hour: 0.5, 3 * time.Hour: 0.125} {
+		if got := trust(age); math.Abs(got-want) > 1e-12 {
+			t.Errorf("after %v %v, want %v", age, got, want)
+		}
+	}
+	if blend(4, 1, 0.5) != 2.5 || blend(4, 1, 0) != 4 || blend(4, 1, 1) != 1 {
+		t.Error("blend")
+	}
+}
+
+// Slept for a minute it is nearly as before; after hours the time-out and the window are nearly those of one
+// of which nothing is known.
+func TestWhatIsLearntAges(t *testing.T) {
+	for _, c := range []struct {
+		sleep          time.Duration
+		tauFrom, tauTo time.Duration
+		window         float64
+	}{{2 * time.Minute, 0, time.Second, 5}, {12 * time.Hour, 3900 * ms, tauFirst, 1}} {
+		r := sleepy(t)
+		for range 40 {
+			var sends []Send
+			for range 8 {
+				sends = append(sends, r.step(r.message(0, 0, 0))...)
+			}
+			r.now += 100 * ms
+			for len(sends) > 0 { // each with what it lets go on
+				s := sends[0]
+				sends = append(sends[1:], r.step(r.end(s, Served))...)
+			}
+		}
+		was := r.b.dests[0].shared.tau()
+		if was > time.Second {
+			t.Fatalf("it has learnt a time-out of %v", was)
+		}
+		r.sleep(c.sleep)
+		d := r.b.destination(0)
+		if tau := d.shared.tau(); tau < c.tauFrom || tau > c.tauTo {
+			t.Errorf("after %v the time-out is %v, it was %v", c.sleep, tau, was)
+		}
+		if w := d.shared.window; w < c.window || w > 8 || c.window == 1 && w > 1.1 {
+			t.Errorf("after %v the window is %v", c.sleep, w)
+		}
+	}
+}
+
+// It folds while its told wait runs, and wakes within it: nothing goes before the wait is over.
+func TestFoldsWithinAWait(t *testing.T) {
+	r := sleepy(t)
+	r.b.s.OverloadFor = time.Hour // such a wait is no outage here
+	s := r.step(r.message(0, 0, 0))
+	e := r.end(s[0], Refused)
+	e.Wait, e.Over = 10*time.Minute, true
+	r.step(e)
+	over := r.now + 10*time.Minute
+	r.sleep(4 * time.Minute)
+	for r.now < over {
+		if sends := r.step(r.message(0, 0, 0)); len(sends) > 0 {
+			t.Fatalf("sent %v before the wait was over", over-r.now)
+		}
+		r.now += 7 * time.Second
+	}
+	r.now = over + 10*ms
+	if sends := r.step(r.message(0, 0, 0)); len(sends) == 0 {
+		t.Error("nothing is sent when the wait is over")
+	}
+}
+
+// It folds while its receiver is out, and a burst wakes it: one call goes at a time, and after the first that
+// is served what a cold one bears.
+func TestFoldsWithinAnOutage(t *testing.T) {
+	r := sleepy(t)
+	r.serve(60, 0, 50*ms)
+	r.fallOut()
+	for _, h := range r.b.byID { // what is held ends
+		r.step(Withdrawn{h.ID})
+	}
+	r.sleep(10 * time.Minute)
+	if st := r.b.folded[0].state; st != out {
+		t.Fatalf("it folded in state %d", st)
+	}
+	var burst []Event
+	for range 60 {
+		burst = append(burst, r.message(0, 0, 0))
+	}
+	sends := r.step(burst...)
+	for i := 0; len(sends) == 0; i++ {
+		if i > 200 {
+			t.Fatal("it is never tried")
+		}
+		r.now += 50 * ms
+		sends = r.step(Alarm{})
+	}
+	if len(sends) != 1 {
+		t.Fatalf("%d calls to a receiver that was out", len(sends))
+	}
+	back := r.now
+	before := r.b.dests[0].shared.before
+	count := 0
+	pending := sends
+	for r.now < back+2*time.Second {
+		r.now += 50 * ms
+		var next []Send
+		for _, s := range pending {
+			next = append(next, r.step(r.end(s, Served))...)
+		}
+		next = append(next, r.step(Alarm{})...)
+		count += len(next)
+		pending = next
+	}
+	if r.b.dests[0].shared.state != cold {
+		t.Errorf("it is in state %d", r.b.dests[0].shared.state)
+	}
+	if bears := before*2*(0.2+0.8*0.2)*2 + 4; float64(count) > bears {
+		t.Errorf("%d calls in the first 2 s to one that bears %.1f", count, bears)
+	}
+}
+
+// A limit is remembered; hours later its pace is that of an even part, and at last it is unknown.
+func TestFoldedLimit(t *testing.T) {
+	for _, c := range []struct {
+		sleep time.Duration
+		limit float64
+	}{{2 * time.Minute, 30}, {2 * time.Hour, 30}, {10 * time.Hour, 0}} {
+		r := sleepy(t)
+		for range 30 {
+			r.now += 200 * ms // its pace lets one go in that time
+			s := r.step(r.message(0, 0, 0))
+			r.now += 50 * ms
+			e := r.end(s[0], Served)
+			e.Reported, e.Left, e.Limit = true, 0.9, 30
+			r.step(e)
+		}
+		pace := r.b.dests[0].shared.pace
+		if pace < 20 {
+			t.Fatalf("the pace has grown to %v only", pace)
+		}
+		r.sleep(c.sleep)
+		d := r.b.destination(0)
+		even := r.b.even(30)
+		if d.shared.limit != c.limit {
+			t.Errorf("after %v the limit is %v", c.sleep, d.shared.limit)
+		}
+		if p := d.shared.pace; c.limit > 0 && (p < even || p > pace) || c.sleep == 2*time.Hour && math.Abs(p-(even+(pace-even)/4)) > 0.3 {
+			t.Errorf("after %v the pace is %v, it was %v and an even part is %v", c.sleep, p, pace, even)
+		}
+	}
+}
+
+// Its endpoints were replaced while it slept: the old one gets nothing, the new one does; and one that is
+// listed again as it was wakes nobody.
+func TestEndpointsOfASleeper(t *testing.T) {
+	r := sleepy(t)
+	r.serve(5, 0, 50*ms)
+	r.sleep(3 * time.Minute)
+	r.step(ListNews{Endpoints: []Endpoint{{ID: 1, Ready: true}}})
+	if r.b.folded[0] == nil {
+		t.Error("a line that says nothing new unfolds")
+	}
+	r.step(ListNews{Endpoints: []Endpoint{{ID: 9, Ready: true}, {ID: 1}}})
+	r.sleep(3 * time.Minute)
+	if s := r.step(r.message(0, 0, 0)); len(s) != 1 || s[0].Endpoint != 9 {
+		t.Errorf("%+v", s)
+	}
+	r.step(r.end(r.sends[len(r.sends)-1], Served))
+	r.sleep(3 * time.Minute)
+	// A whole list without it: gone.
+	r.step(ListNews{Whole: true, Endpoints: []Endpoint{{ID: 2, Destination: 1, Ready: true}}})
+	if s := r.step(r.message(0, 0, 0)); len(s) != 0 {
+		t.Errorf("sent to one that is gone: %+v", s)
+	}
+}
+
+// An id comes back under another destination while its own sleeps: each goes by its own list.
+func TestIdUnderAnotherDestination(t *testing.T) {
+	r := sleepy(t)
+	r.serve(5, 0, 50*ms)
+	r.serve(5, 1, 50*ms)
+	r.sleep(3 * time.Minute)
+	r.step(ListNews{Endpoints: []Endpoint{{ID: 1, Destination: 1, Ready: true}, {ID: 7, Destination: 0, Ready: true}}})
+	for range 8 {
+		for _, dest := range []DestinationID{0, 1} {
+			s := r.step(r.message(0, dest, 0))
+			for _, x := range s {
+				if (x.Endpoint == 7) != (dest == 0) {
+					t.Fatalf("a message for %d is sent to %d", dest, x.Endpoint)
+				}
+			}
+			r.now += 50 * ms
+			r.all(s, Served)
+		}
+	}
+}
+
+// 500 sleepers wake in the same second, with few slots: each is served, none waits for long.
+func TestManyWakeAtOnce(t *testing.T) {
+	s := settings()
+	s.FoldAfter, s.Slots, s.MostHeld, s.Kinds = time.Minute, 40, 5000, []Kind{{PerCall: 1}}
+	r := newRig(t, s)
+	r.b = New(s, 7)
+	var list []Endpoint
+	for i := range 5000 {
+		list = append(list, Endpoint{ID: EndpointID(i + 1), Destination: DestinationID(i), Ready: true})
+	}
+	r.step(ListNews{Whole: true, Endpoints: list})
+	for d := range DestinationID(500) {
+		r.serve(3, d, 10*ms)
+	}
+	for range 40 {
+		r.now += 10 * time.Second
+		for range 4 {
+			r.step(Alarm{})
+		}
+	}
+	if n := len(r.b.folded); n != 5000 {
+		t.Fatalf("%d of 5000 are folded", n)
+	}
+	began := r.now
+	first, served := map[DestinationID]time.Duration{}, 0
+	type flight struct {
+		s  Send
+		at time.Duration
+	}
+	var out []flight
+	dest := map[MessageID]DestinationID{}
+	note := func(sends []Send) {
+		for _, s := range sends {
+			out = append(out, flight{s, r.now + 20*ms})
+		}
+	}
+	for tick := 0; served < 1500 && tick < 2000; tick++ {
+		var events []Event
+		if tick < 100 { // five of them wake in each 10 ms, with three messages
+			for k := range 5 {
+				for range 3 {
+					m := r.message(0, DestinationID(tick*5+k), 0)
+					dest[m.ID] = m.Destination
+					events = append(events, m)
+				}
+			}
+		}
+		var rest []flight
+		for _, f := range out {
+			if f.at > r.now {
+				rest = append(rest, f)
+				continue
+			}
+			events = append(events, r.end(f.s, Served))
+			served++
+			if d := dest[f.s.Message]; first[d] == 0 {
+				first[d] = r.now - began
+			}
+		}
+		out = rest
+		note(r.step(events...))
+		r.now += 10 * ms
+	}
+	if served != 1500 {
+		t.Fatalf("%d of 1500 served, %d failed, %d refused", served, len(r.failed), len(r.refused))
+	}
+	for d, at := range first {
+		if woke := time.Duration(int(d)/5) * 10 * ms; at-woke > 3*time.Second {
+			t.Errorf("destination %d is first served %v after it woke", d, at-woke)
+		}
+	}
+}
+
+// A restart in the middle of sleep: the rates of sleepers are told with the others, each once.
+func TestRatesOfSleepers(t *testing.T) {
+	r := sleepy(t)
+	r.serve(60, 0, 50*ms)
+	r.serve(3, 1, 50*ms)
+	awake := map[DestinationID]float64{}
+	for _, e := range r.b.Rates() {
+		awake[e.Destination] = e.Rate
+	}
+	r.sleep(2 * time.Minute)
+	asleep := map[DestinationID]float64{}
+	for _, e := range r.b.Rates() {
+		if _, twice := asleep[e.Destination]; twice {
+			t.Errorf("the rate of %d is told twice", e.Destination)
+		}
+		asleep[e.Destination] = e.Rate
+	}
+	if len(asleep) != len(awake) || asleep[0] <= asleep[1] || asleep[0] > awake[0] {
+		t.Errorf("awake %v, asleep %v", awake, asleep)
+	}
+}
+
+// The number of routes, by which rates are judged, is the same asleep and awake.
+func TestFoldingKeepsTheCountOfRoutes(t *testing.T) {
+	r := sleepy(t)
+	n := r.b.routes
+	for range 3 {
+		r.serve(2, 0, 50*ms)
+		r.step(ListNews{Endpoints: []Endpoint{{ID: 5, Ready: true}}})
+		r.step(ListNews{Endpoints: []Endpoint{{ID: 5}}}) // it left, and names the route still
+		r.sleep(5 * time.Minute)
+		r.step(ListNews{})
+		if r.b.routes != n {
+			t.Fatalf("%d routes, there were %d", r.b.routes, n)
+		}
+	}
+	r.step(ListNews{Whole: true})
+	r.now += 10 * time.Minute
+	r.step(ListNews{})
+	if r.b.routes != 0 || len(r.b.order) != 0 || len(r.b.folded) != 0 || len(r.b.foldedAt) != 0 {
+		t.Errorf("of what is gone %d routes, %d destinations, %d records are left", r.b.routes, len(r.b.order), len(r.b.folded))
+	}
+}
+
+// BenchmarkFolded tells how many bytes a folded destination of one endpoint takes in the Brain, all maps
+// included, and one that is awake.
+func BenchmarkFolded(b *testing.B) {
+	const n = 20_000
+	heap := func() uint64 {
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return m.HeapAlloc
+	}
+	s := settings()
+	s.FoldAfter, s.Kinds = time.Minute, []Kind{{PerCall: 1}}
+	var list []Endpoint
+	for i := range n {
+		list = append(list, Endpoint{ID: EndpointID(i + 1), Destination: DestinationID(i), Ready: true})
+	}
+	for b.Loop() {
+		before := heap()
+		br := New(s, 1)
+		br.Step(time.Hour, []Event{ListNews{Whole: true, Endpoints: list}})
+		awake := heap()
+		for i := range n {
+			br.Step(time.Hour+2*time.Minute+time.Duration(i)*ms, []Event{Alarm{}})
+		}
+		if len(br.folded) != n {
+			b.Fatalf("%d are folded", len(br.folded))
+		}
+		folded := heap()
+		b.ReportMetric(float64(awake-before)/n, "B/awake")
+		b.ReportMetric(float64(folded-before)/n, "B/folded")
+		runtime.KeepAlive(br)
+	}
+}
+
+// BenchmarkStep is the decision alone: a message in, its call out, its outcome in, with so many destinations
+// listed and so many busy in turn.
+func BenchmarkStep(b *testing.B) {
+	for _, c := range []struct {
+		name               string
+		listed, busy, held int
+	}{{"20 listed", 20, 20, 0}, {"1000 listed, 20 busy", 1000, 20, 0}, {"20000 listed, 20 busy", 20000, 20, 0}, {"20000 listed, 20000 busy", 20000, 20000, 0},
+		{"20 listed, 50000 held", 20, 20, 50000}} {
+		b.Run(c.name, func(b *testing.B) {
+			s := settings()
+			s.Slots, s.MostHeld, s.Kinds, s.Tenants = 200, 0, []Kind{{PerCall: 1}}, []Tenant{{Share: 1, Allowance: 1e6}}
+			br := New(s, 1)
+			now := time.Hour
+			var events []Event
+			list := ListNews{Whole: true}
+			for i := range c.listed + 1 { // and one that hangs
+				list.Endpoints = append(list.Endpoints, Endpoint{ID: EndpointID(i + 1), Destination: DestinationID(i), Ready: true})
+			}
+			br.Step(now, []Event{list})
+			id := MessageID(0)
+			for range c.held {
+				id++
+				events = append(events, Message{ID: id, Destination: DestinationID(c.listed), Deadline: now + 1000*time.Hour})
+			}
+			br.Step(now, events)
+			b.ResetTimer()
+			for i := range b.N {
+				now += 100 * time.Microsecond
+				id++
+				acts := br.Step(now, []Event{Message{ID: id, Destination: DestinationID(i % c.busy), Deadline: now + 20*time.Second}})
+				now += 100 * time.Microsecond
+				events = events[:0]
+				for _, a := range acts {
+					if s, ok := a.(Send); ok && s.Message > MessageID(c.held) {
+						events = append(events, AttemptEnd{Message: s.Message, Endpoint: s.Endpoint, Outcome: Served, Elapsed: 100 * time.Microsecond, Over: true})
+					}
+				}
+				br.Step(now, events)
+			}
+		})
+	}
+}
--- a/brain/state.go
+++ b/brain/state.go
@@ -3,6 +3,7 @@
 // What a sender remembers, and plain book-keeping on it. Nothing is decided here: that is brain.go.
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"slices"
@@ -110,6 +111,8 @@
 	past      float64
 	place     uint64 // in the order of first mention
 	gone      bool
+	touched   time.Duration // last in use
+	queued    bool          // to be looked at for folding
 
 	first, last *message // that wait, in the order in which they came to
 	count       int
@@ -213,6 +216,9 @@
 	looked     []*endpoint
 	unlisted   map[EndpointID]*endpoint       // left the list
 	bare       map[DestinationID]*destination // without endpoints
+	folded     map[DestinationID]*folded
+	foldedAt   map[EndpointID]DestinationID // endpoints of those
+	quiet      []quietSince
 }
 
 // New makes the decisions of one sender that knows nothing yet but its settings.
@@ -220,6 +226,7 @@
 	b := &Brain{s: s, random: seed, now: -never, started: -never, alarm: never, askAt: never, byID: map[MessageID]*message{},
 		dests: map[DestinationID]*destination{}, endpoints: map[EndpointID]*endpoint{},
 		unlisted: map[EndpointID]*endpoint{}, bare: map[DestinationID]*destination{},
+		folded: map[DestinationID]*folded{}, foldedAt: map[EndpointID]DestinationID{},
 		turns: map[uint64]*turn{}, tenants: make([]tenant, len(s.Tenants))}
 	if s.AsksForList {
 		b.askAt = -never
@@ -241,15 +248,20 @@
 func (b *Brain) destination(id DestinationID) *destination {
 	d := b.dests[id]
 	if d == nil {
+		if f := b.folded[id]; f != nil {
+			return b.unfold(f)
+		}
 		b.places++
 		d = &destination{place: b.places}
 		b.dests[id], b.bare[id] = d, d
 		b.order = append(b.order, d)
+		b.touch(d)
 	}
 	return d
 }
 
 func (b *Brain) drop(id EndpointID) {
+	b.unfoldAt(id)
 	if e := b.endpoints[id]; e != nil {
 		e.listed = false
 		d := b.destination(e.Destination)
@@ -322,6 +334,11 @@
 			rates = append(rates, Earlier{DestinationID(r.name), rate})
 		}
 	}
+	awake := len(rates)
+	for _, f := range b.folded {
+		rates = append(rates, Earlier{f.id, float64(f.rate) * trust(b.now-f.at)})
+	}
+	slices.SortFunc(rates[awake:], func(x, y Earlier) int { return cmp.Compare(x.Destination, y.Destination) })
 	return rates
 }
 
@@ -381,12 +398,20 @@
 	listed := map[EndpointID]bool{}
 	for _, e := range n.Endpoints {
 		listed[e.ID] = e.Ready
+		if b.asFolded(e) {
+			continue
+		}
 		b.drop(e.ID)
 		if e.Ready {
 			b.add(e)
 		}
 	}
 	if n.Whole {
+		for id := range b.foldedAt {
+			if !listed[id] {
+				b.unfoldAt(id)
+			}
+		}
 		for _, d := range b.order {
 			for _, e := range append([]*endpoint(nil), d.endpoints...) {
 				if !listed[e.ID] {
@@ -458,6 +483,7 @@
 	b.held++
 	m.number = b.arrivals
 	m.dest.held++
+	b.touch(m.dest)
 	b.came.add(b.now, arrivalSpan)
 	if m.class.Ordered && m.Key != 0 {
 		if m.turn = b.turns[m.Key]; m.turn == nil {
--- a/internal/sender/config.go
+++ b/internal/sender/config.go
@@ -16,6 +16,10 @@
 	"dockshift.example/dockshift/internal/settings"
 )
 
+// foldAfter is how long a destination is quiet before it is remembered in short: longer than a usual lull, as what
+// was learnt of it ages from then on.
+const foldAfter = 5 * time.Minute
+
 // Limits is what the sender's machine allows it.
 type Limits struct {
 	Cores    float64 `json:"cores"`
@@ -136,6 +140,7 @@
 	if c.Limits.Sockets <= 0 {
 		c.Limits.Sockets = 1024
 	}
+	c.Settings.FoldAfter = foldAfter
 	// The module foresees a shortage of slots; a call that finds no descriptor would fail for no fault of its
 	// endpoint's.
 	if most := c.Limits.calls(); c.Settings.Slots <= 0 || c.Settings.Slots > most {
