--- a/internal/sender/discovery.go
+++ b/internal/sender/discovery.go
@@ -140,16 +140,76 @@
 		io.Copy(io.Discard, io.LimitReader(resp.Body, maxBody))
 		return t, fmt.Errorf("discovery answers %s", resp.Status)
 	}
-	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxList))
-	if err != nil {
-		return t, err
-	}
-	if err := json.Unmarshal(raw, &t); err != nil {
+	if t, err = readTargets(io.LimitReader(resp.Body, maxList)); err != nil {
 		return t, fmt.Errorf("discovery's list: %w", err)
 	}
+	io.Copy(io.Discard, io.LimitReader(resp.Body, maxBody)) // its end, so that the connection serves again
 	return t, nil
 }
 
+// readTargets reads a list line by line: a long one is not held as text as well. The words that its lines share
+// are held once.
+func readTargets(r io.Reader) (Targets, error) {
+	var t Targets
+	words := map[string]string{}
+	once := func(s *string) {
+		if known, ok := words[*s]; ok {
+			*s = known
+		} else if len(words) < 1000 {
+			words[*s] = *s
+		}
+	}
+	d := json.NewDecoder(r)
+	if err := expect(d, json.Delim('{')); err != nil {
+		return t, err
+	}
+	for d.More() {
+		key, err := d.Token()
+		if err != nil {
+			return t, err
+		}
+		switch key {
+		case "version":
+			err = d.Decode(&t.Version)
+		case "full":
+			err = d.Decode(&t.Full)
+		case "servers":
+			var first json.Token
+			if first, err = d.Token(); err != nil || first == nil { // null is an empty list
+				break
+			}
+			if first != json.Delim('[') {
+				return t, fmt.Errorf("servers is no list but %v", first)
+			}
+			for d.More() {
+				var line Target
+				if err := d.Decode(&line); err != nil {
+					return t, fmt.Errorf("line %d: %w", len(t.Servers)+1, err)
+				}
+				once(&line.Zone)
+				once(&line.Kind)
+				once(&line.State)
+				t.Servers = append(t.Servers, line)
+			}
+			err = expect(d, json.Delim(']'))
+		default:
+			err = d.Decode(new(json.RawMessage))
+		}
+		if err != nil {
+			return t, fmt.Errorf("%v: %w", key, err)
+		}
+	}
+	return t, expect(d, json.Delim('}'))
+}
+
+func expect(d *json.Decoder, want json.Delim) error {
+	got, err := d.Token()
+	if err == nil && got != want {
+		err = fmt.Errorf("%v where %v is wanted", got, want)
+	}
+	return err
+}
+
 // watch follows the list at one office from a version on, -1 for none, until a call fails; then it returns.
 // The next call goes out as soon as an answer is passed on: a gap would end the watch.
 func (o *office) watch(ctx context.Context, version int64, news func(Targets)) error {
--- a/internal/sender/endpoints.go
+++ b/internal/sender/endpoints.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -29,6 +30,8 @@
 	number brain.EndpointID
 	id     string
 	zone   int
+	line   brain.Endpoint // as the Brain was last told
+	listed uint64         // the last list that named it
 
 	mu   sync.Mutex
 	addr string
@@ -50,13 +53,16 @@
 	idle           atomic.Int64
 	fields         []string
 	dialer         net.Dialer
+
+	mu      sync.Mutex             // taken within an endpoint's
+	holding map[*endpoint]struct{} // those that may have an idle connection
 }
 
 func newPool(c *Config) *pool {
 	// An endpoint closes an idle connection at IdleConnections at the latest, and what is written to one
 	// that it has closed is a reset that may have run: ours are closed a good deal before.
 	return &pool{connectTimeout: c.ConnectTimeout, keep: c.Settings.IdleConnections * 9 / 10,
-		most: int64(c.Limits.calls() - c.Settings.Slots), fields: c.Fields}
+		most: int64(c.Limits.calls() - c.Settings.Slots), fields: c.Fields, holding: map[*endpoint]struct{}{}}
 }
 
 // get takes the idle connection used last, or opens one.
@@ -120,7 +126,24 @@
 	}
 	p.idle.Add(1)
 	c.since = time.Now()
-	e.idle = append(e.idle, c)
+	if e.idle = append(e.idle, c); len(e.idle) == 1 {
+		p.mu.Lock()
+		p.holding[e] = struct{}{}
+		p.mu.Unlock()
+	}
+}
+
+// closeOld closes the connections that have been idle for as long as they are kept.
+func (p *pool) closeOld() {
+	p.mu.Lock()
+	holding := make([]*endpoint, 0, len(p.holding))
+	for e := range p.holding {
+		holding = append(holding, e)
+	}
+	p.mu.Unlock()
+	for _, e := range holding {
+		p.closeIdle(e, p.keep)
+	}
 }
 
 // closeIdle closes the idle connections to e that have been so for a time; e may be one that is gone.
@@ -138,6 +161,12 @@
 		}
 		return old
 	})
+	if len(e.idle) == 0 {
+		e.idle = nil
+		p.mu.Lock()
+		delete(p.holding, e)
+		p.mu.Unlock()
+	}
 }
 
 // callEnd is how a call ended.
@@ -147,21 +176,16 @@
 	brain.AttemptEnd
 }
 
-// request renders one call.
-func request(m record, addr string, timeout time.Duration) ([]byte, error) {
-	req, err := http.NewRequest(http.MethodPost, "http://"+addr+"/hook", bytes.NewReader(m.Body))
-	if err != nil {
-		return nil, err
-	}
-	req.Header.Set("User-Agent", "saffronyard")
-	req.Header.Set("X-Request-Id", m.ID)
+// appendRequest renders one call. Names hold plain ASCII only: they were read from one header line each.
+func appendRequest(b []byte, m *record, addr string, timeout time.Duration) []byte {
+	b = append(append(b, "POST /hook HTTP/1.1\r\nHost: "...), addr...)
+	b = append(append(b, "\r\nUser-Agent: saffronyard\r\nX-Request-Id: "...), m.ID...)
 	if m.Key != "" {
-		req.Header.Set("Idempotency-Key", m.Key)
+		b = append(append(b, "\r\nIdempotency-Key: "...), m.Key...)
 	}
-	req.Header.Set("X-Deadline-Ms", strconv.FormatInt(max(1, timeout.Milliseconds()), 10))
-	var out bytes.Buffer
-	err = req.Write(&out)
-	return out.Bytes(), err
+	b = strconv.AppendInt(append(b, "\r\nX-Deadline-Ms: "...), max(1, timeout.Milliseconds()), 10)
+	b = strconv.AppendInt(append(b, "\r\nContent-Length: "...), int64(len(m.Body)), 10)
+	return append(append(b, "\r\n\r\n"...), m.Body...)
 }
 
 // call makes one attempt and says how it ended. It never makes a second one: an endpoint counts each
@@ -178,11 +202,7 @@
 	}
 	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
-	out, err := request(m, c.addr, timeout)
-	if err == nil {
-		_, err = c.Write(out)
-	}
-	if err != nil {
+	if _, err = c.Write(appendRequest(make([]byte, 0, 512+len(m.Body)), &m, c.addr, timeout)); err != nil {
 		c.Close()
 		return end
 	}
@@ -370,6 +390,7 @@
 	byID     map[string]*endpoint
 	byNumber map[brain.EndpointID]*endpoint
 	last     brain.EndpointID
+	lists    uint64              // how many have come
 	cells    map[uint32]struct{} // destinations that a list has ever named; no more than there are numbers
 }
 
@@ -377,25 +398,38 @@
 	return endpoints{byID: map[string]*endpoint{}, byNumber: map[brain.EndpointID]*endpoint{}, cells: map[uint32]struct{}{}}
 }
 
-// news books news of the list and translates them for the Brain.
+// news books news of the list and translates for the Brain what they change: a whole list that comes again
+// costs it no more than that. An endpoint that is listed again as it was keeps its place among those of its
+// destination.
 func (l *endpoints) news(t Targets, whole bool, c *Config, p *pool) brain.ListNews {
-	news := brain.ListNews{Whole: whole}
-	listed := make(map[string]bool, len(t.Servers))
+	var news brain.ListNews
+	l.lists++
 	for _, line := range t.Servers {
-		listed[line.ID] = true
-		news.Endpoints = append(news.Endpoints, l.line(line, c, p))
+		if e, changed := l.line(line, c, p); changed {
+			news.Endpoints = append(news.Endpoints, e)
+		}
 	}
 	for _, line := range t.Servers {
 		if line.State == "DELETED" {
 			l.forget(l.byID[line.ID], p)
 		}
 	}
-	if whole {
-		for id, e := range l.byID {
-			if !listed[id] {
-				l.forget(e, p)
-			}
+	if !whole {
+		return news
+	}
+	var gone []*endpoint
+	for _, e := range l.byID {
+		if e.listed != l.lists {
+			gone = append(gone, e)
+		}
+	}
+	slices.SortFunc(gone, func(x, y *endpoint) int { return cmp.Compare(x.number, y.number) })
+	for _, e := range gone {
+		if e.line.Ready {
+			e.line.Ready = false
+			news.Endpoints = append(news.Endpoints, e.line)
 		}
+		l.forget(e, p)
 	}
 	return news
 }
@@ -414,14 +448,16 @@
 	p.closeIdle(e, 0)
 }
 
-// line books a line of the list and translates it for the Brain.
-func (l *endpoints) line(t Target, c *Config, p *pool) brain.Endpoint {
+// line books a line of the list and translates it for the Brain; changed is whether that has to hear of it.
+func (l *endpoints) line(t Target, c *Config, p *pool) (line brain.Endpoint, changed bool) {
 	e := l.byID[t.ID]
 	if e == nil {
 		l.last++
 		e = &endpoint{number: l.last, id: t.ID}
 		l.byID[t.ID], l.byNumber[e.number] = e, e
+		changed = true
 	}
+	e.listed = l.lists
 	if t.Cell <= maxDest {
 		l.cells[t.Cell] = struct{}{}
 	}
@@ -435,6 +471,9 @@
 	if !ready {
 		p.closeIdle(e, 0)
 	}
-	return brain.Endpoint{ID: e.number, Destination: brain.DestinationID(t.Cell), Kind: place(c.Kinds, t.Kind, 0),
+	line = brain.Endpoint{ID: e.number, Destination: brain.DestinationID(t.Cell), Kind: place(c.Kinds, t.Kind, 0),
 		Zone: e.zone, Ready: ready, Rating: t.Weight}
+	changed = changed || line != e.line
+	e.line = line
+	return line, changed
 }
--- a/internal/sender/journal.go
+++ b/internal/sender/journal.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"cmp"
+	"encoding/base64"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -125,14 +126,21 @@
 
 var errNoRoom = errors.New("no room in the journal")
 
+// journalFile is the file that is added to; in tests one that a disk fails.
+type journalFile interface {
+	io.WriteCloser
+	Truncate(size int64) error
+}
+
 // journal keeps what was taken on. It belongs to the loop.
 type journal struct {
 	path   string
-	file   *os.File
+	file   journalFile
 	budget int64 // bytes that old and new file may hold together
 	size   int64
 	live   int64 // the sum of costs: an upper bound of a compacted file and all that follows on its messages
 	buf    bytes.Buffer
+	line   []byte    // of the message that is being put in
 	failed bool      // the last write failed: nothing more is written until a compaction succeeds
 	tried  time.Time // the last compaction
 	rates  map[uint32]float64
@@ -200,11 +208,105 @@
 }
 
 func encode(w io.Writer, rec *record) (int, error) {
-	text, err := json.Marshal(rec)
+	line, err := appendLine(nil, rec)
 	if err != nil {
 		return 0, err
 	}
-	return fmt.Fprintf(w, "%08x %s\n", crc32.ChecksumIEEE(text), text)
+	return w.Write(line)
+}
+
+// appendLine adds a record's line. The JSON is that of encoding/json, written here by hand since several are
+// written for each message.
+func appendLine(b []byte, r *record) ([]byte, error) {
+	begin := len(b)
+	b = append(b, "00000000 "...)
+	text := len(b)
+	if r.Rates != nil {
+		raw, err := json.Marshal(r)
+		if err != nil {
+			return b[:begin], err
+		}
+		b = append(b, raw...)
+	} else {
+		b = appendRecord(b, r)
+	}
+	sum := crc32.ChecksumIEEE(b[text:])
+	const digits = "0123456789abcdef"
+	for i := range 8 {
+		b[begin+i] = digits[sum>>(28-4*i)&0xf]
+	}
+	return append(b, '\n'), nil
+}
+
+func appendRecord(b []byte, r *record) []byte {
+	b = appendText(append(b, `{"op":`...), r.Op)
+	b = appendText(append(b, `,"id":`...), r.ID)
+	text := func(name, v string) {
+		if v != "" {
+			b = appendText(append(b, name...), v)
+		}
+	}
+	number := func(name string, v int64) {
+		if v != 0 {
+			b = strconv.AppendInt(append(b, name...), v, 10)
+		}
+	}
+	text(`,"key":`, r.Key)
+	text(`,"order":`, r.Order)
+	text(`,"class":`, r.Class)
+	text(`,"tenant":`, r.Tenant)
+	number(`,"dest":`, int64(r.Dest))
+	number(`,"deadline":`, int64(r.Deadline))
+	if len(r.Body) > 0 {
+		b = base64.StdEncoding.AppendEncode(append(b, `,"body":"`...), r.Body)
+		b = append(b, '"')
+	}
+	for i := range r.Tries {
+		if i == 0 {
+			b = append(b, `,"tries":[`...)
+		} else {
+			b = append(b, ',')
+		}
+		b = appendTry(b, &r.Tries[i])
+	}
+	if len(r.Tries) > 0 {
+		b = append(b, ']')
+	}
+	number(`,"try":`, int64(r.Try))
+	if r.Sent != nil {
+		b = appendTry(append(b, `,"sent":`...), r.Sent)
+	}
+	if r.Never {
+		b = append(b, `,"never":true`...)
+	}
+	text(`,"how":`, r.How)
+	number(`,"retry_ms":`, r.RetryMS)
+	return append(b, '}')
+}
+
+func appendTry(b []byte, t *try) []byte {
+	b = strconv.AppendInt(append(b, `{"at":`...), int64(t.At), 10)
+	b = appendText(append(b, `,"endpoint":`...), t.Endpoint)
+	if t.Zone != 0 {
+		b = strconv.AppendInt(append(b, `,"zone":`...), int64(t.Zone), 10)
+	}
+	if t.Never {
+		b = append(b, `,"never":true`...)
+	}
+	return append(b, '}')
+}
+
+// appendText adds a JSON string. Names are plain ASCII but for those of a list or a settings file.
+func appendText(b []byte, s string) []byte {
+	for i := range len(s) {
+		if c := s[i]; c < 0x20 || c > 0x7e || c == '"' || c == '\\' {
+			raw, _ := json.Marshal(s) // a string can't fail
+			return append(b, raw...)
+		}
+	}
+	b = append(b, '"')
+	b = append(b, s...)
+	return append(b, '"')
 }
 
 func (j *journal) add(m *stored) {
@@ -223,12 +325,25 @@
 
 // take writes down a message that is about to be taken on; without room for it, it does not.
 func (j *journal) take(rec record) (*stored, error) {
+	m, err := j.put(rec)
+	if err != nil {
+		return nil, err
+	}
+	if err := j.flush(); err != nil {
+		j.remove(m)
+		return nil, err
+	}
+	return m, nil
+}
+
+// put adds a message that is about to be taken on, if there is room for it; flush writes it.
+func (j *journal) put(rec record) (*stored, error) {
 	rec.Op = "take"
-	var line bytes.Buffer
-	if _, err := encode(&line, &rec); err != nil {
+	var err error
+	if j.line, err = appendLine(j.line[:0], &rec); err != nil {
 		return nil, fmt.Errorf("journal: %w", err)
 	}
-	m := &stored{record: rec, cost: int64(line.Len()) + overhead(rec.ID)}
+	m := &stored{record: rec, cost: int64(len(j.line)) + overhead(rec.ID)}
 	fits := func(size int64) bool { return size+j.live+2*m.cost <= j.budget }
 	if !fits(j.live) && !fits(j.size+int64(j.buf.Len())) {
 		return nil, errNoRoom
@@ -241,21 +356,19 @@
 			return nil, err
 		}
 	}
-	j.buf.Write(line.Bytes())
+	j.buf.Write(j.line)
 	j.add(m)
-	if err := j.flush(); err != nil {
-		j.remove(m)
-		return nil, err
-	}
 	return m, nil
 }
 
 // note adds a record on a message; flush writes it.
 func (j *journal) note(m *stored, rec record) {
 	rec.ID = m.ID
-	if _, err := encode(&j.buf, &rec); err != nil {
+	line, err := appendLine(j.buf.AvailableBuffer(), &rec)
+	if err != nil {
 		j.failed = true
 	}
+	j.buf.Write(line)
 	m.apply(&rec)
 	if rec.Op == "told" || rec.Op == "over" && (rec.How == delivered || rec.How == answered) {
 		j.remove(m)
@@ -291,11 +404,14 @@
 	}
 	n, err := j.file.Write(j.buf.Bytes())
 	j.buf.Reset()
-	j.size += int64(n)
 	if err != nil {
+		// What was written of it is taken back: a message among it is refused to its client now, and must not
+		// come up again if the process is killed before a compaction.
 		j.failed = true
+		j.file.Truncate(j.size)
 		return fmt.Errorf("journal: %w", err)
 	}
+	j.size += int64(n)
 	return nil
 }
 
--- a/internal/sender/journal_test.go
+++ b/internal/sender/journal_test.go
@@ -4,9 +4,12 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"reflect"
 	"testing"
+	"time"
 
 	"dockshift.example/dockshift/brain"
 )
@@ -201,3 +204,100 @@
 		t.Errorf("came back with %d messages, a is %+v", len(again.byID), m)
 	}
 }
+
+// failing is a file on a disk that takes so many bytes more, and then some of a write.
+type failing struct {
+	*os.File
+	room int
+}
+
+func (f *failing) Write(p []byte) (int, error) {
+	n := min(len(p), f.room)
+	f.room -= n
+	f.File.Write(p[:n])
+	if n < len(p) {
+		return n, errors.New("no space")
+	}
+	return n, nil
+}
+
+// A write that fails at any byte leaves nothing of itself: a message among it is refused to its client, and does
+// not come up again in the next process.
+func TestFailedWriteLeavesNothing(t *testing.T) {
+	for room := 0; ; room += 7 {
+		dir := t.TempDir()
+		j := openTest(t, dir, 1<<20)
+		takeTest(t, j, "a")
+		j.file = &failing{j.file.(*os.File), room}
+		b, err := j.put(record{ID: "b", Body: []byte("body")})
+		if err != nil {
+			t.Fatal(err)
+		}
+		j.note(b, record{Op: "send", Sent: &try{At: 5, Endpoint: "s"}})
+		c, err := j.put(record{ID: "c", Body: []byte("body")})
+		if err != nil {
+			t.Fatal(err)
+		}
+		err = j.flush()
+		if err == nil {
+			if room == 0 {
+				t.Fatal("nothing failed")
+			}
+			return // all of it found room
+		}
+		j.remove(b)
+		j.remove(c)
+		if again := openTest(t, dir, 1<<20); len(again.byID) != 1 || again.byID["a"] == nil {
+			t.Fatalf("with room for %d bytes %d messages came back", room, len(again.byID))
+		}
+	}
+}
+
+// Lines written by hand say what encoding/json would: any name, number and body is read again as it was.
+func TestLinesReadAgain(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	text := func() string {
+		b := make([]byte, rng.IntN(12))
+		for i := range b {
+			if b[i] = byte(0x20 + rng.IntN(0x5f)); rng.IntN(20) == 0 {
+				b[i] = byte(rng.IntN(0x80))
+			}
+		}
+		return string(b)
+	}
+	for range 3000 {
+		want := record{Op: text(), ID: text(), Key: text(), Order: text(), Class: text(), Tenant: text(), Dest: rng.Uint32N(3), Deadline: time.Duration(rng.Int64()),
+			Try: rng.IntN(3), Never: rng.IntN(2) == 0, How: text(), RetryMS: rng.Int64N(3) * rng.Int64N(5000)}
+		if n := rng.IntN(40); n > 0 {
+			want.Body = make([]byte, n)
+			for i := range want.Body {
+				want.Body[i] = byte(rng.Uint32())
+			}
+		}
+		for range rng.IntN(3) {
+			want.Tries = append(want.Tries, try{At: time.Duration(rng.Int64()), Endpoint: text(), Zone: rng.IntN(2), Never: rng.IntN(2) == 0})
+		}
+		if rng.IntN(2) == 0 {
+			want.Sent = &try{At: time.Duration(rng.Int64()), Endpoint: text()}
+		}
+		if rng.IntN(9) == 0 {
+			want.Rates = map[uint32]float64{1: 2.5}
+		}
+		line, err := appendLine([]byte("before"), &want)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var got record
+		if !decode(line[len("before"):], &got) || !reflect.DeepEqual(got, want) {
+			t.Fatalf("%q is read as %+v, want %+v", line, got, want)
+		}
+	}
+}
+
+func BenchmarkAppendLine(b *testing.B) {
+	r := record{Op: "take", ID: "9b1f03aa5c7e2d41", Key: "5c0f6e1a2b3d4c59a8b7c6d5e4f30211", Class: "card-event", Tenant: "evergreen-mkt", Dest: 7, Deadline: 1 << 60, Body: make([]byte, 400)}
+	var line []byte
+	for range b.N {
+		line, _ = appendLine(line[:0], &r)
+	}
+}
--- a/internal/sender/loop.go
+++ b/internal/sender/loop.go
@@ -62,9 +62,18 @@
 	alarm    *time.Timer
 	quitting bool // no more steps: what comes in is only written down
 
+	answers   []owedAnswer  // of messages that this step ends, to be given once that is written down
+	withdrawn []brain.Event // of messages that could not be written down, for the next step
+
 	grace, leaveAfter time.Duration
 }
 
+// owedAnswer is an answer to a client that waits.
+type owedAnswer struct {
+	to   chan answerLine
+	line answerLine
+}
+
 type (
 	listEvent   struct{ Targets }
 	failedEvent struct{ err error }
@@ -139,9 +148,7 @@
 		case <-s.alarm.C:
 			s.turn(work, brain.Alarm{})
 		case <-idle.C:
-			for _, e := range s.list.byNumber {
-				s.pool.closeIdle(e, s.pool.keep)
-			}
+			s.pool.closeOld()
 			if !s.quitting { // after that nothing is served as usual
 				s.journal.keepRates(s.brain.Rates()) // what fails here fails again with the next message
 			}
@@ -264,7 +271,8 @@
 	return nil
 }
 
-// submitted writes a message down before the Brain hears of it. What cannot be held is refused here; it
+// submitted puts a message into the journal before the Brain hears of it; step writes it, with what is decided
+// in the same turn, before its client is answered and before any call. What cannot be held is refused here; it
 // has not been sent, so its client may come again.
 func (s *Sender) submitted(sub submission) brain.Event {
 	refuse := func(why string) brain.Event {
@@ -286,7 +294,7 @@
 	if most := s.c.Settings.MostHeld; most > 0 && s.held >= most {
 		return refuse("all room for messages is taken")
 	}
-	st, err := s.journal.take(sub.record)
+	st, err := s.journal.put(sub.record)
 	if err != nil {
 		return refuse("no room to keep the message")
 	}
@@ -351,6 +359,9 @@
 // step lets the Brain decide, writes down what it does, and only then does it.
 func (s *Sender) step(ctx context.Context, events []brain.Event) {
 	now := s.clock.now()
+	if len(s.withdrawn) > 0 {
+		events, s.withdrawn = append(s.withdrawn, events...), nil
+	}
 	actions := s.brain.Step(now, events)
 	for _, a := range actions {
 		switch a := a.(type) {
@@ -365,9 +376,19 @@
 		}
 	}
 	written := s.flush()
+	for _, a := range s.answers {
+		a.to <- a.line
+	}
+	s.answers = s.answers[:0]
+	var unwritten []*message
 	for _, e := range events {
-		if m, ok := e.(brain.Message); ok {
-			s.reply(s.messages[m.ID], answerLine{status: http.StatusAccepted})
+		if e, ok := e.(brain.Message); ok {
+			switch m := s.messages[e.ID]; {
+			case written:
+				s.reply(m, answerLine{status: http.StatusAccepted})
+			case m != nil && m.answer != nil: // not on the disk, so not taken on
+				unwritten = append(unwritten, m)
+			}
 		}
 	}
 	for _, a := range actions {
@@ -391,6 +412,9 @@
 			s.log.Info(a.Line)
 		}
 	}
+	for _, m := range unwritten {
+		s.drop(m)
+	}
 	s.tell()
 }
 
@@ -404,6 +428,17 @@
 	return true
 }
 
+// drop refuses a message that could not be written down. The Brain hears so with the next batch; a call that
+// it has decided on is not made either, and ends as not sent.
+func (s *Sender) drop(m *message) {
+	s.reply(m, answerLine{http.StatusServiceUnavailable, s.c.Settings.MaxHoldOff, "no room to keep the message"})
+	s.journal.remove(m.stored)
+	m.ended = true
+	s.held--
+	s.withdrawn = append(s.withdrawn, brain.Withdrawn{Message: m.number})
+	s.forget(m)
+}
+
 // close ends a message as the Brain has it: in the answer to its client, or where that has been told
 // that the message is taken on, by a notice; either way at once.
 func (s *Sender) close(id brain.MessageID, how string, status int, hold time.Duration) {
@@ -411,7 +446,9 @@
 	if m == nil || m.ended {
 		return
 	}
-	if s.reply(m, answerLine{status, hold, how}) {
+	if m.answer != nil { // it hears once this is written down
+		s.answers = append(s.answers, owedAnswer{m.answer, answerLine{status, hold, how}})
+		m.answer = nil
 		s.end(m, record{How: answered})
 	} else {
 		s.end(m, record{How: how, RetryMS: hold.Milliseconds()})
--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -8,6 +8,8 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -41,8 +43,15 @@
 
 // run starts a sender in this process and gives its address.
 func run(t *testing.T, p *st.Platform, edit func(c *Config)) string {
+	t.Helper()
+	return runWith(t, p, edit, func(*Sender) {})
+}
+
+// runWith does so and lets a test change the sender before it serves.
+func runWith(t *testing.T, p *st.Platform, edit func(c *Config), change func(*Sender)) string {
 	t.Helper()
 	s := newTest(t, p, edit)
+	change(s)
 	addr := make(chan string, 1)
 	listen := func() (net.Listener, error) {
 		l, err := net.Listen("tcp", s.c.Listen)
@@ -345,3 +354,49 @@
 		t.Errorf("the next call: %+v", got)
 	}
 }
+
+// A disk that takes nothing: what comes is refused and not sent, nothing is kept of it, and once there is room
+// again the sender serves as ever, with all its slots.
+func TestUnwrittenMessagesAreRefused(t *testing.T) {
+	t.Parallel()
+	full, err := os.OpenFile("/dev/full", os.O_WRONLY, 0)
+	if err != nil {
+		t.Skip(err)
+	}
+	defer full.Close()
+	e := st.NewEndpoint(t, st.Status(200))
+	p := st.NewPlatform(t, e.Addr)
+	var block string
+	addr := runWith(t, p, func(c *Config) { block = filepath.Join(c.State, journalName+".new", "x") }, func(made *Sender) {
+		made.journal.file.Close()
+		made.journal.file = full
+		if err := os.MkdirAll(block, 0o700); err != nil { // no new file can be made either
+			t.Fatal(err)
+		}
+	})
+	for i := range 30 { // three times its slots
+		resp, _ := st.Do(t, st.Message(t, addr, "no"+strconv.Itoa(i), "safe", 0, 15*time.Second, "x"))
+		if resp.StatusCode != http.StatusServiceUnavailable {
+			t.Fatalf("a message that can't be written down is answered %s", resp.Status)
+		}
+	}
+	if err := os.RemoveAll(filepath.Dir(block)); err != nil {
+		t.Fatal(err)
+	}
+	for end := time.Now().Add(st.Wait); ; {
+		resp, _ := st.Do(t, st.Message(t, addr, "yes", "safe", 0, 15*time.Second, "x"))
+		if resp.StatusCode == http.StatusAccepted {
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatal("it does not come back")
+		}
+	}
+	if c := e.Next(t); c.ID != "yes" {
+		t.Errorf("%s was sent though it was refused", c.ID)
+	}
+	for i := range 30 {
+		st.HandIn(t, addr, "m"+strconv.Itoa(i), "safe", 0, 15*time.Second)
+		e.Next(t)
+	}
+}
--- a/internal/sender/server.go
+++ b/internal/sender/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -468,25 +467,27 @@
 
 // write sends an answer; last says that the connection ends with it.
 func write(c *client, a answerLine, last bool) bool {
-	resp := http.Response{StatusCode: a.status, ProtoMajor: 1, ProtoMinor: 1, Close: last,
-		Header: http.Header{"Date": {time.Now().UTC().Format(http.TimeFormat)}}}
+	b := append(make([]byte, 0, 256), "HTTP/1.1 "...)
+	b = strconv.AppendInt(b, int64(a.status), 10)
+	b = append(append(append(b, ' '), http.StatusText(a.status)...), "\r\n"...)
+	if last {
+		b = append(b, "Connection: close\r\n"...)
+	}
+	b = time.Now().UTC().AppendFormat(append(b, "Date: "...), http.TimeFormat)
 	if a.status == http.StatusServiceUnavailable {
 		if a.retry <= 0 {
 			a.retry = refusedRetry
 		}
-		resp.Header.Set("Retry-After", strconv.FormatFloat(a.retry.Seconds(), 'f', 3, 64))
-	}
-	if a.text != "" {
-		resp.Header.Set("Content-Type", "text/plain; charset=utf-8")
-		resp.ContentLength = int64(len(a.text) + 1)
-		resp.Body = io.NopCloser(strings.NewReader(a.text + "\n"))
+		b = strconv.AppendFloat(append(b, "\r\nRetry-After: "...), a.retry.Seconds(), 'f', 3, 64)
 	}
-	var out bytes.Buffer
-	if resp.Write(&out) != nil {
-		return false
+	if a.text == "" {
+		b = append(b, "\r\nContent-Length: 0\r\n\r\n"...)
+	} else {
+		b = strconv.AppendInt(append(b, "\r\nContent-Type: text/plain; charset=utf-8\r\nContent-Length: "...), int64(len(a.text)+1), 10)
+		b = append(append(append(b, "\r\n\r\n"...), a.text...), '\n')
 	}
 	c.SetWriteDeadline(time.Now().Add(answerWrite))
-	_, err := c.Write(out.Bytes())
+	_, err := c.Write(b)
 	return err == nil
 }
 
