A repeat is not written once its key is forgotten, however late its connection comes up

Cause: the module judges a repeat as of its decision (brain.go mayRepeat); endpoints.go call then waited up to 1.5 s for the connection (get) and wrote whatever the time was. While a machine is gone its connections come up only when it is back. Change: loop.go repeatWithin gives each repeat of a keyed message that may have run the time until 50 ms before its key's end; what is not written by then ends as not sent, and the connection is kept for the next call.

--- a/internal/sender/endpoints.go
+++ b/internal/sender/endpoints.go
@@ -65,8 +65,8 @@
 		most: int64(c.Limits.calls() - c.Settings.Slots), fields: c.Fields, holding: map[*endpoint]struct{}{}}
 }
 
-// get takes the idle connection used last, or opens one.
-func (p *pool) get(ctx context.Context, e *endpoint) (*conn, error) {
+// get takes the idle connection used last, or opens one, which is up within a time.
+func (p *pool) get(ctx context.Context, e *endpoint, within time.Duration) (*conn, error) {
 	e.mu.Lock()
 	addr := e.addr
 	for n := len(e.idle) - 1; n >= 0; n = len(e.idle) - 1 {
@@ -80,7 +80,7 @@
 		c.Close()
 	}
 	e.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, p.connectTimeout)
+	ctx, cancel := context.WithTimeout(ctx, min(p.connectTimeout, within))
 	defer cancel()
 	nc, err := p.dialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
@@ -189,15 +189,22 @@
 }
 
 // call makes one attempt and says how it ended. It never makes a second one: an endpoint counts each
-// call whose last byte has come. ctx ends it early, its deadline being the time-out.
-func (p *pool) call(ctx context.Context, e *endpoint, m record, timeout time.Duration) brain.AttemptEnd {
+// call whose last byte has come. ctx ends it early, its deadline being the time-out. What is not written within
+// a time is not sent: a connection may take seconds to come up, and a repeat is lawful only while its key is
+// remembered.
+func (p *pool) call(ctx context.Context, e *endpoint, m record, timeout, within time.Duration) brain.AttemptEnd {
+	began := time.Now()
 	end := brain.AttemptEnd{Endpoint: e.number, Outcome: brain.ConnectFailed}
 	// Nothing has been written yet: however it fails up to the last byte, the call never ran.
-	c, err := p.get(ctx, e)
-	if err != nil {
-		if shortage(err) {
-			end.Outcome = brain.NotSent
-		}
+	c, err := p.get(ctx, e, within)
+	late := time.Since(began) >= within
+	if late || err != nil && shortage(err) {
+		end.Outcome = brain.NotSent // for no fault of the endpoint's
+	}
+	if late && err == nil {
+		p.put(e, c)
+	}
+	if late || err != nil {
 		return end
 	}
 	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
--- a/internal/sender/journal.go
+++ b/internal/sender/journal.go
@@ -104,8 +104,11 @@
 }
 
 // firstRun is the first attempt that may have run.
-func (m *stored) firstRun() (try, bool) {
-	for _, t := range m.Tries {
+func (m *stored) firstRun() (try, bool) { return m.firstBefore(len(m.Tries)) }
+
+// firstBefore is the first attempt before the n-th that may have run.
+func (m *stored) firstBefore(n int) (try, bool) {
+	for _, t := range m.Tries[:min(n, len(m.Tries))] {
 		if !t.Never {
 			return t, true
 		}
--- a/internal/sender/loop.go
+++ b/internal/sender/loop.go
@@ -483,6 +483,7 @@
 	}
 	attempt := m.sends
 	m.sends++
+	within := s.repeatWithin(m, m.base+attempt, a.Timeout)
 	call, cancel := context.WithTimeout(ctx, a.Timeout)
 	m.calls[attempt] = cancel
 	s.out++
@@ -490,9 +491,26 @@
 	go func() {
 		end := brain.AttemptEnd{Endpoint: e.number, Outcome: brain.NotSent}
 		if written {
-			end = s.pool.call(call, e, rec, a.Timeout)
+			end = s.pool.call(call, e, rec, a.Timeout, within)
 		}
 		end.Elapsed = time.Since(began)
 		s.post(ctx, callEnd{m, attempt, end})
 	}()
 }
+
+// keyMargin is how long before its key is forgotten a repeat is written at the latest: it has to get there.
+const keyMargin = 50 * time.Millisecond
+
+// repeatWithin is how long the n-th attempt of a message may take to be written. The module judges a repeat as of
+// now; a connection may come up much later, when the key of an attempt that may have run is remembered no more.
+func (s *Sender) repeatWithin(m *message, n int, timeout time.Duration) time.Duration {
+	class := place(s.c.Classes, m.Class, -1)
+	if class < 0 || s.c.Settings.Classes[class].Effect != brain.Keyed {
+		return timeout
+	}
+	first, may := m.firstBefore(n)
+	if !may {
+		return timeout
+	}
+	return min(timeout, first.At+s.c.Settings.Classes[class].KeyWindow-keyMargin-s.clock.now())
+}
