--- a/cmd/rehearse/cost.go
+++ b/cmd/rehearse/cost.go
@@ -33,6 +33,7 @@
 	seconds := f.Float64("seconds", 6, "length of each measurement")
 	clients := f.Int("clients", 64, "closed-loop `clients`")
 	body := f.Int("body", 400, "bytes of a message")
+	memory := f.Int("memory", 2048, "`MB` that the sender is told it has")
 	churn := f.Int("churn", 0, "endpoints replaced each second")
 	if err := parse(f, args); err != nil {
 		return 0, err
@@ -43,7 +44,7 @@
 	}
 	var cases []cost.Case
 	for _, w := range words {
-		c := cost.Case{Clients: *clients, Body: *body, Churn: *churn, For: time.Duration(*seconds * float64(time.Second)), Warm: 2 * time.Second}
+		c := cost.Case{Clients: *clients, Body: *body, Churn: *churn, Memory: *memory, For: time.Duration(*seconds * float64(time.Second)), Warm: 2 * time.Second}
 		if n, err := fmt.Sscanf(w, "%d/%d/%d", &c.Listed, &c.Busy, &c.Held); n != 3 || c.Listed < 1 || c.Busy < 1 || c.Busy > c.Listed || c.Listed > 60000 || c.Held < 0 || c.Held > 150000 {
 			return judge.ExitScript, fmt.Errorf("cost: %q is not LISTED/BUSY/HELD (1 to 60000, of those, 0 to 150000): %v", w, err)
 		}
@@ -66,7 +67,7 @@
 	}
 	defer os.RemoveAll(folder)
 	fmt.Fprintln(out, day.Machine())
-	fmt.Fprintf(out, "%-22s %9s %8s %8s %9s %9s %9s %9s %8s\n", "listed/busy/held", "CPU/msg", "x proxy", "x first", "msg/s", "p50", "p99", "most MB", "end MB")
+	fmt.Fprintf(out, "%-22s %9s %8s %8s %9s %9s %9s %8s %8s %8s\n", "listed/busy/held", "CPU/msg", "x proxy", "x first", "msg/s", "p50", "p99", "most MB", "mid MB", "end MB")
 	proxy, err := cost.Proxy(ctx, []string{self, proxyCommand}, cases[0])
 	if err != nil {
 		return judge.ExitInconclusive, err
@@ -81,8 +82,8 @@
 		if first > 0 {
 			x = fmt.Sprintf("%.2f", us/first)
 		}
-		fmt.Fprintf(out, "%-22s %7.1fus %8.2f %8s %9.0f %7.1fms %7.1fms %9.1f %8.1f\n", name, us, us*1000/float64(proxy.CPU.Nanoseconds()), x, r.Rate,
-			float64(r.P50.Microseconds())/1000, float64(r.P99.Microseconds())/1000, float64(r.Memory)/1e6, float64(r.MemoryEnd)/1e6)
+		fmt.Fprintf(out, "%-22s %7.1fus %8.2f %8s %9.0f %7.1fms %7.1fms %8.1f %8.1f %8.1f\n", name, us, us*1000/float64(proxy.CPU.Nanoseconds()), x, r.Rate,
+			float64(r.P50.Microseconds())/1000, float64(r.P99.Microseconds())/1000, float64(r.Memory)/1e6, float64(r.MemoryMid)/1e6, float64(r.MemoryEnd)/1e6)
 	}
 	row("plain proxy", proxy)
 	for i, c := range cases {
--- a/internal/rehearsal/cost/cost.go
+++ b/internal/rehearsal/cost/cost.go
@@ -41,6 +41,7 @@
 	For          time.Duration
 	Warm         time.Duration // before the measurement
 	Churn        int           // endpoints that are replaced each second
+	Memory       int           // MB that the sender is told it has
 }
 
 // Result is what a case came to.
@@ -175,7 +176,7 @@
 	}
 	b.sender, err = fleet.New("n0", listen, folder, command, b.log, func(run int, fresh bool) (map[string]any, error) {
 		return map[string]any{"discovery": b.disc.Addr("n0"), "seed": "5", "known": b.disc.Started("n0", run, fresh),
-			"limits": map[string]any{"cores": 1.0, "memory_mb": 2048, "sockets": 16384, "disk_mb": 1024},
+			"limits": map[string]any{"cores": 1.0, "memory_mb": c.Memory, "sockets": 16384, "disk_mb": 1024},
 			"settings": map[string]any{"balancers": 1, "discovery": "on_request", "step": 5.0, "zone": 0, "zones": []any{"a"}, "models": []any{"plain"},
 				"familyInfo": map[string]any{"callsOut": 256, "fades": "halving", "routesApart": []any{false}, "perCall": []any{1}},
 				"limits": map[string]any{"cancel": true, "connIdle": 15000.0, "connectTimeout": 1500.0, "maxAttempts": 6, "mostHeld": 200000,
