--- a/internal/sender/journal.go
+++ b/internal/sender/journal.go
@@ -148,7 +148,8 @@
 	tried  time.Time // the last compaction
 	rates  map[uint32]float64
 	byID   map[string]*stored
-	order  []*stored // in the order taken; ended ones are dropped when compacting
+	order  []*stored // in the order taken, with some that have ended
+	ended  int       // of those
 }
 
 // openJournal reads what an earlier process left and begins a compacted file.
@@ -323,9 +324,24 @@
 		delete(j.byID, m.ID)
 		j.live -= m.cost
 		m.Body = nil
+		if j.ended++; j.ended > len(j.order)/2+256 {
+			j.order = j.held()
+		}
 	}
 }
 
+// held is the messages that have not ended, in the order taken.
+func (j *journal) held() []*stored {
+	kept := make([]*stored, 0, len(j.byID))
+	for _, m := range j.order {
+		if j.byID[m.ID] == m {
+			kept = append(kept, m)
+		}
+	}
+	j.ended = 0
+	return kept
+}
+
 // take writes down a message that is about to be taken on; without room for it, it does not.
 func (j *journal) take(rec record) (*stored, error) {
 	m, err := j.put(rec)
@@ -445,12 +461,8 @@
 			return err
 		}
 	}
-	kept := make([]*stored, 0, len(j.byID))
-	for _, m := range j.order {
-		if j.byID[m.ID] != m {
-			continue
-		}
-		kept = append(kept, m)
+	kept := j.held()
+	for _, m := range kept {
 		rec := m.record
 		rec.How, rec.RetryMS = m.how, m.retry
 		n, err := encode(w, &rec)
--- a/internal/sender/journal_test.go
+++ b/internal/sender/journal_test.go
@@ -301,3 +301,19 @@
 		line, _ = appendLine(line[:0], &r)
 	}
 }
+
+// What has ended is not held until a compaction, which may be far off on a large disk; the order stays.
+func TestEndedMessagesAreLetGo(t *testing.T) {
+	j := openTest(t, t.TempDir(), 1<<30)
+	first := takeTest(t, j, "first")
+	for i := range 20_000 {
+		j.note(takeTest(t, j, fmt.Sprint(i)), record{Op: "over", How: delivered})
+		if len(j.order) > 2000 {
+			t.Fatalf("after %d messages %d are held", i, len(j.order))
+		}
+	}
+	last := takeTest(t, j, "last")
+	if kept := j.held(); len(kept) != 2 || kept[0] != first || kept[1] != last {
+		t.Errorf("%d are held", len(kept))
+	}
+}
