The operators' own file: -features FILE, check FILE, and when quiet destinations fold

Need: how long a destination is quiet before it is remembered in short could not be set, so that waking could not be rehearsed with real processes; further features need a file of the operators' own. Change: internal/features reads deploy/saffronyard.toml strictly, with file, line and key in errors; all is off as it ships, and 'run' does not name it. 'saffronyard check FILE' says what a file turns on. The sender now refuses arguments that mean nothing.

--- /dev/null
+++ b/cmd/saffronyard/features_test.go
@@ -0,0 +1,66 @@
+package main
+
+import (
+	"bytes"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	st "dockshift.example/dockshift/internal/sendertest"
+)
+
+func write(t *testing.T, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "saffronyard.toml")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+// 'check' says what a file turns on, and what is wrong with it by file, line and key.
+func TestCheck(t *testing.T) {
+	for text, c := range map[string]struct {
+		code int
+		says string
+	}{
+		"":                                {0, "nothing is on"},
+		"[quiet]\nfold_after = \"90s\"\n": {0, "destinations fold after 1m30s"},
+		"[quiet]\nfold = 3\n":             {2, `saffronyard.toml:2: unknown key "quiet.fold"`},
+	} {
+		var out, errs bytes.Buffer
+		if code := check([]string{write(t, text)}, &out, &errs); code != c.code || !strings.Contains(out.String()+errs.String(), c.says) {
+			t.Errorf("%q: %d, %s%s", text, code, out.String(), errs.String())
+		}
+	}
+	var out, errs bytes.Buffer
+	if code := check(nil, &out, &errs); code != 2 || !strings.Contains(errs.String(), "check FILE") {
+		t.Errorf("without a file: %d, %s", code, errs.String())
+	}
+}
+
+// A sender with a file that is wrong does not start, and says where; one with a sound file serves.
+func TestFeaturesFile(t *testing.T) {
+	p := st.NewPlatform(t)
+	dir := t.TempDir()
+	config := filepath.Join(dir, "config.json")
+	configure(t, config, p, dir)
+	for text, c := range map[string]struct {
+		code int
+		says string
+	}{"[quiet]\n\nfold_after = \"soon\"\n": {1, "saffronyard.toml:3:"}, "[quite]\n": {1, "unknown key"}} {
+		cmd := exec.Command(os.Args[0], "-features", write(t, text))
+		cmd.Env = append(os.Environ(), "SAFFRONYARD_TEST_CHILD=1", "EDGE_CONFIG="+config)
+		out, _ := cmd.CombinedOutput()
+		if cmd.ProcessState.ExitCode() != c.code || !strings.Contains(string(out), c.says) {
+			t.Errorf("%q: exit %d, %s", text, cmd.ProcessState.ExitCode(), out)
+		}
+	}
+	cmd := exec.Command(os.Args[0], "serve")
+	cmd.Env = append(os.Environ(), "SAFFRONYARD_TEST_CHILD=1", "EDGE_CONFIG="+config)
+	if out, _ := cmd.CombinedOutput(); cmd.ProcessState.ExitCode() != 2 || !strings.Contains(string(out), "serve") {
+		t.Errorf("an argument that means nothing: %s", out)
+	}
+}
--- a/cmd/saffronyard/main.go
+++ b/cmd/saffronyard/main.go
@@ -1,9 +1,13 @@
 // Command saffronyard is the real sender: it reads its configuration, listens, and serves until SIGTERM; SIGHUP
-// has it read the configuration again.
+// has it read the configuration again. With -features FILE it also does what the operators' own file names, and
+// 'saffronyard check FILE' says what that would be.
 package main
 
 import (
 	"context"
+	"flag"
+	"fmt"
+	"io"
 	"log/slog"
 	"math"
 	"net"
@@ -12,7 +16,9 @@
 	"runtime"
 	"runtime/debug"
 	"syscall"
+	"time"
 
+	"dockshift.example/dockshift/internal/features"
 	"dockshift.example/dockshift/internal/sender"
 )
 
@@ -22,13 +28,42 @@
 
 func main() {
 	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
-	if err := run(log); err != nil {
+	if len(os.Args) > 1 && os.Args[1] == "check" {
+		os.Exit(check(os.Args[2:], os.Stdout, os.Stderr))
+	}
+	flags := flag.NewFlagSet("saffronyard", flag.ContinueOnError)
+	file := flags.String("features", "", "the operators' `file` of features; without it none is on")
+	if err := flags.Parse(os.Args[1:]); err != nil {
+		os.Exit(2)
+	}
+	if flags.NArg() > 0 {
+		log.Error("saffronyard takes no arguments but -features FILE, and check FILE", "argument", flags.Arg(0))
+		os.Exit(2)
+	}
+	if err := run(log, *file); err != nil {
 		log.Error("saffronyard", "err", err)
 		os.Exit(1)
 	}
 }
 
-func run(log *slog.Logger) error {
+// check says what a file would turn on, or what is wrong with it.
+func check(args []string, out, errs io.Writer) int {
+	if len(args) != 1 {
+		fmt.Fprintln(errs, "saffronyard check FILE")
+		return 2
+	}
+	f, err := features.Load(args[0])
+	if err != nil {
+		fmt.Fprintln(errs, err)
+		return 2
+	}
+	for _, l := range f.Lines() {
+		fmt.Fprintln(out, l)
+	}
+	return 0
+}
+
+func run(log *slog.Logger, file string) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	// SIGHUP means that the configuration was replaced. It would end a process that does not catch it, so
@@ -40,6 +75,16 @@
 	if err != nil {
 		return err
 	}
+	if file != "" {
+		f, err := features.Load(file)
+		if err != nil {
+			return err
+		}
+		if f.Quiet != nil {
+			c.Settings.FoldAfter = time.Duration(f.Quiet.FoldAfter)
+		}
+		log.Info("features", "on", f.Lines())
+	}
 	if c.Limits.Cores > 0 {
 		runtime.GOMAXPROCS(max(1, int(math.Ceil(c.Limits.Cores))))
 	}
