--- a/cmd/rehearse/run.go
+++ b/cmd/rehearse/run.go
@@ -337,6 +337,14 @@
 	}
 	fmt.Fprintf(out, "  worst 10 s %.1f%% (from %.0f s), worst member %s %.1f%%, refused above a limit %d of %d calls, latency p50 %.2f s, p99 %.2f s\n",
 		s.Worst*100, s.WorstFrom, s.WorstMember.Name, s.WorstMember.Share()*100, s.AboveLimit, s.Calls, s.Latency50, s.Lat99)
+	if len(s.Woken) > 0 {
+		switch w, ok := s.WorstWoken(); {
+		case ok:
+			fmt.Fprintf(out, "  %d receivers woke with a burst; the last to be served as usual, %s, was after %.2f s\n", len(s.Woken), w.Receiver, w.Usual)
+		default:
+			fmt.Fprintf(out, "  %d receivers woke with a burst; %s was never served as usual\n", len(s.Woken), w.Receiver)
+		}
+	}
 }
 
 func judgeLog(_ context.Context, args []string, out, errs io.Writer) (int, error) {
--- a/internal/rehearsal/day/day.go
+++ b/internal/rehearsal/day/day.go
@@ -126,6 +126,16 @@
 	if err := os.MkdirAll(opt.Folder, 0o755); err != nil {
 		return nil, fmt.Errorf("rehearsal: %w", err)
 	}
+	if plan.Day.Features != "" {
+		path, err := filepath.Abs(filepath.Join(opt.Folder, "features.toml"))
+		if err == nil {
+			err = os.WriteFile(path, []byte(plan.Day.Features), 0o644)
+		}
+		if err != nil {
+			return nil, fmt.Errorf("rehearsal: %w", err)
+		}
+		opt.Command = append(slices.Clone(opt.Command), "-features", path)
+	}
 	// The day's clock starts with its arrivals: what is set up before has its events at time 0 and after.
 	d := &Day{plan: plan, opt: opt, hosts: newHosts(), drains: map[string]int{}, delay: plan.Day.ListDelay.D(), ctx: ctx}
 	d.log = eventlog.New(opt.Log, opt.Watch)
@@ -258,6 +268,9 @@
 		f.Classes[c.Name] = eventlog.Class{Effect: c.Effect, KeyWindow: c.KeyWindow.D().Milliseconds(), Ordered: c.Ordered, Aim: c.Aim.D().Milliseconds(),
 			Deadline: c.Deadline.D().Milliseconds(), Worth: c.LateWorth}
 	}
+	for _, w := range d.plan.Wakes {
+		f.Wakes = append(f.Wakes, eventlog.Wake{AtMS: w.At.Milliseconds(), Dest: w.Dest, Messages: w.Messages})
+	}
 	for _, r := range d.plan.Receivers {
 		f.Receivers = append(f.Receivers, eventlog.Receiver{Name: r.Name, Kind: r.Kind, Member: r.Member, Capacity: r.Spec.Capacity})
 	}
--- a/internal/rehearsal/eventlog/eventlog.go
+++ b/internal/rehearsal/eventlog/eventlog.go
@@ -94,6 +94,7 @@
 	Patience     int64            `json:"patience_ms"`
 	Classes      map[string]Class `json:"classes"`
 	Receivers    []Receiver       `json:"receivers"` // by number
+	Wakes        []Wake           `json:"wakes,omitempty"`
 }
 
 // Class is a class of message as the rules see it.
@@ -106,6 +107,13 @@
 	Worth     float64 `json:"worth"`
 }
 
+// Wake is a burst for a receiver.
+type Wake struct {
+	AtMS     int64 `json:"at_ms"`
+	Dest     int   `json:"dest"`
+	Messages int   `json:"messages"`
+}
+
 // Receiver is a destination.
 type Receiver struct {
 	Name     string  `json:"name"`
--- a/internal/rehearsal/report/report.go
+++ b/internal/rehearsal/report/report.go
@@ -57,9 +57,74 @@
 	Flights          []Flight
 	Latency50, Lat99 float64 // seconds from a message's first hand-in to its 200
 	Length           float64 // seconds
+	Woken            []Woken
 	MostLateMS       float64
 }
 
+// Woken is how a receiver that got a burst came to its usual service.
+type Woken struct {
+	Receiver string
+	At       float64 // seconds into the day
+	Messages int
+	// Usual is how long after that its calls were first served at the pace that it is usually served at: four
+	// fifths of its capacity over half a second, or all of the burst. Below 0: never.
+	Usual float64
+}
+
+// usualPart and usualSpan say from when on a woken receiver is served as usual.
+const (
+	usualPart = 0.8
+	usualSpan = 500_000 // microseconds
+)
+
+// wakes finds for each burst when its receiver was served as usual.
+func (s *Summary) wakes(events []eventlog.Event, fig eventlog.Figures) {
+	served := map[int][]int64{}
+	for _, e := range events {
+		if e.Kind == eventlog.Done && e.Status == 200 {
+			served[e.Dest] = append(served[e.Dest], e.T)
+		}
+	}
+	for _, w := range fig.Wakes {
+		if w.Dest < 0 || w.Dest >= len(fig.Receivers) {
+			continue
+		}
+		at := w.AtMS * 1000
+		k := Woken{Receiver: fig.Receivers[w.Dest].Name, At: float64(at) / 1e6, Messages: w.Messages, Usual: -1}
+		want := max(1, usualPart*fig.Receivers[w.Dest].Capacity*usualSpan/1e6)
+		var since []int64
+		for _, t := range served[w.Dest] {
+			if t < at {
+				continue
+			}
+			since = append(since, t)
+			recent := 0
+			for i := len(since) - 1; i >= 0 && since[i] > t-usualSpan; i-- {
+				recent++
+			}
+			if float64(recent) >= want || len(since) >= w.Messages {
+				k.Usual = float64(t-at) / 1e6
+				break
+			}
+		}
+		s.Woken = append(s.Woken, k)
+	}
+}
+
+// WorstWoken is the longest time that a burst's receiver took to its usual service; ok is false if one never did.
+func (s Summary) WorstWoken() (worst Woken, ok bool) {
+	ok = true
+	for i, w := range s.Woken {
+		if w.Usual < 0 {
+			return w, false
+		}
+		if i == 0 || w.Usual > worst.Usual {
+			worst = w
+		}
+	}
+	return worst, ok
+}
+
 func share(served, asked float64) float64 {
 	if asked == 0 {
 		return 1
@@ -192,6 +257,7 @@
 	}
 	s.bands(events, fig, end)
 	s.flights(events, fig, end)
+	s.wakes(events, fig)
 	return s
 }
 
--- a/internal/rehearsal/report/report_test.go
+++ b/internal/rehearsal/report/report_test.go
@@ -94,6 +94,40 @@
 	}
 }
 
+// A woken receiver is served as usual from when four fifths of its capacity go over half a second, or all of the
+// burst has gone.
+func TestWoken(t *testing.T) {
+	day := func(capacity float64, messages int, at ...float64) Woken {
+		events := []eventlog.Event{{Kind: eventlog.World, Figures: &eventlog.Figures{Receivers: []eventlog.Receiver{{Name: "r0", Capacity: capacity}},
+			Wakes: []eventlog.Wake{{AtMS: 10_000, Messages: messages}}}}}
+		for _, s := range append([]float64{9.8, 9.9}, at...) { // what came before does not count
+			events = append(events, eventlog.Event{T: int64(s * 1e6), Kind: eventlog.Done, Status: 200})
+		}
+		return Make(events).Woken[0]
+	}
+	for name, c := range map[string]struct {
+		got  Woken
+		want float64
+	}{
+		"at its pace":         {day(10, 100, 10.5, 11.5, 11.6, 11.7, 11.8, 11.9), 1.8}, // four within half a second
+		"never at its pace":   {day(10, 100, 10.5, 11.5, 12.5, 13.5), -1},
+		"all of the burst":    {day(10, 3, 10.5, 11.5, 12.5, 13.5), 2.5},
+		"a slow one, at once": {day(1, 100, 10.25), 0.25},
+	} {
+		if math.Abs(c.got.Usual-c.want) > 1e-6 || c.got.At != 10 {
+			t.Errorf("%s: %+v, want %v", name, c.got, c.want)
+		}
+	}
+	s := Summary{Woken: []Woken{{Receiver: "a", Usual: 1}, {Receiver: "b", Usual: 3}, {Receiver: "c", Usual: 2}}}
+	if w, ok := s.WorstWoken(); !ok || w.Receiver != "b" {
+		t.Errorf("%+v %v", w, ok)
+	}
+	s.Woken[0].Usual = -1
+	if w, ok := s.WorstWoken(); ok || w.Receiver != "a" {
+		t.Errorf("%+v %v", w, ok)
+	}
+}
+
 // An answer under an id that its client counts on no longer delivers nothing.
 func TestVoidHandInDeliversNothing(t *testing.T) {
 	events := []eventlog.Event{{Kind: eventlog.World, Figures: &eventlog.Figures{Classes: map[string]eventlog.Class{"c": {Aim: 1000, Deadline: 8000}}}},
--- a/internal/rehearsal/script/plan.go
+++ b/internal/rehearsal/script/plan.go
@@ -23,6 +23,7 @@
 	Arrivals  []Arrival
 	Acts      []Act
 	Senders   int // at the start; joins add to them
+	Wakes     []Wake
 }
 
 // Receiver is a destination as drawn; its number is its place.
@@ -42,6 +43,13 @@
 	Order  string // key of the order, in an ordered class
 }
 
+// Wake is a burst for one receiver.
+type Wake struct {
+	At       time.Duration
+	Dest     int
+	Messages int
+}
+
 // Act is something that happens at a time.
 type Act struct {
 	At      time.Duration
@@ -86,6 +94,12 @@
 	if err := p.arrivals(s.Surges, stream(2)); err != nil {
 		return nil, err
 	}
+	if err := p.sleeps(s.Sleeps, stream(4)); err != nil {
+		return nil, err
+	}
+	if err := p.bursts(s.Bursts, stream(5)); err != nil {
+		return nil, err
+	}
 	if err := p.acts(s, stream(3)); err != nil {
 		return nil, err
 	}
@@ -243,6 +257,51 @@
 	return nil
 }
 
+// sleeps takes out the messages of those who sleep; what others get is as without.
+func (p *Plan) sleeps(all []Sleep, rng *rand.Rand) error {
+	type span struct{ from, to time.Duration }
+	spans := make([][]span, len(p.Receivers))
+	for _, s := range all {
+		dests, err := p.who(s.Who, s.where, rng)
+		if err != nil {
+			return err
+		}
+		for _, d := range dests {
+			spans[d] = append(spans[d], span{s.At.D(), s.At.D() + s.For.D()})
+		}
+	}
+	p.Arrivals = slices.DeleteFunc(p.Arrivals, func(a Arrival) bool {
+		return slices.ContainsFunc(spans[a.Dest], func(s span) bool { return a.At >= s.from && a.At < s.to })
+	})
+	return nil
+}
+
+// bursts adds the messages of bursts, dealt out to the senders evenly at random.
+func (p *Plan) bursts(all []Burst, rng *rand.Rand) error {
+	classes := make([]float64, len(p.Classes))
+	for i, c := range p.Classes {
+		classes[i] = c.Share
+	}
+	for _, b := range all {
+		dests, err := p.who(b.Who, b.where, rng)
+		if err != nil {
+			return err
+		}
+		for _, dest := range dests {
+			p.Wakes = append(p.Wakes, Wake{b.At.D(), dest, b.Messages})
+			for range b.Messages {
+				a := Arrival{At: b.At.D() + time.Duration(rng.Float64()*float64(b.Within.D())), Sender: rng.IntN(p.Senders), Class: pick(rng, classes), Dest: dest}
+				if c := p.Classes[a.Class]; c.Ordered {
+					a.Order = fmt.Sprintf("%s-k%d", p.Receivers[dest].Name, rng.IntN(c.Keys))
+				}
+				p.Arrivals = append(p.Arrivals, a)
+			}
+		}
+	}
+	slices.SortStableFunc(p.Arrivals, func(a, b Arrival) int { return cmp.Compare(a.At, b.At) })
+	return nil
+}
+
 // rate is what a receiver takes in a second.
 func (r Receiver) rate() float64 {
 	if r.Spec.Limit > 0 {
--- a/internal/rehearsal/script/script.go
+++ b/internal/rehearsal/script/script.go
@@ -51,6 +51,8 @@
 	Lists    []List    `toml:"list"`
 	Senders  []Sender  `toml:"sender"`
 	Surges   []Surge   `toml:"surge"`
+	Sleeps   []Sleep   `toml:"sleep"`
+	Bursts   []Burst   `toml:"burst"`
 
 	Path string `toml:"-"`
 }
@@ -87,6 +89,7 @@
 	Disk       int     `toml:"disk_mb"`     // default 3
 	SlotsRoom  float64 `toml:"slots_room"`  // slots over what the load keeps busy; default 2
 	ReportEach Span    `toml:"report_each"` // load reports are refreshed so often; default 400ms
+	Features   string  `toml:"features"`    // text of the operators' file that the senders are started with
 	ReportLate Span    `toml:"report_late"` // and tell what was so long ago; default 100ms
 }
 
@@ -186,6 +189,25 @@
 	where string
 }
 
+// Sleep is a time without messages for receivers.
+type Sleep struct {
+	At  Span `toml:"at"`
+	For Span `toml:"for"`
+	Who Who  `toml:"who"`
+
+	where string
+}
+
+// Burst is so many messages at once for each of the receivers, beside their usual traffic.
+type Burst struct {
+	At       Span `toml:"at"`
+	Within   Span `toml:"within"` // default 1s
+	Messages int  `toml:"messages"`
+	Who      Who  `toml:"who"`
+
+	where string
+}
+
 // Load reads one file.
 func Load(path string) (*Script, error) {
 	raw, err := os.ReadFile(path)
@@ -333,6 +355,27 @@
 			return fmt.Errorf("%s: a surge is a member's or a sender's, not both", g.where)
 		}
 	}
+	for i := range s.Sleeps {
+		z := &s.Sleeps[i]
+		z.where = where("sleep", i)
+		if z.For == 0 {
+			return fmt.Errorf("%s: a sleep needs for", z.where)
+		}
+		if err := z.Who.check(z.where); err != nil {
+			return err
+		}
+	}
+	for i := range s.Bursts {
+		z := &s.Bursts[i]
+		z.where = where("burst", i)
+		set(&z.Within, Span(time.Second))
+		if z.Messages < 1 || z.Messages > 100_000 {
+			return fmt.Errorf("%s: messages = %d is not from 1 to 100000", z.where, z.Messages)
+		}
+		if err := z.Who.check(z.where); err != nil {
+			return err
+		}
+	}
 	return nil
 }
 
@@ -377,7 +420,7 @@
 		from, to float64
 	}{
 		{"seconds", d.Seconds, 0, 3600}, {"rate", d.Rate, 0, 20000}, {"senders", float64(d.Senders), 0, 16},
-		{"receivers", float64(d.Receivers), 0, 500}, {"load", d.Load, 0, 10}, {"body", float64(d.Body), 0, 64 << 10},
+		{"receivers", float64(d.Receivers), 0, 1000}, {"load", d.Load, 0, 10}, {"body", float64(d.Body), 0, 64 << 10},
 		{"cold_from", d.ColdFrom, 0, 1}, {"fall_multiple", d.FallMultiple, 0, 100}, {"memory_mb", float64(d.MemoryMB), 15, 1 << 20},
 		{"sockets", float64(d.Sockets), 63, 1 << 20}, {"disk_mb", float64(d.Disk), 0, 1 << 20}, {"slots_room", d.SlotsRoom, 0, 1000},
 		{"clump_span", d.ClumpSpan.D().Seconds(), 0, 60}, {"patience", d.Patience.D().Seconds(), 0, 60},
@@ -551,6 +594,8 @@
 		all.Troubles = append(all.Troubles[:len(all.Troubles):len(all.Troubles)], m.Troubles...)
 		all.Lists = append(all.Lists[:len(all.Lists):len(all.Lists)], m.Lists...)
 		all.Senders = append(all.Senders[:len(all.Senders):len(all.Senders)], m.Senders...)
+		all.Sleeps = append(all.Sleeps[:len(all.Sleeps):len(all.Sleeps)], m.Sleeps...)
+		all.Bursts = append(all.Bursts[:len(all.Bursts):len(all.Bursts)], m.Bursts...)
 		all.Surges = append(all.Surges[:len(all.Surges):len(all.Surges)], m.Surges...)
 		all.Path = strings.TrimSuffix(all.Path, ".toml") + "+" + m.Name()
 	}
--- a/internal/rehearsal/script/script_test.go
+++ b/internal/rehearsal/script/script_test.go
@@ -233,6 +233,53 @@
 	}
 }
 
+// Sleepers get nothing, a burst comes whole within its time, and neither changes what others get.
+func TestSleepsAndBursts(t *testing.T) {
+	const day = "[day]\nseconds = 60\nrate = 50\nreceivers = 6\n"
+	plan := func(more string) *Plan {
+		s, err := Parse("x.toml", []byte(day+more))
+		if err != nil {
+			t.Fatal(err)
+		}
+		p, err := s.Make()
+		if err != nil {
+			t.Fatal(err)
+		}
+		return p
+	}
+	was := plan("")
+	is := plan("[[sleep]]\nat = \"10s\"\nfor = \"20s\"\nwho = {name = \"r1\"}\n[[burst]]\nat = \"30s\"\nwithin = \"2s\"\nmessages = 200\nwho = {name = \"r1\"}\n")
+	count := func(p *Plan, dest int, from, to time.Duration) (n int) {
+		for _, a := range p.Arrivals {
+			if a.Dest == dest && a.At >= from && a.At < to {
+				n++
+			}
+		}
+		return n
+	}
+	if n := count(is, 1, 10*time.Second, 30*time.Second); n != 0 {
+		t.Errorf("%d messages for a sleeper", n)
+	}
+	if n := count(is, 1, 30*time.Second, 32*time.Second) - count(was, 1, 30*time.Second, 32*time.Second); n != 200 {
+		t.Errorf("%d messages in a burst of 200", n)
+	}
+	if is.Wakes[0] != (Wake{30 * time.Second, 1, 200}) {
+		t.Errorf("%+v", is.Wakes)
+	}
+	for _, dest := range []int{0, 2, 3, 4, 5} {
+		if a, b := count(was, dest, 0, time.Hour), count(is, dest, 0, time.Hour); a != b {
+			t.Errorf("receiver %d: %d messages, %d without the sleeper", dest, b, a)
+		}
+	}
+	for text, says := range map[string]string{
+		"[[sleep]]\nwho = {name = \"r1\"}\n": "x.toml:5: a sleep needs for", "[[burst]]\nwho = {name = \"r1\"}\n": "x.toml:5: messages = 0",
+		"[[burst]]\nmessages = 3\n": "x.toml:5: who needs one of"} {
+		if _, err := Parse("x.toml", []byte(day+text)); err == nil || !strings.Contains(err.Error(), says) {
+			t.Errorf("%q: %v", text, err)
+		}
+	}
+}
+
 // Those struck by a share of the traffic get no more than it, or the smallest of all.
 func TestWhoByTraffic(t *testing.T) {
 	for seed := range 50 {
