--- a/internal/sender/loop.go
+++ b/internal/sender/loop.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"dockshift.example/dockshift/brain"
@@ -31,13 +32,36 @@
 type message struct {
 	*stored
 	number brain.MessageID
-	base   int                        // attempts made by earlier processes
-	sends  int                        // and by this one
-	answer chan answerLine            // its client still waits; nil once answered
-	calls  map[int]context.CancelFunc // out, by the Brain's number of the attempt
+	base   int             // attempts made by earlier processes
+	sends  int             // and by this one
+	answer chan answerLine // its client still waits; nil once answered
+	calls  calls           // out
 	ended  bool
 }
 
+// calls is those of a message that are out, by the Brain's number of the attempt: one as a rule.
+type calls []outCall
+
+type outCall struct {
+	attempt int
+	cancel  context.CancelFunc
+}
+
+// cancel calls one off, if it is out.
+func (c calls) cancel(attempt int) {
+	for _, o := range c {
+		if o.attempt == attempt {
+			o.cancel()
+		}
+	}
+}
+
+// ended takes one out and lets go of what it holds.
+func (c *calls) ended(attempt int) {
+	c.cancel(attempt)
+	*c = slices.DeleteFunc(*c, func(o outCall) bool { return o.attempt == attempt })
+}
+
 // Sender is one real sender.
 type Sender struct {
 	c       *Config
@@ -106,6 +130,11 @@
 
 // post hands an event to the loop; false if that has ended.
 func (s *Sender) post(ctx context.Context, e any) bool {
+	select {
+	case s.events <- e: // there is room as a rule, and looking for that alone costs little
+		return true
+	default:
+	}
 	select {
 	case s.events <- e:
 		return true
@@ -221,7 +250,7 @@
 // hold gives a message its number.
 func (s *Sender) hold(st *stored, answer chan answerLine) brain.MessageID {
 	s.last++
-	m := &message{stored: st, number: s.last, base: len(st.Tries), answer: answer, calls: map[int]context.CancelFunc{}}
+	m := &message{stored: st, number: s.last, base: len(st.Tries), answer: answer}
 	s.messages[m.number], s.byID[st.ID] = m, m
 	s.held++
 	return m.number
@@ -308,8 +337,7 @@
 func (s *Sender) callEnded(e callEnd) brain.Event {
 	m := e.message
 	s.out--
-	m.calls[e.attempt]()
-	delete(m.calls, e.attempt)
+	m.calls.ended(e.attempt)
 	e.Message, e.Attempt = m.number, e.attempt
 	if e.Outcome == brain.TimedOut {
 		// Where a machine vanished or was cut off, the connections from before say nothing either, and are
@@ -399,8 +427,8 @@
 		case brain.Send:
 			s.send(ctx, a, written)
 		case brain.Cancel:
-			if m := s.messages[a.Message]; m != nil && m.calls[a.Attempt] != nil {
-				m.calls[a.Attempt]()
+			if m := s.messages[a.Message]; m != nil {
+				m.calls.cancel(a.Attempt)
 			}
 		case brain.CloseIdle:
 			s.pool.closeIdle(s.list.byNumber[a.Endpoint], 0)
@@ -488,7 +516,7 @@
 	m.sends++
 	within := s.repeatWithin(m, m.base+attempt, a.Timeout)
 	call, cancel := context.WithTimeout(ctx, a.Timeout)
-	m.calls[attempt] = cancel
+	m.calls = append(m.calls, outCall{attempt, cancel})
 	s.out++
 	began, rec := time.Now(), m.record // a copy: the loop may drop the body meanwhile
 	go func() {
--- a/internal/sender/server.go
+++ b/internal/sender/server.go
@@ -389,7 +389,7 @@
 		}
 	}
 	c.left = maxBody + 1
-	body, err := io.ReadAll(r.Body)
+	body, err := readBody(r)
 	if err != nil {
 		return nil, nil, fmt.Errorf("the body does not come whole: %w", err)
 	}
@@ -404,6 +404,17 @@
 	return r, sub, nil
 }
 
+// readBody reads a body whole. What a long one takes is given to it as it comes: its length is only said.
+func readBody(r *http.Request) ([]byte, error) {
+	const atOnce = 4 << 10
+	if r.ContentLength > atOnce {
+		return io.ReadAll(r.Body)
+	}
+	body := make([]byte, max(0, r.ContentLength))
+	_, err := io.ReadFull(r.Body, body)
+	return body, err
+}
+
 // soundNames reports whether all header names are tokens. The parser lets others pass under a name of their
 // own, such as "Transfer-Encoding " with a blank, which another reader may take for the header itself.
 func soundNames(h http.Header) bool {
