When a message lapses is decided in brain.go; what nothing calls is gone

Cause: due.go says that it decides nothing, and held the rule of when a message can no longer be served or lawfully repeated, while brain.go kept mayRepeat, which nothing called any more. The kit had two copies of one sleep and three things that nothing used. Change: lapses stands in brain.go in mayRepeat's place; traffic.Sleep serves both. Behaviour is as it was.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -332,12 +332,20 @@
 
 // ---- Admission and ordering
 
-// mayRepeat: no attempt may have run, or a repeat sent now surely does no harm.
-func (b *Brain) mayRepeat(m *message, at time.Duration) bool {
-	if !m.mayRun || m.class.Effect == Safe {
-		return true
+// lapses is when m, which waits, can no longer be served in time or not lawfully be sent.
+func (b *Brain) lapses(m *message) time.Duration {
+	if b.s.MaxAttempts > 0 && m.tries() >= b.s.MaxAttempts {
+		return -never
 	}
-	return m.class.Effect == Keyed && at+b.s.Step+m.route().quickest < m.firstRun+m.class.KeyWindow
+	quickest := m.route().quickest
+	last := m.Deadline - max(quickest, b.s.Step)
+	if m.mayRun && m.class.Effect != Safe {
+		if m.class.Effect != Keyed {
+			return -never
+		}
+		last = min(last, m.firstRun+m.class.KeyWindow-quickest-b.s.Step)
+	}
+	return last
 }
 
 // expire fails what cannot be served any more, in time: too little time left for the quickest call
--- a/brain/due.go
+++ b/brain/due.go
@@ -301,22 +301,6 @@
 	return low
 }
 
-// lapses is when m, which waits, can no longer be served in time or not lawfully be sent.
-func (b *Brain) lapses(m *message) time.Duration {
-	if b.s.MaxAttempts > 0 && m.tries() >= b.s.MaxAttempts {
-		return -never
-	}
-	quickest := m.route().quickest
-	last := m.Deadline - max(quickest, b.s.Step)
-	if m.mayRun && m.class.Effect != Safe {
-		if m.class.Effect != Keyed {
-			return -never
-		}
-		last = min(last, m.firstRun+m.class.KeyWindow-quickest-b.s.Step)
-	}
-	return last
-}
-
 // retime puts the times of all that wait for d right, where they may have become earlier.
 func (b *Brain) retime(d *destination) {
 	for m := d.first; m != nil; m = m.after {
--- a/internal/rehearsal/day/day.go
+++ b/internal/rehearsal/day/day.go
@@ -94,7 +94,7 @@
 	case <-over:
 	case <-ctx.Done():
 	}
-	sleep(ctx, settleTime) // what crossed the last end is written down
+	traffic.Sleep(ctx, settleTime) // what crossed the last end is written down
 	if ctx.Err() == nil {
 		d.late.flush()
 		d.log.Add(eventlog.Event{Kind: eventlog.End})
@@ -110,17 +110,6 @@
 	return d.log.Events(), use, errors.Join(err, ctx.Err())
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(max(0, d))
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // Open starts the stand-ins and the senders and returns when all are ready.
 func Open(ctx context.Context, plan *script.Plan, opt Options) (*Day, error) {
 	if err := os.MkdirAll(opt.Folder, 0o755); err != nil {
@@ -352,7 +341,7 @@
 // act does what the plan says, when it says so.
 func (d *Day) act() {
 	for _, a := range d.plan.Acts {
-		if !sleep(d.ctx, a.At-d.log.Now()) {
+		if !traffic.Sleep(d.ctx, a.At-d.log.Now()) {
 			return
 		}
 		d.do(a)
@@ -428,7 +417,7 @@
 					return err
 				}
 			}
-			if !sleep(d.ctx, pause) {
+			if !traffic.Sleep(d.ctx, pause) {
 				return nil
 			}
 			return s.Start(a.Do == "lose")
@@ -442,7 +431,7 @@
 	delay := d.delay
 	d.mu.Unlock()
 	d.background(func() error {
-		if sleep(d.ctx, delay) {
+		if traffic.Sleep(d.ctx, delay) {
 			d.disc.Set(t)
 		}
 		return nil
@@ -491,11 +480,11 @@
 	d.news(d.line(dest, next, platform.Serving))
 	d.news(d.line(dest, old, platform.Draining))
 	d.background(func() error {
-		if !sleep(d.ctx, removeAfter) {
+		if !traffic.Sleep(d.ctx, removeAfter) {
 			return nil
 		}
 		d.news(d.line(dest, old, platform.Deleted))
-		if sleep(d.ctx, removeAfter) {
+		if traffic.Sleep(d.ctx, removeAfter) {
 			r.Remove(old)
 		}
 		return nil
--- a/internal/rehearsal/eventlog/eventlog.go
+++ b/internal/rehearsal/eventlog/eventlog.go
@@ -168,9 +168,6 @@
 	}
 }
 
-// Micros is a time in the log's unit.
-func Micros(d time.Duration) int64 { return d.Microseconds() }
-
 // Add stamps an event with the present time and writes it down.
 func (l *Log) Add(e Event) {
 	l.mu.Lock()
--- a/internal/rehearsal/judge/judge.go
+++ b/internal/rehearsal/judge/judge.go
@@ -164,7 +164,6 @@
 	ended   bool
 	slips   []eventlog.Event
 	faults  []eventlog.Event
-	deaf    bool
 }
 
 func index(events []eventlog.Event) (*day, error) {
--- a/internal/rehearsal/platform/platform.go
+++ b/internal/rehearsal/platform/platform.go
@@ -192,13 +192,6 @@
 	p.wakeAll()
 }
 
-// State is an endpoint's state in the list; "" if it was never there.
-func (p *Platform) State(id string) string {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.list[id].State
-}
-
 func (p *Platform) wakeAll() {
 	close(p.wake)
 	p.wake = make(chan struct{})
--- a/internal/rehearsal/traffic/clients.go
+++ b/internal/rehearsal/traffic/clients.go
@@ -143,7 +143,8 @@
 	return nil
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
+// Sleep waits for a time; false if ctx ended before.
+func Sleep(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
@@ -170,7 +171,7 @@
 		}
 		p := c.choose(a.Sender)
 		if p == nil {
-			if !sleep(ctx, otherPause/2) {
+			if !Sleep(ctx, otherPause/2) {
 				return
 			}
 			continue
@@ -182,7 +183,7 @@
 		switch {
 		case ans.note == "down": // nothing was sent, or nothing that could have been read
 			c.book.close(h)
-			if !sleep(ctx, otherPause) {
+			if !Sleep(ctx, otherPause) {
 				return
 			}
 			continue
@@ -199,7 +200,7 @@
 				return
 			case e.how == "lost":
 				wait, mark = againLeast+time.Duration(c.draw(float64(againMost-againLeast))), "again"
-				if !sleep(ctx, wait) {
+				if !Sleep(ctx, wait) {
 					return
 				}
 				try++ // it is no refusal: it counts against nothing
@@ -226,7 +227,7 @@
 		retries--
 		pause *= 2
 		// A little apart, so that those refused together do not come back together.
-		if !sleep(ctx, wait+time.Duration(c.draw(float64(wait)/5))) {
+		if !Sleep(ctx, wait+time.Duration(c.draw(float64(wait)/5))) {
 			return
 		}
 	}
