Tests of a vanished receiver take both of package net's time-outs for one

Cause: a connection that does not come up in time ends with one of two errors of package net, by the context's time or by the socket's; only the latter is os.ErrDeadlineExceeded. A probe of the same endpoint showed that nothing came up there, as it should be.

Change: any time-out counts.

--- a/internal/rehearsal/receiver/server_test.go
+++ b/internal/rehearsal/receiver/server_test.go
@@ -206,7 +206,7 @@
 		if err == nil {
 			c.Close()
 		}
-		return errors.Is(err, os.ErrDeadlineExceeded)
+		return timedOut(err)
 	})
 	for range 3 {
 		if c, err := net.DialTimeout("tcp", e.Addr, quiet); err == nil {
@@ -226,6 +226,13 @@
 	}
 }
 
+// timedOut is whether a connection did not come up in time. The error is one of two of package net's: the wait for it
+// ends by the context's time or by the socket's, and only the latter is os.ErrDeadlineExceeded.
+func timedOut(err error) bool {
+	var e net.Error
+	return errors.As(err, &e) && e.Timeout()
+}
+
 func waitFor(t *testing.T, ok func() bool) {
 	t.Helper()
 	for end := time.Now().Add(wait); !ok(); {
@@ -271,7 +278,7 @@
 		if err == nil {
 			c.Close()
 		}
-		return errors.Is(err, os.ErrDeadlineExceeded)
+		return timedOut(err)
 	})
 	s.End(2, sample(trouble.Vanish))
 	refused(t, e)
