--- a/cmd/saffronyard/features_test.go
+++ b/cmd/saffronyard/features_test.go
@@ -35,8 +35,31 @@
 			t.Errorf("%q: %d, %s%s", text, code, out.String(), errs.String())
 		}
 	}
+	event := write(t, `{"specversion":"1.0","id":"1","source":"/s","type":"card","subject":"7"}`)
+	other := write(t, `{"specversion":"1.0","id":"1","source":"/s","type":"other"}`)
+	broken := write(t, `{"specversion":"1.0","id":"1","source":"/s"}`)
+	rules := write(t, "[events]\n[[events.rule]]\nname = \"cards\"\ntype = \"card\"\nclass = \"safe\"\ndestination = \"{subject}\"\n")
+	for _, c := range []struct {
+		file, event string
+		code        int
+		says        []string
+	}{
+		{rules, event, 0, []string{"rule cards: fits", "class safe, tenant none, destination 7"}},
+		{rules, other, 1, []string{`rule cards: does not fit: type "other" is not "card"`, "turned away: no rule fits"}},
+		{rules, broken, 2, []string{"attribute type is missing"}},
+		{rules, event + "x", 2, []string{"no such file"}},
+		{write(t, ""), event, 1, []string{"events are off"}},
+	} {
+		var out, errs bytes.Buffer
+		code := check([]string{"-event", c.event, c.file}, &out, &errs)
+		for _, says := range c.says {
+			if code != c.code || !strings.Contains(out.String()+errs.String(), says) {
+				t.Errorf("%d, %s%s; want %d and %q", code, out.String(), errs.String(), c.code, says)
+			}
+		}
+	}
 	var out, errs bytes.Buffer
-	if code := check(nil, &out, &errs); code != 2 || !strings.Contains(errs.String(), "check FILE") {
+	if code := check(nil, &out, &errs); code != 2 || !strings.Contains(errs.String(), "FILE") {
 		t.Errorf("without a file: %d, %s", code, errs.String())
 	}
 }
@@ -50,7 +73,9 @@
 	for text, c := range map[string]struct {
 		code int
 		says string
-	}{"[quiet]\n\nfold_after = \"soon\"\n": {1, "saffronyard.toml:3:"}, "[quite]\n": {1, "unknown key"}} {
+	}{"[quiet]\n\nfold_after = \"soon\"\n": {1, "saffronyard.toml:3:"}, "[quite]\n": {1, "unknown key"},
+		"[events]\n[[events.rule]]\nclass = \"nothing\"\ndestination = \"1\"\n":                                         {1, `class \"nothing\"`},
+		"[events]\nremember_most = 100000\n[[events.rule]]\nclass = \"safe\"\ntenant = \"acme\"\ndestination = \"1\"\n": {1, "remember_most = 100000 takes"}} {
 		cmd := exec.Command(os.Args[0], "-features", write(t, text))
 		cmd.Env = append(os.Environ(), "SAFFRONYARD_TEST_CHILD=1", "EDGE_CONFIG="+config)
 		out, _ := cmd.CombinedOutput()
--- a/cmd/saffronyard/main.go
+++ b/cmd/saffronyard/main.go
@@ -17,6 +17,7 @@
 	"runtime/debug"
 	"syscall"
 
+	"dockshift.example/dockshift/internal/cloudevents"
 	"dockshift.example/dockshift/internal/features"
 	"dockshift.example/dockshift/internal/sender"
 )
@@ -45,13 +46,20 @@
 	}
 }
 
-// check says what a file would turn on, or what is wrong with it.
+// check says what a file would turn on, or what is wrong with it; and for an event, in a file in the JSON format, which
+// rule fits and what it makes of it. 1 is for an event that would be turned away.
 func check(args []string, out, errs io.Writer) int {
-	if len(args) != 1 {
-		fmt.Fprintln(errs, "saffronyard check FILE")
+	flags := flag.NewFlagSet("saffronyard check", flag.ContinueOnError)
+	flags.SetOutput(errs)
+	event := flags.String("event", "", "a `file` with an event in JSON: say which rule fits it")
+	if err := flags.Parse(args); err != nil {
 		return 2
 	}
-	f, err := features.Load(args[0])
+	if flags.NArg() != 1 {
+		fmt.Fprintln(errs, "saffronyard check [-event EVENT.json] FILE")
+		return 2
+	}
+	f, err := features.Load(flags.Arg(0))
 	if err != nil {
 		fmt.Fprintln(errs, err)
 		return 2
@@ -59,9 +67,53 @@
 	for _, l := range f.Lines() {
 		fmt.Fprintln(out, l)
 	}
+	if *event == "" {
+		return 0
+	}
+	return explain(f, *event, out, errs)
+}
+
+func explain(f *features.Features, path string, out, errs io.Writer) int {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		fmt.Fprintln(errs, err)
+		return 2
+	}
+	e, err := cloudevents.ReadStructured(raw)
+	if err != nil {
+		fmt.Fprintf(errs, "%s: %v\n", path, err)
+		return 2
+	}
+	if f.Events == nil {
+		fmt.Fprintln(errs, "events are off: the file has no [events]")
+		return 1
+	}
+	rules := f.Events.Mapping()
+	for _, l := range rules.Explain(e) {
+		fmt.Fprintln(out, l)
+	}
+	if _, _, err := rules.Find(e); err != nil {
+		return 1
+	}
 	return 0
 }
 
+// apply turns on what the operators' file names.
+func apply(f *features.Features, c *sender.Config) {
+	if f.Quiet != nil {
+		c.Settings.FoldAfter = f.Quiet.FoldAfter.D()
+	}
+	if e := f.Events; e != nil {
+		c.Events = &sender.Events{Rules: e.Mapping(), BatchEvents: e.BatchEvents, BatchBytes: e.BatchBytes, Remember: e.Remember.D(), RememberMost: e.RememberMost}
+	}
+	if d := f.Delivery; d != nil {
+		c.Delivery = &sender.Delivery{Source: d.Source, Type: d.Type}
+		for _, t := range d.To {
+			c.Delivery.To = append(c.Delivery.To, sender.To(t))
+		}
+	}
+}
+
 func run(log *slog.Logger, file string) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
@@ -79,9 +131,7 @@
 		if err != nil {
 			return err
 		}
-		if f.Quiet != nil {
-			c.Settings.FoldAfter = f.Quiet.FoldAfter.D()
-		}
+		apply(f, c)
 		log.Info("features", "on", f.Lines())
 	}
 	if c.Limits.Cores > 0 {
--- a/cmd/saffronyard/main_test.go
+++ b/cmd/saffronyard/main_test.go
@@ -44,7 +44,7 @@
 }
 
 // start runs a sender and waits until it is ready.
-func start(t *testing.T, p *st.Platform, state string) *process {
+func start(t *testing.T, p *st.Platform, state string, args ...string) *process {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -54,7 +54,7 @@
 	l.Close()
 	config := filepath.Join(t.TempDir(), "config.json")
 	configure(t, config, p, state)
-	c := &process{exec.Command(os.Args[0]), addr, config}
+	c := &process{exec.Command(os.Args[0], args...), addr, config}
 	c.Env = append(os.Environ(), "SAFFRONYARD_TEST_CHILD=1", "GORACE=atexit_sleep_ms=0", "EDGE_CONFIG="+config, "EDGE_LISTEN="+addr, "EDGE_STATE="+state)
 	c.Stderr = os.Stderr
 	if err := c.Start(); err != nil {
--- /dev/null
+++ b/internal/cloudevents/write.go
@@ -0,0 +1,169 @@
+package cloudevents
+
+import (
+	"bytes"
+	"encoding/base64"
+	"encoding/json"
+	"strconv"
+	"unicode/utf8"
+)
+
+// AppendHeaders adds an event's header lines in binary mode, Content-Type among them, each with its line end. Data is
+// the request's body.
+func (e *Event) AppendHeaders(b []byte) []byte {
+	kind := ""
+	for _, a := range e.Attributes {
+		if a.Name == "datacontenttype" {
+			kind = a.Value
+			continue
+		}
+		b = append(append(append(b, "ce-"...), a.Name...), ": "...)
+		b = append(escape(b, a.Value), "\r\n"...)
+	}
+	if kind == "" && e.Form == JSON {
+		kind = "application/json" // which its absence means in JSON, and not here (JSON format, section 3.1)
+	}
+	if kind != "" {
+		b = append(append(append(b, "Content-Type: "...), kind...), "\r\n"...)
+	}
+	return b
+}
+
+// escape percent-encodes a header's value (HTTP binding, section 3.1.3.2): blanks, quotes, percent signs and all that
+// is not printable ASCII.
+func escape(b []byte, v string) []byte {
+	const digits = "0123456789ABCDEF"
+	for _, c := range []byte(v) {
+		if c <= ' ' || c >= 0x7f || c == '"' || c == '%' {
+			b = append(b, '%', digits[c>>4], digits[c&15])
+			continue
+		}
+		b = append(b, c)
+	}
+	return b
+}
+
+// AppendJSON adds the event as a JSON object (JSON format, section 3).
+func (e *Event) AppendJSON(b []byte) []byte {
+	b = e.appendMembers(append(b, '{'))
+	switch e.Form {
+	case JSON:
+		b = append(b, `,"data":`...)
+		var tight bytes.Buffer
+		if json.Compact(&tight, e.Data) == nil { // line ends in it are no trouble, but cost
+			b = append(b, tight.Bytes()...)
+		} else {
+			b = append(b, "null"...) // it was sound when it was read
+		}
+	case Text:
+		b = appendString(append(b, `,"data":`...), string(e.Data))
+	case Bytes:
+		b = base64.StdEncoding.AppendEncode(append(b, `,"data_base64":"`...), e.Data)
+		b = append(b, '"')
+	}
+	return append(b, '}')
+}
+
+func (e *Event) appendMembers(b []byte) []byte {
+	for i, a := range e.Attributes {
+		if i > 0 {
+			b = append(b, ',')
+		}
+		b = append(append(append(b, '"'), a.Name...), `":`...)
+		if a.Type == String {
+			b = appendString(b, a.Value)
+		} else {
+			b = append(b, a.Value...)
+		}
+	}
+	return b
+}
+
+// AppendBatch adds events as a JSON array (JSON format, section 4).
+func AppendBatch(b []byte, events []*Event) []byte {
+	b = append(b, '[')
+	for i, e := range events {
+		if i > 0 {
+			b = append(b, ',')
+		}
+		b = e.AppendJSON(b)
+	}
+	return append(b, ']')
+}
+
+// ContentType is the Content-Type of requests in a mode; "" in binary mode, where AppendHeaders writes it.
+func ContentType(m Mode) string {
+	switch m {
+	case StructuredMode:
+		return structuredType + "; charset=utf-8"
+	case BatchedMode:
+		return batchType + "; charset=utf-8"
+	}
+	return ""
+}
+
+// appendString adds a JSON string. Nearly all attributes are plain ASCII.
+func appendString(b []byte, s string) []byte {
+	b = append(b, '"')
+	for i := 0; i < len(s); {
+		c := s[i]
+		switch {
+		case c >= 0x20 && c < 0x7f && c != '"' && c != '\\':
+			b = append(b, c)
+			i++
+		case c < utf8.RuneSelf:
+			switch c {
+			case '"', '\\':
+				b = append(b, '\\', c)
+			default:
+				const digits = "0123456789abcdef"
+				b = append(b, '\\', 'u', '0', '0', digits[c>>4], digits[c&15])
+			}
+			i++
+		default:
+			_, n := utf8.DecodeRuneInString(s[i:])
+			b = append(b, s[i:i+n]...)
+			i += n
+		}
+	}
+	return append(b, '"')
+}
+
+// AppendHead adds what a store keeps of an event beside its data: a JSON object with its form and attributes.
+func (e *Event) AppendHead(b []byte) []byte {
+	b = strconv.AppendInt(append(b, `{"form":`...), int64(e.Form), 10)
+	b = e.appendMembers(append(b, `,"attributes":{`...))
+	return append(b, "}}"...)
+}
+
+// ReadHead reads what AppendHead wrote; the data is the caller's to set.
+func ReadHead(raw []byte) (*Event, error) {
+	var head struct {
+		Form       Form            `json:"form"`
+		Attributes json.RawMessage `json:"attributes"`
+	}
+	if err := json.Unmarshal(raw, &head); err != nil {
+		return nil, fault(Malformed, "an event's head can't be read: %v", err)
+	}
+	e, err := readObject(head.Attributes)
+	if err != nil {
+		return nil, err
+	}
+	if head.Form > Bytes {
+		return nil, fault(Malformed, "an event's head has the form %d", head.Form)
+	}
+	e.Form = head.Form
+	return e, nil
+}
+
+// UnmarshalJSON reads what AppendHead wrote.
+func (e *Event) UnmarshalJSON(raw []byte) error {
+	got, err := ReadHead(raw)
+	if err == nil {
+		*e = *got
+	}
+	return err
+}
+
+// MarshalJSON writes what AppendHead does: data stands beside it.
+func (e *Event) MarshalJSON() ([]byte, error) { return e.AppendHead(nil), nil }
--- a/internal/features/features.go
+++ b/internal/features/features.go
@@ -5,15 +5,19 @@
 import (
 	"fmt"
 	"os"
+	"slices"
 	"strings"
 	"time"
 
+	"dockshift.example/dockshift/internal/mapping"
 	"dockshift.example/dockshift/internal/tomlfile"
 )
 
 // Features is what the file names.
 type Features struct {
-	Quiet *Quiet `toml:"quiet"`
+	Quiet    *Quiet    `toml:"quiet"`
+	Events   *Events   `toml:"events"`
+	Delivery *Delivery `toml:"delivery"`
 }
 
 // Quiet is how destinations without traffic are remembered.
@@ -22,10 +26,68 @@
 	FoldAfter tomlfile.Span `toml:"fold_after"`
 }
 
+// Events is how CloudEvents are taken in, at POST /events.
+type Events struct {
+	Remember     tomlfile.Span     `toml:"remember"`      // how an event ended is remembered so long; default 10m
+	RememberMost int               `toml:"remember_most"` // of so many events; default 10000
+	BatchEvents  int               `toml:"batch_events"`  // in a batch, at most; default 100
+	BatchBytes   int               `toml:"batch_bytes"`   // of a batch, at most; default 262144
+	Deadline     tomlfile.Span     `toml:"deadline"`      // where a rule states none; default: the class's
+	Destinations map[string]uint32 `toml:"destinations"`  // numbers by name
+	Rules        []Rule            `toml:"rule"`
+	Default      *Rule             `toml:"default"` // where no rule fits; without it such an event is turned away
+}
+
+// Rule is one rule of the mapping; package mapping tells what its texts mean.
+type Rule struct {
+	Name        string            `toml:"name"`
+	Type        string            `toml:"type"`
+	Source      string            `toml:"source"`
+	Subject     string            `toml:"subject"`
+	Extensions  map[string]string `toml:"extensions"`
+	Refuse      string            `toml:"refuse"`
+	Class       string            `toml:"class"`
+	Tenant      string            `toml:"tenant"`
+	Destination string            `toml:"destination"`
+	Key         string            `toml:"key"`
+	Order       string            `toml:"order"`
+	Deadline    tomlfile.Span     `toml:"deadline"`
+}
+
+// Delivery is in which form messages go out.
+type Delivery struct {
+	Source string `toml:"source"` // of events made of plain messages
+	Type   string `toml:"type"`   // of those; {class} stands for the message's class; default "saffronyard.{class}"
+	To     []To   `toml:"to"`
+}
+
+// To is the form for some destinations.
+type To struct {
+	Destinations []uint32 `toml:"destinations"`
+	Kinds        []string `toml:"kinds"`
+	Form         string   `toml:"form"`
+	Path         string   `toml:"path"`         // default "/hook"
+	BatchEvents  int      `toml:"batch_events"` // default 20
+	BatchBytes   int      `toml:"batch_bytes"`  // default 65536
+	Validate     bool     `toml:"validate"`     // ask with OPTIONS before the first call
+	Origin       string   `toml:"origin"`       // WebHook-Request-Origin
+	Rate         int      `toml:"rate"`         // WebHook-Request-Rate, requests a minute
+}
+
 const (
 	foldLeast = time.Second
 	foldMost  = 24 * time.Hour
 	maxFile   = 1 << 20
+
+	rememberLeast  = time.Second
+	rememberMost   = 24 * time.Hour
+	endsMost       = 4 << 20
+	batchMost      = 1000
+	batchBytesMost = 4 << 20
+	deadlineMost   = 24 * time.Hour
+	rulesMost      = 1000
+	destMost       = 1<<16 - 1
+	rateMost       = 60_000_000 // requests a minute
 )
 
 // Load reads a file. An error names the file, and the line and key where there is one.
@@ -46,25 +108,205 @@
 	if err := tomlfile.Decode(path, raw, f); err != nil {
 		return nil, err
 	}
+	c := checker{path, raw}
 	if q := f.Quiet; q != nil {
 		if d := q.FoldAfter.D(); d < foldLeast || d > foldMost {
-			return nil, fmt.Errorf("%s:%d: quiet.fold_after = %v is not from %v to %v", path, line(raw, "quiet", "fold_after"), d, foldLeast, foldMost)
+			return nil, c.at("quiet", 0, "fold_after", "quiet.fold_after = %v is not from %v to %v", d, foldLeast, foldMost)
+		}
+	}
+	if f.Events != nil {
+		if err := f.Events.check(c); err != nil {
+			return nil, err
+		}
+	}
+	if f.Delivery != nil {
+		if err := f.Delivery.check(c); err != nil {
+			return nil, err
 		}
 	}
 	return f, nil
 }
 
-// line finds where a key of a table stands, or the table's header if it is not there.
-func line(raw []byte, table, key string) int {
+func set[T comparable](v *T, def T) {
+	var zero T
+	if *v == zero {
+		*v = def
+	}
+}
+
+func (e *Events) check(c checker) error {
+	set(&e.Remember, tomlfile.Span(10*time.Minute))
+	set(&e.RememberMost, 10000)
+	set(&e.BatchEvents, 100)
+	set(&e.BatchBytes, 256<<10)
+	if d := e.Remember.D(); d < rememberLeast || d > rememberMost {
+		return c.at("events", 0, "remember", "events.remember = %v is not from %v to %v", d, rememberLeast, rememberMost)
+	}
+	if d := e.Deadline.D(); d > deadlineMost {
+		return c.at("events", 0, "deadline", "events.deadline = %v is over %v", d, deadlineMost)
+	}
+	for _, n := range []struct {
+		key        string
+		v, to, min int
+	}{{"remember_most", e.RememberMost, endsMost, 1}, {"batch_events", e.BatchEvents, batchMost, 1}, {"batch_bytes", e.BatchBytes, batchBytesMost, 64 << 10}} {
+		if n.v < n.min || n.v > n.to {
+			return c.at("events", 0, n.key, "events.%s = %d is not from %d to %d", n.key, n.v, n.min, n.to)
+		}
+	}
+	for name, n := range e.Destinations {
+		if n > destMost {
+			return c.at("events.destinations", 0, name, "events.destinations.%s = %d is over %d", name, n, destMost)
+		}
+	}
+	if len(e.Rules) == 0 && e.Default == nil {
+		return c.at("events", 0, "", "events has neither a rule nor a default: every event would be turned away")
+	}
+	if len(e.Rules) > rulesMost {
+		return c.at("events.rule", rulesMost, "", "events.rule: more than %d rules", rulesMost)
+	}
+	rules := e.Mapping()
+	for i := range rules.List {
+		if err := e.checkRule(&rules.List[i]); err != nil {
+			return c.at("events.rule", i, "", "%s: %w", rules.Name(i), err)
+		}
+	}
+	if i, before, ok := rules.Reachable(); ok {
+		return c.at("events.rule", i, "", "%s is never reached: all that it fits %s fits before it", rules.Name(i), rules.Name(before))
+	}
+	if d := e.Default; d != nil {
+		if d.Type+d.Source+d.Subject != "" || len(d.Extensions) > 0 {
+			return c.at("events.default", 0, "", "default: it has no conditions; a rule has")
+		}
+		if err := e.checkRule(rules.Fallback); err != nil {
+			return c.at("events.default", 0, "", "default: %w", err)
+		}
+	}
+	return nil
+}
+
+func (e *Events) checkRule(r *mapping.Rule) error {
+	if r.Deadline > deadlineMost {
+		return fmt.Errorf("deadline = %v is over %v", r.Deadline, deadlineMost)
+	}
+	if err := r.Check(); err != nil {
+		return err
+	}
+	if r.Refuse == "" && !strings.ContainsAny(r.Destination, "{}") {
+		if _, ok := e.Destinations[r.Destination]; !ok && strings.Trim(r.Destination, "0123456789") != "" {
+			return fmt.Errorf("destination = %q is neither a number nor named in events.destinations", r.Destination)
+		}
+	}
+	return nil
+}
+
+// Mapping is the rules as package mapping takes them.
+func (e *Events) Mapping() mapping.Rules {
+	one := func(r Rule) mapping.Rule {
+		return mapping.Rule{Name: r.Name, Type: r.Type, Source: r.Source, Subject: r.Subject, Extensions: r.Extensions, Refuse: r.Refuse,
+			Class: r.Class, Tenant: r.Tenant, Destination: r.Destination, Key: r.Key, Order: r.Order, Deadline: r.Deadline.D()}
+	}
+	m := mapping.Rules{Destinations: e.Destinations, Deadline: e.Deadline.D()}
+	for _, r := range e.Rules {
+		m.List = append(m.List, one(r))
+	}
+	if e.Default != nil {
+		f := one(*e.Default)
+		m.Fallback = &f
+	}
+	return m
+}
+
+func (d *Delivery) check(c checker) error {
+	set(&d.Type, "saffronyard.{class}")
+	if len(d.To) == 0 {
+		return c.at("delivery", 0, "", "delivery names no destinations: it has no [[delivery.to]]")
+	}
+	events := false
+	for i := range d.To {
+		t := &d.To[i]
+		set(&t.Path, "/hook")
+		at := func(key, format string, args ...any) error {
+			return c.at("delivery.to", i, key, "delivery.to %d: %w", i+1, fmt.Errorf(format, args...))
+		}
+		if !slices.Contains([]string{"plain", "binary", "structured", "batched"}, t.Form) {
+			return at("form", "form = %q; there are plain, binary, structured and batched", t.Form)
+		}
+		events = events || t.Form != "plain"
+		if t.Form == "batched" {
+			set(&t.BatchEvents, 20)
+			set(&t.BatchBytes, 64<<10)
+		} else if t.BatchEvents != 0 || t.BatchBytes != 0 {
+			return at("batch_events", "batch_events and batch_bytes are for the form batched")
+		}
+		if t.Form == "batched" && (t.BatchEvents < 1 || t.BatchEvents > batchMost || t.BatchBytes < 1024 || t.BatchBytes > batchBytesMost) {
+			return at("batch_events", "batch_events is not from 1 to %d, or batch_bytes not from 1024 to %d", batchMost, batchBytesMost)
+		}
+		if t.Form == "plain" && (t.Validate || t.Path != "/hook") {
+			return at("form", "plain calls go to /hook and are not validated")
+		}
+		for _, n := range t.Destinations {
+			if n > destMost {
+				return at("destinations", "destination %d is over %d", n, destMost)
+			}
+		}
+		if !printable(t.Path) || !strings.HasPrefix(t.Path, "/") {
+			return at("path", "path = %q is not a path: it begins with / and holds no blanks", t.Path)
+		}
+		if t.Validate && (t.Origin == "" || !printable(t.Origin)) {
+			return at("origin", "validate asks in the name of an origin, such as the sender's DNS name: origin = %q", t.Origin)
+		}
+		if !t.Validate && (t.Origin != "" || t.Rate != 0) {
+			return at("origin", "origin and rate are for validate = true")
+		}
+		if t.Rate < 0 || t.Rate > rateMost {
+			return at("rate", "rate = %d is not from 0 to %d requests a minute", t.Rate, rateMost)
+		}
+	}
+	if events && !printable(d.Source) {
+		return c.at("delivery", 0, "source", "delivery.source = %q: events made of plain messages need a source, a URI-reference", d.Source)
+	}
+	if !printable(d.Type) {
+		return c.at("delivery", 0, "type", "delivery.type = %q is not plain ASCII without blanks", d.Type)
+	}
+	return nil
+}
+
+func printable(s string) bool {
+	for _, c := range []byte(s) {
+		if c <= ' ' || c >= 0x7f {
+			return false
+		}
+	}
+	return s != ""
+}
+
+// checker writes errors with their place.
+type checker struct {
+	path string
+	raw  []byte
+}
+
+// at is an error at a key of the n-th table of a name, or at the table's header if the key is not there.
+func (c checker) at(table string, n int, key, format string, args ...any) error {
+	return fmt.Errorf("%s:%d: %w", c.path, c.line(table, n, key), fmt.Errorf(format, args...))
+}
+
+func (c checker) line(table string, n int, key string) int {
 	at, in := 1, false
-	for i, text := range strings.Split(string(raw), "\n") {
+	for i, text := range strings.Split(string(c.raw), "\n") {
 		text = strings.TrimSpace(text)
 		if strings.HasPrefix(text, "[") {
-			if in = strings.HasPrefix(text, "["+table+"]"); in {
-				at = i + 1
+			if in {
+				return at
+			}
+			if strings.HasPrefix(text, "["+table+"]") || strings.HasPrefix(text, "[["+table+"]]") {
+				if in = n == 0; in {
+					at = i + 1
+				}
+				n--
 			}
 		}
-		if rest, ok := strings.CutPrefix(text, key); ok && in && strings.HasPrefix(strings.TrimSpace(rest), "=") {
+		if rest, ok := strings.CutPrefix(text, key); ok && in && key != "" && strings.HasPrefix(strings.TrimSpace(rest), "=") {
 			return i + 1
 		}
 	}
@@ -73,8 +315,28 @@
 
 // Lines says what is on, a line each.
 func (f *Features) Lines() []string {
-	if f.Quiet == nil {
+	var lines []string
+	if f.Quiet != nil {
+		lines = append(lines, fmt.Sprintf("quiet: destinations fold after %v", f.Quiet.FoldAfter.D()))
+	}
+	if e := f.Events; e != nil {
+		lines = append(lines, fmt.Sprintf("events: CloudEvents are taken in at POST /events by %d rules; ends are remembered for %v, %d at most", len(e.Rules), e.Remember.D(), e.RememberMost))
+	}
+	if d := f.Delivery; d != nil {
+		for _, t := range d.To {
+			who := "all destinations"
+			if len(t.Destinations)+len(t.Kinds) > 0 {
+				who = fmt.Sprintf("destinations %v, kinds %v", t.Destinations, t.Kinds)
+			}
+			line := fmt.Sprintf("delivery: %s as %s to %s", who, t.Form, t.Path)
+			if t.Validate {
+				line += ", validated as " + t.Origin
+			}
+			lines = append(lines, line)
+		}
+	}
+	if lines == nil {
 		return []string{"nothing is on: the sender does as without the file"}
 	}
-	return []string{fmt.Sprintf("quiet: destinations fold after %v", f.Quiet.FoldAfter.D())}
+	return lines
 }
--- a/internal/features/features_test.go
+++ b/internal/features/features_test.go
@@ -39,6 +39,77 @@
 	}
 }
 
+const rule = "[[events.rule]]\nclass = \"safe\"\ndestination = \"1\"\n"
+
+func TestEvents(t *testing.T) {
+	f, err := Parse("x.toml", []byte("[events]\nremember = \"30s\"\n[events.destinations]\nnorth = 7\n[[events.rule]]\nname = \"a\"\ntype = \"t.*\"\nsubject = \"{who}\"\n"+
+		"extensions = {region = \"eu\"}\nclass = \"safe\"\ndestination = \"{who}\"\ndeadline = \"3s\"\n[events.default]\nrefuse = \"no\"\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	e, m := f.Events, f.Events.Mapping()
+	if e.Remember.D() != 30*time.Second || e.RememberMost != 10000 || e.BatchEvents != 100 || e.BatchBytes != 256<<10 {
+		t.Errorf("%+v", e)
+	}
+	if len(m.List) != 1 || m.List[0].Extensions["region"] != "eu" || m.List[0].Deadline != 3*time.Second || m.Destinations["north"] != 7 || m.Fallback == nil || m.Fallback.Refuse != "no" {
+		t.Errorf("%+v", m)
+	}
+	if l := strings.Join(f.Lines(), "\n"); !strings.Contains(l, "POST /events by 1 rules") || strings.Contains(l, "nothing is on") {
+		t.Error(l)
+	}
+}
+
+func TestDelivery(t *testing.T) {
+	f, err := Parse("x.toml", []byte("[delivery]\nsource = \"/s\"\n[[delivery.to]]\nkinds = [\"m2\"]\nform = \"batched\"\nvalidate = true\norigin = \"a.example\"\nrate = 120\n[[delivery.to]]\nform = \"plain\"\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if d := f.Delivery; d.Type != "saffronyard.{class}" || d.To[0].BatchEvents != 20 || d.To[0].BatchBytes != 64<<10 || d.To[0].Path != "/hook" || d.To[1].Form != "plain" {
+		t.Errorf("%+v", d)
+	}
+	if l := strings.Join(f.Lines(), "\n"); !strings.Contains(l, "kinds [m2] as batched to /hook, validated as a.example") || !strings.Contains(l, "all destinations as plain") {
+		t.Error(l)
+	}
+}
+
+// Each error names the line of what is wrong, of the right one of several tables.
+func TestErrorsOfEventsAndDelivery(t *testing.T) {
+	const to = "[delivery]\nsource = \"/s\"\n[[delivery.to]]\n"
+	for says, text := range map[string]string{
+		`x.toml:2: events.remember = 10ms is not from 1s`:               "[events]\nremember = \"10ms\"\n" + rule,
+		`x.toml:2: events.deadline = 25h0m0s is over`:                   "[events]\ndeadline = \"25h\"\n" + rule,
+		`x.toml:2: events.remember_most = -1 is not from 1`:             "[events]\nremember_most = -1\n" + rule,
+		`x.toml:2: events.batch_bytes = 100 is not from 65536`:          "[events]\nbatch_bytes = 100\n" + rule,
+		`x.toml:3: events.destinations.north = 65536 is over`:           "[events]\n[events.destinations]\nnorth = 65536\n" + rule,
+		`x.toml:1: events has neither a rule`:                           "[events]\n",
+		`x.toml:5: rule 2: class and destination are needed`:            "[events]\n" + rule + "[[events.rule]]\ntype = \"a\"\n",
+		`x.toml:5: rule 2 is never reached: all that it fits rule 1`:    "[events]\n" + rule + rule,
+		`x.toml:2: rule 1: destination = "south" is neither`:            "[events]\n[[events.rule]]\nclass = \"safe\"\ndestination = \"south\"\n",
+		`x.toml:2: rule 1: deadline = 25h0m0s is over`:                  "[events]\n[[events.rule]]\nclass = \"safe\"\ndestination = \"1\"\ndeadline = \"25h\"\n",
+		`x.toml:2: default: it has no conditions`:                       "[events]\n[events.default]\ntype = \"a\"\nclass = \"safe\"\ndestination = \"1\"\n",
+		`x.toml:2: default: class and destination`:                      "[events]\n[events.default]\nclass = \"safe\"\n",
+		`x.toml:3: unknown key "events.rule.typ"`:                       "[events]\n[[events.rule]]\ntyp = \"a\"\n",
+		`x.toml:1: delivery names no destinations`:                      "[delivery]\nsource = \"/s\"\n",
+		`x.toml:4: delivery.to 1: form = "xml"`:                         to + "form = \"xml\"\n",
+		`x.toml:6: delivery.to 2: form = ""`:                            to + "form = \"plain\"\n\n[[delivery.to]]\nkinds = [\"a\"]\n",
+		`x.toml:5: delivery.to 1: batch_events and batch_bytes are for`: to + "form = \"binary\"\nbatch_events = 3\n",
+		`x.toml:5: delivery.to 1: batch_events is not from 1`:           to + "form = \"batched\"\nbatch_events = 1001\n",
+		`x.toml:4: delivery.to 1: plain calls go to /hook`:              to + "form = \"plain\"\npath = \"/x\"\n",
+		`x.toml:5: delivery.to 1: destination 70000 is over`:            to + "form = \"binary\"\ndestinations = [70000]\n",
+		`x.toml:5: delivery.to 1: path = "x"`:                           to + "form = \"binary\"\npath = \"x\"\n",
+		`x.toml:5: delivery.to 1: path = "/a\r\nb"`:                     to + "form = \"binary\"\npath = \"/a\\r\\nb\"\n",
+		`x.toml:3: delivery.to 1: validate asks in the name`:            to + "form = \"binary\"\nvalidate = true\n",
+		`x.toml:5: delivery.to 1: origin and rate are for`:              to + "form = \"binary\"\norigin = \"a\"\n",
+		`x.toml:7: delivery.to 1: rate = -1`:                            to + "form = \"binary\"\nvalidate = true\norigin = \"a\"\nrate = -1\n",
+		`x.toml:1: delivery.source = ""`:                                "[delivery]\n[[delivery.to]]\nform = \"binary\"\n",
+		`x.toml:2: delivery.type = "a b"`:                               "[delivery]\ntype = \"a b\"\nsource = \"/s\"\n[[delivery.to]]\nform = \"binary\"\n",
+	} {
+		if _, err := Parse("x.toml", []byte(text)); err == nil || !strings.Contains(err.Error(), strings.ReplaceAll(says, "\r\n", `\r\n`)) {
+			t.Errorf("%v, want %q", err, says)
+		}
+	}
+}
+
 // The file that ships turns nothing on.
 func TestShippedFile(t *testing.T) {
 	raw, err := os.ReadFile("../../deploy/saffronyard.toml")
@@ -46,7 +117,7 @@
 		t.Fatal(err)
 	}
 	f, err := Parse("saffronyard.toml", raw)
-	if err != nil || f.Quiet != nil {
+	if err != nil || *f != (Features{}) {
 		t.Errorf("%+v %v", f, err)
 	}
 	var on []string
@@ -55,7 +126,7 @@
 			on = append(on, rest)
 		}
 	}
-	if f, err := Parse("saffronyard.toml", []byte(strings.Join(on, "\n"))); err != nil || f.Quiet == nil {
+	if f, err := Parse("saffronyard.toml", []byte(strings.Join(on, "\n"))); err != nil || f.Quiet == nil || f.Events == nil || f.Delivery == nil {
 		t.Errorf("turned on: %+v %v", f, err)
 	}
 }
@@ -63,6 +134,7 @@
 func FuzzParse(f *testing.F) {
 	f.Add("[quiet]\nfold_after = \"5m\"\n")
 	f.Add("[quiet]\nfold_after = 5\n[x]\n")
+	f.Add("[events]\n" + rule + "[delivery]\nsource = \"/s\"\n[[delivery.to]]\nform = \"binary\"\n")
 	f.Fuzz(func(t *testing.T, text string) {
 		got, err := Parse("x.toml", []byte(text))
 		if err != nil {
--- /dev/null
+++ b/internal/identity/file.go
@@ -0,0 +1,140 @@
+package identity
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"time"
+)
+
+// Disk is the file that records go to; in tests one that fails.
+type Disk interface {
+	io.WriterAt
+	io.Closer
+}
+
+// File keeps a table's ends on disk: a ring of records, each at the place that the table names, so that it never
+// grows beyond the table's bound. A record that a kill leaves torn can't be read, and counts as not written.
+type File struct {
+	path    string
+	table   *Table
+	disk    Disk
+	pending []write
+	buf     []byte
+	failed  error     // of the last write
+	tried   time.Time // to write the file anew
+}
+
+type write struct {
+	place int
+	end   End
+}
+
+// Size is the most that the file of so many ends may take, in bytes: the ring, and its copy while it is written anew.
+func Size(most int) int64 { return 2 * int64(most) * RecordSize }
+
+// Open reads a file into an empty table and writes it anew in its place. A kill in between leaves the old one whole.
+// A disk that can't be written is no error: what was read counts, and Failed says so until a write succeeds.
+func Open(path string, t *Table, now time.Duration) (*File, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil && !errors.Is(err, os.ErrNotExist) {
+		return nil, fmt.Errorf("ends of events: %w", err)
+	}
+	t.Load(now, raw)
+	f := &File{path: path, table: t}
+	f.renew()
+	return f, nil
+}
+
+// renew writes the file anew. Where that fails the old one stays as it is: its places are not the table's, so nothing
+// is added to it, and all that ends waits for a disk.
+func (f *File) renew() {
+	f.tried = time.Now()
+	disk, err := fresh(f.path, f.table)
+	if err != nil {
+		f.failed = fmt.Errorf("ends of events: %w", err)
+		return
+	}
+	f.disk, f.failed, f.pending = disk, nil, nil // the table holds what was pending
+}
+
+// tryAgain is the pause between two tries to write the file anew.
+const tryAgain = 200 * time.Millisecond
+
+// fresh writes a table to a new file and puts it in the old one's place.
+func fresh(path string, t *Table) (*os.File, error) {
+	disk, err := os.OpenFile(path+".new", os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	var buf []byte
+	t.Ends(func(_ int, e End) { buf = AppendRecord(buf, e) })
+	if t.used != len(buf)/RecordSize { // a key that came again left a dead place behind: the records' places count
+		buf = make([]byte, 0, t.used*RecordSize)
+		next := 0
+		t.Ends(func(place int, e End) {
+			buf = append(buf, make([]byte, (place-next)*RecordSize)...)
+			buf = AppendRecord(buf, e)
+			next = place + 1
+		})
+	}
+	_, err = disk.Write(buf)
+	if err == nil {
+		err = os.Rename(path+".new", path)
+	}
+	if err != nil {
+		disk.Close()
+		os.Remove(path + ".new")
+		return nil, err
+	}
+	return disk, nil
+}
+
+// Use puts another disk in place; for tests.
+func (f *File) Use(wrap func(Disk) Disk) { f.disk = wrap(f.disk) }
+
+// Add notes an end at its place; Flush writes it.
+func (f *File) Add(place int, e End) { f.pending = append(f.pending, write{place, e}) }
+
+// Flush writes what was noted, neighbours in one write. What fails is kept and tried again by the next Flush.
+func (f *File) Flush() error {
+	if f.disk == nil && time.Since(f.tried) >= tryAgain {
+		f.renew()
+	}
+	for len(f.pending) > 0 {
+		if f.disk == nil {
+			return f.failed
+		}
+		n := 1
+		for n < len(f.pending) && f.pending[n].place == f.pending[n-1].place+1 {
+			n++
+		}
+		f.buf = f.buf[:0]
+		for _, w := range f.pending[:n] {
+			f.buf = AppendRecord(f.buf, w.end)
+		}
+		if _, err := f.disk.WriteAt(f.buf, int64(f.pending[0].place)*RecordSize); err != nil {
+			f.failed = fmt.Errorf("ends of events: %w", err)
+			return f.failed
+		}
+		f.pending = f.pending[n:]
+	}
+	f.pending = nil
+	if f.disk != nil {
+		f.failed = nil
+	}
+	return f.failed
+}
+
+// Failed is why nothing can be written now; nil if it can.
+func (f *File) Failed() error { return f.failed }
+
+// Close writes what was noted and closes the file.
+func (f *File) Close() error {
+	err := f.Flush()
+	if f.disk != nil {
+		err = errors.Join(err, f.disk.Close())
+	}
+	return err
+}
--- /dev/null
+++ b/internal/mapping/mapping.go
@@ -0,0 +1,398 @@
+// Package mapping finds out what an event is to this sender: its class, tenant, destination, deadline and keys, by
+// ordered rules that operators write. It does no I/O and knows no clock.
+package mapping
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"dockshift.example/dockshift/internal/cloudevents"
+)
+
+// Rule is one rule. The first whose conditions all hold is the one; an empty condition always holds.
+type Rule struct {
+	Name string
+
+	// Conditions. One that ends with * holds for all that begin with what stands before it; any other, for what is
+	// equal. Subject is split at slashes, and a part such as {member} holds for any one part that is not empty and
+	// captures it; {rest...} as the last captures all that is left.
+	Type, Source, Subject string
+	Extensions            map[string]string
+
+	// Refuse, if not empty, turns the event away with this text.
+	Refuse string
+
+	// What the event is, with {name} for what was captured, {type}, {source}, {id}, {subject} and {ext.NAME}.
+	Class, Tenant, Destination, Key, Order string
+	Deadline                               time.Duration // 0: the rules' default
+}
+
+// Rules is all of them.
+type Rules struct {
+	List         []Rule
+	Destinations map[string]uint32 // numbers by name; a name that is a number stands for itself
+	Deadline     time.Duration     // where a rule states none
+	Fallback     *Rule             // where none fits; nil: such an event is turned away
+}
+
+// Target is what an event is to this sender.
+type Target struct {
+	Class, Tenant string
+	Destination   uint32
+	Key           string // idempotency key; "" for the event's identity
+	Order         string // key of the order; "" for none
+	Deadline      time.Duration
+}
+
+// maxDestination is the highest number of a destination.
+const maxDestination = 1<<16 - 1
+
+// Refusal is why an event is turned away. Rule is the place of the rule that did so, -1 where none fitted.
+type Refusal struct {
+	Rule int
+	Text string
+}
+
+func (r *Refusal) Error() string { return r.Text }
+
+// Check finds what is wrong with a rule by itself: conditions that can't be read and names that nothing captures.
+func (r *Rule) Check() error {
+	parts, err := subjectParts(r.Subject)
+	if err != nil {
+		return fmt.Errorf("subject: %w", err)
+	}
+	for name, v := range map[string]string{"type": r.Type, "source": r.Source} {
+		if strings.Contains(strings.TrimSuffix(v, "*"), "*") {
+			return fmt.Errorf("%s = %q: a * stands at the end only", name, v)
+		}
+	}
+	for name, v := range r.Extensions {
+		if strings.Contains(strings.TrimSuffix(v, "*"), "*") {
+			return fmt.Errorf("extensions.%s = %q: a * stands at the end only", name, v)
+		}
+		if name == "" || strings.Trim(name, "abcdefghijklmnopqrstuvwxyz0123456789") != "" {
+			return fmt.Errorf("extensions: %q is no name of an extension: lower-case letters and digits", name)
+		}
+		if slices.Contains(standard, name) {
+			return fmt.Errorf("extensions: %s is an attribute of every event and no extension", name)
+		}
+	}
+	var known []string
+	for _, p := range parts {
+		if p.capture == "" {
+			continue
+		}
+		if slices.Contains(known, p.capture) {
+			return fmt.Errorf("subject: {%s} is captured twice", p.capture)
+		}
+		known = append(known, p.capture)
+	}
+	if r.Refuse != "" {
+		if r.Class+r.Tenant+r.Destination+r.Key+r.Order != "" || r.Deadline != 0 {
+			return errors.New("refuse excludes class, tenant, destination, key, order and deadline")
+		}
+		return nil
+	}
+	if r.Class == "" || r.Destination == "" {
+		return errors.New("class and destination are needed, or refuse")
+	}
+	for _, f := range []struct{ name, text string }{{"class", r.Class}, {"tenant", r.Tenant}, {"destination", r.Destination}, {"key", r.Key}, {"order", r.Order}} {
+		_, err := fill(f.text, func(name string) (string, bool) {
+			ext, isExt := strings.CutPrefix(name, "ext.")
+			return "", slices.Contains(known, name) || slices.Contains(variables, name) || isExt && ext != ""
+		})
+		if err != nil {
+			return fmt.Errorf("%s = %q: %w", f.name, f.text, err)
+		}
+	}
+	return nil
+}
+
+var (
+	standard  = []string{"id", "source", "type", "subject", "specversion", "time", "dataschema", "datacontenttype", "data"}
+	variables = []string{"type", "source", "id", "subject"}
+)
+
+// Reachable finds a rule that no event can reach, since one before it holds for all that it holds for; ok is false
+// if there is none.
+func (r *Rules) Reachable() (rule, before int, ok bool) {
+	for i := range r.List {
+		for j := range r.List[:i] {
+			if r.List[j].covers(&r.List[i]) {
+				return i, j, true
+			}
+		}
+	}
+	return 0, 0, false
+}
+
+// covers is whether all that other holds for is surely r's.
+func (r *Rule) covers(other *Rule) bool {
+	wider := func(a, b string) bool {
+		p, open := strings.CutSuffix(a, "*")
+		return a == "" || a == b || open && strings.HasPrefix(b, p)
+	}
+	if !wider(r.Type, other.Type) || !wider(r.Source, other.Source) || r.Subject != "" && r.Subject != other.Subject {
+		return false
+	}
+	for name, v := range r.Extensions {
+		if o, ok := other.Extensions[name]; !ok || !wider(v, o) {
+			return false
+		}
+	}
+	return true
+}
+
+// part is one part of a subject's pattern.
+type part struct {
+	text    string // equal to this, or, if open, beginning with it
+	open    bool
+	capture string // or any, captured by this name
+	rest    bool   // with all behind it
+}
+
+func subjectParts(pattern string) ([]part, error) {
+	if pattern == "" {
+		return nil, nil
+	}
+	texts := strings.Split(pattern, "/")
+	parts := make([]part, len(texts))
+	for i, t := range texts {
+		p := &parts[i]
+		inner, isCapture := strings.CutPrefix(t, "{")
+		switch {
+		case isCapture:
+			name, closed := strings.CutSuffix(inner, "}")
+			name, p.rest = strings.CutSuffix(name, "...")
+			if !closed || name == "" || strings.Trim(name, "abcdefghijklmnopqrstuvwxyz0123456789_") != "" || slices.Contains(variables, name) {
+				return nil, fmt.Errorf("%q is no capture: {name} of lower-case letters, digits and _, and none of %v", t, variables)
+			}
+			if p.rest && i < len(texts)-1 {
+				return nil, fmt.Errorf("%q stands at the end only", t)
+			}
+			p.capture = name
+		case strings.ContainsAny(t, "{}"):
+			return nil, fmt.Errorf("%q: a capture is a part by itself", t)
+		default:
+			p.text, p.open = strings.CutSuffix(t, "*")
+			if p.open && i < len(texts)-1 || strings.Contains(p.text, "*") {
+				return nil, fmt.Errorf("%q: a * stands at the end only", t)
+			}
+		}
+	}
+	return parts, nil
+}
+
+// holds is whether a condition holds for a value.
+func holds(condition, v string) bool {
+	if begin, open := strings.CutSuffix(condition, "*"); open {
+		return strings.HasPrefix(v, begin)
+	}
+	return condition == "" || condition == v
+}
+
+// match is whether all conditions hold, or the first that does not; captured is what the subject's captures are.
+func (r *Rule) match(e *cloudevents.Event) (captured map[string]string, why string) {
+	if v := e.Get("type"); !holds(r.Type, v) {
+		return nil, fmt.Sprintf("type %q is not %q", v, r.Type)
+	}
+	if v := e.Get("source"); !holds(r.Source, v) {
+		return nil, fmt.Sprintf("source %q is not %q", v, r.Source)
+	}
+	for _, name := range sortedKeys(r.Extensions) {
+		if v := e.Get(name); v == "" || !holds(r.Extensions[name], v) {
+			return nil, fmt.Sprintf("extension %s %q is not %q", name, v, r.Extensions[name])
+		}
+	}
+	if r.Subject == "" {
+		return nil, ""
+	}
+	subject := e.Get("subject")
+	parts, err := subjectParts(r.Subject)
+	if err != nil {
+		return nil, err.Error()
+	}
+	no := fmt.Sprintf("subject %q is not %q", subject, r.Subject)
+	texts := strings.Split(subject, "/")
+	captured = map[string]string{}
+	for i, p := range parts {
+		if i >= len(texts) {
+			return nil, no
+		}
+		switch {
+		case p.rest:
+			captured[p.capture] = strings.Join(texts[i:], "/")
+			if captured[p.capture] == "" {
+				return nil, no
+			}
+			return captured, ""
+		case p.capture != "":
+			if texts[i] == "" {
+				return nil, no
+			}
+			captured[p.capture] = texts[i]
+		case p.open:
+			if !strings.HasPrefix(strings.Join(texts[i:], "/"), p.text) {
+				return nil, no
+			}
+			return captured, ""
+		case p.text != texts[i]:
+			return nil, no
+		}
+	}
+	if len(texts) > len(parts) {
+		return nil, no
+	}
+	return captured, ""
+}
+
+func sortedKeys(m map[string]string) []string {
+	if len(m) == 0 {
+		return nil
+	}
+	names := make([]string, 0, len(m))
+	for n := range m {
+		names = append(names, n)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// fill puts values into a text's {names}. {{ and }} stand for braces.
+func fill(text string, value func(string) (string, bool)) (string, error) {
+	if !strings.ContainsAny(text, "{}") {
+		return text, nil
+	}
+	var b strings.Builder
+	for i := 0; i < len(text); i++ {
+		c := text[i]
+		switch {
+		case (c == '{' || c == '}') && i+1 < len(text) && text[i+1] == c:
+			b.WriteByte(c)
+			i++
+		case c == '{':
+			n := strings.IndexByte(text[i:], '}')
+			if n < 0 {
+				return "", errors.New("a { is not closed")
+			}
+			name := text[i+1 : i+n]
+			v, ok := value(name)
+			if !ok {
+				return "", fmt.Errorf("nothing is called {%s}", name)
+			}
+			b.WriteString(v)
+			i += n
+		case c == '}':
+			return "", errors.New("a } closes nothing")
+		default:
+			b.WriteByte(c)
+		}
+	}
+	return b.String(), nil
+}
+
+// Find maps an event. rule is the place of the rule that fitted, len(List) for the fallback.
+func (r *Rules) Find(e *cloudevents.Event) (t Target, rule int, err error) {
+	for i := range r.List {
+		captured, why := r.List[i].match(e)
+		if why == "" {
+			t, err := r.apply(&r.List[i], i, captured, e)
+			return t, i, err
+		}
+	}
+	if r.Fallback != nil {
+		t, err := r.apply(r.Fallback, len(r.List), nil, e)
+		return t, len(r.List), err
+	}
+	return Target{}, -1, &Refusal{-1, fmt.Sprintf("no rule fits an event of type %q, source %q, subject %q", e.Get("type"), e.Get("source"), e.Get("subject"))}
+}
+
+// Explain says of each rule up to the one that fits why it does not, and then what that one makes of the event.
+func (r *Rules) Explain(e *cloudevents.Event) []string {
+	var lines []string
+	for i := range r.List {
+		_, why := r.List[i].match(e)
+		if why == "" {
+			lines = append(lines, r.Name(i)+": fits")
+			break
+		}
+		lines = append(lines, r.Name(i)+": does not fit: "+why)
+	}
+	t, _, err := r.Find(e)
+	if err != nil {
+		return append(lines, "turned away: "+err.Error())
+	}
+	key := t.Key
+	if key == "" {
+		key = "the event's identity"
+	}
+	return append(lines, fmt.Sprintf("class %s, tenant %s, destination %d, deadline %v, key %s, order %s",
+		t.Class, orNone(t.Tenant), t.Destination, t.Deadline, key, orNone(t.Order)))
+}
+
+func orNone(s string) string {
+	if s == "" {
+		return "none"
+	}
+	return s
+}
+
+// Name is how a rule is called: by its name, or by its place.
+func (r *Rules) Name(i int) string {
+	switch {
+	case i >= len(r.List):
+		return "default"
+	case r.List[i].Name != "":
+		return "rule " + r.List[i].Name
+	}
+	return fmt.Sprintf("rule %d", i+1)
+}
+
+// apply fills in what a rule makes of an event.
+func (r *Rules) apply(rule *Rule, i int, captured map[string]string, e *cloudevents.Event) (Target, error) {
+	refuse := func(format string, args ...any) (Target, error) {
+		return Target{}, &Refusal{i, r.Name(i) + ": " + fmt.Sprintf(format, args...)}
+	}
+	if rule.Refuse != "" {
+		return refuse("%s", rule.Refuse)
+	}
+	lookup := func(name string) (string, bool) {
+		if v, ok := captured[name]; ok {
+			return v, true
+		}
+		if ext, ok := strings.CutPrefix(name, "ext."); ok {
+			name = ext
+		}
+		v := e.Get(name)
+		return v, v != ""
+	}
+	t := Target{Deadline: rule.Deadline}
+	if t.Deadline == 0 {
+		t.Deadline = r.Deadline
+	}
+	destination := ""
+	for _, f := range []struct {
+		name, text string
+		into       *string
+	}{{"class", rule.Class, &t.Class}, {"tenant", rule.Tenant, &t.Tenant}, {"destination", rule.Destination, &destination}, {"key", rule.Key, &t.Key}, {"order", rule.Order, &t.Order}} {
+		v, err := fill(f.text, lookup)
+		if err != nil {
+			return refuse("%s = %q: %v in this event", f.name, f.text, err)
+		}
+		*f.into = v
+	}
+	if n, ok := r.Destinations[destination]; ok {
+		t.Destination = n
+		return t, nil
+	}
+	n, err := strconv.ParseUint(destination, 10, 32)
+	if err != nil || n > maxDestination {
+		return refuse("destination %q is neither a number up to %d nor named in destinations", destination, maxDestination)
+	}
+	t.Destination = uint32(n)
+	return t, nil
+}
--- /dev/null
+++ b/internal/sender/batch.go
@@ -0,0 +1,108 @@
+package sender
+
+import (
+	"context"
+	"time"
+
+	"dockshift.example/dockshift/brain"
+)
+
+// Several messages travel in one call where an endpoint's form says so. The module decides each of them by itself, as
+// ever: what it sends to one endpoint in one step goes together. Each Send is still one call at the most, with its own
+// time-out; a message of which that is over ends by itself, while the call goes on for the others.
+
+// sending is one Send on its way.
+type sending struct {
+	m               *message
+	attempt         int
+	ctx             context.Context // ends with its time-out, or as it is called off
+	timeout, within time.Duration
+}
+
+// sendBatch is what goes to one endpoint in one call.
+type sendBatch struct {
+	to    *endpoint
+	all   []sending
+	bytes int
+}
+
+// batchHead is about what an event takes in a batch beside its data.
+const batchHead = 512
+
+// gather puts a Send with others to the same endpoint, as far as they fit in one call.
+func (s *Sender) gather(e *endpoint, one sending) {
+	size := batchHead + len(one.m.Body)*4/3
+	for i := range s.batches {
+		b := &s.batches[i]
+		if b.to == e && len(b.all) < e.form.BatchEvents && b.bytes+size <= e.form.BatchBytes {
+			b.all, b.bytes = append(b.all, one), b.bytes+size
+			return
+		}
+	}
+	s.batches = append(s.batches, sendBatch{e, []sending{one}, size})
+}
+
+// sendBatches begins the calls that were gathered in this step.
+func (s *Sender) sendBatches(ctx context.Context, written bool) {
+	batches := s.batches
+	s.batches = nil
+	for _, b := range batches {
+		s.sendBatch(ctx, b, written)
+	}
+}
+
+// batchEnd is how the call of a batch ended.
+type batchEnd struct {
+	end  brain.AttemptEnd
+	gone bool
+}
+
+func (s *Sender) sendBatch(ctx context.Context, b sendBatch, written bool) {
+	began := time.Now()
+	recs := make([]record, len(b.all))
+	timeout, within, longest := b.all[0].timeout, b.all[0].within, b.all[0].timeout
+	for i, one := range b.all {
+		recs[i] = one.m.record
+		timeout, within, longest = min(timeout, one.timeout), min(within, one.within), max(longest, one.timeout)
+	}
+	// The call lasts as long as one of its messages waits for it.
+	shared, cancel := context.WithTimeout(ctx, longest)
+	done := make(chan struct{})
+	var how batchEnd
+	go func() {
+		how.end = brain.AttemptEnd{Endpoint: b.to.number, Outcome: brain.NotSent}
+		if written {
+			how.end, how.gone = s.pool.call(shared, b.to, recs, timeout, within)
+		}
+		close(done)
+	}()
+	left := make(chan struct{}, len(b.all))
+	for _, one := range b.all {
+		go func() {
+			defer func() { left <- struct{}{} }()
+			end := callEnd{message: one.m, attempt: one.attempt}
+			select {
+			case <-done:
+				end.AttemptEnd, end.gone = how.end, how.gone
+			case <-one.ctx.Done():
+				select { // both at once: what came back is known
+				case <-done:
+					end.AttemptEnd, end.gone = how.end, how.gone
+				default:
+					end.AttemptEnd = brain.AttemptEnd{Endpoint: b.to.number, Outcome: brain.Cancelled}
+					if one.ctx.Err() == context.DeadlineExceeded {
+						end.Outcome = brain.TimedOut
+					}
+				}
+			}
+			end.Elapsed = time.Since(began)
+			s.post(ctx, end)
+		}()
+	}
+	go func() {
+		defer cancel()
+		for range b.all {
+			<-left
+		}
+	}()
+}
--- a/internal/sender/config.go
+++ b/internal/sender/config.go
@@ -53,6 +53,10 @@
 	Classes, Tenants, Kinds, Zones []string // names, in the order of the settings
 	Fields                         []string // of load reports
 	ConnectTimeout                 time.Duration
+
+	// What the operators' file turns on.
+	Events   *Events   // CloudEvents are taken in; nil: they are not
+	Delivery *Delivery // in which form messages go out; nil: all as in the platform's protocol
 }
 
 // LoadConfig reads the file that EDGE_CONFIG names. The other variables win over what it says.
--- /dev/null
+++ b/internal/sender/delivery.go
@@ -0,0 +1,298 @@
+package sender
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"dockshift.example/dockshift/brain"
+	"dockshift.example/dockshift/internal/cloudevents"
+)
+
+// Delivery is in which form messages go out. A nil one, and a destination that it does not name, has the platform's.
+type Delivery struct {
+	Source string // of events made of plain messages
+	Type   string // of those; {class} stands for the message's class
+	To     []To   // the first that names a destination, or its kind, is its form
+}
+
+// To is the form for some destinations.
+type To struct {
+	Destinations []uint32 // both empty: all
+	Kinds        []string
+	Form         string // "binary", "structured", "batched" or "plain"
+	Path         string // of the request; "" for the platform's
+	BatchEvents  int    // batched: events in one call, at most
+	BatchBytes   int    // and bytes of one call, at most, but for a single event
+	Validate     bool   // ask an endpoint before the first call whether it wants any (web hooks, section 4)
+	Origin       string // WebHook-Request-Origin
+	Rate         int    // WebHook-Request-Rate, requests a minute; 0: none is asked for
+}
+
+// The forms that messages go out in.
+const (
+	formPlain      = "plain"
+	formBinary     = "binary"
+	formStructured = "structured"
+	formBatched    = "batched"
+)
+
+const hookPath = "/hook"
+
+// form is how calls to an endpoint are written and their answers read.
+type form struct {
+	To
+	path  string
+	plain bool
+	d     *Delivery
+}
+
+var platformForm = &form{path: hookPath, plain: true}
+
+// forms works out the form of each endpoint, once for each To.
+type forms struct {
+	d   *Delivery
+	all []*form
+}
+
+func newForms(d *Delivery) forms {
+	f := forms{d: d}
+	if d == nil {
+		return f
+	}
+	for _, to := range d.To {
+		path := to.Path
+		if path == "" {
+			path = hookPath
+		}
+		f.all = append(f.all, &form{To: to, path: path, plain: to.Form == formPlain, d: d})
+	}
+	return f
+}
+
+// of is the form for a destination and its kind.
+func (f *forms) of(dest uint32, kind string) *form {
+	for _, one := range f.all {
+		if one.names(dest, kind) {
+			return one
+		}
+	}
+	return platformForm
+}
+
+func (t *To) names(dest uint32, kind string) bool {
+	for _, d := range t.Destinations {
+		if d == dest {
+			return true
+		}
+	}
+	for _, k := range t.Kinds {
+		if k == kind {
+			return true
+		}
+	}
+	return len(t.Destinations) == 0 && len(t.Kinds) == 0
+}
+
+// event is a message as an event. What came in as one leaves as it came, with each attribute and extension; one that
+// came plain gets stated ones, the same on every attempt.
+func (f *form) event(m *record) *cloudevents.Event {
+	if m.Event != nil {
+		e := *m.Event
+		e.Data = m.Body
+		return &e
+	}
+	e := &cloudevents.Event{Attributes: make([]cloudevents.Attribute, 0, 5)}
+	e.Set("id", m.ID)
+	e.Set("source", f.d.Source)
+	e.Set("specversion", "1.0")
+	if m.Tenant != "" {
+		e.Set("tenant", m.Tenant)
+	}
+	e.Set("type", strings.ReplaceAll(f.d.Type, "{class}", m.Class))
+	if len(m.Body) > 0 {
+		e.Form, e.Data = cloudevents.Bytes, m.Body
+	}
+	return e
+}
+
+// appendCall renders a call in the form that its endpoint has.
+func (f *form) appendCall(b []byte, ms []record, addr string, timeout time.Duration) []byte {
+	m := &ms[0]
+	if f.plain && m.Event == nil {
+		return appendRequest(b, m, addr, timeout)
+	}
+	b = append(append(append(b, "POST "...), f.path...), " HTTP/1.1\r\nHost: "...)
+	b = append(append(b, addr...), "\r\nUser-Agent: saffronyard\r\n"...)
+	if f.Form != formBatched {
+		b = append(append(append(b, "X-Request-Id: "...), m.ID...), "\r\n"...)
+		if m.Key != "" {
+			b = append(append(append(b, "Idempotency-Key: "...), m.Key...), "\r\n"...)
+		}
+	}
+	b = append(strconv.AppendInt(append(b, "X-Deadline-Ms: "...), max(1, timeout.Milliseconds()), 10), "\r\n"...)
+	if f.Validate {
+		b = append(append(append(b, "Origin: "...), f.Origin...), "\r\n"...)
+	}
+	var body []byte
+	switch f.Form {
+	case formStructured:
+		b = append(append(append(b, "Content-Type: "...), cloudevents.ContentType(cloudevents.StructuredMode)...), "\r\n"...)
+		body = f.event(m).AppendJSON(make([]byte, 0, 512+len(m.Body)*4/3))
+	case formBatched:
+		b = append(append(append(b, "Content-Type: "...), cloudevents.ContentType(cloudevents.BatchedMode)...), "\r\n"...)
+		events := make([]*cloudevents.Event, len(ms))
+		for i := range ms {
+			events[i] = f.event(&ms[i])
+		}
+		body = cloudevents.AppendBatch(nil, events)
+	default: // an event for a plain destination, too: the body is the same, and nothing of it is lost
+		b = f.event(m).AppendHeaders(b)
+		body = m.Body
+	}
+	b = strconv.AppendInt(append(b, "Content-Length: "...), int64(len(body)), 10)
+	return append(append(b, "\r\n\r\n"...), body...)
+}
+
+// delivers is whether a status says that a call was delivered: for web hooks (section 2.1) 200, 201, 202 and 204.
+func (f *form) delivers(status int) bool {
+	if f.plain {
+		return status == http.StatusOK
+	}
+	switch status {
+	case http.StatusOK, http.StatusCreated, http.StatusAccepted, http.StatusNoContent:
+		return true
+	}
+	return false
+}
+
+// read translates what a web hook says beyond the platform's words.
+func (f *form) read(resp *http.Response, end *brain.AttemptEnd, now time.Time) (gone bool) {
+	if f.plain {
+		return false
+	}
+	switch {
+	case f.delivers(resp.StatusCode):
+		end.Outcome, end.Over = brain.Served, true
+	case resp.StatusCode == http.StatusGone: // the endpoint wants no more; the message may go elsewhere
+		end.Outcome, end.Over = brain.NotSent, false
+		return true
+	case end.Outcome == brain.Refused && end.Wait == 0:
+		end.Wait = retryAfter(resp.Header.Get("Retry-After"), now)
+	}
+	return false
+}
+
+// maxRetryAfter is the longest wait that a web hook may ask for; what is beyond counts as not told.
+const maxRetryAfter = 24 * time.Hour
+
+// retryAfter reads Retry-After (RFC 9110, section 10.2.3): seconds, or a date.
+func retryAfter(text string, now time.Time) time.Duration {
+	var d time.Duration
+	if s, err := strconv.ParseFloat(text, 64); err == nil {
+		if !(s > 0 && s <= maxRetryAfter.Seconds()) {
+			return 0
+		}
+		d = time.Duration(math.Ceil(s*1000)) * time.Millisecond
+	} else if at, err := http.ParseTime(text); err == nil {
+		d = at.Sub(now)
+	}
+	if d <= 0 || d > maxRetryAfter {
+		return 0
+	}
+	return d
+}
+
+// errForbidden is that an endpoint does not want calls from us.
+var errForbidden = errors.New("the endpoint did not allow our origin")
+
+const validateTime = 2 * time.Second // an endpoint answers whether it wants calls within this
+
+// allowed asks an endpoint, before its first call, whether it wants calls from our origin and how many (web hooks,
+// section 4). One call at a time asks; the others wait for what it hears. An error is that none may be made: nothing
+// of the message has been written.
+func (p *pool) allowed(ctx context.Context, e *endpoint, f *form, within time.Duration) error {
+	if !f.Validate {
+		return nil
+	}
+	select {
+	case e.asking <- struct{}{}:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	defer func() { <-e.asking }()
+	e.mu.Lock()
+	addr, done := e.addr, e.validated == e.addr && e.addr != ""
+	e.mu.Unlock()
+	if done {
+		return nil
+	}
+	c, err := p.get(ctx, e, within)
+	if err != nil {
+		return err
+	}
+	keep := false
+	defer func() {
+		if keep {
+			p.put(e, c)
+		} else {
+			c.Close()
+		}
+	}()
+	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+	b := append(append(append(make([]byte, 0, 256), "OPTIONS "...), f.path...), " HTTP/1.1\r\nHost: "...)
+	b = append(append(b, c.addr...), "\r\nUser-Agent: saffronyard\r\nWebHook-Request-Origin: "...)
+	b = append(append(b, f.Origin...), "\r\n"...)
+	if f.Rate > 0 {
+		b = append(strconv.AppendInt(append(b, "WebHook-Request-Rate: "...), int64(f.Rate), 10), "\r\n"...)
+	}
+	b = append(b, "Content-Length: 0\r\n\r\n"...)
+	c.SetDeadline(time.Now().Add(min(validateTime, within)))
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	if _, err := c.Write(b); err != nil {
+		return fmt.Errorf("validation: %w", err)
+	}
+	c.left = maxAnswer
+	resp, err := http.ReadResponse(c.r, &http.Request{Method: http.MethodOptions})
+	if err != nil {
+		return fmt.Errorf("validation: %w", err)
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxBody+1))
+	if err != nil || n > maxBody {
+		return fmt.Errorf("validation: %w", errSpoilt)
+	}
+	if resp.StatusCode/100 != 2 {
+		return fmt.Errorf("%w: %s", errForbidden, resp.Status)
+	}
+	origins := resp.Header.Values("WebHook-Allowed-Origin")
+	if len(origins) != 1 || origins[0] != "*" && !strings.EqualFold(origins[0], f.Origin) {
+		return fmt.Errorf("%w: it allows %q", errForbidden, origins)
+	}
+	rate := 0.0
+	if text := resp.Header.Get("WebHook-Allowed-Rate"); text != "" && text != "*" {
+		// Requests a minute (section 4.2.2). What can't be a rate counts as not told.
+		if v, err := strconv.ParseUint(text, 10, 31); err == nil && v > 0 {
+			rate = float64(v) / 60
+		}
+	}
+	if !stop() {
+		return ctx.Err()
+	}
+	c.SetDeadline(time.Time{})
+	keep = !resp.Close && c.r.Buffered() == 0
+	e.mu.Lock()
+	if e.addr == addr {
+		e.validated, e.rate = addr, rate
+	}
+	e.mu.Unlock()
+	return nil
+}
--- a/internal/sender/endpoints.go
+++ b/internal/sender/endpoints.go
@@ -33,9 +33,15 @@
 	line   brain.Endpoint // as the Brain was last told
 	listed uint64         // the last list that named it
 
-	mu   sync.Mutex
-	addr string
-	idle []*conn // the one used last at the end
+	form   *form         // of calls there
+	gone   bool          // it wants no more, until the list says that it is not serving
+	asking chan struct{} // room for the one that asks whether calls are wanted
+
+	mu        sync.Mutex
+	addr      string
+	idle      []*conn // the one used last at the end
+	validated string  // the address that wants calls, as far as that was asked
+	rate      float64 // calls a second that it allows; 0: not told
 }
 
 type conn struct {
@@ -52,6 +58,7 @@
 	most           int64         // idle ones kept in all: the descriptors are few
 	idle           atomic.Int64
 	fields         []string
+	forms          forms
 	dialer         net.Dialer
 
 	mu      sync.Mutex             // taken within an endpoint's
@@ -62,7 +69,7 @@
 	// An endpoint closes an idle connection at IdleConnections at the latest, and what is written to one
 	// that it has closed is a reset that may have run: ours are closed a good deal before.
 	return &pool{connectTimeout: c.ConnectTimeout, keep: c.Settings.IdleConnections * 9 / 10,
-		most: int64(c.Limits.calls() - c.Settings.Slots), fields: c.Fields, holding: map[*endpoint]struct{}{}}
+		most: int64(c.Limits.calls() - c.Settings.Slots), fields: c.Fields, forms: newForms(c.Delivery), holding: map[*endpoint]struct{}{}}
 }
 
 // get takes the idle connection used last, or opens one, which is up within a time.
@@ -174,6 +181,7 @@
 	message *message
 	attempt int
 	brain.AttemptEnd
+	gone bool // the endpoint wants no more calls
 }
 
 // appendRequest renders one call. Names hold plain ASCII only: they were read from one header line each.
@@ -192,11 +200,21 @@
 // call whose last byte has come. ctx ends it early, its deadline being the time-out. What is not written within
 // a time is not sent: a connection may take seconds to come up, and a repeat is lawful only while its key is
 // remembered.
-func (p *pool) call(ctx context.Context, e *endpoint, m record, timeout, within time.Duration) brain.AttemptEnd {
+//
+// In a form that takes several messages in one call, m are those that this one carries.
+func (p *pool) call(ctx context.Context, e *endpoint, m []record, timeout, within time.Duration) (end brain.AttemptEnd, gone bool) {
 	began := time.Now()
-	end := brain.AttemptEnd{Endpoint: e.number, Outcome: brain.ConnectFailed}
+	f := e.form
+	if f == nil {
+		f = platformForm
+	}
+	end = brain.AttemptEnd{Endpoint: e.number, Outcome: brain.ConnectFailed}
 	// Nothing has been written yet: however it fails up to the last byte, the call never ran.
-	c, err := p.get(ctx, e, within)
+	var c *conn
+	err := p.allowed(ctx, e, f, within)
+	if err == nil {
+		c, err = p.get(ctx, e, within-time.Since(began))
+	}
 	late := time.Since(began) >= within
 	if late || err != nil && shortage(err) {
 		end.Outcome = brain.NotSent // for no fault of the endpoint's
@@ -205,18 +223,19 @@
 		p.put(e, c)
 	}
 	if late || err != nil {
-		return end
+		return end, false
 	}
 	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
-	if _, err = c.Write(appendRequest(make([]byte, 0, 512+len(m.Body)), &m, c.addr, timeout)); err != nil {
+	if _, err = c.Write(f.appendCall(make([]byte, 0, 512+len(m[0].Body)), m, c.addr, timeout)); err != nil {
 		c.Close()
-		return end
+		return end, false
 	}
-	reusable, err := p.answer(ctx, c, &end)
+	reusable, gone, err := p.answer(ctx, c, f, &end)
+	e.told(f, &end)
 	if err == nil && reusable && stop() {
 		p.put(e, c)
-		return end
+		return end, gone
 	}
 	c.Close()
 	if err != nil {
@@ -233,7 +252,20 @@
 			end.Outcome = brain.Broken
 		}
 	}
-	return end
+	return end, gone
+}
+
+// told adds the rate that an endpoint allows to a call's end, which has no figures of its own: the module decides
+// what it makes of that.
+func (e *endpoint) told(f *form, end *brain.AttemptEnd) {
+	if !f.Validate || end.Reported {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.rate > 0 {
+		end.Reported, end.Left, end.Limit = true, 1, e.rate
+	}
 }
 
 const (
@@ -255,33 +287,34 @@
 // as a whole: a spoilt one, which comes from an endpoint that has run the call, may read as a refusal, and
 // says nothing but that the call may have run. Once it has begun, the rest gets restTime: a body that keeps
 // coming, or a head without end, must not hold the slot and the outcome until the time-out.
-func (p *pool) answer(ctx context.Context, c *conn, end *brain.AttemptEnd) (reusable bool, err error) {
+func (p *pool) answer(ctx context.Context, c *conn, f *form, end *brain.AttemptEnd) (reusable, gone bool, err error) {
 	c.left = maxAnswer
 	for range maxInterim {
 		status, err := c.status(ctx)
 		if err != nil {
-			return false, err
+			return false, false, err
 		}
-		served := status == http.StatusOK
+		served := f.delivers(status)
 		if served {
 			end.Outcome, end.Over = brain.Served, true
 		}
 		resp, err := http.ReadResponse(c.r, &http.Request{Method: http.MethodPost})
 		if err != nil || status == http.StatusSwitchingProtocols { // the latter nobody asked for
-			return false, spoilt(served)
+			return false, false, spoilt(served)
 		}
 		if status < 200 {
 			continue
 		}
 		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxBody+1))
 		if err != nil || n > maxBody {
-			return false, spoilt(served)
+			return false, false, spoilt(served)
 		}
 		p.read(resp, end)
+		gone := f.read(resp, end, time.Now())
 		// What stands behind an answer would be read as the next one.
-		return !resp.Close && c.r.Buffered() == 0, nil
+		return !resp.Close && c.r.Buffered() == 0, gone, nil
 	}
-	return false, errSpoilt
+	return false, false, errSpoilt
 }
 
 // spoilt is what becomes of an answer that goes wrong behind its status line.
@@ -455,12 +488,24 @@
 	p.closeIdle(e, 0)
 }
 
+// retire books that an endpoint wants no more calls: as if the list had said so, until it does and takes that back.
+func (l *endpoints) retire(e *endpoint, p *pool) (news brain.ListNews, changed bool) {
+	if e == nil || e.gone || l.byID[e.id] != e {
+		return news, false
+	}
+	e.gone = true
+	changed = e.line.Ready
+	e.line.Ready = false
+	p.closeIdle(e, 0)
+	return brain.ListNews{Endpoints: []brain.Endpoint{e.line}}, changed
+}
+
 // line books a line of the list and translates it for the Brain; changed is whether that has to hear of it.
 func (l *endpoints) line(t Target, c *Config, p *pool) (line brain.Endpoint, changed bool) {
 	e := l.byID[t.ID]
 	if e == nil {
 		l.last++
-		e = &endpoint{number: l.last, id: t.ID}
+		e = &endpoint{number: l.last, id: t.ID, asking: make(chan struct{}, 1)}
 		l.byID[t.ID], l.byNumber[e.number] = e, e
 		changed = true
 	}
@@ -469,7 +514,11 @@
 		l.cells[t.Cell] = struct{}{}
 	}
 	e.zone = place(c.Zones, t.Zone, 0)
-	ready := t.State == "SERVING"
+	e.form = p.forms.of(t.Cell, t.Kind)
+	if t.State != "SERVING" {
+		e.gone = false
+	}
+	ready := t.State == "SERVING" && !e.gone
 	e.mu.Lock()
 	if t.Addr != "" {
 		e.addr = t.Addr
--- a/internal/sender/endpoints_test.go
+++ b/internal/sender/endpoints_test.go
@@ -23,7 +23,8 @@
 func callOnce(p *pool, e *endpoint, timeout time.Duration, body string) brain.AttemptEnd {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	return p.call(ctx, e, record{ID: "id", Key: "key", Body: []byte(body)}, timeout, timeout)
+	end, _ := p.call(ctx, e, []record{{ID: "id", Key: "key", Body: []byte(body)}}, timeout, timeout)
+	return end
 }
 
 func TestOutcomes(t *testing.T) {
@@ -285,7 +286,10 @@
 	st.Receive(t, closed)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan brain.AttemptEnd, 1)
-	go func() { ended <- p.call(ctx, at, record{ID: "id"}, st.Wait, st.Wait) }()
+	go func() {
+		end, _ := p.call(ctx, at, []record{{ID: "id"}}, st.Wait, st.Wait)
+		ended <- end
+	}()
 	e.Next(t)
 	e.Next(t)
 	cancel()
--- a/internal/sender/journal.go
+++ b/internal/sender/journal.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"dockshift.example/dockshift/brain"
+	"dockshift.example/dockshift/internal/cloudevents"
 )
 
 // The journal is one file of lines, each a checksum and a JSON record. A process that is killed leaves at
@@ -51,7 +52,10 @@
 	Dest     uint32        `json:"dest,omitempty"`
 	Deadline time.Duration `json:"deadline,omitempty"`
 	Body     []byte        `json:"body,omitempty"`
-	Tries    []try         `json:"tries,omitempty"`
+	// Of a message that came as an event: its attributes, its data being the body, and its identity.
+	Event *cloudevents.Event `json:"event,omitempty"`
+	Ident *ident             `json:"ident,omitempty"`
+	Tries []try              `json:"tries,omitempty"`
 
 	Try int `json:"try,omitempty"` // end: which attempt, from 0
 	// send: the new attempt; end: that it never ran
@@ -99,7 +103,7 @@
 			m.Tries[r.Try].Never = r.Never
 		}
 	case "over":
-		m.how, m.retry, m.Body = r.How, r.RetryMS, nil
+		m.how, m.retry, m.Body, m.Event = r.How, r.RetryMS, nil, nil
 	}
 }
 
@@ -265,6 +269,13 @@
 		b = base64.StdEncoding.AppendEncode(append(b, `,"body":"`...), r.Body)
 		b = append(b, '"')
 	}
+	if r.Event != nil {
+		b = r.Event.AppendHead(append(b, `,"event":`...))
+	}
+	if r.Ident != nil {
+		b = r.Ident.append(append(b, `,"ident":"`...))
+		b = append(b, '"')
+	}
 	for i := range r.Tries {
 		if i == 0 {
 			b = append(b, `,"tries":[`...)
@@ -323,7 +334,7 @@
 	if j.byID[m.ID] == m {
 		delete(j.byID, m.ID)
 		j.live -= m.cost
-		m.Body = nil
+		m.Body, m.Event = nil, nil
 		if j.ended++; j.ended > len(j.order)/2+256 {
 			j.order = j.held()
 		}
--- a/internal/sender/loop.go
+++ b/internal/sender/loop.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"dockshift.example/dockshift/brain"
+	"dockshift.example/dockshift/internal/identity"
 )
 
 const (
@@ -32,10 +33,11 @@
 type message struct {
 	*stored
 	number brain.MessageID
-	base   int             // attempts made by earlier processes
-	sends  int             // and by this one
-	answer chan answerLine // its client still waits; nil once answered
-	calls  calls           // out
+	base   int               // attempts made by earlier processes
+	sends  int               // and by this one
+	answer chan answerLine   // its client still waits; nil once answered
+	also   []chan answerLine // and others, that handed in the same event meanwhile
+	calls  calls             // out
 	ended  bool
 }
 
@@ -81,6 +83,7 @@
 	telling  bool     // a batch of them is out
 	messages map[brain.MessageID]*message
 	byID     map[string]*message
+	ends     *eventBooks // nil where no events are taken in
 	last     brain.MessageID
 	held     int // messages taken on that have not ended
 	out      int // calls out
@@ -88,6 +91,7 @@
 	quitting bool // no more steps: what comes in is only written down
 
 	answers   []owedAnswer  // of messages that this step ends, to be given once that is written down
+	batches   []sendBatch   // calls that this step begins with several messages
 	withdrawn []brain.Event // of messages that could not be written down, for the next step
 
 	grace, leaveAfter time.Duration
@@ -107,7 +111,14 @@
 
 // New opens the journal; Run does the rest.
 func New(c *Config, log *slog.Logger) (*Sender, error) {
-	j, err := openJournal(c.State, int64(c.Limits.DiskMB*1e6*journalPart))
+	if err := c.CheckRules(); err != nil {
+		return nil, err
+	}
+	room, err := c.journalRoom()
+	if err != nil {
+		return nil, err
+	}
+	j, err := openJournal(c.State, room)
 	if err != nil {
 		return nil, err
 	}
@@ -118,6 +129,9 @@
 	if j.failed {
 		log.Warn("the journal can't be written: nothing is taken on until it can", "folder", c.State)
 	}
+	if s.ends, err = openEvents(c, s.clock.now()); err != nil {
+		return nil, err
+	}
 	s.server = newServer(c, s.clock, log, func(ctx context.Context, sub submission) bool { return s.post(ctx, sub) })
 	return s, nil
 }
@@ -217,7 +231,7 @@
 	stop()
 	s.server.close()
 	s.log.Info("stopped", "held", s.held, "calls", s.out, "notices", len(s.owed))
-	return s.journal.close()
+	return errors.Join(s.ends.close(), s.journal.close())
 }
 
 // resume hands the Brain what an earlier process left, before any client is heard. The list in the
@@ -231,14 +245,19 @@
 		events = append(events, s.take(e))
 	case <-time.After(firstList):
 	}
+	now := s.clock.now()
 	for dest, rate := range s.journal.rates {
 		events = append(events, brain.Earlier{Destination: brain.DestinationID(dest), Rate: rate})
 	}
-	for _, m := range s.journal.order {
+	for _, m := range s.journal.held() {
 		if m.how != "" {
 			s.owed = append(s.owed, m.notice())
 			continue
 		}
+		if s.ends.resumed(now, m) {
+			s.journal.note(m, record{Op: "over", How: delivered})
+			continue
+		}
 		first, may := m.firstRun()
 		events = append(events, brain.Message{ID: s.hold(m, nil), Class: place(s.c.Classes, m.Class, -1),
 			Tenant: place(s.c.Tenants, m.Tenant, -1), Destination: brain.DestinationID(m.Dest), Key: m.orderKey(), Deadline: m.Deadline,
@@ -252,6 +271,7 @@
 	s.last++
 	m := &message{stored: st, number: s.last, base: len(st.Tries), answer: answer}
 	s.messages[m.number], s.byID[st.ID] = m, m
+	s.ends.hold(m)
 	s.held++
 	return m.number
 }
@@ -308,26 +328,44 @@
 // has not been sent, so its client may come again.
 func (s *Sender) submitted(sub submission) brain.Event {
 	refuse := func(why string) brain.Event {
-		sub.answer <- answerLine{http.StatusServiceUnavailable, s.c.Settings.MaxHoldOff, why}
+		sub.answer <- answerLine{status: http.StatusServiceUnavailable, retry: s.c.Settings.MaxHoldOff, text: why}
 		return nil
 	}
 	if s.quitting {
 		return refuse("shutting down")
 	}
+	if sub.Ident != nil && s.known(sub) {
+		return nil
+	}
 	if s.journal.byID[sub.ID] != nil { // handed in twice: it is ours already
+		if sub.Ident != nil { // it is not: its event would be lost
+			sub.answer <- answerLine{status: http.StatusConflict, text: "X-Request-Id is another message's"}
+			return nil
+		}
 		sub.answer <- answerLine{status: http.StatusAccepted}
 		return nil
 	}
 	// A destination without endpoints just now may get some; one that no list has ever named does not exist.
 	if _, known := s.list.cells[sub.Dest]; !known && len(s.list.cells) > 0 {
-		sub.answer <- answerLine{http.StatusBadRequest, 0, "X-Addressing names a destination that does not exist"}
+		if sub.Ident != nil {
+			sub.answer <- answerLine{status: http.StatusUnprocessableEntity, text: fmt.Sprintf("destination %d does not exist", sub.Dest)}
+		} else {
+			sub.answer <- answerLine{status: http.StatusBadRequest, text: "X-Addressing names a destination that does not exist"}
+		}
 		return nil
 	}
 	if most := s.c.Settings.MostHeld; most > 0 && s.held >= most {
 		return refuse("all room for messages is taken")
 	}
+	if sub.Ident != nil {
+		if ok, why, after := s.ends.reserve(s.clock.now()); !ok {
+			sub.answer <- answerLine{status: http.StatusServiceUnavailable, retry: after, text: why}
+			return nil
+		}
+	}
 	st, err := s.journal.put(sub.record)
 	if err != nil {
+		s.ends.release(sub.Ident)
 		return refuse("no room to keep the message")
 	}
 	return brain.Message{ID: s.hold(st, sub.answer), Class: sub.class, Tenant: sub.tenant,
@@ -344,11 +382,20 @@
 		// reset when it is back: each would cost a further call its time-out. Those used since may stay.
 		s.pool.closeIdle(s.list.byNumber[e.Endpoint], e.Elapsed)
 	}
+	if e.gone {
+		at := s.list.byNumber[e.Endpoint]
+		if news, changed := s.list.retire(at, s.pool); changed {
+			s.log.Info("an endpoint wants no more calls", "endpoint", at.id)
+			s.withdrawn = append(s.withdrawn, news) // with this call's end, or the next would go there
+		}
+	}
 	if !m.ended {
 		switch {
 		case e.Outcome == brain.Served:
+			s.ends.end(m, s.clock.now(), identity.Delivered, 0)
 			s.end(m, record{How: delivered})
 		case e.Over:
+			s.ends.end(m, s.clock.now(), identity.Failed, 0)
 			s.end(m, record{How: answered})
 		default:
 			never := e.Outcome == brain.Refused || e.Outcome == brain.ConnectFailed || e.Outcome == brain.NotSent
@@ -380,6 +427,10 @@
 
 // flush writes the journal. What fails here fails again at the next message, which is refused.
 func (s *Sender) flush() bool {
+	// How an event ended is written before the journal forgets it: between the two it is held, and known as over.
+	if err := s.ends.flush(); err != nil {
+		s.log.Warn("ends of events", "err", err)
+	}
 	err := s.journal.flush()
 	if err != nil {
 		s.log.Warn("journal", "err", err)
@@ -416,7 +467,7 @@
 		if e, ok := e.(brain.Message); ok {
 			switch m := s.messages[e.ID]; {
 			case written:
-				s.reply(m, answerLine{status: http.StatusAccepted})
+				s.accept(m)
 			case m != nil && m.answer != nil: // not on the disk, so not taken on
 				unwritten = append(unwritten, m)
 			}
@@ -443,26 +494,40 @@
 			s.log.Info(a.Line)
 		}
 	}
+	s.sendBatches(ctx, written)
 	for _, m := range unwritten {
 		s.drop(m)
 	}
 	s.tell()
 }
 
+// accept tells the client of m that it is taken on; one that handed in an event hears under which id.
+func (s *Sender) accept(m *message) {
+	a := answerLine{status: http.StatusAccepted}
+	if m != nil && m.Ident != nil {
+		a.id = m.ID
+	}
+	s.reply(m, a)
+}
+
 // reply answers the client of m, if it still waits.
 func (s *Sender) reply(m *message, a answerLine) bool {
 	if m == nil || m.answer == nil {
 		return false
 	}
 	m.answer <- a
-	m.answer = nil
+	for _, also := range m.also {
+		also <- a
+	}
+	m.answer, m.also = nil, nil
 	return true
 }
 
 // drop refuses a message that could not be written down. The Brain hears so with the next batch; a call that
 // it has decided on is not made either, and ends as not sent.
 func (s *Sender) drop(m *message) {
-	s.reply(m, answerLine{http.StatusServiceUnavailable, s.c.Settings.MaxHoldOff, "no room to keep the message"})
+	s.reply(m, answerLine{status: http.StatusServiceUnavailable, retry: s.c.Settings.MaxHoldOff, text: "no room to keep the message"})
+	s.ends.dropped(m)
 	s.journal.remove(m.stored)
 	m.ended = true
 	s.held--
@@ -477,9 +542,20 @@
 	if m == nil || m.ended {
 		return
 	}
-	if m.answer != nil { // it hears once this is written down
-		s.answers = append(s.answers, owedAnswer{m.answer, answerLine{status, hold, how}})
-		m.answer = nil
+	taken := m.answer == nil
+	switch {
+	case how == givenUp:
+		s.ends.end(m, s.clock.now(), identity.Failed, 0)
+	case taken:
+		s.ends.end(m, s.clock.now(), identity.HandedBack, hold)
+	default: // refused in its answer: it was never taken on
+		s.ends.dropped(m)
+	}
+	if !taken { // it hears once this is written down
+		for _, to := range append(m.also, m.answer) {
+			s.answers = append(s.answers, owedAnswer{to, answerLine{status: status, retry: hold, text: how}})
+		}
+		m.answer, m.also = nil, nil
 		s.end(m, record{How: answered})
 	} else {
 		s.end(m, record{How: how, RetryMS: hold.Milliseconds()})
@@ -518,14 +594,19 @@
 	call, cancel := context.WithTimeout(ctx, a.Timeout)
 	m.calls = append(m.calls, outCall{attempt, cancel})
 	s.out++
-	began, rec := time.Now(), m.record // a copy: the loop may drop the body meanwhile
+	one := sending{m, attempt, call, a.Timeout, within}
+	if e.form.Form == formBatched {
+		s.gather(e, one)
+		return
+	}
+	began, rec := time.Now(), []record{m.record} // a copy: the loop may drop the body meanwhile
 	go func() {
-		end := brain.AttemptEnd{Endpoint: e.number, Outcome: brain.NotSent}
+		end, gone := brain.AttemptEnd{Endpoint: e.number, Outcome: brain.NotSent}, false
 		if written {
-			end = s.pool.call(call, e, rec, a.Timeout, within)
+			end, gone = s.pool.call(call, e, rec, a.Timeout, within)
 		}
 		end.Elapsed = time.Since(began)
-		s.post(ctx, callEnd{m, attempt, end})
+		s.post(ctx, callEnd{m, attempt, end, gone})
 	}()
 }
 
--- a/internal/sender/repeat_test.go
+++ b/internal/sender/repeat_test.go
@@ -57,7 +57,8 @@
 	call := func(within time.Duration) brain.AttemptEnd {
 		ctx, cancel := context.WithTimeout(context.Background(), st.Wait)
 		defer cancel()
-		return p.call(ctx, at, record{ID: "id"}, st.Wait, within)
+		end, _ := p.call(ctx, at, []record{{ID: "id"}}, st.Wait, within)
+		return end
 	}
 	if end := call(0); end.Outcome != brain.NotSent {
 		t.Errorf("with no time at all: %+v", end)
--- a/internal/sender/server.go
+++ b/internal/sender/server.go
@@ -56,6 +56,8 @@
 	status int
 	retry  time.Duration // Retry-After of a refusal, 0 for the usual
 	text   string
+	kind   string // its Content-Type, "" for plain text
+	id     string // of the message, where its client can't know it
 }
 
 // refusal is an error that a client is answered with.
@@ -101,6 +103,7 @@
 	most    int // connections at once: the other descriptors are for calls and files
 	idles   int // those of them that may wait for a further request
 	submit  func(context.Context, submission) bool
+	paths   map[string]front
 	ready   atomic.Bool
 	closing atomic.Bool     // answers say that the connection ends
 	ended   context.Context // no answer is waited for any more
@@ -120,6 +123,7 @@
 	s := &server{c: c, clock: k, log: log, most: c.Limits.clients(), idles: c.Limits.idleClients(), submit: submit,
 		freed: make(chan struct{}, 1), clients: map[*client]struct{}{}}
 	s.ended, s.end = context.WithCancel(context.Background())
+	s.paths = s.fronts()
 	return s
 }
 
@@ -317,14 +321,21 @@
 			}
 		}
 		c.SetReadDeadline(until)
-		r, sub, err := s.request(c)
+		r, hand, body, err := s.request(c)
 		if err != nil {
 			s.refuse(c, err)
 			return
 		}
 		arrived := s.clock.now()
 		s.become(c, answering)
-		answer := s.answer(r, sub, arrived)
+		var subs []submission
+		if hand != nil {
+			if subs, err = hand.take(body, arrived); err != nil {
+				s.refuse(c, err)
+				return
+			}
+		}
+		answer := s.answer(r, hand, subs)
 		stays := !r.Close && r.ProtoAtLeast(1, 1) && !s.closing.Load() && answer.status/100 != 4 && s.mayStay(c)
 		if !write(c, answer, !stays) || !stays {
 			return
@@ -348,60 +359,64 @@
 	return err == nil
 }
 
-// request reads one request whole, and if it hands in a message, that. Nothing of one that is not sound goes
+// request reads one request whole, and whose it is, if it hands in something. Nothing of one that is not sound goes
 // further than here; what it leaves unread is not read as a further request, as the connection ends.
-func (s *server) request(c *client) (*http.Request, *submission, error) {
+func (s *server) request(c *client) (*http.Request, handIn, []byte, error) {
 	r, err := http.ReadRequest(c.r)
+	var f front
+	most := int64(maxBody)
+	if err == nil {
+		if f = s.paths[r.URL.Path]; f != nil {
+			most = f.most()
+		}
+	}
 	switch {
 	case err != nil && c.left <= 0: // whatever the parser makes of a line that was cut there
-		return nil, nil, errLongHead
+		return nil, nil, nil, errLongHead
 	case err != nil && errors.As(err, new(net.Error)):
-		return nil, nil, err
+		return nil, nil, nil, err
 	case err != nil:
-		return nil, nil, bad("the request can't be read: %v", err)
+		return nil, nil, nil, bad("the request can't be read: %v", err)
 	// net/http takes the length from the one and forgets the other: what a peer that heeds the other took
 	// for the body would be read as the next request, and a message hidden there would be sent on.
 	case len(r.TransferEncoding) > 0 || r.Header.Get("Transfer-Encoding") != "":
-		return nil, nil, bad("requests come with a Content-Length, not with a Transfer-Encoding")
+		return nil, nil, nil, bad("requests come with a Content-Length, not with a Transfer-Encoding")
 	case !soundNames(r.Header):
-		return nil, nil, bad("a header's name is not a word")
+		return nil, nil, nil, bad("a header's name is not a word")
 	case r.Host == "" && r.ProtoAtLeast(1, 1):
-		return nil, nil, bad("Host is missing")
-	case r.ContentLength > maxBody:
-		return nil, nil, &refusal{http.StatusRequestEntityTooLarge, fmt.Sprintf("the body is over %d bytes", maxBody)}
+		return nil, nil, nil, bad("Host is missing")
+	case r.ContentLength > most:
+		return nil, nil, nil, &refusal{http.StatusRequestEntityTooLarge, fmt.Sprintf("the body is over %d bytes", most)}
 	}
-	var sub *submission
+	var hand handIn
 	switch path := r.URL.Path; {
-	case path == "/api" && r.Method == http.MethodPost:
-		if sub, err = s.parse(r); err != nil {
-			return nil, nil, err
+	case f != nil && r.Method == http.MethodPost:
+		if hand, err = f.begin(r); err != nil {
+			return nil, nil, nil, err
 		}
-	case path == "/api":
-		return nil, nil, &refusal{http.StatusMethodNotAllowed, "messages are handed in with POST"}
+	case f != nil:
+		return nil, nil, nil, &refusal{http.StatusMethodNotAllowed, "messages are handed in with POST"}
 	case path != readyPath && path != healthPath:
-		return nil, nil, &refusal{http.StatusNotFound, "there is nothing here"}
+		return nil, nil, nil, &refusal{http.StatusNotFound, "there is nothing here"}
 	case r.Method != http.MethodGet:
-		return nil, nil, &refusal{http.StatusMethodNotAllowed, "this is asked with GET"}
+		return nil, nil, nil, &refusal{http.StatusMethodNotAllowed, "this is asked with GET"}
 	}
 	if r.ContentLength > 0 && strings.EqualFold(r.Header.Get("Expect"), "100-continue") {
 		if _, err := io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
-			return nil, nil, err
+			return nil, nil, nil, err
 		}
 	}
-	c.left = maxBody + 1
+	c.left = int(most) + 1
 	body, err := readBody(r)
 	if err != nil {
-		return nil, nil, fmt.Errorf("the body does not come whole: %w", err)
+		return nil, nil, nil, fmt.Errorf("the body does not come whole: %w", err)
 	}
 	// A client waits for its answer before it sends more. What stands behind a body of which the length is
 	// wrong is the rest of it: the message would go out cut short.
 	if c.r.Buffered() > 0 || !quiet(c.Conn) && !ending(c) {
-		return nil, nil, bad("more comes than the Content-Length says")
-	}
-	if sub != nil {
-		sub.Body = body
+		return nil, nil, nil, bad("more comes than the Content-Length says")
 	}
-	return r, sub, nil
+	return r, hand, body, nil
 }
 
 // readBody reads a body whole. What a long one takes is given to it as it comes: its length is only said.
@@ -435,22 +450,29 @@
 }
 
 // answer finds the answer to a request that has come whole.
-func (s *server) answer(r *http.Request, sub *submission, arrived time.Duration) answerLine {
-	if sub == nil {
+func (s *server) answer(r *http.Request, hand handIn, subs []submission) answerLine {
+	if hand == nil {
 		if r.URL.Path == readyPath && (!s.ready.Load() || s.closing.Load()) {
-			return answerLine{http.StatusServiceUnavailable, 0, "not ready"}
+			return answerLine{status: http.StatusServiceUnavailable, text: "not ready"}
 		}
 		return answerLine{status: http.StatusOK}
 	}
-	sub.Deadline += arrived
-	if s.submit(s.ended, *sub) {
+	var room [1]answerLine
+	all := append(room[:0], make([]answerLine, len(subs))...)
+	handed := 0
+	for ; handed < len(subs) && s.submit(s.ended, subs[handed]); handed++ {
+	}
+	for i := range subs {
+		all[i] = answerLine{status: http.StatusServiceUnavailable, text: "shutting down"}
+		if i >= handed {
+			continue
+		}
 		select {
-		case a := <-sub.answer:
-			return a
+		case all[i] = <-subs[i].answer:
 		case <-s.ended.Done():
 		}
 	}
-	return answerLine{http.StatusServiceUnavailable, 0, "shutting down"}
+	return hand.answer(all)
 }
 
 // refuse answers a request that can't be used, as far as there is somebody to answer, and waits a little for
@@ -466,7 +488,7 @@
 	default:
 		return
 	}
-	if !write(c, answerLine{r.status, 0, r.text}, true) {
+	if !write(c, answerLine{status: r.status, text: r.text}, true) {
 		return
 	}
 	if tc, ok := c.Conn.(*net.TCPConn); ok {
@@ -491,10 +513,18 @@
 		}
 		b = strconv.AppendFloat(append(b, "\r\nRetry-After: "...), a.retry.Seconds(), 'f', 3, 64)
 	}
+	if a.id != "" {
+		b = append(append(b, "\r\nX-Request-Id: "...), a.id...)
+	}
 	if a.text == "" {
 		b = append(b, "\r\nContent-Length: 0\r\n\r\n"...)
 	} else {
-		b = strconv.AppendInt(append(b, "\r\nContent-Type: text/plain; charset=utf-8\r\nContent-Length: "...), int64(len(a.text)+1), 10)
+		kind := a.kind
+		if kind == "" {
+			kind = "text/plain; charset=utf-8"
+		}
+		b = append(append(append(b, "\r\nContent-Type: "...), kind...), "\r\nContent-Length: "...)
+		b = strconv.AppendInt(b, int64(len(a.text)+1), 10)
 		b = append(append(append(b, "\r\n\r\n"...), a.text...), '\n')
 	}
 	c.SetWriteDeadline(time.Now().Add(answerWrite))
--- a/internal/sendertest/platform.go
+++ b/internal/sendertest/platform.go
@@ -24,6 +24,7 @@
 	ID, Key, Body string
 	Header        http.Header
 	Conn          int // which connection it came on, from 1
+	Method, Path  string
 }
 
 // Endpoint is a destination's endpoint. Answer gets each whole call and the connection to answer on; if it
@@ -80,7 +81,7 @@
 		if err != nil {
 			return
 		}
-		call := Call{req.Header.Get("X-Request-Id"), req.Header.Get("Idempotency-Key"), string(body), req.Header, n}
+		call := Call{req.Header.Get("X-Request-Id"), req.Header.Get("Idempotency-Key"), string(body), req.Header, n, req.Method, req.URL.Path}
 		e.Calls <- call
 		if !answer(call, c) {
 			return
