The rehearsal kit speaks CloudEvents: clients, receivers, a comparison of forms, and what they cost

Need: the same answers and figures for plain and CloudEvents traffic have to be shown, with every trouble the kit has.

--- /dev/null
+++ b/cmd/rehearse/compare.go
@@ -0,0 +1,254 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+
+	"dockshift.example/dockshift/internal/rehearsal/day"
+	"dockshift.example/dockshift/internal/rehearsal/eventlog"
+	"dockshift.example/dockshift/internal/rehearsal/form"
+	"dockshift.example/dockshift/internal/rehearsal/judge"
+	"dockshift.example/dockshift/internal/rehearsal/report"
+	"dockshift.example/dockshift/internal/rehearsal/script"
+)
+
+// variant is one way to speak on a day.
+type variant struct {
+	name  string
+	speak form.Form
+	calls []form.Form // of the kinds of receivers, in turns
+}
+
+// variants is how a day is compared: plain as often as asked, for its spread, then each form in and out, and all mixed.
+func variants(plain int) []variant {
+	var all []variant
+	for range plain {
+		all = append(all, variant{"plain", form.Plain, []form.Form{form.Plain}})
+	}
+	for _, f := range []form.Form{form.Binary, form.Structured, form.Batched} {
+		all = append(all, variant{string(f), f, []form.Form{f}})
+	}
+	return append(all, variant{"mixed", form.Mixed, []form.Form{form.Binary, form.Plain, form.Batched, form.Structured}})
+}
+
+// over gives a day's script the variant's forms. The kinds of a script that names none are the usual ones.
+func (v variant) over(s script.Script) (*script.Script, error) {
+	d := *s.Day
+	d.Speak = v.speak
+	s.Day = &d
+	s.Kinds = slices.Clone(s.Kinds)
+	if len(s.Kinds) == 0 {
+		usual, err := script.UsualKinds()
+		if err != nil {
+			return nil, err
+		}
+		s.Kinds = usual
+	}
+	for i := range s.Kinds {
+		s.Kinds[i].Form = v.calls[i%len(v.calls)]
+	}
+	return &s, nil
+}
+
+// played is what a variant's day came to.
+type played struct {
+	variant
+	verdict judge.Report
+	sum     report.Summary
+	answers map[string]int    // first answers by status
+	first   map[string]string // each message's first answer and its end
+	use     day.Usage
+}
+
+// fates finds of each message how its first hand-in was answered, and how it ended.
+func (p *played) fates(events []eventlog.Event) {
+	p.answers, p.first = map[string]int{}, map[string]string{}
+	msg, answered, ends := map[string]string{}, map[string]string{}, map[string]string{}
+	for _, e := range eventlog.Day(events) {
+		switch e.Kind {
+		case eventlog.HandIn:
+			msg[e.ID] = e.Msg
+		case eventlog.Answer:
+			if m := msg[e.ID]; answered[m] == "" {
+				status := e.Status
+				if status == 200 { // taken on, as 202 is; and delivered by then
+					status = 202
+				}
+				answered[m] = fmt.Sprint(status)
+				p.answers[answered[m]]++
+			}
+		case eventlog.Done:
+			if m := msg[e.ID]; e.Status == 200 {
+				ends[m] = "delivered"
+			}
+		case eventlog.Notice:
+			if m := msg[e.ID]; ends[m] == "" && e.Outcome == "given_up" {
+				ends[m] = e.Outcome
+			}
+		}
+	}
+	for m, a := range answered {
+		p.first[m] = a + " " + ends[m]
+	}
+}
+
+// differ is how many messages had another fate.
+func (p *played) differ(q *played) int {
+	n := 0
+	for m, f := range p.first {
+		if q.first[m] != f {
+			n++
+		}
+	}
+	return n
+}
+
+func compare(ctx context.Context, args []string, out, errs io.Writer) (int, error) {
+	f := flags("compare [DAY.toml ...]", errs)
+	program := f.String("sender", "", "the sender's `program`; by default the one beside this program, or built from the sources")
+	plain := f.Int("plain", 2, "plain runs, of which the spread is the measure; at least 2")
+	tries := f.Int("tries", 3, "an inconclusive day is played again, so many `times` in all")
+	slack := f.Float64("slack", 0.01, "a share of worth may lie so far outside the plain runs' spread")
+	if err := parse(f, args); err != nil {
+		return 0, err
+	}
+	if *plain < 2 || *slack < 0 {
+		return judge.ExitScript, fmt.Errorf("compare: -plain %d, -slack %v: at least 2 and 0", *plain, *slack)
+	}
+	all, err := days(f.Args(), false)
+	if err != nil {
+		return judge.ExitScript, err
+	}
+	path, err := sender(ctx, *program, errs)
+	if err != nil {
+		return judge.ExitScript, err
+	}
+	var codes []int
+	for _, s := range all {
+		code, err := compareDay(ctx, *s, path, *plain, max(1, *tries), *slack, out)
+		if err != nil {
+			return code, err
+		}
+		codes = append(codes, code)
+	}
+	return worst(codes), nil
+}
+
+// compareDay plays one day in each variant and says where one differs from plain.
+func compareDay(ctx context.Context, s script.Script, path string, plain, tries int, slack float64, out io.Writer) (int, error) {
+	var runs []*played
+	code := judge.ExitPass
+	fmt.Fprintf(out, "%-11s %-24s %9s %8s %8s %8s %8s %9s  %s\n", "day, spoken", "first answers", "delivered", "worth", "p50", "p99", "differ", "CPU/msg", "rules")
+	for _, v := range variants(plain) {
+		p, err := playVariant(ctx, s, v, path, tries)
+		if err != nil {
+			return judge.ExitInconclusive, err
+		}
+		runs = append(runs, p)
+		rules := "all kept"
+		if p.verdict.Exit() != judge.ExitPass {
+			rules = "BROKEN"
+			for _, r := range p.verdict.Results {
+				if r.Verdict == judge.Fail {
+					rules += fmt.Sprintf(" %d (%s)", r.Rule, r.Evidence)
+				}
+			}
+			if p.verdict.Late != "" {
+				rules = "INCONCLUSIVE: " + p.verdict.Late
+			}
+			code = worst([]int{code, p.verdict.Exit()})
+		}
+		fmt.Fprintf(out, "%-11s %-24s %9d %7.2f%% %7.3fs %7.3fs %8d %7.0fus  %s\n", v.name, counts(p.answers), p.sum.Delivered, p.sum.Share*100,
+			p.sum.Latency50, p.sum.Lat99, runs[0].differ(p), p.use.Senders.Seconds()*1e6/float64(max(1, p.sum.Delivered)), rules)
+	}
+	for _, why := range outside(runs[:plain], runs[plain:], slack) {
+		fmt.Fprintln(out, "DIFFERS:", why)
+		code = worst([]int{code, judge.ExitFail})
+	}
+	if code == judge.ExitPass {
+		fmt.Fprintf(out, "%s: all forms within the spread of %d plain runs\n", runs[0].sum.Name, plain)
+	}
+	return code, nil
+}
+
+func playVariant(ctx context.Context, s script.Script, v variant, path string, tries int) (*played, error) {
+	p := &played{variant: v}
+	over, err := v.over(s)
+	if err != nil {
+		return nil, err
+	}
+	for range tries {
+		plan, err := over.Make()
+		if err != nil {
+			return nil, err
+		}
+		folder, err := day.Folder(plan.Name + "-" + v.name)
+		if err != nil {
+			return nil, err
+		}
+		file, err := os.Create(filepath.Join(folder, "events.jsonl"))
+		if err != nil {
+			return nil, fmt.Errorf("the event log: %w", err)
+		}
+		events, use, err := day.Play(ctx, plan, day.Options{Command: []string{path}, Folder: folder, Log: file})
+		file.Close()
+		if err != nil {
+			return nil, err
+		}
+		if p.verdict, err = judge.Judge(events); err != nil {
+			return nil, err
+		}
+		p.sum, p.use = report.Make(events), use
+		p.fates(events)
+		if p.verdict.Late == "" {
+			break
+		}
+	}
+	return p, nil
+}
+
+func counts(answers map[string]int) string {
+	var all []string
+	for status, n := range answers {
+		all = append(all, fmt.Sprintf("%s:%d", status, n))
+	}
+	slices.Sort(all)
+	return strings.Join(all, " ")
+}
+
+// outside says what of the others lies outside the spread of the plain runs: answers and ends of messages, the share
+// of worth, and the time to delivery.
+func outside(plain, others []*played, slack float64) []string {
+	var all []string
+	differ, least, most, slowest := 0, math.Inf(1), 0.0, 0.0
+	for _, p := range plain {
+		for _, q := range plain {
+			differ = max(differ, p.differ(q))
+		}
+		least, most, slowest = min(least, p.sum.Share), max(most, p.sum.Share), max(slowest, p.sum.Latency50)
+	}
+	// Few messages differ by chance; what a front or a form does wrong it does to many.
+	allowed := differ + max(2, len(plain[0].first)/200)
+	for _, p := range others {
+		n := math.MaxInt
+		for _, q := range plain {
+			n = min(n, q.differ(p))
+		}
+		if n > allowed {
+			all = append(all, fmt.Sprintf("%s: %d messages were answered or ended otherwise; plain runs differ in %d", p.name, n, differ))
+		}
+		if p.sum.Share < least-slack || p.sum.Share > most+slack {
+			all = append(all, fmt.Sprintf("%s: %.2f%% of the worth; plain runs %.2f%% to %.2f%%", p.name, p.sum.Share*100, least*100, most*100))
+		}
+		if p.sum.Latency50 > slowest*1.2+0.02 {
+			all = append(all, fmt.Sprintf("%s: half are delivered within %.3f s; plain runs %.3f s", p.name, p.sum.Latency50, slowest))
+		}
+	}
+	return all
+}
--- a/cmd/rehearse/main_test.go
+++ b/cmd/rehearse/main_test.go
@@ -363,3 +363,54 @@
 		}
 	}
 }
+
+// A day in all forms of CloudEvents, mixed, with troubles, a kill and a restart: every rule holds, and every event
+// arrives as its client sent it.
+func TestShortDayOfEvents(t *testing.T) {
+	sender, _ := built(t)
+	log := filepath.Join(t.TempDir(), "events.jsonl")
+	code, out, errs := call(t, "run", "-sender", sender, "-quiet", "-tries", "4", "-log", log, "testdata/forms.toml")
+	t.Log("\n" + out + errs)
+	if code != judge.ExitPass {
+		t.Fatalf("exit %d", code)
+	}
+	noChildren(t, log)
+}
+
+// What differs is found: answers, worth and times that no plain run has.
+func TestOutside(t *testing.T) {
+	run := func(share, p50 float64, fates ...string) *played {
+		p := &played{variant: variant{name: "x"}, first: map[string]string{}}
+		p.sum.Share, p.sum.Latency50 = share, p50
+		for i, f := range fates {
+			p.first[fmt.Sprint(i)] = f
+		}
+		return p
+	}
+	some := func(n int, f string) []string {
+		all := make([]string, 100)
+		for i := range all {
+			if all[i] = "202 delivered"; i < n {
+				all[i] = f
+			}
+		}
+		return all
+	}
+	plain := []*played{run(0.95, 0.2, some(0, "")...), run(0.97, 0.22, some(3, "503 delivered")...)}
+	for name, c := range map[string]struct {
+		run  *played
+		says string
+	}{
+		"the same":      {run(0.96, 0.21, some(4, "503 delivered")...), ""},
+		"answers":       {run(0.96, 0.21, some(9, "422 ")...), "9 messages were answered or ended otherwise"},
+		"less worth":    {run(0.93, 0.21, some(0, "")...), "93.00% of the worth"},
+		"more worth":    {run(0.99, 0.21, some(0, "")...), "99.00% of the worth"},
+		"slower":        {run(0.96, 0.3, some(0, "")...), "within 0.300 s"},
+		"none came out": {run(0, 0, some(100, "202 ")...), "100 messages"},
+	} {
+		got := strings.Join(outside(plain, []*played{c.run}, 0.01), "\n")
+		if c.says == "" && got != "" || !strings.Contains(got, c.says) {
+			t.Errorf("%s: %q, want %q", name, got, c.says)
+		}
+	}
+}
--- a/internal/rehearsal/eventlog/eventlog.go
+++ b/internal/rehearsal/eventlog/eventlog.go
@@ -26,7 +26,7 @@
 	Exit    Kind = "exit"    // Sender, Run, Status: it has ended; Note "crash" if nobody asked it to
 	HandIn  Kind = "handin"  // Sender, ID, Msg, Class, Tenant, Dest, DeadlineMS, Order, Try: stamped before it is written
 	Answer  Kind = "answer"  // Sender, ID, Status, RetryMS; Status 0: none came, and Note says why
-	Call    Kind = "call"    // Dest, Endpoint, Sender, ID, Call, First: the last byte of a call has come
+	Call    Kind = "call"    // Dest, Endpoint, Sender, ID, Call, First, With: the last byte of a call has come; Note "unknown" and State, why, for one that is nothing handed in
 	Done    Kind = "done"    // Call, ID, Dest, Status, WaitMS, Note: stamped before the answer is written
 	Notice  Kind = "notice"  // Sender, ID, Outcome, RetryMS
 	Changed Kind = "change"  // Endpoint, Dest, State: discovery's list was changed
@@ -60,6 +60,7 @@
 	Dest     int      `json:"dest,omitempty"`
 	Endpoint string   `json:"endpoint,omitempty"`
 	Call     int64    `json:"call,omitempty"`
+	With     int64    `json:"with,omitempty"`  // the first of several messages that came in one call; 0 for that itself
 	First    int64    `json:"first,omitempty"` // microseconds: a call's first byte
 	Status   int      `json:"status,omitempty"`
 	WaitMS   int64    `json:"wait_ms,omitempty"`
--- /dev/null
+++ b/internal/rehearsal/form/form.go
@@ -0,0 +1,259 @@
+// Package form is what stand-ins know of CloudEvents: how clients write a message as an event, and what receivers find
+// in a call. It shares no code with the sender, so that what one writes wrongly the other does not read as right.
+package form
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"mime"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Form is how a message is written.
+type Form string
+
+// The forms: the platform's own, and the content modes of the CloudEvents HTTP binding. Mixed takes turns.
+const (
+	Plain      Form = "plain"
+	Binary     Form = "binary"
+	Structured Form = "structured"
+	Batched    Form = "batched"
+	Mixed      Form = "mixed"
+)
+
+// Known is whether a script may name the form; mixed is for clients only.
+func (f Form) Known(client bool) bool {
+	switch f {
+	case Plain, Binary, Structured, Batched:
+		return true
+	}
+	return client && f == Mixed
+}
+
+// Of is the form of the n-th message.
+func (f Form) Of(n int) Form {
+	if f == Mixed {
+		return []Form{Plain, Binary, Structured, Batched}[n%4]
+	}
+	return f
+}
+
+// Message is what a client hands in.
+type Message struct {
+	ID, Class, Member, Key, Order string
+	Dest                          int
+	Expires                       time.Time
+	Body                          []byte // text
+}
+
+// Path is where events are handed in.
+const Path = "/events"
+
+// The attributes that the stand-ins use; a sender's rules name them.
+const (
+	Source     = "/rehearsal/clients"
+	typePrefix = "rehearsal."
+)
+
+// Rules is the text of an operators' file that has a sender take in events as Request writes them: rules for classes,
+// told which are keyed and which ordered.
+func Rules(classes []Class) string {
+	var b strings.Builder
+	b.WriteString("[events]\nremember = \"1m\"\nremember_most = 10000\n")
+	for _, c := range classes {
+		fmt.Fprintf(&b, "[[events.rule]]\nname = %q\ntype = %q\nsource = %q\nsubject = \"dest/{dest}\"\nclass = %q\ntenant = \"{ext.member}\"\ndestination = \"{dest}\"\ndeadline = %q\n",
+			c.Name, typePrefix+c.Name, Source, c.Name, c.Deadline)
+		if c.Keyed {
+			b.WriteString("key = \"{ext.idkey}\"\n")
+		}
+		if c.Ordered {
+			b.WriteString("order = \"{ext.orderkey}\"\n")
+		}
+	}
+	return b.String()
+}
+
+// Class is a class of message as the rules need it.
+type Class struct {
+	Name           string
+	Keyed, Ordered bool
+	Deadline       time.Duration
+}
+
+// Delivery is the text of an operators' file that has a sender write its calls to kinds of receivers in forms.
+func Delivery(kinds map[string]Form) string {
+	var b strings.Builder
+	for _, f := range []Form{Binary, Structured, Batched} {
+		var names []string
+		for name, is := range kinds {
+			if is == f {
+				names = append(names, strconv.Quote(name))
+			}
+		}
+		if names == nil {
+			continue
+		}
+		if b.Len() == 0 {
+			b.WriteString("[delivery]\nsource = \"/rehearsal/sender\"\n")
+		}
+		fmt.Fprintf(&b, "[[delivery.to]]\nkinds = [%s]\nform = %q\n", strings.Join(names, ", "), f)
+	}
+	return b.String()
+}
+
+// sum stands for all of an event that a receiver can check: its attributes and data have to arrive as they left.
+func sum(id, source, kind, subject, member, key, order string, body []byte) string {
+	h := fnv.New64a()
+	for _, s := range []string{id, source, kind, subject, member, key, order, string(body)} {
+		fmt.Fprintf(h, "%d:%s", len(s), s)
+	}
+	return strconv.FormatUint(h.Sum64(), 16)
+}
+
+// Request writes a message as the request that hands it in.
+func (f Form) Request(m Message) []byte {
+	kind, subject := typePrefix+m.Class, "dest/"+strconv.Itoa(m.Dest)
+	attributes := [][2]string{{"specversion", "1.0"}, {"id", m.ID}, {"source", Source}, {"type", kind}, {"subject", subject}, {"member", m.Member},
+		{"expirytime", m.Expires.UTC().Format(time.RFC3339Nano)}, {"sum", sum(m.ID, Source, kind, subject, m.Member, m.Key, m.Order, m.Body)}}
+	if m.Key != "" {
+		attributes = append(attributes, [2]string{"idkey", m.Key})
+	}
+	if m.Order != "" {
+		attributes = append(attributes, [2]string{"orderkey", m.Order})
+	}
+	var head, body bytes.Buffer
+	id, media := m.ID, "application/cloudevents+json; charset=utf-8"
+	switch f {
+	case Binary:
+		media = "text/plain"
+		for _, a := range attributes {
+			fmt.Fprintf(&head, "ce-%s: %s\r\n", a[0], strings.ReplaceAll(url.PathEscape(a[1]), "%2F", "/"))
+		}
+		body.Write(m.Body)
+	default:
+		object := map[string]string{"datacontenttype": "text/plain", "data": string(m.Body)}
+		for _, a := range attributes {
+			object[a[0]] = a[1]
+		}
+		raw, err := json.Marshal(object)
+		if err != nil {
+			panic(err) // strings can't fail
+		}
+		body.Write(raw)
+	}
+	if f == Batched { // a message of a batch has the request's id and its place
+		media = "application/cloudevents-batch+json"
+		id = strings.TrimSuffix(id, BatchTail)
+		raw := "[" + body.String() + "]"
+		body.Reset()
+		body.WriteString(raw)
+	}
+	text := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: backend.local\r\nX-Request-Id: %s\r\nContent-Type: %s\r\n%sContent-Length: %d\r\n\r\n", Path, id, media, head.String(), body.Len())
+	return append([]byte(text), body.Bytes()...)
+}
+
+// BatchTail is what ends the id of a message that is handed in as the only one of a batch.
+const BatchTail = "-0"
+
+// Read finds the messages in a call that should have a form, by their ids. An error says what is wrong with it: a
+// sender that sends such a thing has spoilt an event.
+func (f Form) Read(h http.Header, body []byte) ([]string, error) {
+	if f == Plain || f == "" {
+		id := h.Get("X-Request-Id")
+		if h.Get("Ce-Id") == "" {
+			return []string{id}, nil
+		}
+		// An event for a plain receiver: the platform's id, and the event whole beside it.
+		if err := binary(h, body).check(); err != nil {
+			return nil, err
+		}
+		return []string{id}, nil
+	}
+	media := ""
+	if text := h.Get("Content-Type"); text != "" { // bytes need none
+		var err error
+		if media, _, err = mime.ParseMediaType(text); err != nil {
+			return nil, fmt.Errorf("%s: Content-Type %q: %w", f, text, err)
+		}
+	}
+	var events []event
+	var err error
+	switch {
+	case f == Binary && !strings.HasPrefix(media, "application/cloudevents"):
+		events = []event{binary(h, body)}
+	case f == Structured && media == "application/cloudevents+json":
+		events = []event{{}}
+		err = json.Unmarshal(body, &events[0].members)
+	case f == Batched && media == "application/cloudevents-batch+json":
+		var all []map[string]any
+		err = json.Unmarshal(body, &all)
+		for _, m := range all {
+			events = append(events, event{m})
+		}
+	default:
+		return nil, fmt.Errorf("a call of %q is not %s", media, f)
+	}
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", f, err)
+	}
+	var ids []string
+	for _, e := range events {
+		if err := e.check(); err != nil {
+			return nil, err
+		}
+		ids = append(ids, e.get("id"))
+	}
+	if len(ids) == 0 {
+		return nil, fmt.Errorf("%s: no event in the call", f)
+	}
+	return ids, nil
+}
+
+// event is one as JSON has it.
+type event struct{ members map[string]any }
+
+func (e event) get(name string) string {
+	s, _ := e.members[name].(string)
+	return s
+}
+
+// binary reads an event from headers and body.
+func binary(h http.Header, body []byte) event {
+	e := event{map[string]any{"data": string(body)}}
+	for name, values := range h {
+		if rest, ok := strings.CutPrefix(name, "Ce-"); ok && len(values) == 1 {
+			v, err := url.PathUnescape(values[0])
+			if err != nil {
+				v = ""
+			}
+			e.members[strings.ToLower(rest)] = v
+		}
+	}
+	return e
+}
+
+// check is whether an event is sound, and, if it came from a client of ours as an event, is what that sent.
+func (e event) check() error {
+	for _, name := range []string{"id", "source", "type"} {
+		if e.get(name) == "" {
+			return fmt.Errorf("an event without %s", name)
+		}
+	}
+	if v := e.get("specversion"); v != "1.0" {
+		return fmt.Errorf("event %s has the specversion %q", e.get("id"), v)
+	}
+	if e.get("source") != Source {
+		return nil // made of a plain message
+	}
+	want := sum(e.get("id"), Source, e.get("type"), e.get("subject"), e.get("member"), e.get("idkey"), e.get("orderkey"), []byte(e.get("data")))
+	if got := e.get("sum"); got != want {
+		return fmt.Errorf("event %s is not what its client sent: sum %s, not %s", e.get("id"), got, want)
+	}
+	return nil
+}
--- a/internal/rehearsal/receiver/model.go
+++ b/internal/rehearsal/receiver/model.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"dockshift.example/dockshift/internal/rehearsal/form"
 	"dockshift.example/dockshift/internal/rehearsal/trouble"
 )
 
@@ -32,6 +33,8 @@
 	ReportEach time.Duration // refreshed so often
 	ReportLate time.Duration // and shown so much later
 
+	Form form.Form // of calls; "" for the platform's
+
 	ColdFrom     float64       // share of its capacity right after an outage
 	Cold         time.Duration // warm after this
 	FallMultiple float64       // more than this multiple of its present capacity
--- a/internal/rehearsal/script/script.go
+++ b/internal/rehearsal/script/script.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"dockshift.example/dockshift/internal/rehearsal/form"
 	"dockshift.example/dockshift/internal/rehearsal/trouble"
 	"dockshift.example/dockshift/internal/tomlfile"
 )
@@ -62,14 +63,15 @@
 	Grace        Span    `toml:"grace"`         // each limit is so much longer, and the kit may run so late; default 50ms
 	Settle       Span    `toml:"settle"`        // an ordered key rests so long after doubt; default 1s
 
-	ListDelay  Span    `toml:"list_delay"`  // discovery tells a change so long after it was made; default 300ms
-	MemoryMB   int     `toml:"memory_mb"`   // the sender's limit; default 192
-	Sockets    int     `toml:"sockets"`     // default 512
-	Disk       int     `toml:"disk_mb"`     // default 3
-	SlotsRoom  float64 `toml:"slots_room"`  // slots over what the load keeps busy; default 2
-	ReportEach Span    `toml:"report_each"` // load reports are refreshed so often; default 400ms
-	Features   string  `toml:"features"`    // text of the operators' file that the senders are started with
-	ReportLate Span    `toml:"report_late"` // and tell what was so long ago; default 100ms
+	ListDelay  Span      `toml:"list_delay"`  // discovery tells a change so long after it was made; default 300ms
+	MemoryMB   int       `toml:"memory_mb"`   // the sender's limit; default 192
+	Sockets    int       `toml:"sockets"`     // default 512
+	Disk       int       `toml:"disk_mb"`     // default 3
+	SlotsRoom  float64   `toml:"slots_room"`  // slots over what the load keeps busy; default 2
+	ReportEach Span      `toml:"report_each"` // load reports are refreshed so often; default 400ms
+	Speak      form.Form `toml:"speak"`       // how clients hand messages in: plain, binary, structured, batched or mixed; default plain
+	Features   string    `toml:"features"`    // text of the operators' file that the senders are started with
+	ReportLate Span      `toml:"report_late"` // and tell what was so long ago; default 100ms
 }
 
 // Class is a class of message.
@@ -104,6 +106,7 @@
 	LeastConns  int       `toml:"least_conns"` // default 10
 	IdleClose   Span      `toml:"idle_close"`  // default 15s
 	Reports     bool      `toml:"reports"`     // answers hold x0 and x1 where there is a limit
+	Form        form.Form `toml:"form"`        // of calls to them: plain, binary, structured or batched; default plain
 }
 
 // Member owns receivers; their traffic is its own.
@@ -399,6 +402,10 @@
 			return fmt.Errorf("%s: day: %s = %v is not in (%v, %v]", at, c.name, c.v, c.from, c.to)
 		}
 	}
+	set(&d.Speak, form.Plain)
+	if !d.Speak.Known(true) {
+		return fmt.Errorf("%s: day: speak = %q; there are plain, binary, structured, batched and mixed", at, d.Speak)
+	}
 	if len(d.Endpoints) != 2 || d.Endpoints[0] < 1 || d.Endpoints[1] < d.Endpoints[0] || d.Endpoints[1] > 16 {
 		return fmt.Errorf("%s: day: endpoints = %v: least and most, from 1 to 16", at, d.Endpoints)
 	}
@@ -436,6 +443,10 @@
 }
 
 func (k *Kind) check(at string) error {
+	set(&k.Form, form.Plain)
+	if !k.Form.Known(false) {
+		return fmt.Errorf("%s: kind %q: form = %q; there are plain, binary, structured and batched", at, k.Name, k.Form)
+	}
 	set(&k.Share, 1)
 	set(&k.Service, Span(150*time.Millisecond))
 	set(&k.Spread, 0.6)
