--- a/cmd/saffronyard/main.go
+++ b/cmd/saffronyard/main.go
@@ -13,6 +13,7 @@
 	"net"
 	"os"
 	"os/signal"
+	"path/filepath"
 	"runtime"
 	"runtime/debug"
 	"syscall"
@@ -20,6 +21,7 @@
 	"dockshift.example/dockshift/internal/cloudevents"
 	"dockshift.example/dockshift/internal/features"
 	"dockshift.example/dockshift/internal/sender"
+	"dockshift.example/dockshift/internal/undelivered"
 )
 
 // memoryPart of the machine's memory is what the collector aims to stay under; the journal's pages and
@@ -31,13 +33,16 @@
 	if len(os.Args) > 1 && os.Args[1] == "check" {
 		os.Exit(check(os.Args[2:], os.Stdout, os.Stderr))
 	}
+	if len(os.Args) > 1 && os.Args[1] == "undelivered" {
+		os.Exit(undeliveredCommand(os.Args[2:], os.Getenv, os.Stdout, os.Stderr))
+	}
 	flags := flag.NewFlagSet("saffronyard", flag.ContinueOnError)
 	file := flags.String("features", "", "the operators' `file` of features; without it none is on")
 	if err := flags.Parse(os.Args[1:]); err != nil {
 		os.Exit(2)
 	}
 	if flags.NArg() > 0 {
-		log.Error("saffronyard takes no arguments but -features FILE, and check FILE", "argument", flags.Arg(0))
+		log.Error("saffronyard takes no arguments but -features FILE, check FILE, and undelivered COMMAND", "argument", flags.Arg(0))
 		os.Exit(2)
 	}
 	if err := run(log, *file); err != nil {
@@ -132,6 +137,20 @@
 			return err
 		}
 		apply(f, c)
+		if u := f.Undelivered; u != nil {
+			folder := u.Folder
+			if folder == "" {
+				folder = filepath.Join(c.State, "undelivered")
+			}
+			k := undelivered.NewKeeper(folder, undelivered.Limits{Bytes: u.Bytes, Age: u.Age.D()})
+			defer k.Close()
+			c.Recorder = k
+			go func() { // without it the sender goes on, and the command line gets no answer
+				if err := k.Serve(ctx); err != nil {
+					log.Error("undelivered messages can't be asked for", "err", err)
+				}
+			}()
+		}
 		log.Info("features", "on", f.Lines())
 	}
 	if c.Limits.Cores > 0 {
--- a/internal/features/features.go
+++ b/internal/features/features.go
@@ -18,6 +18,15 @@
 	Quiet    *Quiet    `toml:"quiet"`
 	Events   *Events   `toml:"events"`
 	Delivery *Delivery `toml:"delivery"`
+
+	Undelivered *Undelivered `toml:"undelivered"`
+}
+
+// Undelivered is where messages are kept that were not delivered.
+type Undelivered struct {
+	Folder string        `toml:"folder"` // default: "undelivered" in the sender's state folder
+	Bytes  int64         `toml:"bytes"`  // of all entries; default 268435456
+	Age    tomlfile.Span `toml:"age"`    // an entry is dropped so long after it ended; default 168h
 }
 
 // Quiet is how destinations without traffic are remembered.
@@ -79,6 +88,11 @@
 	foldMost  = 24 * time.Hour
 	maxFile   = 1 << 20
 
+	keptLeast = 1 << 20
+	keptMost  = 1 << 40
+	ageLeast  = time.Minute
+	ageMost   = 366 * 24 * time.Hour
+
 	rememberLeast  = time.Second
 	rememberMost   = 24 * time.Hour
 	endsMost       = 4 << 20
@@ -124,6 +138,16 @@
 			return nil, err
 		}
 	}
+	if u := f.Undelivered; u != nil {
+		set(&u.Bytes, 256<<20)
+		set(&u.Age, tomlfile.Span(7*24*time.Hour))
+		if u.Bytes < keptLeast || u.Bytes > keptMost {
+			return nil, c.at("undelivered", 0, "bytes", "undelivered.bytes = %d is not from %d to %d", u.Bytes, keptLeast, int64(keptMost))
+		}
+		if d := u.Age.D(); d < ageLeast || d > ageMost {
+			return nil, c.at("undelivered", 0, "age", "undelivered.age = %v is not from %v to %v", d, ageLeast, ageMost)
+		}
+	}
 	return f, nil
 }
 
@@ -335,6 +359,13 @@
 			lines = append(lines, line)
 		}
 	}
+	if u := f.Undelivered; u != nil {
+		folder := u.Folder
+		if folder == "" {
+			folder = "the state folder's undelivered"
+		}
+		lines = append(lines, fmt.Sprintf("undelivered: kept in %s, %d bytes at most, for %v", folder, u.Bytes, u.Age.D()))
+	}
 	if lines == nil {
 		return []string{"nothing is on: the sender does as without the file"}
 	}
--- a/internal/features/features_test.go
+++ b/internal/features/features_test.go
@@ -102,6 +102,8 @@
 		`x.toml:5: delivery.to 1: origin and rate are for`:              to + "form = \"binary\"\norigin = \"a\"\n",
 		`x.toml:7: delivery.to 1: rate = -1`:                            to + "form = \"binary\"\nvalidate = true\norigin = \"a\"\nrate = -1\n",
 		`x.toml:1: delivery.source = ""`:                                "[delivery]\n[[delivery.to]]\nform = \"binary\"\n",
+		`x.toml:2: undelivered.bytes = 7 is not from 1048576`:           "[undelivered]\nbytes = 7\n",
+		`x.toml:3: undelivered.age = 1s is not from 1m0s`:               "[undelivered]\nbytes = 1048576\nage = \"1s\"\n",
 		`x.toml:2: delivery.type = "a b"`:                               "[delivery]\ntype = \"a b\"\nsource = \"/s\"\n[[delivery.to]]\nform = \"binary\"\n",
 	} {
 		if _, err := Parse("x.toml", []byte(text)); err == nil || !strings.Contains(err.Error(), strings.ReplaceAll(says, "\r\n", `\r\n`)) {
@@ -126,7 +128,7 @@
 			on = append(on, rest)
 		}
 	}
-	if f, err := Parse("saffronyard.toml", []byte(strings.Join(on, "\n"))); err != nil || f.Quiet == nil || f.Events == nil || f.Delivery == nil {
+	if f, err := Parse("saffronyard.toml", []byte(strings.Join(on, "\n"))); err != nil || f.Quiet == nil || f.Events == nil || f.Delivery == nil || f.Undelivered == nil || f.Undelivered.Bytes != 256<<20 {
 		t.Errorf("turned on: %+v %v", f, err)
 	}
 }
--- a/internal/sender/config.go
+++ b/internal/sender/config.go
@@ -56,6 +56,7 @@
 
 	// What the operators' file turns on.
 	Events   *Events   // CloudEvents are taken in; nil: they are not
+	Recorder Recorder  // messages that are not delivered are kept; nil: they are not
 	Delivery *Delivery // in which form messages go out; nil: all as in the platform's protocol
 }
 
--- a/internal/sender/journal.go
+++ b/internal/sender/journal.go
@@ -41,7 +41,7 @@
 
 // record is one line. Times are the clock's: Unix nanoseconds.
 type record struct {
-	Op string `json:"op"` // take, send, end, over, told, rates
+	Op string `json:"op"` // take, send, end, over, told, kept, rates
 	ID string `json:"id"`
 
 	// take: the message as its client handed it in; in a compacted file with what came of it so far
@@ -65,6 +65,13 @@
 	How     string `json:"how,omitempty"` // over
 	RetryMS int64  `json:"retry_ms,omitempty"`
 
+	// With a recorder: over: it is to be kept, when it ended, and in a compacted file whether its notice is told; end:
+	// how the attempt ended.
+	Keep bool          `json:"keep,omitempty"`
+	Told bool          `json:"told,omitempty"`
+	At   time.Duration `json:"at,omitempty"`
+	Out  string        `json:"out,omitempty"`
+
 	Rates map[uint32]float64 `json:"rates,omitempty"` // rates: by destination, as the module knows them
 }
 
@@ -74,6 +81,7 @@
 	Endpoint string        `json:"endpoint"`
 	Zone     int           `json:"zone,omitempty"`
 	Never    bool          `json:"never,omitempty"` // it surely never ran
+	Out      string        `json:"out,omitempty"`   // how it ended, with a recorder
 }
 
 // Ends of a message. Those that a notice tells of carry the notice's word.
@@ -87,11 +95,17 @@
 // stored is a message as the journal holds it.
 type stored struct {
 	record        // of op take
-	how    string // its end, if a notice of it is still owed
+	how    string // its end, if a notice of it is still owed, or the recorder has not taken it yet
 	retry  int64
-	cost   int64 // what it may take in the file
+	keep   bool          // the recorder has not taken it yet
+	told   bool          // no notice is owed
+	at     time.Duration // it ended
+	cost   int64         // what it may take in the file
 }
 
+// gone is whether nothing more is owed on a message that is over.
+func (m *stored) gone() bool { return m.how != "" && m.told && !m.keep }
+
 func (m *stored) apply(r *record) {
 	switch r.Op {
 	case "send":
@@ -100,10 +114,18 @@
 		}
 	case "end":
 		if r.Try >= 0 && r.Try < len(m.Tries) {
-			m.Tries[r.Try].Never = r.Never
+			m.Tries[r.Try].Never, m.Tries[r.Try].Out = r.Never, r.Out
 		}
 	case "over":
-		m.how, m.retry, m.Body, m.Event = r.How, r.RetryMS, nil, nil
+		m.how, m.retry, m.keep, m.at = r.How, r.RetryMS, r.Keep, r.At
+		m.told = r.Told || r.How == delivered || r.How == answered
+		if !m.keep {
+			m.Body, m.Event = nil, nil
+		}
+	case "told":
+		m.told = true
+	case "kept":
+		m.keep, m.Body, m.Event = false, nil, nil
 	}
 }
 
@@ -196,12 +218,12 @@
 			if m != nil { // an id is used again only once its message is over
 				j.remove(m)
 			}
-			j.add(&stored{record: rec, how: rec.How, retry: rec.RetryMS, cost: int64(len(line)) + overhead(rec.ID)})
+			j.add(&stored{record: rec, how: rec.How, retry: rec.RetryMS, keep: rec.Keep, told: rec.Told, at: rec.At, cost: int64(len(line)) + overhead(rec.ID)})
 		case m == nil:
-		case rec.Op == "told" || rec.Op == "over" && (rec.How == delivered || rec.How == answered):
-			j.remove(m)
 		default:
-			m.apply(&rec)
+			if m.apply(&rec); m.gone() {
+				j.remove(m)
+			}
 		}
 	}
 }
@@ -296,6 +318,14 @@
 	}
 	text(`,"how":`, r.How)
 	number(`,"retry_ms":`, r.RetryMS)
+	if r.Keep {
+		b = append(b, `,"keep":true`...)
+	}
+	if r.Told {
+		b = append(b, `,"told":true`...)
+	}
+	number(`,"at":`, int64(r.At))
+	text(`,"out":`, r.Out)
 	return append(b, '}')
 }
 
@@ -308,6 +338,9 @@
 	if t.Never {
 		b = append(b, `,"never":true`...)
 	}
+	if t.Out != "" {
+		b = appendText(append(b, `,"out":`...), t.Out)
+	}
 	return append(b, '}')
 }
 
@@ -399,8 +432,7 @@
 		j.failed = true
 	}
 	j.buf.Write(line)
-	m.apply(&rec)
-	if rec.Op == "told" || rec.Op == "over" && (rec.How == delivered || rec.How == answered) {
+	if m.apply(&rec); m.gone() {
 		j.remove(m)
 	}
 }
@@ -475,7 +507,8 @@
 	kept := j.held()
 	for _, m := range kept {
 		rec := m.record
-		rec.How, rec.RetryMS = m.how, m.retry
+		rec.How, rec.RetryMS, rec.Keep, rec.At = m.how, m.retry, m.keep, m.at
+		rec.Told = m.told && m.how != ""
 		n, err := encode(w, &rec)
 		size += int64(n)
 		if err != nil {
--- a/internal/sender/loop.go
+++ b/internal/sender/loop.go
@@ -83,7 +83,8 @@
 	telling  bool     // a batch of them is out
 	messages map[brain.MessageID]*message
 	byID     map[string]*message
-	ends     *eventBooks // nil where no events are taken in
+	ends     *eventBooks    // nil where no events are taken in
+	records  *recorderBooks // nil without a recorder
 	last     brain.MessageID
 	held     int // messages taken on that have not ended
 	out      int // calls out
@@ -132,6 +133,7 @@
 	if s.ends, err = openEvents(c, s.clock.now()); err != nil {
 		return nil, err
 	}
+	s.records = newRecorder(c.Recorder, room)
 	s.server = newServer(c, s.clock, log, func(ctx context.Context, sub submission) bool { return s.post(ctx, sub) })
 	return s, nil
 }
@@ -170,6 +172,9 @@
 		func(t Targets) { s.post(work, listEvent{t}) }, func(err error) { s.post(work, failedEvent{err}) })
 	go s.disc.tell(work, s.notices, func(n []notice) { s.post(work, toldEvent{n}) })
 
+	if s.records != nil {
+		go s.records.run(work, func(err error) { s.log.Warn("undelivered messages wait in the journal", "err", err) }, func() { s.post(work, keptEvent{}) })
+	}
 	s.resume(work)
 	l, err := listen()
 	if err != nil {
@@ -251,7 +256,15 @@
 	}
 	for _, m := range s.journal.held() {
 		if m.how != "" {
-			s.owed = append(s.owed, m.notice())
+			if !m.told {
+				s.owed = append(s.owed, m.notice())
+			}
+			if m.keep && s.records != nil {
+				s.records.cost += m.cost
+				s.records.waiting = append(s.records.waiting, m)
+			} else if m.keep { // the recorder was turned off
+				s.journal.note(m, record{Op: "kept"})
+			}
 			continue
 		}
 		if s.ends.resumed(now, m) {
@@ -292,6 +305,7 @@
 	if s.quitting {
 		s.flush()
 		s.tell()
+		s.record()
 		return
 	}
 	s.step(ctx, events)
@@ -311,11 +325,13 @@
 	case failedEvent:
 		s.log.Warn("discovery failed", "err", e.err)
 		return brain.ListNews{Failed: true}
+	case keptEvent:
+		s.kept()
 	case toldEvent:
 		s.telling = false
 		s.owed = s.owed[len(e.notices):]
 		for _, n := range e.notices {
-			if m := s.journal.byID[n.Message]; m != nil && m.how != "" {
+			if m := s.journal.byID[n.Message]; m != nil && m.how != "" && !m.told {
 				s.journal.note(m, record{Op: "told"})
 			}
 		}
@@ -337,7 +353,11 @@
 	if s.quitting {
 		return refuse("shutting down")
 	}
-	if s.journal.byID[sub.ID] != nil { // handed in twice: it is ours already
+	if m := s.journal.byID[sub.ID]; m != nil { // handed in twice: it is ours already
+		if m.how == answered { // it failed, and so it was answered; it only waits to be kept
+			sub.answer <- answerLine{status: http.StatusInternalServerError, text: givenUp}
+			return nil
+		}
 		if sub.Ident != nil { // it is not: its event would be lost
 			sub.answer <- answerLine{status: http.StatusConflict, text: "X-Request-Id is another message's"}
 			return nil
@@ -399,7 +419,11 @@
 			s.end(m, record{How: answered})
 		default:
 			never := e.Outcome == brain.Refused || e.Outcome == brain.ConnectFailed || e.Outcome == brain.NotSent
-			s.journal.note(m.stored, record{Op: "end", Try: m.base + e.attempt, Never: never})
+			rec := record{Op: "end", Try: m.base + e.attempt, Never: never}
+			if s.records != nil {
+				rec.Out = string(outcomeOf(e.Outcome))
+			}
+			s.journal.note(m.stored, rec)
 		}
 	}
 	s.forget(m)
@@ -499,6 +523,7 @@
 		s.drop(m)
 	}
 	s.tell()
+	s.record()
 }
 
 // accept tells the client of m that it is taken on; one that handed in an event hears under which id.
@@ -556,9 +581,17 @@
 			s.answers = append(s.answers, owedAnswer{to, answerLine{status: status, retry: hold, text: how}})
 		}
 		m.answer, m.also = nil, nil
-		s.end(m, record{How: answered})
+		rec := record{How: answered}
+		if how == givenUp && s.wants(m, answered) { // refused in its answer it was never taken on, and is its client's
+			rec.Keep, rec.At = true, s.clock.now()
+		}
+		s.end(m, rec)
 	} else {
-		s.end(m, record{How: how, RetryMS: hold.Milliseconds()})
+		rec := record{How: how, RetryMS: hold.Milliseconds()}
+		if s.wants(m, how) {
+			rec.Keep, rec.At = true, s.clock.now()
+		}
+		s.end(m, rec)
 		s.owed = append(s.owed, m.notice())
 	}
 	s.forget(m)
--- /dev/null
+++ b/internal/sender/recorder_test.go
@@ -0,0 +1,275 @@
+package sender
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	st "dockshift.example/dockshift/internal/sendertest"
+	"dockshift.example/dockshift/internal/undelivered"
+)
+
+// memoryRecorder keeps in memory, by message, and can be held up or fail.
+type memoryRecorder struct {
+	mu     sync.Mutex
+	kept   map[string]undelivered.Entry
+	missed map[[2]string]int64
+	fails  error
+	hold   chan struct{} // nil: not held up
+}
+
+func newMemory() *memoryRecorder {
+	return &memoryRecorder{kept: map[string]undelivered.Entry{}, missed: map[[2]string]int64{}}
+}
+
+func (r *memoryRecorder) Keep(entries []undelivered.Entry, _ int64) error {
+	if r.hold != nil {
+		<-r.hold
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.fails != nil {
+		return r.fails
+	}
+	for _, e := range entries {
+		if _, ok := r.kept[e.Message]; !ok {
+			r.kept[e.Message] = e
+		}
+	}
+	return nil
+}
+
+func (r *memoryRecorder) Missed(counts map[[2]string]int64) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for k, n := range counts {
+		r.missed[k] += n
+	}
+	return nil
+}
+
+func (r *memoryRecorder) get(id string) (undelivered.Entry, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e, ok := r.kept[id]
+	return e, ok
+}
+
+func (r *memoryRecorder) fail(err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.fails = err
+}
+
+func records(r Recorder) func(*Config) { return func(c *Config) { c.Recorder = r } }
+
+// What is not delivered is kept with all that is known of it, in its own words, and what is delivered is not.
+func TestUndeliveredAreKept(t *testing.T) {
+	t.Parallel()
+	bad := st.NewEndpoint(t, st.Reset)
+	good := st.NewEndpoint(t, st.Status(200))
+	p := st.NewPlatform(t, bad.Addr, good.Addr)
+	r := newMemory()
+	addr := run(t, p, both(takesEvents, records(r)))
+	st.HandIn(t, addr, "lost", "unsafe", 0, 9*time.Second)
+	st.HandIn(t, addr, "fine", "unsafe", 1, 9*time.Second)
+	if n := st.Receive(t, p.Notices); n.Message != "lost" || n.Outcome != givenUp {
+		t.Fatalf("%+v", n)
+	}
+	until(t, func() bool { _, ok := r.get("lost"); return ok })
+	e, _ := r.get("lost")
+	if e.Member != "acme" || e.Class != "unsafe" || e.Effect != undelivered.Unsafe || e.Destination != 0 || e.Key != "key-lost" || string(e.Body) != "body of lost" ||
+		e.Reason != undelivered.RepeatUnlawful || len(e.Attempts) != 1 || e.Attempts[0].Outcome != undelivered.Reset || e.Attempts[0].Endpoint != "s-0" || e.Ended < e.Attempts[0].At || e.Answered {
+		t.Errorf("%+v", e)
+	}
+	if may, _ := undelivered.MayGoAgain(e.History(), time.Hour, time.Now().UnixNano()); may != undelivered.Never {
+		t.Error("it may go again")
+	}
+	id := handEvent(t, addr, "1", "unsafe", 202).Header.Get("X-Request-Id")
+	until(t, func() bool { _, ok := r.get(id); return ok })
+	if e, _ := r.get(id); len(e.Event) == 0 || string(e.Body) != `{"n":1}` {
+		t.Errorf("%+v", e)
+	}
+	if _, ok := r.get("fine"); ok {
+		t.Error("what was delivered is kept")
+	}
+}
+
+// A recorder that hangs, or fails, holds nothing up: messages go on, what waits stays in the journal within its part
+// of the room, and what has no room there is counted. Once it works it gets all that waited.
+func TestSlowRecorder(t *testing.T) {
+	t.Parallel()
+	e := st.NewEndpoint(t, st.Reset)
+	p := st.NewPlatform(t, e.Addr)
+	r := newMemory()
+	r.fails = errors.New("no space left")
+	addr := run(t, p, both(records(r), func(c *Config) { c.Limits.DiskMB = 0.4 }))
+	const n = 12
+	for i := range n {
+		r := st.Message(t, addr, "m"+strconv.Itoa(i), "unsafe", 0, 9*time.Second, strings.Repeat("x", 15_000))
+		if resp, text := st.Do(t, r); resp.StatusCode != 202 {
+			t.Fatalf("%s %s", resp.Status, text)
+		}
+		if n := st.Receive(t, p.Notices); n.Outcome != givenUp {
+			t.Fatalf("%+v", n)
+		}
+	}
+	r.fail(nil)
+	until(t, func() bool {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		all := int64(len(r.kept))
+		for who, n := range r.missed {
+			if who != [2]string{"acme", string(undelivered.RepeatUnlawful)} {
+				t.Fatalf("missed %v", who)
+			}
+			all += n
+		}
+		return all == n && len(r.missed) > 0 && len(r.kept) > 1
+	})
+}
+
+// storeLog is a recorder whose transactions stand in the same log of writes as the journal's.
+type storeLog struct {
+	Recorder
+	log *diskLog
+}
+
+const storeOp = "store"
+
+func (l storeLog) Keep(entries []undelivered.Entry, now int64) error {
+	if err := l.Recorder.Keep(entries, now); err != nil {
+		return err
+	}
+	for _, e := range entries {
+		l.log.add(diskOp{file: storeOp, data: []byte(e.Message)})
+	}
+	return nil
+}
+
+// Killed at each write of a message's way from its hand-in to its end and into the store, each left out or cut short:
+// after the next process has caught up, each message that was taken on stands in the store exactly once.
+func TestKilledBetweenJournalAndStore(t *testing.T) {
+	t.Parallel()
+	const n = 3
+	log := &diskLog{}
+	e := st.NewEndpoint(t, st.Reset)
+	store := undelivered.NewKeeper(t.TempDir(), undelivered.Limits{})
+	s := newTest(t, st.NewPlatform(t, e.Addr), records(storeLog{store, log}))
+	s.journal.file = &loggedJournal{s.journal.file, log, s.journal.size}
+	ctx, cancel := context.WithCancel(context.Background())
+	go s.records.run(ctx, func(err error) { t.Error(err) }, func() { s.post(ctx, keptEvent{}) })
+	go s.disc.tell(ctx, s.notices, func(n []notice) { s.post(ctx, toldEvent{n}) })
+	s.step(ctx, []brainEvent{s.news(s.c.Known, true)})
+	for i := range n {
+		sub := submission{record: record{ID: fmt.Sprint("m", i), Class: "unsafe", Tenant: "acme", Deadline: s.clock.now() + time.Minute, Body: []byte("x")},
+			class: 2, answer: make(chan answerLine, 1)}
+		s.turn(ctx, sub)
+		if a := st.Receive(t, sub.answer); a.status != 202 {
+			t.Fatalf("%+v", a)
+		}
+	}
+	for len(s.journal.byID) > 0 {
+		s.turn(ctx, st.Receive(t, s.events))
+	}
+	cancel()
+	s.leave(cancel)
+	store.Close()
+	ops := log.all()
+	for cut := range len(ops) + 1 {
+		for _, torn := range []bool{false, true} {
+			if torn && (cut == len(ops) || ops[cut].file == storeOp) { // a transaction is all there or not
+				continue
+			}
+			t.Run(fmt.Sprintf("%d writes, torn %v", cut, torn), func(t *testing.T) {
+				t.Parallel()
+				state, folder := t.TempDir(), t.TempDir()
+				var raw []byte
+				kept := undelivered.NewKeeper(folder, undelivered.Limits{})
+				t.Cleanup(func() { kept.Close() })
+				for i, op := range ops[:min(len(ops), cut+1)] {
+					data := op.data
+					if i == cut {
+						if !torn {
+							break
+						}
+						data = data[:len(data)/2]
+					}
+					if op.file == storeOp {
+						if err := kept.Keep([]undelivered.Entry{entryOf(t, raw, string(data), s)}, 0); err != nil {
+							t.Fatal(err)
+						}
+						continue
+					}
+					raw = append(raw, data...)
+				}
+				if err := os.WriteFile(filepath.Join(state, journalName), raw, 0o600); err != nil {
+					t.Fatal(err)
+				}
+				taken := map[string]bool{}
+				j, err := openJournal(copied(t, raw), 3e6)
+				if err != nil {
+					t.Fatal(err)
+				}
+				for id := range j.byID {
+					taken[id] = true
+				}
+				j.close()
+				store, err := kept.Store()
+				if err != nil {
+					t.Fatal(err)
+				}
+				store.List(undelivered.Filter{}, func(_ undelivered.Key, e undelivered.Entry) bool { taken[e.Message] = true; return true })
+				run(t, st.NewPlatform(t, e.Addr), both(records(kept), func(c *Config) { c.State = state }))
+				until(t, func() bool {
+					got := map[string]int{}
+					err := store.List(undelivered.Filter{}, func(_ undelivered.Key, e undelivered.Entry) bool { got[e.Message]++; return true })
+					if err != nil {
+						t.Fatal(err)
+					}
+					for id, n := range got {
+						if n != 1 || !taken[id] {
+							t.Fatalf("%s is there %d times, taken %v", id, n, taken[id])
+						}
+					}
+					return len(got) == len(taken)
+				})
+				if err := store.Check(); err != nil {
+					t.Error(err)
+				}
+			})
+		}
+	}
+}
+
+// copied is a folder with a journal of its own.
+func copied(t *testing.T, raw []byte) string {
+	t.Helper()
+	dir := t.TempDir()
+	if err := os.WriteFile(filepath.Join(dir, journalName), raw, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return dir
+}
+
+// entryOf is the entry of a message as a journal has it.
+func entryOf(t *testing.T, raw []byte, id string, s *Sender) undelivered.Entry {
+	t.Helper()
+	j, err := openJournal(copied(t, raw), 3e6)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer j.close()
+	m := j.byID[id]
+	if m == nil || !m.keep {
+		t.Fatalf("%s is offered before the journal says that it is to be kept", id)
+	}
+	return s.entry(m)
+}
--- /dev/null
+++ b/internal/undelivered/serve.go
@@ -0,0 +1,286 @@
+package undelivered
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"os"
+	"path/filepath"
+	"strconv"
+	"time"
+)
+
+// SocketName is the Unix socket beside the store, by which the command line asks a sender that runs.
+const SocketName = "undelivered.sock"
+
+// Named is an entry with its name.
+type Named struct {
+	Name string `json:"name"`
+	Entry
+}
+
+// Source is a store, or a sender that holds one.
+type Source interface {
+	List(f Filter, do func(Key, Entry) bool) error
+	Get(key Key) (Entry, bool, error)
+	Count() (Totals, error)
+	Settle(key Key, by, why string, now int64) error
+	Drop(keys []Key) (int, error)
+}
+
+// Serve answers the command line on a Unix socket in the keeper's folder, for nobody but its owner, until ctx ends.
+func (k *Keeper) Serve(ctx context.Context) error {
+	path := filepath.Join(k.folder, SocketName)
+	if err := os.MkdirAll(k.folder, 0o700); err != nil {
+		return fmt.Errorf("undelivered: %w", err)
+	}
+	if err := os.Remove(path); err != nil && !errors.Is(err, os.ErrNotExist) { // a process that was killed leaves its own
+		return fmt.Errorf("undelivered: %w", err)
+	}
+	l, err := net.Listen("unix", path)
+	if err != nil {
+		return fmt.Errorf("undelivered: %w", err)
+	}
+	if err := os.Chmod(path, 0o600); err != nil {
+		l.Close()
+		return fmt.Errorf("undelivered: %w", err)
+	}
+	s := &http.Server{Handler: k.handler(), ReadHeaderTimeout: 5 * time.Second}
+	stop := context.AfterFunc(ctx, func() { s.Close() })
+	defer stop()
+	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("undelivered: %w", err)
+	}
+	return nil
+}
+
+func (k *Keeper) handler() http.Handler {
+	mux := http.NewServeMux()
+	handle := func(pattern string, f func(*Store, http.ResponseWriter, url.Values) error) {
+		mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) {
+			s, err := k.Store()
+			if err == nil {
+				err = f(s, w, r.URL.Query())
+			}
+			if err != nil {
+				http.Error(w, err.Error(), http.StatusInternalServerError)
+			}
+		})
+	}
+	answer := func(w io.Writer, v any) error { return json.NewEncoder(w).Encode(v) }
+	handle("GET /list", func(s *Store, w http.ResponseWriter, q url.Values) error {
+		f, err := filterOf(q)
+		if err != nil {
+			return err
+		}
+		// The answer is gathered first: a reader that takes its time is not to hold a transaction open.
+		var all []Named
+		f.Most = min(max(1, f.Most), pageMost)
+		if err := s.List(f, func(k Key, e Entry) bool { all = append(all, Named{k.String(), e}); return true }); err != nil {
+			return err
+		}
+		return answer(w, all)
+	})
+	handle("GET /get", func(s *Store, w http.ResponseWriter, q url.Values) error {
+		key, err := ParseKey(q.Get("name"))
+		if err != nil {
+			return err
+		}
+		e, ok, err := s.Get(key)
+		if err != nil || !ok {
+			return errors.Join(err, answer(w, nil))
+		}
+		return answer(w, e)
+	})
+	handle("GET /count", func(s *Store, w http.ResponseWriter, _ url.Values) error {
+		t, err := s.Count()
+		if err != nil {
+			return err
+		}
+		return answer(w, t)
+	})
+	handle("POST /settle", func(s *Store, w http.ResponseWriter, q url.Values) error {
+		key, err := ParseKey(q.Get("name"))
+		if err == nil {
+			err = s.Settle(key, q.Get("by"), q.Get("why"), time.Now().UnixNano())
+		}
+		if err != nil {
+			return err
+		}
+		return answer(w, 1)
+	})
+	handle("POST /drop", func(s *Store, w http.ResponseWriter, q url.Values) error {
+		var keys []Key
+		for _, name := range q["name"] {
+			key, err := ParseKey(name)
+			if err != nil {
+				return err
+			}
+			keys = append(keys, key)
+		}
+		n, err := s.Drop(keys)
+		if err != nil {
+			return err
+		}
+		return answer(w, n)
+	})
+	return mux
+}
+
+// pageMost is the entries in one answer.
+const pageMost = 200
+
+// query writes a filter as a query, and filterOf reads it.
+func (f Filter) query() url.Values {
+	q := url.Values{}
+	set := func(name, v string) {
+		if v != "" {
+			q.Set(name, v)
+		}
+	}
+	set("member", f.Member)
+	set("reason", string(f.Reason))
+	set("class", f.Class)
+	if f.Destination != nil {
+		set("destination", strconv.FormatUint(uint64(*f.Destination), 10))
+	}
+	for name, v := range map[string]int64{"since": f.Since, "until": f.Until, "most": int64(f.Most)} {
+		if v != 0 {
+			set(name, strconv.FormatInt(v, 10))
+		}
+	}
+	if f.After != (Key{}) {
+		set("after", f.After.String())
+	}
+	return q
+}
+
+func filterOf(q url.Values) (Filter, error) {
+	f := Filter{Member: q.Get("member"), Class: q.Get("class")}
+	var err error
+	if v := q.Get("reason"); v != "" {
+		if f.Reason, err = ParseReason(v); err != nil {
+			return f, err
+		}
+	}
+	if v := q.Get("destination"); v != "" {
+		n, err := strconv.ParseUint(v, 10, 32)
+		if err != nil {
+			return f, fmt.Errorf("destination: %w", err)
+		}
+		d := uint32(n)
+		f.Destination = &d
+	}
+	most := int64(0)
+	for name, into := range map[string]*int64{"since": &f.Since, "until": &f.Until, "most": &most} {
+		if v := q.Get(name); v != "" {
+			if *into, err = strconv.ParseInt(v, 10, 64); err != nil {
+				return f, fmt.Errorf("%s: %w", name, err)
+			}
+		}
+	}
+	f.Most = int(most)
+	if v := q.Get("after"); v != "" {
+		if f.After, err = ParseKey(v); err != nil {
+			return f, err
+		}
+	}
+	return f, nil
+}
+
+// Remote is a sender's store, asked by its socket.
+type Remote struct{ c *http.Client }
+
+// Dial asks the sender whose socket is in a folder.
+func Dial(folder string) *Remote {
+	path := filepath.Join(folder, SocketName)
+	return &Remote{&http.Client{Timeout: 30 * time.Second, Transport: &http.Transport{
+		DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
+			var d net.Dialer
+			return d.DialContext(ctx, "unix", path)
+		}}}}
+}
+
+func (r *Remote) ask(method, path string, q url.Values, into any) error {
+	req, err := http.NewRequest(method, "http://sender"+path+"?"+q.Encode(), nil)
+	if err != nil {
+		return fmt.Errorf("undelivered: %w", err)
+	}
+	resp, err := r.c.Do(req)
+	if err != nil {
+		return fmt.Errorf("undelivered: no sender answers: %w", err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		text, _ := io.ReadAll(io.LimitReader(resp.Body, 4096))
+		return fmt.Errorf("undelivered: the sender says: %s", text)
+	}
+	if err := json.NewDecoder(resp.Body).Decode(into); err != nil {
+		return fmt.Errorf("undelivered: the sender's answer: %w", err)
+	}
+	return nil
+}
+
+// List asks page by page.
+func (r *Remote) List(f Filter, do func(Key, Entry) bool) error {
+	for left := f.Most; ; {
+		page := f
+		if page.Most = pageMost; left > 0 {
+			page.Most = min(left, pageMost)
+		}
+		var all []Named
+		if err := r.ask(http.MethodGet, "/list", page.query(), &all); err != nil {
+			return err
+		}
+		for _, n := range all {
+			key, err := ParseKey(n.Name)
+			if err != nil {
+				return err
+			}
+			f.After = key
+			if !do(key, n.Entry) {
+				return nil
+			}
+		}
+		if left > 0 {
+			if left -= len(all); left <= 0 {
+				return nil
+			}
+		}
+		if len(all) < page.Most {
+			return nil
+		}
+	}
+}
+
+// Get is one entry.
+func (r *Remote) Get(key Key) (Entry, bool, error) {
+	var e *Entry
+	if err := r.ask(http.MethodGet, "/get", url.Values{"name": {key.String()}}, &e); err != nil || e == nil {
+		return Entry{}, false, err
+	}
+	return *e, true, nil
+}
+
+// Count counts by member and reason.
+func (r *Remote) Count() (t Totals, err error) { return t, r.ask(http.MethodGet, "/count", nil, &t) }
+
+// Settle marks an entry as dealt with; the sender's clock says when.
+func (r *Remote) Settle(key Key, by, why string, _ int64) error {
+	var n int
+	return r.ask(http.MethodPost, "/settle", url.Values{"name": {key.String()}, "by": {by}, "why": {why}}, &n)
+}
+
+// Drop takes entries out.
+func (r *Remote) Drop(keys []Key) (n int, err error) {
+	q := url.Values{}
+	for _, k := range keys {
+		q.Add("name", k.String())
+	}
+	return n, r.ask(http.MethodPost, "/drop", q, &n)
+}
--- /dev/null
+++ b/internal/undelivered/store.go
@@ -0,0 +1,705 @@
+package undelivered
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"runtime/debug"
+	"time"
+
+	bolt "go.etcd.io/bbolt"
+)
+
+// The store is one bbolt file. Buckets:
+//
+//	meta     version (8 bytes), bytes (8: of all entries' values)
+//	entries  key → value, JSON. The key is the entry's name: 8 bytes of the time it ended, 8 of its message's id hashed
+//	messages id of a message → key
+//	members  member, 0, key → nothing; and by the same scheme reasons, classes, destinations, and, for the usual
+//	         question, pairs: member, 0, reason, 0, key
+//	totals   member → entries and bytes (8 each)
+//	dropped  member, 0, reason → how many were dropped (8)
+//
+// A transaction is all there or not at all after a kill, so the indexes never disagree with the entries.
+var (
+	bucketMeta         = []byte("meta")
+	bucketEntries      = []byte("entries")
+	bucketMessages     = []byte("messages")
+	bucketMembers      = []byte("members")
+	bucketReasons      = []byte("reasons")
+	bucketClasses      = []byte("classes")
+	bucketDestinations = []byte("destinations")
+	bucketPairs        = []byte("pairs")
+	bucketTotals       = []byte("totals")
+	bucketDropped      = []byte("dropped")
+
+	keyVersion = []byte("version")
+	keyBytes   = []byte("bytes")
+)
+
+// version is that of the file's layout.
+const version = 1
+
+// State is what an entry waits for.
+type State string
+
+// The states.
+const (
+	Kept    State = "kept"
+	Settled State = "settled" // by hand
+)
+
+// Entry is one message that was not delivered.
+type Entry struct {
+	Message     string          `json:"message"` // its id
+	Member      string          `json:"member"`
+	Class       string          `json:"class"`
+	Effect      Effect          `json:"effect"`
+	Ordered     bool            `json:"ordered,omitempty"`
+	Destination uint32          `json:"destination"`
+	Key         string          `json:"key,omitempty"`
+	Order       string          `json:"order,omitempty"`
+	Event       json.RawMessage `json:"event,omitempty"` // attributes, of one that came as an event
+	Body        []byte          `json:"body,omitempty"`
+	How         string          `json:"how"`
+	Answered    bool            `json:"answered,omitempty"` // it ended in the answer to its hand-in
+	Reason      Reason          `json:"reason"`
+	Taken       int64           `json:"taken"` // Unix nanoseconds
+	Ended       int64           `json:"ended"`
+	Deadline    int64           `json:"deadline"`
+	Attempts    []Attempt       `json:"attempts,omitempty"`
+
+	State State  `json:"state"`
+	By    string `json:"by,omitempty"`   // who settled it
+	Why   string `json:"why,omitempty"`  // and why
+	When  int64  `json:"when,omitempty"` // Unix nanoseconds
+}
+
+// History is what is asked of an entry.
+func (e *Entry) History() History {
+	return History{How: e.How, Answered: e.Answered, Taken: e.Taken, Ended: e.Ended, Deadline: e.Deadline, Effect: e.Effect, Ordered: e.Ordered, Key: e.Key, Attempts: e.Attempts}
+}
+
+// Key names an entry in the store.
+type Key [16]byte
+
+// String is the name as people write it.
+func (k Key) String() string { return hex.EncodeToString(k[:]) }
+
+// ParseKey reads a name.
+func ParseKey(text string) (Key, error) {
+	raw, err := hex.DecodeString(text)
+	if err != nil || len(raw) != len(Key{}) {
+		return Key{}, fmt.Errorf("%q is no name of an entry: 32 hexadecimal digits", text)
+	}
+	return Key(raw), nil
+}
+
+// KeyOf is the name of a message's entry.
+func KeyOf(message string, ended int64) Key {
+	var k Key
+	binary.BigEndian.PutUint64(k[:], uint64(ended))
+	sum := sha256.Sum256([]byte(message))
+	copy(k[8:], sum[:8])
+	return k
+}
+
+// Limits bound a store.
+type Limits struct {
+	Bytes int64         // of all entries; at least a megabyte
+	Age   time.Duration // an entry is dropped so long after it ended
+}
+
+// Store keeps entries. It is safe for several goroutines.
+type Store struct {
+	db     *bolt.DB
+	limits Limits
+}
+
+// ErrNewer is that a file was written by a later version.
+var ErrNewer = errors.New("the file was written by a newer version")
+
+// lockTime is how long another process may hold the file.
+const lockTime = 2 * time.Second
+
+// Open opens a store's file, or makes it. A damaged one, one of a newer version, or one that another process holds is
+// an error, and is left as it is.
+func Open(path string, limits Limits) (*Store, error) { return open(path, limits, false) }
+
+// OpenCopy opens a file to look at it only.
+func OpenCopy(path string) (*Store, error) { return open(path, Limits{}, true) }
+
+func open(path string, limits Limits, readOnly bool) (s *Store, err error) {
+	defer func() { // bbolt panics at some damage
+		if p := recover(); p != nil {
+			s, err = nil, fmt.Errorf("undelivered: %s is damaged: %v", path, p)
+		}
+	}()
+	if readOnly {
+		if _, err := os.Stat(path); err != nil {
+			return nil, fmt.Errorf("undelivered: %w", err)
+		}
+	}
+	if err := whole(path); err != nil {
+		return nil, fmt.Errorf("undelivered: %s is damaged: %w", path, err)
+	}
+	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true))
+	db, err := bolt.Open(path, 0o600, &bolt.Options{Timeout: lockTime, ReadOnly: readOnly, FreelistType: bolt.FreelistMapType, NoFreelistSync: true})
+	switch {
+	case errors.Is(err, bolt.ErrTimeout):
+		return nil, fmt.Errorf("undelivered: %s is held by another process: a sender that runs", path)
+	case errors.Is(err, bolt.ErrInvalid), errors.Is(err, bolt.ErrChecksum), errors.Is(err, bolt.ErrVersionMismatch):
+		return nil, fmt.Errorf("undelivered: %s is damaged, or no store: %w", path, err)
+	case err != nil:
+		return nil, fmt.Errorf("undelivered: %w", err)
+	}
+	s = &Store{db: db, limits: limits}
+	if err := s.begin(readOnly); err != nil {
+		db.Close()
+		return nil, fmt.Errorf("undelivered: %s: %w", path, err)
+	}
+	return s, nil
+}
+
+func (s *Store) begin(readOnly bool) error {
+	if readOnly {
+		return s.view(func(tx *bolt.Tx) error { return checkVersion(tx) })
+	}
+	return s.update(func(tx *bolt.Tx) error {
+		if tx.Bucket(bucketMeta) == nil {
+			for _, name := range [][]byte{bucketMeta, bucketEntries, bucketMessages, bucketMembers, bucketReasons, bucketClasses, bucketDestinations, bucketPairs, bucketTotals, bucketDropped} {
+				if _, err := tx.CreateBucketIfNotExists(name); err != nil {
+					return err
+				}
+			}
+			return tx.Bucket(bucketMeta).Put(keyVersion, number(version))
+		}
+		return checkVersion(tx)
+	})
+}
+
+func checkVersion(tx *bolt.Tx) error {
+	meta := tx.Bucket(bucketMeta)
+	if meta == nil {
+		return errors.New("it is no store of undelivered messages")
+	}
+	switch v := value(meta.Get(keyVersion)); {
+	case v > version:
+		return fmt.Errorf("%w: %d, and this one knows %d", ErrNewer, v, version)
+	case v != version:
+		return fmt.Errorf("it says version %d", v)
+	}
+	return nil
+}
+
+// Close closes the file.
+func (s *Store) Close() error {
+	if err := s.db.Close(); err != nil {
+		return fmt.Errorf("undelivered: %w", err)
+	}
+	return nil
+}
+
+// update and view run a transaction. bbolt maps its file: pages that are damaged make it panic, and a file that was cut
+// short under it is a fault of the machine's. Either is an error here, and the transaction is as if it had not been.
+func (s *Store) update(f func(*bolt.Tx) error) error {
+	return guarded(func() error { return s.db.Update(f) })
+}
+
+func (s *Store) view(f func(*bolt.Tx) error) error {
+	return guarded(func() error { return s.db.View(f) })
+}
+
+func guarded(f func() error) (err error) {
+	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true))
+	defer func() {
+		if p := recover(); p != nil {
+			err = fmt.Errorf("the file is damaged: %v", p)
+		}
+	}()
+	return f()
+}
+
+// whole is whether a file has all the pages that it says it has: bbolt would read behind its end.
+func whole(path string) error {
+	f, err := os.Open(path)
+	if errors.Is(err, os.ErrNotExist) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	info, err := f.Stat()
+	if err != nil || info.Size() == 0 {
+		return err
+	}
+	// Each of the first two pages: 16 bytes of head, then magic, version, page size, flags (4 each), root (16), free
+	// list, page count, transaction, checksum (8 each), in the machine's order.
+	const magic = 0xED0CDAED
+	size := int64(os.Getpagesize())
+	most := int64(-1)
+	for i := range int64(2) {
+		b := make([]byte, 80)
+		if _, err := f.ReadAt(b, i*size); err != nil {
+			return fmt.Errorf("it is cut short: %d bytes", info.Size())
+		}
+		m := b[16:]
+		if binary.NativeEndian.Uint32(m) != magic {
+			continue // bbolt says what it thinks of that
+		}
+		if pages := int64(binary.NativeEndian.Uint64(m[40:])); pages >= 0 && pages < 1<<40 {
+			most = max(most, pages)
+		}
+	}
+	if most*size > info.Size() {
+		return fmt.Errorf("it is cut short: it says %d pages of %d bytes, and has %d bytes", most, size, info.Size())
+	}
+	return nil
+}
+
+func number(v int64) []byte { return binary.BigEndian.AppendUint64(nil, uint64(v)) }
+
+func value(b []byte) int64 {
+	if len(b) != 8 {
+		return 0
+	}
+	return int64(binary.BigEndian.Uint64(b))
+}
+
+// join makes an index's key.
+func join(parts ...string) []byte {
+	var b []byte
+	for _, p := range parts {
+		b = append(append(b, p...), 0)
+	}
+	return b
+}
+
+// indexes calls f with each bucket that names an entry, and what stands before its key there.
+func indexes(tx *bolt.Tx, e *Entry, f func(b *bolt.Bucket, prefix []byte) error) error {
+	for _, i := range []struct {
+		bucket []byte
+		prefix []byte
+	}{
+		{bucketMembers, join(e.Member)}, {bucketReasons, join(string(e.Reason))}, {bucketClasses, join(e.Class)},
+		{bucketDestinations, join(fmt.Sprint(e.Destination))}, {bucketPairs, join(e.Member, string(e.Reason))},
+	} {
+		if err := f(tx.Bucket(i.bucket), i.prefix); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Keep puts entries into the store, in one transaction; one that is there already stays as it is. What has to go for
+// them, or is too old by now, is dropped and counted. now is Unix nanoseconds.
+func (s *Store) Keep(entries []Entry, now int64) error {
+	err := s.update(func(tx *bolt.Tx) error {
+		for i := range entries {
+			if err := s.put(tx, &entries[i]); err != nil {
+				return err
+			}
+		}
+		return s.retain(tx, now)
+	})
+	if err != nil {
+		return fmt.Errorf("undelivered: %w", err)
+	}
+	return nil
+}
+
+func (s *Store) put(tx *bolt.Tx, e *Entry) error {
+	key := KeyOf(e.Message, e.Ended)
+	if tx.Bucket(bucketMessages).Get([]byte(e.Message)) != nil {
+		return nil // offered again after a kill
+	}
+	if e.State == "" {
+		e.State = Kept
+	}
+	raw, err := json.Marshal(e)
+	if err != nil {
+		return fmt.Errorf("message %s: %w", e.Message, err)
+	}
+	if err := tx.Bucket(bucketEntries).Put(key[:], raw); err != nil {
+		return err
+	}
+	if err := tx.Bucket(bucketMessages).Put([]byte(e.Message), key[:]); err != nil {
+		return err
+	}
+	if err := indexes(tx, e, func(b *bolt.Bucket, prefix []byte) error { return b.Put(append(prefix, key[:]...), nil) }); err != nil {
+		return err
+	}
+	return count(tx, e.Member, 1, int64(len(raw)))
+}
+
+// count adds to the totals.
+func count(tx *bolt.Tx, member string, n, size int64) error {
+	meta, totals := tx.Bucket(bucketMeta), tx.Bucket(bucketTotals)
+	if err := meta.Put(keyBytes, number(value(meta.Get(keyBytes))+size)); err != nil {
+		return err
+	}
+	was := totals.Get([]byte(member))
+	entries, bytes := int64(0), int64(0)
+	if len(was) == 16 {
+		entries, bytes = value(was[:8]), value(was[8:])
+	}
+	if entries+n <= 0 {
+		return totals.Delete([]byte(member))
+	}
+	return totals.Put([]byte(member), append(number(entries+n), number(bytes+size)...))
+}
+
+// remove takes an entry out.
+func remove(tx *bolt.Tx, key []byte) (Entry, error) {
+	var e Entry
+	raw := tx.Bucket(bucketEntries).Get(key)
+	if raw == nil {
+		return e, fmt.Errorf("entry %x is not there", key)
+	}
+	if err := json.Unmarshal(raw, &e); err != nil {
+		return e, fmt.Errorf("entry %x: %w", key, err)
+	}
+	size := int64(len(raw))
+	key = bytes.Clone(key)
+	if err := tx.Bucket(bucketEntries).Delete(key); err != nil {
+		return e, err
+	}
+	if err := tx.Bucket(bucketMessages).Delete([]byte(e.Message)); err != nil {
+		return e, err
+	}
+	if err := indexes(tx, &e, func(b *bolt.Bucket, prefix []byte) error { return b.Delete(append(prefix, key...)) }); err != nil {
+		return e, err
+	}
+	return e, count(tx, e.Member, -1, -size)
+}
+
+// drop takes an entry out because it has to go, and counts that.
+func drop(tx *bolt.Tx, key []byte) error {
+	e, err := remove(tx, key)
+	if err != nil {
+		return err
+	}
+	return countDropped(tx, e.Member, e.Reason, 1)
+}
+
+func countDropped(tx *bolt.Tx, member string, reason Reason, n int64) error {
+	b, name := tx.Bucket(bucketDropped), join(member, string(reason))
+	return b.Put(name, number(value(b.Get(name))+n))
+}
+
+// Missed counts messages that could not even be offered.
+func (s *Store) Missed(counts map[[2]string]int64) error {
+	if len(counts) == 0 {
+		return nil
+	}
+	err := s.update(func(tx *bolt.Tx) error {
+		for who, n := range counts {
+			if err := countDropped(tx, who[0], Reason(who[1]), n); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+	if err != nil {
+		return fmt.Errorf("undelivered: %w", err)
+	}
+	return nil
+}
+
+// retain drops what is too old, and, while there are too many bytes, the oldest of the member that is furthest over an
+// even share of them: one member's flood costs that member.
+func (s *Store) retain(tx *bolt.Tx, now int64) error {
+	if s.limits.Age > 0 {
+		c := tx.Bucket(bucketEntries).Cursor()
+		for k, _ := c.First(); k != nil && int64(binary.BigEndian.Uint64(k)) <= now-int64(s.limits.Age); k, _ = c.First() {
+			if err := drop(tx, k); err != nil {
+				return err
+			}
+		}
+	}
+	for s.limits.Bytes > 0 && value(tx.Bucket(bucketMeta).Get(keyBytes)) > s.limits.Bytes {
+		var member []byte
+		most := int64(-1)
+		err := tx.Bucket(bucketTotals).ForEach(func(k, v []byte) error {
+			if n := value(v[8:]); n > most {
+				member, most = bytes.Clone(k), n
+			}
+			return nil
+		})
+		if err != nil {
+			return err
+		}
+		prefix := join(string(member))
+		k, _ := tx.Bucket(bucketMembers).Cursor().Seek(prefix)
+		if !bytes.HasPrefix(k, prefix) {
+			return fmt.Errorf("the totals name member %q, of whom there is nothing", member)
+		}
+		if err := drop(tx, bytes.Clone(k[len(prefix):])); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Filter is which entries are asked for; what is empty or zero holds for all.
+type Filter struct {
+	Member      string
+	Reason      Reason
+	Class       string
+	Destination *uint32
+	Since       int64 // ended at or after; Unix nanoseconds
+	Until       int64 // ended before
+	After       Key   // entries behind this one, in the order of their ends
+	Most        int   // so many; 0: all
+}
+
+func (f *Filter) holds(e *Entry) bool {
+	return (f.Member == "" || f.Member == e.Member) && (f.Reason == "" || f.Reason == e.Reason) && (f.Class == "" || f.Class == e.Class) &&
+		(f.Destination == nil || *f.Destination == e.Destination)
+}
+
+// index is the bucket that an answer is looked for in, and what stands before the keys there: the narrowest there is.
+func (f *Filter) index() (bucket, prefix []byte) {
+	switch {
+	case f.Member != "" && f.Reason != "":
+		return bucketPairs, join(f.Member, string(f.Reason))
+	case f.Member != "":
+		return bucketMembers, join(f.Member)
+	case f.Destination != nil:
+		return bucketDestinations, join(fmt.Sprint(*f.Destination))
+	case f.Class != "":
+		return bucketClasses, join(f.Class)
+	case f.Reason != "":
+		return bucketReasons, join(string(f.Reason))
+	}
+	return bucketEntries, nil
+}
+
+// List calls do with entries in the order of their ends, until it returns false.
+func (s *Store) List(f Filter, do func(Key, Entry) bool) error {
+	err := s.view(func(tx *bolt.Tx) error {
+		entries := tx.Bucket(bucketEntries)
+		bucket, prefix := f.index()
+		begin := make([]byte, 16)
+		binary.BigEndian.PutUint64(begin, uint64(max(0, f.Since)))
+		if f.After != (Key{}) && bytes.Compare(f.After[:], begin) >= 0 {
+			copy(begin, f.After[:])
+		}
+		n := 0
+		c := tx.Bucket(bucket).Cursor()
+		for k, _ := c.Seek(append(bytes.Clone(prefix), begin...)); k != nil && bytes.HasPrefix(k, prefix); k, _ = c.Next() {
+			key := Key(k[len(prefix):])
+			if key == f.After {
+				continue
+			}
+			if f.Until > 0 && int64(binary.BigEndian.Uint64(key[:])) >= f.Until {
+				return nil
+			}
+			var e Entry
+			if err := json.Unmarshal(entries.Get(key[:]), &e); err != nil {
+				return fmt.Errorf("entry %s: %w", key, err)
+			}
+			if !f.holds(&e) {
+				continue
+			}
+			if n++; !do(key, e) || f.Most > 0 && n >= f.Most {
+				return nil
+			}
+		}
+		return nil
+	})
+	if err != nil {
+		return fmt.Errorf("undelivered: %w", err)
+	}
+	return nil
+}
+
+// Get is one entry; false if it is not there.
+func (s *Store) Get(key Key) (e Entry, ok bool, err error) {
+	err = s.view(func(tx *bolt.Tx) error {
+		raw := tx.Bucket(bucketEntries).Get(key[:])
+		if ok = raw != nil; !ok {
+			return nil
+		}
+		return json.Unmarshal(raw, &e)
+	})
+	if err != nil {
+		return e, false, fmt.Errorf("undelivered: entry %s: %w", key, err)
+	}
+	return e, ok, nil
+}
+
+// Settle marks an entry as dealt with by hand: who, why and when stand in its record.
+func (s *Store) Settle(key Key, by, why string, now int64) error {
+	if by == "" || why == "" {
+		return errors.New("undelivered: settling needs who does so and why")
+	}
+	err := s.update(func(tx *bolt.Tx) error {
+		raw := tx.Bucket(bucketEntries).Get(key[:])
+		if raw == nil {
+			return fmt.Errorf("entry %s is not there", key)
+		}
+		var e Entry
+		if err := json.Unmarshal(raw, &e); err != nil {
+			return fmt.Errorf("entry %s: %w", key, err)
+		}
+		if e.State == Settled {
+			return fmt.Errorf("entry %s was settled by %s at %s", key, e.By, time.Unix(0, e.When).UTC().Format(time.RFC3339))
+		}
+		e.State, e.By, e.Why, e.When = Settled, by, why, now
+		is, err := json.Marshal(&e)
+		if err != nil {
+			return err
+		}
+		size := int64(len(is) - len(raw))
+		if err := tx.Bucket(bucketEntries).Put(key[:], is); err != nil {
+			return err
+		}
+		return count(tx, e.Member, 0, size)
+	})
+	if err != nil {
+		return fmt.Errorf("undelivered: %w", err)
+	}
+	return nil
+}
+
+// Drop takes entries out for good, and counts them as dropped; how many there were.
+func (s *Store) Drop(keys []Key) (n int, err error) {
+	err = s.update(func(tx *bolt.Tx) error {
+		for _, k := range keys {
+			if tx.Bucket(bucketEntries).Get(k[:]) == nil {
+				continue
+			}
+			if err := drop(tx, k[:]); err != nil {
+				return err
+			}
+			n++
+		}
+		return nil
+	})
+	if err != nil {
+		return 0, fmt.Errorf("undelivered: %w", err)
+	}
+	return n, nil
+}
+
+// Count is how many entries there are, and how many were dropped, by member and reason.
+type Count struct {
+	Member  string `json:"member"`
+	Reason  Reason `json:"reason"`
+	Kept    int64  `json:"kept"`
+	Dropped int64  `json:"dropped"`
+}
+
+// Totals is what the store holds.
+type Totals struct {
+	Counts []Count `json:"counts"`
+	Bytes  int64   `json:"bytes"`
+}
+
+// Count counts by member and reason.
+func (s *Store) Count() (t Totals, err error) {
+	err = s.view(func(tx *bolt.Tx) error {
+		t.Bytes = value(tx.Bucket(bucketMeta).Get(keyBytes))
+		at := map[[2]string]int{}
+		add := func(member, reason string) *Count {
+			who := [2]string{member, reason}
+			i, ok := at[who]
+			if !ok {
+				i = len(t.Counts)
+				at[who] = i
+				t.Counts = append(t.Counts, Count{Member: member, Reason: Reason(reason)})
+			}
+			return &t.Counts[i]
+		}
+		split := func(k []byte) (member, reason string, err error) {
+			parts := bytes.SplitN(k, []byte{0}, 3)
+			if len(parts) < 3 {
+				return "", "", fmt.Errorf("the index holds %q", k)
+			}
+			return string(parts[0]), string(parts[1]), nil
+		}
+		err := tx.Bucket(bucketPairs).ForEach(func(k, _ []byte) error {
+			member, reason, err := split(k)
+			if err == nil {
+				add(member, reason).Kept++
+			}
+			return err
+		})
+		if err != nil {
+			return err
+		}
+		return tx.Bucket(bucketDropped).ForEach(func(k, v []byte) error {
+			member, reason, err := split(k)
+			if err == nil {
+				add(member, reason).Dropped = value(v)
+			}
+			return err
+		})
+	})
+	if err != nil {
+		return Totals{}, fmt.Errorf("undelivered: %w", err)
+	}
+	return t, nil
+}
+
+// Check finds out whether the file holds together: bbolt's own pages, every entry under its name and in each index,
+// nothing in an index that is no entry, and the totals as they are.
+func (s *Store) Check() error {
+	err := s.view(func(tx *bolt.Tx) error {
+		for err := range tx.Check() {
+			return err
+		}
+		n, size := 0, int64(0)
+		members := map[string][2]int64{}
+		err := tx.Bucket(bucketEntries).ForEach(func(k, raw []byte) error {
+			var e Entry
+			if err := json.Unmarshal(raw, &e); err != nil {
+				return fmt.Errorf("entry %x: %w", k, err)
+			}
+			if want := KeyOf(e.Message, e.Ended); !bytes.Equal(k, want[:]) {
+				return fmt.Errorf("entry %x is message %s, which ended at %d", k, e.Message, e.Ended)
+			}
+			if !bytes.Equal(tx.Bucket(bucketMessages).Get([]byte(e.Message)), k) {
+				return fmt.Errorf("entry %x: message %s is not listed", k, e.Message)
+			}
+			n++
+			size += int64(len(raw))
+			t := members[e.Member]
+			members[e.Member] = [2]int64{t[0] + 1, t[1] + int64(len(raw))}
+			return indexes(tx, &e, func(b *bolt.Bucket, prefix []byte) error {
+				if b.Get(append(prefix, k...)) == nil {
+					return fmt.Errorf("entry %x is not in the index %q", k, prefix)
+				}
+				return nil
+			})
+		})
+		if err != nil {
+			return err
+		}
+		for _, name := range [][]byte{bucketMessages, bucketMembers, bucketReasons, bucketClasses, bucketDestinations, bucketPairs} {
+			if is := tx.Bucket(name).Stats().KeyN; is != n {
+				return fmt.Errorf("%s lists %d of %d entries", name, is, n)
+			}
+		}
+		if is := value(tx.Bucket(bucketMeta).Get(keyBytes)); is != size {
+			return fmt.Errorf("the totals say %d bytes, there are %d", is, size)
+		}
+		return tx.Bucket(bucketTotals).ForEach(func(k, v []byte) error {
+			if want := members[string(k)]; value(v[:8]) != want[0] || value(v[8:]) != want[1] {
+				return fmt.Errorf("the totals of member %q are %d and %d, there are %v", k, value(v[:8]), value(v[8:]), want)
+			}
+			return nil
+		})
+	})
+	if err != nil {
+		return fmt.Errorf("undelivered: %w", err)
+	}
+	return nil
+}
