--- a/internal/sender/recorder_test.go
+++ b/internal/sender/recorder_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"dockshift.example/dockshift/brain"
 	st "dockshift.example/dockshift/internal/sendertest"
 	"dockshift.example/dockshift/internal/undelivered"
 )
@@ -273,3 +274,67 @@
 	}
 	return s.entry(m)
 }
+
+// eachWrite calls a function with what is about to be written to the journal.
+type eachWrite struct {
+	journalFile
+	look func([]byte)
+}
+
+func (f *eachWrite) Write(b []byte) (int, error) {
+	f.look(b)
+	return f.journalFile.Write(b)
+}
+
+// An end is offered to the recorder only once it stands in the journal.
+func TestOfferedAfterItIsWritten(t *testing.T) {
+	t.Parallel()
+	s, _, hand := byHand(t, st.Reset, both(takesEvents, records(newMemory()))) // nobody takes what is offered
+	written := false
+	s.journal.file = &eachWrite{s.journal.file, func(b []byte) {
+		if strings.Contains(string(b), `"keep":true`) {
+			written = true
+			if len(s.records.offers) > 0 {
+				t.Error("it is offered before it is written")
+			}
+		}
+	}}
+	if a := hand(eventJSON("1", "unsafe", "")); a.status != 202 {
+		t.Fatalf("%+v", a)
+	}
+	for s.held > 0 {
+		s.turn(context.Background(), st.Receive(t, s.events))
+	}
+	if !written || len(s.records.offers) != 1 {
+		t.Errorf("written %v, %d offers", written, len(s.records.offers))
+	}
+}
+
+// An event that the module refuses in the answer to its hand-in was never taken on: nothing of it is remembered, no room
+// is kept for its end, and it may come again at once.
+func TestRefusedEventIsForgotten(t *testing.T) {
+	t.Parallel()
+	s, _, hand := byHand(t, st.Silent, takesEvents)
+	front := &eventsFront{s.c, s.clock, s.c.Events}
+	h, err := front.begin(mustRequest(t, oneEvent))
+	if err != nil {
+		t.Fatal(err)
+	}
+	subs, err := h.take([]byte(eventJSON("1", "safe", "")), s.clock.now())
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.submitted(subs[0])
+	m := s.byID[subs[0].ID]
+	s.close(m.number, handedBack, 503, time.Minute)
+	s.withdrawn = append(s.withdrawn, brain.Withdrawn{Message: m.number})
+	if len(s.ends.held) != 0 || s.ends.table.Held() != 0 || s.ends.table.Len() != 0 {
+		t.Errorf("%d held, room for %d, %d ends", len(s.ends.held), s.ends.table.Held(), s.ends.table.Len())
+	}
+	if a := hand(eventJSON("1", "safe", "")); a.status != 202 {
+		t.Errorf("it comes again: %+v", a)
+	}
+	if a := st.Receive(t, subs[0].answer); a.status != 503 {
+		t.Errorf("%+v", a)
+	}
+}
