A call asks for its write permit as its connection stands; the module takes it back

A receiver vanishes, so that connects hang, and asks all callers to wait as it comes back: calls that were decided seconds before came up after the wait was told, and were written. pool.call looked again, after the connect, at a keyed repeat's window only. The same lines let a call go to an endpoint that had drained meanwhile, several at once to a receiver that returned, and one whose message was given up.

Change: brain.Recall, given for calls that would not be sent now (told to wait, off the list, in an outage or before its latest probe, all messages over), looked at only at routes where something came up. A recalled call ends as NotSent, counts as no attempt, and its connection is kept if it stands. Of a batch those go whose permit is left.

Decisions are the reference's but for recalls (equal_test). Without the recalls, the permit's swap, or any reason, a test fails.

--- a/brain/api.go
+++ b/brain/api.go
@@ -124,6 +124,7 @@
 	Outcome  Outcome
 	Elapsed  time.Duration // since it was sent
 	Over     bool          // the message needs no further answer
+	Recalled bool          // with NotSent: it was recalled before anything was written, and counts as no attempt
 	Wait     time.Duration // with Refused: told to send nothing for so long; 0 if nothing was told
 	Reported bool          // Left and Limit were reported
 	Left     float64       // share of the destination's allowance that is left
@@ -166,7 +167,7 @@
 func (ListNews) event()   {}
 func (Alarm) event()      {}
 
-// Action is one of Send, Refuse, Fail, Cancel, CloseIdle, SetAlarm, WatchList and Log.
+// Action is one of Send, Recall, Refuse, Fail, Cancel, CloseIdle, SetAlarm, WatchList and Log.
 type Action interface{ action() }
 
 // Send calls an endpoint with a message and gives the attempt up after Timeout.
@@ -176,6 +177,30 @@
 	Timeout  time.Duration
 }
 
+// Recall takes back the leave to write an attempt: what was decided when it was sent would not be decided now. One of
+// which nothing is written yet ends as NotSent, at once and without use of its connection; for any other it means
+// nothing. It may be carried out before all other actions of its step, and is never late.
+type Recall struct {
+	Message MessageID
+	Attempt int
+	Why     Reason
+}
+
+// Reason is why an attempt is recalled.
+type Reason uint8
+
+// The reasons.
+const (
+	ToldToWait Reason = iota // the destination, or the route, asked for a wait meanwhile
+	OffTheList               // the endpoint drains or is gone
+	InOutage                 // its route has gone out, or another probe has gone there since
+	IsOver                   // all its messages have ended
+)
+
+func (r Reason) String() string {
+	return [...]string{"told to wait", "off the list", "in an outage", "over"}[r]
+}
+
 // Refuse ends a message and tells its client that trying again, after HoldOff, is harmless.
 type Refuse struct {
 	Message MessageID
@@ -204,6 +229,7 @@
 type Log struct{ Line string }
 
 func (Send) action()      {}
+func (Recall) action()    {}
 func (Refuse) action()    {}
 func (Fail) action()      {}
 func (Cancel) action()    {}
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -271,6 +271,7 @@
 	spread := float64(b.draw(1000))/1000 - 0.5 // senders that fail in step do not go on in step
 	r.state, r.since, r.probes, r.tokens, r.filled = out, b.now, 0, spread, b.now
 	r.window = 1
+	b.doubt(r)
 	b.log(r, "out: calls fail, are refused or go unanswered; one call at a time")
 }
 
@@ -319,6 +320,7 @@
 	b.expire()
 	b.makeRoom()
 	b.sendAll()
+	b.recallAll()
 	b.closeIdle()
 	if b.s.FoldAfter > 0 {
 		b.foldQuiet()
@@ -633,6 +635,7 @@
 	if c.probe {
 		r.probes++
 		r.probedAt = b.now
+		b.doubt(r)
 	}
 	r.tokens--
 	r.tried.add(b.now, arrivalSpan)
@@ -727,6 +730,40 @@
 	return r.optimum()
 }
 
+// recallAll looks again at the calls of routes where something has come up since they were sent. Their
+// connections may take seconds to come up, and what a call was sent by may not hold when it could be written.
+func (b *Brain) recallAll() {
+	for _, r := range b.rechecks {
+		r.recheck = false
+		for _, c := range r.unanswered {
+			why, recall := b.fallen(c)
+			if !recall || c.recalled {
+				continue
+			}
+			c.recalled = true
+			for _, m := range c.messages {
+				if n := len(m.attempts) - 1; !m.attempts[n].ended {
+					b.acts = append(b.acts, Recall{m.ID, n, why})
+				}
+			}
+		}
+	}
+	b.rechecks = b.rechecks[:0]
+}
+
+// fallen: c would not be sent now, if it had not been.
+func (b *Brain) fallen(c *call) (why Reason, is bool) {
+	switch r := c.route; {
+	case !c.at.listed:
+		return OffTheList, true
+	case b.now < r.toldUntil:
+		return ToldToWait, true
+	case r.state == out && (c.sent < r.since || c.sent < r.probedAt):
+		return InOutage, true
+	}
+	return IsOver, !slices.ContainsFunc(c.messages, func(m *message) bool { return !m.over })
+}
+
 // ---- Outcomes
 
 func (b *Brain) ended(e AttemptEnd) {
@@ -757,7 +794,9 @@
 		b.learnLimit(a.route, e.Limit)
 	}
 	if e.Wait > 0 { // each outcome of a shared call may tell a later end
-		a.route.closedUntil = max(a.route.closedUntil, b.now+e.Wait+time.Millisecond)
+		a.route.toldUntil = max(a.route.toldUntil, b.now+e.Wait+time.Millisecond)
+		a.route.closedUntil = max(a.route.closedUntil, a.route.toldUntil)
+		b.doubt(a.route)
 	}
 	if !a.booked && e.Outcome != NotSent {
 		a.booked = true
@@ -766,6 +805,9 @@
 	b.learn(m, a, e)
 	switch e.Outcome {
 	case Refused, ConnectFailed, NotSent:
+		if e.Recalled { // else recalls would use up its attempts
+			m.spared++
+		}
 		b.neverRan(m)
 	case TimedOut, Broken, Cancelled:
 		if m.turn != nil {
--- a/brain/equal_test.go
+++ b/brain/equal_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"reflect"
+	"slices"
 	"testing"
 	"time"
 
@@ -209,8 +210,10 @@
 // step gives both the same batch, wants the same of both, and lets the world act on it.
 func (w *world) step(events []brain.Event) {
 	w.t.Helper()
-	got := w.both[0].Step(w.now, append([]brain.Event(nil), events...))
-	want := w.both[1].Step(w.now, append([]brain.Event(nil), events...))
+	all := w.both[0].Step(w.now, append([]brain.Event(nil), events...))
+	got := withoutRecalls(all) // the reference knows none
+	w.counts["brain.Recall"] += len(all) - len(got)
+	want := withoutRecalls(w.both[1].Step(w.now, append([]brain.Event(nil), events...)))
 	if len(got) != len(want) || len(got) > 0 && !reflect.DeepEqual(got, want) {
 		i := 0
 		for i < min(len(got), len(want)) && got[i] == want[i] {
@@ -249,6 +252,10 @@
 	}
 }
 
+func withoutRecalls(actions []brain.Action) []brain.Action {
+	return slices.DeleteFunc(slices.Clone(actions), func(a brain.Action) bool { _, is := a.(brain.Recall); return is })
+}
+
 func show(actions []brain.Action, i int) string {
 	if i < len(actions) {
 		return fmt.Sprintf("%T%+v", actions[i], actions[i])
--- /dev/null
+++ b/brain/recall_test.go
@@ -0,0 +1,142 @@
+package brain
+
+import (
+	"slices"
+	"testing"
+	"time"
+)
+
+// recalls gives the recalls of a step.
+func (r *rig) recalls(events ...Event) []Recall {
+	var all []Recall
+	for _, a := range r.b.Step(r.now, events) {
+		switch a := a.(type) {
+		case Recall:
+			all = append(all, a)
+		case Send:
+			r.sentAt[a.Message] = r.now
+			r.tries[a.Message]++
+		}
+	}
+	return all
+}
+
+// widen serves calls side by side until so many may be out.
+func (r *rig) widen(n int) {
+	r.Helper()
+	for range 50 {
+		var all []Event
+		for range n {
+			all = append(all, r.message(0, 0, 0))
+		}
+		sends, most := r.step(all...), 0
+		for len(sends) > 0 {
+			most = max(most, len(sends))
+			r.now += 50 * ms
+			all = nil
+			for _, s := range sends {
+				all = append(all, r.end(s, Served))
+			}
+			sends = r.step(all...)
+		}
+		if most >= n {
+			return
+		}
+	}
+	r.Fatal("the window does not grow")
+}
+
+// Each reason for which a call that was sent would not be sent now, and what is not one.
+func TestRecall(t *testing.T) {
+	for name, c := range map[string]struct {
+		then func(r *rig, calls []Send) []Event
+		want []Reason // of the second and third call; the first is what the destination answers
+	}{
+		"a wait":        {func(r *rig, c []Send) []Event { e := r.end(c[0], Refused); e.Wait = time.Second; return []Event{e} }, []Reason{ToldToWait, ToldToWait}},
+		"a pause":       {func(r *rig, c []Send) []Event { return []Event{r.end(c[0], Refused)} }, nil},
+		"an answer":     {func(r *rig, c []Send) []Event { return []Event{r.end(c[0], Served)} }, nil},
+		"a drain":       {func(r *rig, c []Send) []Event { return []Event{ListNews{Endpoints: []Endpoint{{ID: 1}}}} }, []Reason{OffTheList, OffTheList, OffTheList}},
+		"a list again":  {func(r *rig, c []Send) []Event { return []Event{ListNews{Endpoints: []Endpoint{{ID: 1, Ready: true}}}} }, nil},
+		"other's drain": {func(r *rig, c []Send) []Event { return []Event{ListNews{Endpoints: []Endpoint{{ID: 2}}}} }, nil},
+		"withdrawn":     {func(r *rig, c []Send) []Event { return []Event{Withdrawn{c[1].Message}} }, []Reason{IsOver}},
+		"an outage": {func(r *rig, c []Send) []Event {
+			e := r.end(c[0], Refused)
+			e.Wait = r.b.s.OverloadFor + time.Second // shut
+			r.step(e)
+			r.now += 2*r.b.s.OverloadFor + time.Second
+			return []Event{r.message(0, 0, 0)}
+		}, nil}, // they were recalled with the wait, once
+	} {
+		r := newRig(t, settings())
+		r.widen(3)
+		calls := r.step(r.message(0, 0, 0), r.message(0, 0, 0), r.message(0, 0, 0))
+		if len(calls) != 3 {
+			t.Fatalf("%s: %d calls", name, len(calls))
+		}
+		r.now += 10 * ms
+		var got []Reason
+		for _, a := range r.recalls(c.then(r, calls)...) {
+			got = append(got, a.Why)
+		}
+		if !slices.Equal(got, c.want) {
+			t.Errorf("%s: %v, want %v", name, got, c.want)
+		}
+		if again := r.recalls(ListNews{Endpoints: []Endpoint{{ID: 1}}}); name == "a drain" && len(again) > 0 {
+			t.Errorf("%s: recalled twice", name)
+		}
+	}
+}
+
+// While a destination is out a new try takes the leave of an earlier one that is still to be written.
+func TestProbeRecallsTheOneBefore(t *testing.T) {
+	r := newRig(t, settings())
+	r.widen(5)
+	var all []Event
+	for range 9 {
+		all = append(all, r.message(0, 0, 0))
+	}
+	r.step(all...)
+	out, last := map[MessageID]bool{}, MessageID(0)
+	for range 200 { // nothing is answered
+		r.now += 100 * ms
+		for _, a := range r.b.Step(r.now, []Event{Alarm{}}) {
+			switch a := a.(type) {
+			case Recall:
+				out[a.Message] = true
+			case Send:
+				last = a.Message
+			}
+		}
+	}
+	if last == 0 || out[last] || len(out) != 8 {
+		t.Errorf("recalled %v, the last one sent is %d", out, last)
+	}
+}
+
+// A call that was recalled in time counts as no attempt, however often; one that was not sent for another reason does.
+func TestRecalledIsNoAttempt(t *testing.T) {
+	for _, recalled := range []bool{true, false} {
+		s := settings()
+		s.MaxAttempts = 2
+		r := newRig(t, s)
+		m := r.message(2, 0, 0)
+		sends := r.step(m)
+		for range 5 {
+			if len(sends) == 0 {
+				break
+			}
+			e := r.end(sends[0], NotSent)
+			e.Recalled = recalled
+			r.step(e)
+			for range 100 {
+				r.now += 50 * ms
+				if sends = r.step(Alarm{}); len(sends) > 0 {
+					break
+				}
+			}
+		}
+		if r.failed[m.ID] == recalled {
+			t.Errorf("recalled %v: failed %v after %d tries", recalled, r.failed[m.ID], r.tries[m.ID])
+		}
+	}
+}
--- a/brain/state.go
+++ b/brain/state.go
@@ -56,6 +56,8 @@
 	calls       int // out now
 	halvedAt    time.Duration
 	closedUntil time.Duration // told to wait, or paused
+	toldUntil   time.Duration // told to wait
+	recheck     bool          // something has come up that calls there may not stand against
 	pause       time.Duration
 	fails       float64 // mean share of failed calls
 	bad         int     // calls in a row that were not served
@@ -131,6 +133,7 @@
 
 	messages  []*message
 	takenBack bool
+	recalled  bool
 }
 
 type attempt struct {
@@ -150,6 +153,7 @@
 	out       int // attempts without an outcome
 	over      bool
 	mayRun    bool
+	spared    int           // attempts that were recalled, and so not made
 	firstRun  time.Duration // first send that may have run
 	ranZone   int
 	notBefore time.Duration
@@ -210,6 +214,7 @@
 	waitings   uint64
 	timers     timers // of all that wait
 	unanswered []*route
+	rechecks   []*route // of which recheck is set
 	offers     offers
 	usable     []*endpoint
 	idles      uint64
@@ -266,6 +271,7 @@
 	b.unfoldAt(id)
 	if e := b.endpoints[id]; e != nil {
 		e.listed = false
+		b.doubt(e.route)
 		d := b.destination(e.Destination)
 		d.endpoints = without(d.endpoints, e)
 		b.unlisted[id] = e
@@ -512,6 +518,9 @@
 		b.held--
 		b.leave(m)
 	}
+	if m.out > 0 {
+		b.doubt(m.attempts[len(m.attempts)-1].route)
+	}
 	if m.out == 0 && b.byID[m.ID] == m {
 		m.dest.held--
 		delete(b.byID, m.ID)
@@ -523,7 +532,15 @@
 }
 
 // tries counts the attempts made, those before a restart too.
-func (m *message) tries() int { return m.Tried + len(m.attempts) }
+func (m *message) tries() int { return m.Tried + len(m.attempts) - m.spared }
+
+// doubt has the calls that are out at r looked at again in this step.
+func (b *Brain) doubt(r *route) {
+	if !r.recheck && len(r.unanswered) > 0 {
+		r.recheck = true
+		b.rechecks = append(b.rechecks, r)
+	}
+}
 
 // neverRan looks again for the first attempt that may have run.
 func (b *Brain) neverRan(m *message) {
--- a/internal/sender/batch.go
+++ b/internal/sender/batch.go
@@ -13,10 +13,11 @@
 
 // sending is one Send on its way.
 type sending struct {
-	m               *message
-	attempt         int
-	ctx             context.Context // ends with its time-out, or as it is called off
-	timeout, within time.Duration
+	m       *message
+	attempt int
+	ctx     context.Context // ends with its time-out, or as it is called off
+	timeout time.Duration
+	leave   *permit
 }
 
 // sendBatch is what goes to one endpoint in one call.
@@ -59,11 +60,11 @@
 
 func (s *Sender) sendBatch(ctx context.Context, b sendBatch, written bool) {
 	began := time.Now()
-	recs := make([]record, len(b.all))
-	timeout, within, longest := b.all[0].timeout, b.all[0].within, b.all[0].timeout
+	recs := make([]ticket, len(b.all))
+	timeout, longest := b.all[0].timeout, b.all[0].timeout
 	for i, one := range b.all {
-		recs[i] = one.m.record
-		timeout, within, longest = min(timeout, one.timeout), min(within, one.within), max(longest, one.timeout)
+		recs[i] = ticket{one.m.record, one.leave}
+		timeout, longest = min(timeout, one.timeout), max(longest, one.timeout)
 	}
 	// The call lasts as long as one of its messages waits for it.
 	shared, cancel := context.WithTimeout(ctx, longest)
@@ -72,7 +73,7 @@
 	go func() {
 		how.end = brain.AttemptEnd{Endpoint: b.to.number, Outcome: brain.NotSent}
 		if written {
-			how.end, how.gone = s.pool.call(shared, b.to, recs, timeout, within)
+			how.end, how.gone = s.pool.call(shared, b.to, recs, timeout)
 		}
 		close(done)
 	}()
@@ -95,6 +96,13 @@
 					}
 				}
 			}
+			// A message whose leave is gone was not written with the others, and one whose time is over before
+			// the connection is up will not be: neither's end is the call's.
+			if one.leave.gone() {
+				end.AttemptEnd = brain.AttemptEnd{Endpoint: b.to.number, Outcome: brain.NotSent}
+			} else if one.ctx.Err() != nil && one.leave.takeBack() {
+				end.AttemptEnd = brain.AttemptEnd{Endpoint: b.to.number, Outcome: brain.ConnectFailed}
+			}
 			end.Elapsed = time.Since(began)
 			s.post(ctx, end)
 		}()
--- a/internal/sender/delivery.go
+++ b/internal/sender/delivery.go
@@ -217,7 +217,7 @@
 // allowed asks an endpoint, before its first call, whether it wants calls from our origin and how many (web hooks,
 // section 4). One call at a time asks; the others wait for what it hears. An error is that none may be made: nothing
 // of the message has been written.
-func (p *pool) allowed(ctx context.Context, e *endpoint, f *form, within time.Duration) error {
+func (p *pool) allowed(ctx context.Context, e *endpoint, f *form, until time.Time) error {
 	if !f.Validate {
 		return nil
 	}
@@ -233,7 +233,7 @@
 	if done {
 		return nil
 	}
-	c, err := p.get(ctx, e, within)
+	c, err := p.get(ctx, e, until)
 	if err != nil {
 		return err
 	}
@@ -254,7 +254,7 @@
 		b = append(strconv.AppendInt(append(b, "WebHook-Request-Rate: "...), int64(f.Rate), 10), "\r\n"...)
 	}
 	b = append(b, "Content-Length: 0\r\n\r\n"...)
-	c.SetDeadline(time.Now().Add(min(validateTime, within)))
+	c.SetDeadline(time.Now().Add(min(validateTime, time.Until(until))))
 	if ctx.Err() != nil {
 		return ctx.Err()
 	}
--- a/internal/sender/delivery_test.go
+++ b/internal/sender/delivery_test.go
@@ -78,7 +78,7 @@
 				want, gone = c.plain, false
 			}
 			ctx, cancel := context.WithTimeout(context.Background(), st.Wait)
-			got, isGone := testPool().call(ctx, &endpoint{addr: e.Addr, form: formOf(name)}, []record{{ID: "id"}}, st.Wait, st.Wait)
+			got, isGone := testPool().call(ctx, &endpoint{addr: e.Addr, form: formOf(name)}, tickets(record{ID: "id"}, st.Wait), st.Wait)
 			cancel()
 			if got != want || isGone != gone {
 				t.Errorf("%s, %d %s: %+v, gone %v; want %+v, %v", name, c.status, c.line, got, isGone, want, gone)
@@ -98,7 +98,7 @@
 				want = brain.Errored
 			}
 			ctx, cancel := context.WithTimeout(context.Background(), 200*ms)
-			got, _ := testPool().call(ctx, &endpoint{addr: e.Addr, form: formOf(form)}, []record{{ID: "id"}}, 200*ms, st.Wait)
+			got, _ := testPool().call(ctx, &endpoint{addr: e.Addr, form: formOf(form)}, tickets(record{ID: "id"}, st.Wait), 200*ms)
 			cancel()
 			if got.Outcome != want {
 				t.Errorf("%s, %s: %+v, want %d", form, name, got, want)
--- a/internal/sender/endpoints.go
+++ b/internal/sender/endpoints.go
@@ -72,8 +72,8 @@
 		most: int64(c.Limits.calls() - c.Settings.Slots), fields: c.Fields, forms: newForms(c.Delivery), holding: map[*endpoint]struct{}{}}
 }
 
-// get takes the idle connection used last, or opens one, which is up within a time.
-func (p *pool) get(ctx context.Context, e *endpoint, within time.Duration) (*conn, error) {
+// get takes the idle connection used last, or opens one, which is up before a time.
+func (p *pool) get(ctx context.Context, e *endpoint, until time.Time) (*conn, error) {
 	e.mu.Lock()
 	addr := e.addr
 	for n := len(e.idle) - 1; n >= 0; n = len(e.idle) - 1 {
@@ -87,7 +87,7 @@
 		c.Close()
 	}
 	e.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, min(p.connectTimeout, within))
+	ctx, cancel := context.WithTimeout(ctx, min(p.connectTimeout, time.Until(until)))
 	defer cancel()
 	nc, err := p.dialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
@@ -197,13 +197,13 @@
 }
 
 // call makes one attempt and says how it ended. It never makes a second one: an endpoint counts each
-// call whose last byte has come. ctx ends it early, its deadline being the time-out. What is not written within
-// a time is not sent: a connection may take seconds to come up, and a repeat is lawful only while its key is
-// remembered.
+// call whose last byte has come. ctx ends it early, its deadline being the time-out. Its messages are written only by
+// their permits, which it asks for when the connection stands: that may take seconds. If none is left, or the
+// connection came up too late, the call ends as NotSent and the connection is kept.
 //
-// In a form that takes several messages in one call, m are those that this one carries.
-func (p *pool) call(ctx context.Context, e *endpoint, m []record, timeout, within time.Duration) (end brain.AttemptEnd, gone bool) {
-	began := time.Now()
+// In a form that takes several messages in one call, tickets are those that this one carries; end is for those whose
+// permit was used.
+func (p *pool) call(ctx context.Context, e *endpoint, tickets []ticket, timeout time.Duration) (end brain.AttemptEnd, gone bool) {
 	e.mu.Lock()
 	f := e.form
 	e.mu.Unlock()
@@ -212,19 +212,34 @@
 	}
 	end = brain.AttemptEnd{Endpoint: e.number, Outcome: brain.ConnectFailed}
 	// Nothing has been written yet: however it fails up to the last byte, the call never ran.
+	until := tickets[0].until
+	for _, t := range tickets[1:] {
+		if t.until.After(until) {
+			until = t.until
+		}
+	}
 	var c *conn
-	err := p.allowed(ctx, e, f, within)
+	err := p.allowed(ctx, e, f, until)
 	if err == nil {
-		c, err = p.get(ctx, e, within-time.Since(began))
+		c, err = p.get(ctx, e, until)
 	}
-	late := time.Since(began) >= within
-	if late || err != nil && shortage(err) {
-		end.Outcome = brain.NotSent // for no fault of the endpoint's
+	if err != nil {
+		if shortage(err) || unneeded(tickets) || !time.Now().Before(until) {
+			end.Outcome = brain.NotSent // for no fault of the endpoint's
+		}
+		return end, false
 	}
-	if late && err == nil {
+	if ctx.Err() != nil { // it was called off, or its time is over, just as the connection came up
 		p.put(e, c)
+		if unneeded(tickets) {
+			end.Outcome = brain.NotSent
+		}
+		return end, false
 	}
-	if late || err != nil {
+	m := use(tickets, time.Now())
+	if len(m) == 0 {
+		p.put(e, c)
+		end.Outcome = brain.NotSent
 		return end, false
 	}
 	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
--- a/internal/sender/endpoints_test.go
+++ b/internal/sender/endpoints_test.go
@@ -23,7 +23,7 @@
 func callOnce(p *pool, e *endpoint, timeout time.Duration, body string) brain.AttemptEnd {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	end, _ := p.call(ctx, e, []record{{ID: "id", Key: "key", Body: []byte(body)}}, timeout, timeout)
+	end, _ := p.call(ctx, e, tickets(record{ID: "id", Key: "key", Body: []byte(body)}, timeout), timeout)
 	return end
 }
 
@@ -287,7 +287,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan brain.AttemptEnd, 1)
 	go func() {
-		end, _ := p.call(ctx, at, []record{{ID: "id"}}, st.Wait, st.Wait)
+		end, _ := p.call(ctx, at, tickets(record{ID: "id"}, st.Wait), st.Wait)
 		ended <- end
 	}()
 	e.Next(t)
--- a/internal/sender/loop.go
+++ b/internal/sender/loop.go
@@ -46,7 +46,7 @@
 
 type outCall struct {
 	attempt int
-	cancel  context.CancelFunc
+	*permit
 }
 
 // cancel calls one off, if it is out.
@@ -58,6 +58,22 @@
 	}
 }
 
+// recall takes back the leave to write one, if it is out and nothing is written yet.
+func (c calls) recall(attempt int) bool {
+	for _, o := range c {
+		if o.attempt == attempt {
+			o.recalled = o.takeBack()
+			return o.recalled
+		}
+	}
+	return false
+}
+
+// recalled reports whether one that ended as not sent did so as it was recalled.
+func (c calls) recalled(attempt int) bool {
+	return slices.ContainsFunc(c, func(o outCall) bool { return o.attempt == attempt && o.recalled })
+}
+
 // ended takes one out and lets go of what it holds.
 func (c *calls) ended(attempt int) {
 	c.cancel(attempt)
@@ -354,7 +370,7 @@
 		return refuse("shutting down")
 	}
 	if m := s.journal.byID[sub.ID]; m != nil { // handed in twice: it is ours already
-		if m.how == answered { // it failed, and so it was answered; it only waits to be kept
+		if m.how == answered && sub.Ident == nil { // it failed, and so it was answered; it only waits to be kept
 			sub.answer <- answerLine{status: http.StatusInternalServerError, text: givenUp}
 			return nil
 		}
@@ -395,8 +411,9 @@
 func (s *Sender) callEnded(e callEnd) brain.Event {
 	m := e.message
 	s.out--
-	m.calls.ended(e.attempt)
 	e.Message, e.Attempt = m.number, e.attempt
+	e.Recalled = e.Outcome == brain.NotSent && m.calls.recalled(e.attempt)
+	m.calls.ended(e.attempt)
 	if e.Outcome == brain.TimedOut {
 		// Where a machine vanished or was cut off, the connections from before say nothing either, and are
 		// reset when it is back: each would cost a further call its time-out. Those used since may stay.
@@ -469,6 +486,7 @@
 		events, s.withdrawn = append(s.withdrawn, events...), nil
 	}
 	actions := s.brain.Step(now, events)
+	s.recall(actions) // before the disk, which may be slow: these do not wait
 	for _, a := range actions {
 		switch a := a.(type) {
 		case brain.Send:
@@ -526,6 +544,17 @@
 	s.record()
 }
 
+// recall takes back the leave of calls that the module would not make now.
+func (s *Sender) recall(actions []brain.Action) {
+	for _, a := range actions {
+		if r, ok := a.(brain.Recall); ok {
+			if m := s.messages[r.Message]; m != nil && m.calls.recall(r.Attempt) {
+				s.log.Debug("a call is recalled", "message", m.ID, "why", r.Why.String())
+			}
+		}
+	}
+}
+
 // accept tells the client of m that it is taken on; one that handed in an event hears under which id.
 func (s *Sender) accept(m *message) {
 	a := answerLine{status: http.StatusAccepted}
@@ -623,20 +652,20 @@
 	}
 	attempt := m.sends
 	m.sends++
-	within := s.repeatWithin(m, m.base+attempt, a.Timeout)
 	call, cancel := context.WithTimeout(ctx, a.Timeout)
-	m.calls = append(m.calls, outCall{attempt, cancel})
+	leave := &permit{until: time.Now().Add(s.repeatWithin(m, m.base+attempt, a.Timeout)), cancel: cancel}
+	m.calls = append(m.calls, outCall{attempt, leave})
 	s.out++
-	one := sending{m, attempt, call, a.Timeout, within}
+	one := sending{m, attempt, call, a.Timeout, leave}
 	if e.form.Form == formBatched {
 		s.gather(e, one)
 		return
 	}
-	began, rec := time.Now(), []record{m.record} // a copy: the loop may drop the body meanwhile
+	began, rec := time.Now(), []ticket{{m.record, leave}} // a copy: the loop may drop the body meanwhile
 	go func() {
 		end, gone := brain.AttemptEnd{Endpoint: e.number, Outcome: brain.NotSent}, false
 		if written {
-			end, gone = s.pool.call(call, e, rec, a.Timeout, within)
+			end, gone = s.pool.call(call, e, rec, a.Timeout)
 		}
 		end.Elapsed = time.Since(began)
 		s.post(ctx, callEnd{m, attempt, end, gone})
--- /dev/null
+++ b/internal/sender/permit.go
@@ -0,0 +1,75 @@
+package sender
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+)
+
+// permit is leave to write one message once. Between the decision to send it and its first byte on the wire lie the
+// seconds in which its connection comes up, and what it was decided by may change meanwhile: its destination asks for
+// a wait, its endpoint drains, an outage begins, its key is forgotten. So the call asks for its permit just before it
+// writes, and the loop takes the permit back as soon as the module says so. Either the one or the other comes first;
+// no lock is held, and neither waits.
+type permit struct {
+	state  atomic.Uint32
+	until  time.Time          // it lapses by itself: a repeat is lawful only while its key is remembered
+	cancel context.CancelFunc // ends the call
+
+	recalled bool // by the module's word; the loop's
+}
+
+const (
+	granted   uint32 = iota
+	used             // the message is written, or about to be
+	takenBack        // it will not be
+)
+
+// use asks for the leave, at the moment of writing. Once it is given the message counts as written.
+func (p *permit) use(now time.Time) bool {
+	if now.Before(p.until) {
+		return p.state.CompareAndSwap(granted, used)
+	}
+	p.state.CompareAndSwap(granted, takenBack)
+	return false
+}
+
+// takeBack takes the leave back and ends the call, which is never made then. It reports false, and changes nothing, if
+// the leave was used already.
+func (p *permit) takeBack() bool {
+	if !p.state.CompareAndSwap(granted, takenBack) {
+		return false
+	}
+	p.cancel()
+	return true
+}
+
+// gone reports whether the leave was taken back, or lapsed when it was asked for: nothing was written.
+func (p *permit) gone() bool { return p.state.Load() == takenBack }
+
+// ticket is one message of a call with its permit.
+type ticket struct {
+	record
+	*permit
+}
+
+// use asks for the leave of each ticket and gives the messages that may be written now.
+func use(tickets []ticket, now time.Time) []record {
+	may := make([]record, 0, len(tickets))
+	for _, t := range tickets {
+		if t.permit.use(now) {
+			may = append(may, t.record)
+		}
+	}
+	return may
+}
+
+// unneeded reports whether no ticket's leave is left: there is nothing to connect for.
+func unneeded(tickets []ticket) bool {
+	for _, t := range tickets {
+		if !t.gone() {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/sender/permit_test.go
@@ -0,0 +1,211 @@
+package sender
+
+import (
+	"context"
+	"net"
+	"strconv"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"dockshift.example/dockshift/brain"
+	st "dockshift.example/dockshift/internal/sendertest"
+)
+
+// tickets is one message that may be written within a time.
+func tickets(m record, within time.Duration) []ticket {
+	return []ticket{{m, &permit{until: time.Now().Add(within), cancel: func() {}}}}
+}
+
+// lateDials has connects of a sender hang, while they are held, until their call is called off or for so long: what a
+// test does in between has been heard long before.
+type lateDials struct {
+	held    atomic.Bool
+	pending atomic.Int32
+	begun   chan struct{}
+	late    time.Duration
+}
+
+func (d *lateDials) of(s *Sender) {
+	d.begun = make(chan struct{}, 1000)
+	s.pool.dialer.ControlContext = func(ctx context.Context, _, _ string, _ syscall.RawConn) error {
+		if !d.held.Load() {
+			return nil
+		}
+		d.pending.Add(1)
+		defer d.pending.Add(-1)
+		d.begun <- struct{}{}
+		t := time.NewTimer(d.late)
+		defer t.Stop()
+		select {
+		case <-ctx.Done():
+		case <-t.C:
+		}
+		return nil
+	}
+}
+
+func patient(c *Config) { c.ConnectTimeout = st.Wait }
+
+// A wait that is told while a call to the same destination still connects holds for that call, too: one to the endpoint
+// that asked for it, and one to another.
+func TestWaitWhileConnecting(t *testing.T) {
+	t.Parallel()
+	for _, endpoints := range []int{1, 2} {
+		t.Run(strconv.Itoa(endpoints), func(t *testing.T) {
+			t.Parallel()
+			const wait = 3 * time.Second
+			ask, told := make(chan struct{}), make(chan time.Time, 1)
+			answer := func(c st.Call, nc net.Conn) bool {
+				if c.ID != "first" { // and each call connects
+					return st.Status(200, "Connection: close")(c, nc)
+				}
+				<-ask
+				told <- time.Now()
+				return st.Status(429, "X-RateLimit-Wait-Ms: "+strconv.FormatInt(wait.Milliseconds(), 10))(c, nc)
+			}
+			e, other := st.NewEndpoint(t, answer), st.NewEndpoint(t, answer)
+			next := func() string {
+				select {
+				case c := <-e.Calls:
+					return c.ID
+				case c := <-other.Calls:
+					return c.ID
+				case <-time.After(st.Wait):
+					t.Fatal("nothing came")
+					panic("unreachable")
+				}
+			}
+			p := st.NewPlatform(t, e.Addr)
+			dials := lateDials{late: wait / 4}
+			addr := runWith(t, p, patient, dials.of)
+			for _, id := range []string{"warm1", "warm2"} { // the window grows
+				st.HandIn(t, addr, id, "keyed", 0, 15*time.Second)
+				next()
+			}
+			st.HandIn(t, addr, "first", "unsafe", 0, 15*time.Second)
+			if id := next(); id != "first" {
+				t.Fatal(id)
+			}
+			dials.held.Store(true)
+			if endpoints == 2 {
+				p.Change(st.Target("s-other", other.Addr, 0, "SERVING"))
+			}
+			st.HandIn(t, addr, "second", "keyed", 0, 15*time.Second)
+			st.Receive(t, dials.begun)
+			close(ask)
+			from := st.Receive(t, told)
+			if id := next(); time.Since(from) < wait {
+				t.Errorf("%s was sent %v after a wait of %v was told", id, time.Since(from), wait)
+			}
+		})
+	}
+}
+
+// An endpoint that drains while a call to it connects gets nothing; the message goes to another one.
+func TestDrainWhileConnecting(t *testing.T) {
+	t.Parallel()
+	e, other := st.NewEndpoint(t, st.Status(200)), st.NewEndpoint(t, st.Status(200))
+	p := st.NewPlatform(t, e.Addr)
+	dials := lateDials{late: 2 * time.Second}
+	dials.held.Store(true)
+	addr := runWith(t, p, patient, dials.of)
+	st.HandIn(t, addr, "m", "unsafe", 0, 15*time.Second)
+	st.Receive(t, dials.begun)
+	dials.held.Store(false)
+	p.Change(st.Target("s-0", e.Addr, 0, "DRAINING"))
+	p.Change(st.Target("s-1", other.Addr, 0, "SERVING"))
+	if c := other.Next(t); c.ID != "m" {
+		t.Error(c.ID)
+	}
+	if len(e.Calls) > 0 {
+		t.Error("the endpoint got a call after it drained")
+	}
+}
+
+// A call that was decided on before an outage, and still connects, loses its leave as the outage is seen: its message
+// goes as others do then, one at a time. Without that it would wait for its connection until its time is over.
+func TestOutageWhileConnecting(t *testing.T) {
+	t.Parallel()
+	e := st.NewEndpoint(t, func(c st.Call, nc net.Conn) bool {
+		if c.ID[0] == 'f' {
+			return st.Reset(c, nc)
+		}
+		return st.Status(200, "Connection: close")(c, nc) // each call connects
+	})
+	p := st.NewPlatform(t, e.Addr)
+	dials := lateDials{late: st.Wait}
+	addr := runWith(t, p, patient, dials.of)
+	for _, id := range []string{"warm1", "warm2"} { // the window grows
+		st.HandIn(t, addr, id, "keyed", 0, 15*time.Second)
+		e.Next(t)
+	}
+	dials.held.Store(true)
+	st.HandIn(t, addr, "second", "unsafe", 0, 12*time.Second)
+	st.Receive(t, dials.begun)
+	dials.held.Store(false)
+	for i := range 8 { // as many failures in a row as are an outage
+		id := "f" + strconv.Itoa(i)
+		st.HandIn(t, addr, id, "unsafe", 0, 15*time.Second)
+		if c := e.Next(t); c.ID != id {
+			t.Fatalf("%s came before %s", c.ID, id)
+		}
+	}
+	if c := e.Next(t); c.ID != "second" {
+		t.Error(c.ID)
+	}
+}
+
+// A permit that is taken back while the connection comes up: nothing is written, and the connection serves the next
+// call.
+func TestPermitTakenBack(t *testing.T) {
+	t.Parallel()
+	e := st.NewEndpoint(t, st.Status(200))
+	p := newPool(&Config{ConnectTimeout: st.Wait, Limits: Limits{Sockets: 64}})
+	p.most, p.keep = 10, st.Wait
+	at := &endpoint{addr: e.Addr}
+	ctx, cancel := context.WithTimeout(context.Background(), st.Wait)
+	defer cancel()
+	late := tickets(record{ID: "late"}, st.Wait)
+	p.dialer.Control = func(string, string, syscall.RawConn) error {
+		if !late[0].takeBack() {
+			t.Error("it was used before its connection stood")
+		}
+		return nil
+	}
+	if end, _ := p.call(ctx, at, late, st.Wait); end.Outcome != brain.NotSent || p.idle.Load() != 1 {
+		t.Errorf("%+v, %d idle", end, p.idle.Load())
+	}
+	p.dialer.Control = nil
+	fine := tickets(record{ID: "fine"}, st.Wait)
+	if end, _ := p.call(ctx, at, fine, st.Wait); end.Outcome != brain.Served {
+		t.Errorf("%+v", end)
+	}
+	if fine[0].takeBack() {
+		t.Error("a leave that was used was taken back")
+	}
+	if c := e.Next(t); c.ID != "fine" || c.Conn != 1 || len(e.Calls) > 0 {
+		t.Errorf("the endpoint got %s on connection %d", c.ID, c.Conn)
+	}
+}
+
+// Of a call with several messages those are written whose leave is left.
+func TestPermitsOfABatch(t *testing.T) {
+	t.Parallel()
+	e := st.NewEndpoint(t, st.Status(200))
+	p := testPool()
+	at := &endpoint{addr: e.Addr, form: formOf(formBatched)}
+	all := append(tickets(record{ID: "one"}, st.Wait), tickets(record{ID: "two"}, st.Wait)...)
+	all = append(all, tickets(record{ID: "three"}, -time.Second)...)
+	all[0].takeBack()
+	ctx, cancel := context.WithTimeout(context.Background(), st.Wait)
+	defer cancel()
+	if end, _ := p.call(ctx, at, all, st.Wait); end.Outcome != brain.Served {
+		t.Errorf("%+v", end)
+	}
+	c := e.Next(t)
+	if ids := batchIDs(t, c); len(ids) != 1 || ids[0] != "two" || !all[2].gone() {
+		t.Errorf("%v went out", ids)
+	}
+}
--- a/internal/sender/repeat_test.go
+++ b/internal/sender/repeat_test.go
@@ -57,7 +57,7 @@
 	call := func(within time.Duration) brain.AttemptEnd {
 		ctx, cancel := context.WithTimeout(context.Background(), st.Wait)
 		defer cancel()
-		end, _ := p.call(ctx, at, []record{{ID: "id"}}, st.Wait, within)
+		end, _ := p.call(ctx, at, tickets(record{ID: "id"}, within), st.Wait)
 		return end
 	}
 	if end := call(0); end.Outcome != brain.NotSent {
--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -346,7 +346,7 @@
 	began := time.Now()
 	end := callOnce(s.pool, at, 30*time.Millisecond, "")
 	end.Elapsed = time.Since(began)
-	s.callEnded(callEnd{&message{stored: &stored{}, ended: true, calls: calls{{0, func() {}}}}, 0, end, false})
+	s.callEnded(callEnd{&message{stored: &stored{}, ended: true, calls: calls{{0, &permit{cancel: func() {}}}}}, 0, end, false})
 	if n := s.pool.idle.Load(); n != 0 {
 		t.Errorf("%d idle connections after a time-out", n)
 	}
