--- a/brain/api.go
+++ b/brain/api.go
@@ -81,7 +81,7 @@
 	DestinationID uint32
 )
 
-// Event is one of Message, AttemptEnd, Earlier, Withdrawn, ListNews and Alarm.
+// Event is one of Message, AttemptEnd, Earlier, Learnt, Withdrawn, ListNews and Alarm.
 type Event interface{ event() }
 
 // Message hands in a new message. The Brain ends it exactly once; one of a class that the settings lack is
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -300,6 +300,8 @@
 			}
 		case Earlier:
 			b.remember(e)
+		case Learnt:
+			b.learnt(e)
 		case Withdrawn:
 			if m := b.byID[e.Message]; m != nil {
 				b.close(m)
@@ -794,9 +796,8 @@
 		b.learnLimit(a.route, e.Limit)
 	}
 	if e.Wait > 0 { // each outcome of a shared call may tell a later end
-		a.route.toldUntil = max(a.route.toldUntil, b.now+e.Wait+time.Millisecond)
-		a.route.closedUntil = max(a.route.closedUntil, a.route.toldUntil)
-		b.doubt(a.route)
+		a.route.askedUntil = max(a.route.askedUntil, b.now+e.Wait+time.Millisecond)
+		b.toWait(a.route, a.route.askedUntil)
 	}
 	if !a.booked && e.Outcome != NotSent {
 		a.booked = true
--- a/brain/fold.go
+++ b/brain/fold.go
@@ -144,17 +144,9 @@
 		closedUntil: f.closedUntil, pause: time.Duration(f.paused) * time.Microsecond, fails: blend(0, float64(f.fails), t),
 		recent: float64(f.recent), lastServed: f.lastServed, sentAt: f.sentAt, before: float64(f.before), past: float64(f.past), outAt: f.outAt,
 		state: f.state, since: f.since, limit: float64(f.limit), logged: -never / 2}
-	// Of the histogram a few calls stay, at its middle: enough to go by until there are new ones, and few enough
-	// for those to count for more soon. The time-out moves to that of a destination of which nothing is known.
 	if f.seen > 0 {
-		r.seen = int(min(float64(f.seen), fewTimes-1) * t)
-		r.quickest = time.Duration(float64(f.quickest)*t) * time.Microsecond
-		r.mean, r.median = float64(f.mean), time.Duration(f.median)*time.Microsecond
-		if k := int(r.median * buckets / tauMax); r.seen > 0 && k < buckets {
-			r.bucket = make([]bucket, k+1)
-			r.bucket[k] = bucket{float64(r.seen), float64(r.seen) * r.mean}
-		}
-		r.best = time.Duration(blend(float64(tauFirst), float64(time.Duration(f.best)*time.Microsecond), t))
+		r.assume(int(f.seen), float64(f.mean), time.Duration(f.median)*time.Microsecond, time.Duration(f.quickest)*time.Microsecond,
+			time.Duration(f.best)*time.Microsecond, t)
 	}
 	if r.limit > 0 {
 		if r.pace = blend(b.even(r.limit), float64(f.pace), t); t < leastTrust {
--- /dev/null
+++ b/brain/learn.go
@@ -0,0 +1,213 @@
+package brain
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+// What is learnt of a destination from other senders, or from this one's earlier process, and what it does. All of it
+// gives way to what this process sees itself, and none of it lets more through than a sender that saw it would.
+
+// Health is how a destination does.
+type Health uint8
+
+// The states of health; the zero value is that nothing is known.
+const (
+	HealthUnknown Health = iota
+	Serving              // calls are served
+	Warming              // it serves again after an outage
+	OutOfService         // calls fail, are refused or go unanswered
+)
+
+// Learnt is what is known of a destination, or of one route of it, with the age of its evidence. As an event it tells a
+// Brain what it has not seen itself; Known gives what it has. Whatever is zero is not known.
+type Learnt struct {
+	Destination DestinationID
+	Endpoint    EndpointID // of a route apart; 0 for all of the destination's
+	Own         bool       // seen by this sender, in an earlier process
+
+	Calls                         int // that the pace rests on
+	Mean, Median, Quickest, Bound time.Duration
+	PaceAge                       time.Duration
+
+	Window    float64 // calls at once that it bore
+	WindowAge time.Duration
+
+	Limit    float64 // calls a second, told for all senders
+	LimitAge time.Duration
+
+	Wait time.Duration // told, and so much is left of it
+
+	Health    Health
+	For       time.Duration // how long ago it came to be so
+	HealthAge time.Duration // of the newest evidence for it
+	Rate      float64       // calls a second usually served there for who saw it, before any outage
+}
+
+func (Learnt) event() {}
+
+const (
+	windowHalf  = 5 * time.Minute  // after which a window that was learnt counts half
+	limitHalf   = 30 * time.Minute // and a limit
+	healthHalf  = 15 * time.Second // and health: the outages here last 8 to 22 s
+	healthTrust = 0.25             // with less an outage that was learnt of is over, as far as we know: 30 s
+	limitTrust  = 0.5
+	heardWindow = 0.5 // part of another sender's window that is ours at first: it goes on sending
+)
+
+func fades(age, half time.Duration) float64 {
+	return math.Exp2(-max(0, age).Seconds() / half.Seconds())
+}
+
+// routeOf is the route that something was learnt of; nil if no list has named it, or it is quiet and remembered by us.
+func (b *Brain) routeOf(e Learnt) *route {
+	if e.Endpoint != 0 {
+		if at := b.endpoints[e.Endpoint]; at != nil && at.Destination == e.Destination {
+			return at.route
+		}
+		return nil
+	}
+	if d := b.dests[e.Destination]; d != nil {
+		return d.shared
+	}
+	return nil
+}
+
+// learnt takes in what was learnt of a route.
+func (b *Brain) learnt(e Learnt) {
+	r := b.routeOf(e)
+	if r == nil {
+		return
+	}
+	if e.Wait > 0 { // who asked for it asked for quiet, not for ours alone
+		if e.Own {
+			r.askedUntil = max(r.askedUntil, b.now+e.Wait)
+		}
+		b.toWait(r, b.now+e.Wait)
+	}
+	if r.seen == 0 && e.Calls > 0 {
+		r.assume(e.Calls, e.Mean.Seconds(), e.Median, e.Quickest, e.Bound, trust(e.PaceAge))
+	}
+	if t := fades(e.LimitAge, limitHalf); r.limit == 0 && t >= limitTrust && positive(e.Limit) {
+		b.learnLimit(r, e.Limit)
+	}
+	b.learnHealth(r, e)
+	// A window of one, and one call more with each that is served, is right where nothing is known.
+	if r.state == well && r.served == 0 && e.Window > 1 && e.Health != OutOfService {
+		part := fades(e.WindowAge, windowHalf)
+		if !e.Own {
+			part *= heardWindow
+		}
+		r.window = max(r.window, blend(1, min(e.Window, math.Ceil(capShare*float64(b.s.Slots))-1), part))
+	}
+}
+
+// toWait closes a route for a wait that was told, and has calls that connect looked at again.
+func (b *Brain) toWait(r *route, until time.Duration) {
+	r.toldUntil = max(r.toldUntil, until)
+	r.closedUntil = max(r.closedUntil, r.toldUntil)
+	b.doubt(r)
+}
+
+// learnHealth: own successes since then win, and so does an outage of our own.
+func (b *Brain) learnHealth(r *route, e Learnt) {
+	seenAt := b.now - e.HealthAge
+	if e.Health == HealthUnknown || r.served > 0 && r.lastServed >= seenAt {
+		return
+	}
+	switch e.Health {
+	case Serving:
+		if r.state == out && r.sentAt < seenAt { // it may have recovered: one call tells, and need not wait its turn
+			r.tokens = max(r.tokens, 1)
+		}
+	case OutOfService:
+		if r.state != well || fades(e.HealthAge, healthHalf) < healthTrust {
+			return
+		}
+		b.goOut(r)
+		r.before = max(r.before, e.Rate)
+		r.outAt = min(r.outAt, b.now-e.For)
+		r.tokens = 1 // the first message tries it: if it has recovered meanwhile, it is avoided for no longer than that
+	case Warming:
+		if r.state != well || e.For >= b.s.Cold {
+			return
+		}
+		r.before = max(b.usual(r.done), r.limit/float64(max(1, b.s.Senders)), b.earlier(r), e.Rate)
+		r.state, r.since, r.outAt, r.window, r.tokens, r.filled = cold, b.now-e.For, b.now-e.For, 1, 1, b.now
+	}
+}
+
+// assume goes by what is remembered of a pace, in as far as it is trusted. Of the histogram a few calls stay, at its
+// middle: enough to go by until there are new ones, and few enough for those to count for more soon. The time-out moves
+// to that of a destination of which nothing is known.
+func (o *oracle) assume(calls int, mean float64, median, quickest, bound time.Duration, t float64) {
+	o.seen = int(min(float64(calls), fewTimes-1) * t)
+	o.quickest = time.Duration(float64(quickest) * t)
+	o.mean, o.median = mean, median
+	if k := int(o.median * buckets / tauMax); o.seen > 0 && k >= 0 && k < buckets {
+		o.bucket = make([]bucket, k+1)
+		o.bucket[k] = bucket{float64(o.seen), float64(o.seen) * mean}
+	}
+	o.best = time.Duration(blend(float64(tauFirst), float64(bound), t))
+}
+
+// Known is what this process has seen itself of each route, in the order of destinations. What it was told by others is
+// in it only as far as calls of its own have borne it out.
+func (b *Brain) Known() []Learnt {
+	var all []Learnt
+	seen := map[*route]bool{}
+	for _, d := range b.order {
+		if d.shared != nil {
+			all = b.known(all, d.shared, Learnt{Destination: DestinationID(d.shared.name)})
+			continue
+		}
+		for _, e := range d.endpoints {
+			if !seen[e.route] {
+				seen[e.route] = true
+				all = b.known(all, e.route, Learnt{Destination: e.Destination, Endpoint: e.ID})
+			}
+		}
+	}
+	for _, f := range b.folded {
+		if wait := f.closedUntil - b.now; f.seen > 0 || wait > 0 {
+			all = append(all, Learnt{Destination: f.id, Own: true, Calls: int(f.seen), Mean: time.Duration(float64(f.mean) * float64(time.Second)),
+				Median: time.Duration(f.median) * time.Microsecond, Quickest: time.Duration(f.quickest) * time.Microsecond,
+				Bound: time.Duration(f.best) * time.Microsecond, PaceAge: b.now - f.lastServed, Wait: max(0, wait)})
+		}
+	}
+	slices.SortFunc(all, func(x, y Learnt) int {
+		return cmp.Or(cmp.Compare(x.Destination, y.Destination), cmp.Compare(x.Endpoint, y.Endpoint))
+	})
+	return all
+}
+
+func (b *Brain) known(all []Learnt, r *route, k Learnt) []Learnt {
+	k.Own = true
+	served := r.served > 0 // by this process
+	age := b.now - r.lastServed
+	if served && r.seen > 0 {
+		bound := r.optimum()
+		k.Calls, k.Mean, k.Median, k.Quickest, k.Bound, k.PaceAge = r.seen, time.Duration(r.mean*float64(time.Second)), r.median, r.quickest, bound, age
+	}
+	if served && r.state == well {
+		k.Window, k.WindowAge = r.window, age
+	}
+	if r.limit > 0 && r.sentAt > 0 {
+		k.Limit, k.LimitAge = r.limit, b.now-r.sentAt
+	}
+	k.Wait = max(0, r.askedUntil-b.now) // told on, a wait that was heard of would come back, a little longer each time
+	switch {
+	case r.state == out && (r.bad > 0 || b.silent(r, 1)): // seen, not only heard of
+		k.Health, k.For, k.HealthAge, k.Rate = OutOfService, b.now-r.since, b.now-max(r.since, r.sentAt), r.before
+	case r.state == cold && served:
+		k.Health, k.For, k.HealthAge, k.Rate = Warming, b.now-r.since, age, r.before
+	case r.state == well && served:
+		k.Health, k.For, k.HealthAge, k.Rate = Serving, b.now-r.firstServed, age, max(b.usual(r.done), b.earlier(r))
+	}
+	if (k == Learnt{Destination: k.Destination, Endpoint: k.Endpoint, Own: true}) {
+		return all
+	}
+	return append(all, k)
+}
--- /dev/null
+++ b/brain/learn_test.go
@@ -0,0 +1,177 @@
+package brain
+
+import (
+	"testing"
+	"time"
+)
+
+// first hands in messages at once and gives how many calls a step makes.
+func (r *rig) burst(n int) int {
+	var all []Event
+	for range n {
+		all = append(all, r.message(0, 0, 0))
+	}
+	return len(r.step(all...))
+}
+
+// What is learnt of an outage, by its age: while it may last the first call goes alone, and nothing else until it is
+// answered; then the destination warms up, as for one who saw it. What is older than outages last counts for nothing.
+func TestLearntOutage(t *testing.T) {
+	for _, c := range []struct {
+		age time.Duration
+		out bool
+	}{{0, true}, {10 * time.Second, true}, {29 * time.Second, true}, {40 * time.Second, false}, {time.Hour, false}} {
+		r := newRig(t, settings())
+		r.step(Learnt{Health: OutOfService, For: c.age + 5*time.Second, HealthAge: c.age, Rate: 4, Window: 9, Calls: 50, Mean: 50 * ms, Median: 60 * ms, Quickest: 20 * ms, Bound: 120 * ms})
+		d := r.b.destination(0).shared
+		if (d.state == out) != c.out {
+			t.Fatalf("%v old: state %d", c.age, d.state)
+		}
+		if !c.out {
+			continue
+		}
+		sends := r.step(r.message(0, 0, 0), r.message(0, 0, 0), r.message(0, 0, 0))
+		if len(sends) != 1 {
+			t.Fatalf("%v old: %d calls at once", c.age, len(sends))
+		}
+		r.now += 30 * ms // it had recovered: one call has told so
+		r.step(r.end(sends[0], Served))
+		if d.state != cold || d.before < 4 {
+			t.Errorf("%v old: state %d after it answered, %v calls a second before", c.age, d.state, d.before)
+		}
+	}
+}
+
+// What one's own calls have shown since wins, both ways.
+func TestOwnEvidenceWins(t *testing.T) {
+	r := newRig(t, settings())
+	r.widen(3)
+	r.now += 2 * time.Second
+	r.step(Learnt{Health: OutOfService, For: 10 * time.Second, HealthAge: 5 * time.Second})
+	if d := r.b.destination(0).shared; d.state != well {
+		t.Errorf("it served 2 s ago, and is held to be out by what was seen 5 s ago: state %d", d.state)
+	}
+	r.step(Learnt{Health: OutOfService, For: 10 * time.Second, HealthAge: time.Second})
+	if d := r.b.destination(0).shared; d.state != out {
+		t.Errorf("it is out since it served: state %d", d.state)
+	}
+
+	r = newRig(t, settings())
+	r.fallOut()
+	r.step(Learnt{Health: Serving, HealthAge: 0, Window: 20})
+	if d := r.b.destination(0).shared; d.state != out || d.window > 1 {
+		t.Errorf("an outage of one's own ends by hearsay: state %d, window %v", d.state, d.window)
+	}
+	if n := r.burst(5); n > 1 {
+		t.Errorf("%d calls go there at once, as another says that it serves", n)
+	}
+}
+
+// A wait that another was told, or that this sender's earlier process was, is heeded to its end, and one that is out
+// loses its leave.
+func TestLearntWait(t *testing.T) {
+	r := newRig(t, settings())
+	sends := r.step(r.message(0, 0, 0))
+	if len(sends) != 1 {
+		t.Fatal("no call")
+	}
+	if got := r.recalls(Learnt{Wait: 2 * time.Second}, r.message(0, 0, 0)); len(got) != 1 || got[0].Why != ToldToWait {
+		t.Errorf("recalled: %v", got)
+	}
+	r.step(r.end(sends[0], Served))
+	for until := r.now + 2*time.Second; r.now < until; r.now += 50 * ms {
+		if n := len(r.step(Alarm{})); n > 0 {
+			t.Fatalf("a call with %v of the wait left", until-r.now)
+		}
+	}
+	if n := len(r.step(Alarm{})); n != 1 {
+		t.Errorf("%d calls after the wait", n)
+	}
+}
+
+// A cold return that was learnt of goes on warming up from when it began.
+func TestLearntReturn(t *testing.T) {
+	for _, ago := range []time.Duration{time.Second, 9 * time.Second, 11 * time.Second} {
+		r := newRig(t, settings())
+		r.step(Learnt{Health: Warming, For: ago, HealthAge: 100 * ms, Rate: 10, Window: 8})
+		d := r.b.destination(0).shared
+		if warm := ago >= r.b.s.Cold; (d.state == well) != warm || !warm && d.since != r.now-ago {
+			t.Errorf("%v ago: state %d since %v", ago, d.state, r.now-d.since)
+		}
+		if n := r.burst(6); d.state == cold && n > 1 {
+			t.Errorf("%v ago: %d calls at once", ago, n)
+		}
+	}
+}
+
+// Of a healthy one the pace and the window are learnt, the window only in part if another saw it, less the older it is,
+// and never over what was seen there.
+func TestLearntPace(t *testing.T) {
+	window := func(l Learnt) float64 {
+		r := newRig(t, settings())
+		l.Health, l.Calls, l.Mean, l.Median, l.Quickest, l.Bound = Serving, 100, 50*ms, 60*ms, 20*ms, 120*ms
+		r.step(l)
+		d := r.b.destination(0).shared
+		if l.PaceAge == 0 && (d.seen == 0 || d.best != 120*ms || d.patience() >= tauFirst) {
+			t.Errorf("%+v: %d calls, bound %v", l, d.seen, d.best)
+		}
+		if l.PaceAge > 10*time.Hour && d.seen > 0 {
+			t.Errorf("%+v: %d calls", l, d.seen)
+		}
+		return d.window
+	}
+	own, heard := window(Learnt{Own: true, Window: 5}), window(Learnt{Window: 5})
+	stale, none := window(Learnt{Window: 5, WindowAge: 30 * time.Minute, PaceAge: 20 * time.Hour}), window(Learnt{})
+	if own != 5 || !(heard < own && heard > none) || !(stale < heard) || none != 1 {
+		t.Errorf("own %v, heard %v, stale %v, none %v", own, heard, stale, none)
+	}
+	// What is told of one that we have served ourselves changes nothing.
+	r := newRig(t, settings())
+	r.widen(3)
+	d := r.b.destination(0).shared
+	before, seen := d.window, d.seen
+	if r.step(Learnt{Health: Serving, Window: 9, Calls: 3, Mean: ms, Median: ms, Bound: ms}); d.window != before || d.seen != seen {
+		t.Errorf("window %v, %d calls; it was %v, %d", d.window, d.seen, before, seen)
+	}
+}
+
+// What is known of one that no list names is let go of, and so are figures that can't be.
+func TestLearntOfNobody(t *testing.T) {
+	r := newRig(t, settings())
+	r.step(Learnt{Destination: 99, Health: OutOfService}, Learnt{Endpoint: 99, Wait: time.Hour}, Learnt{Endpoint: 1, Destination: 5, Wait: time.Hour})
+	if n := r.burst(1); n != 1 || r.b.dests[99] != nil {
+		t.Errorf("%d calls", n)
+	}
+	r.step(Learnt{Destination: 1, Window: 1e9, Calls: 1, Mean: -1, Median: -5, Limit: -3, Health: 77})
+	if n := len(r.step(r.message(0, 1, 0))); n != 1 {
+		t.Errorf("%d calls", n)
+	}
+}
+
+// What a process knows is what it has seen, not what it heard; and told to the next it comes out the same.
+func TestKnown(t *testing.T) {
+	r := newRig(t, settings())
+	r.step(Learnt{Health: OutOfService, HealthAge: time.Second, For: 5 * time.Second, Wait: time.Second}, Learnt{Destination: 1, Health: Serving, Window: 5, Calls: 9, Mean: ms, Median: ms, Bound: ms})
+	if known := r.b.Known(); len(known) != 0 {
+		t.Errorf("hearsay is known as one's own: %+v", known)
+	}
+	r = newRig(t, settings())
+	r.serve(30, 1, 50*ms)
+	r.fallOut()
+	r.step(Learnt{Destination: 1, Wait: 3 * time.Second, Own: true})
+	known := r.b.Known()
+	if len(known) != 2 || known[0].Health != OutOfService || known[1].Health != Serving || known[1].Calls == 0 || known[1].Wait != 3*time.Second {
+		t.Fatalf("%+v", known)
+	}
+	next := newRig(t, settings())
+	var events []Event
+	for _, k := range known {
+		events = append(events, k)
+	}
+	next.now += time.Second
+	next.step(events...)
+	d, e := next.b.destination(0).shared, next.b.destination(1).shared
+	if d.state != out || e.best < known[1].Bound || e.best > 2*known[1].Bound || e.toldUntil != next.now+3*time.Second {
+		t.Errorf("state %d, bound %v, wait until %v", d.state, e.best, e.toldUntil)
+	}
+}
--- a/cmd/saffronyard/main.go
+++ b/cmd/saffronyard/main.go
@@ -17,9 +17,11 @@
 	"runtime"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"dockshift.example/dockshift/internal/cloudevents"
 	"dockshift.example/dockshift/internal/features"
+	"dockshift.example/dockshift/internal/peers"
 	"dockshift.example/dockshift/internal/sender"
 	"dockshift.example/dockshift/internal/undelivered"
 )
@@ -36,13 +38,16 @@
 	if len(os.Args) > 1 && os.Args[1] == "undelivered" {
 		os.Exit(undeliveredCommand(os.Args[2:], os.Getenv, os.Stdout, os.Stderr))
 	}
+	if len(os.Args) > 1 && (os.Args[1] == "peers" || os.Args[1] == "knowledge") {
+		os.Exit(askCommand(os.Args[1], os.Args[2:], os.Getenv, os.Stdout, os.Stderr))
+	}
 	flags := flag.NewFlagSet("saffronyard", flag.ContinueOnError)
 	file := flags.String("features", "", "the operators' `file` of features; without it none is on")
 	if err := flags.Parse(os.Args[1:]); err != nil {
 		os.Exit(2)
 	}
 	if flags.NArg() > 0 {
-		log.Error("saffronyard takes no arguments but -features FILE, check FILE, and undelivered COMMAND", "argument", flags.Arg(0))
+		log.Error("saffronyard takes no arguments but -features FILE, check FILE, undelivered COMMAND, peers and knowledge", "argument", flags.Arg(0))
 		os.Exit(2)
 	}
 	if err := run(log, *file); err != nil {
@@ -104,19 +109,36 @@
 }
 
 // apply turns on what the operators' file names.
-func apply(f *features.Features, c *sender.Config) {
+func apply(f *features.Features, c *sender.Config) error {
 	if f.Quiet != nil {
 		c.Settings.FoldAfter = f.Quiet.FoldAfter.D()
 	}
 	if e := f.Events; e != nil {
 		c.Events = &sender.Events{Rules: e.Mapping(), BatchEvents: e.BatchEvents, BatchBytes: e.BatchBytes, Remember: e.Remember.D(), RememberMost: e.RememberMost}
 	}
+	if k := f.Knowledge; k != nil {
+		c.Knowledge = &sender.Knowledge{Every: k.Every.D(), Bytes: k.Bytes}
+	}
 	if d := f.Delivery; d != nil {
 		c.Delivery = &sender.Delivery{Source: d.Source, Type: d.Type}
 		for _, t := range d.To {
 			c.Delivery.To = append(c.Delivery.To, sender.To(t))
 		}
 	}
+	if p := f.Peers; p != nil {
+		keys, err := p.Keys()
+		if err != nil {
+			return err
+		}
+		host, _, err := net.SplitHostPort(c.Listen)
+		if err != nil {
+			return fmt.Errorf("peers: where clients connect: %w", err)
+		}
+		c.Peers = &peers.Config{Name: c.Name, Life: uint64(time.Now().UnixMicro()), Cluster: p.Cluster,
+			Listen: peers.WithHost(p.Listen, host), Exchange: peers.WithHost(p.Exchange, host),
+			Seeds: p.Seeds, Keys: keys, Follow: p.Follow, Facts: p.Facts}
+	}
+	return nil
 }
 
 func run(log *slog.Logger, file string) error {
@@ -131,12 +153,18 @@
 	if err != nil {
 		return err
 	}
+	var keys func() ([][]byte, error) // of the peers' membership, which may change while it runs
 	if file != "" {
 		f, err := features.Load(file)
 		if err != nil {
 			return err
 		}
-		apply(f, c)
+		if f.Peers != nil && f.Peers.KeysFile != "" {
+			keys = f.Peers.Keys
+		}
+		if err := apply(f, c); err != nil {
+			return err
+		}
 		if u := f.Undelivered; u != nil {
 			folder := u.Folder
 			if folder == "" {
@@ -165,12 +193,12 @@
 	}
 	running := make(chan struct{})
 	defer close(running)
-	go reload(running, hup, s, log)
+	go reload(running, hup, s, keys, log)
 	return s.Run(ctx, func() (net.Listener, error) { return net.Listen("tcp", c.Listen) })
 }
 
 // reload reads the configuration again with each SIGHUP, until the sender has left. One that can't be read changes nothing.
-func reload(running <-chan struct{}, hup <-chan os.Signal, s *sender.Sender, log *slog.Logger) {
+func reload(running <-chan struct{}, hup <-chan os.Signal, s *sender.Sender, keys func() ([][]byte, error), log *slog.Logger) {
 	for {
 		select {
 		case <-running:
@@ -183,5 +211,13 @@
 			continue
 		}
 		s.Reload(c)
+		if keys == nil {
+			continue
+		}
+		if ring, err := keys(); err != nil {
+			log.Error("the peers' keys are kept as they were", "err", err)
+		} else if err := s.PeerKeys(ring); err != nil {
+			log.Error("the peers' keys", "err", err)
+		}
 	}
 }
--- a/internal/features/features.go
+++ b/internal/features/features.go
@@ -3,13 +3,16 @@
 package features
 
 import (
+	"encoding/base64"
 	"fmt"
 	"os"
 	"slices"
 	"strings"
 	"time"
 
+	"dockshift.example/dockshift/internal/knowledge"
 	"dockshift.example/dockshift/internal/mapping"
+	"dockshift.example/dockshift/internal/peers"
 	"dockshift.example/dockshift/internal/tomlfile"
 )
 
@@ -20,6 +23,54 @@
 	Delivery *Delivery `toml:"delivery"`
 
 	Undelivered *Undelivered `toml:"undelivered"`
+	Knowledge   *Knowledge   `toml:"knowledge"`
+	Peers       *Peers       `toml:"peers"`
+}
+
+// Peers is how this sender takes part among the others of its deployment.
+type Peers struct {
+	Cluster  string   `toml:"cluster"`   // the deployment's name: others do not mix in
+	Listen   string   `toml:"listen"`    // of membership, TCP and UDP; a loopback address; default ":7946"
+	Exchange string   `toml:"exchange"`  // where others ask what is known; a loopback address; default ":7947"
+	Seeds    []string `toml:"seeds"`     // membership of some other senders
+	KeysFile string   `toml:"keys_file"` // keys of membership, a line each in base64, the first for sending; default: none
+	Follow   int      `toml:"follow"`    // so many are followed at once; from 1 to 16, default 3
+	Facts    int      `toml:"facts"`     // held of what each tells; from 100 to 1000000, default 50000
+}
+
+// Keys reads the file of keys.
+func (p *Peers) Keys() ([][]byte, error) {
+	if p.KeysFile == "" {
+		return nil, nil
+	}
+	raw, err := os.ReadFile(p.KeysFile)
+	if err != nil {
+		return nil, fmt.Errorf("peers: keys_file: %w", err)
+	}
+	var keys [][]byte
+	for i, line := range strings.Split(string(raw), "\n") {
+		if line = strings.TrimSpace(line); line == "" || strings.HasPrefix(line, "#") {
+			continue
+		}
+		k, err := base64.StdEncoding.DecodeString(line)
+		if err != nil {
+			return nil, fmt.Errorf("%s:%d: no key in base64: %w", p.KeysFile, i+1, err)
+		}
+		if n := len(k); n != 16 && n != 24 && n != 32 {
+			return nil, fmt.Errorf("%s:%d: a key of %d bytes; 16, 24 or 32 are wanted", p.KeysFile, i+1, n)
+		}
+		keys = append(keys, k)
+	}
+	if len(keys) == 0 {
+		return nil, fmt.Errorf("%s: it holds no key", p.KeysFile)
+	}
+	return keys, nil
+}
+
+// Knowledge is how what the sender knows of receivers outlasts its process.
+type Knowledge struct {
+	Every tomlfile.Span `toml:"every"` // a snapshot is written so often; from 500ms to 1h, default 2s
+	Bytes int64         `toml:"bytes"` // and takes so many at most, twice while it is written; default 131072
 }
 
 // Undelivered is where messages are kept that were not delivered.
@@ -88,6 +139,9 @@
 	foldMost  = 24 * time.Hour
 	maxFile   = 1 << 20
 
+	everyLeast = 500 * time.Millisecond
+	everyMost  = time.Hour
+
 	keptLeast = 1 << 20
 	keptMost  = 1 << 40
 	ageLeast  = time.Minute
@@ -138,6 +192,41 @@
 			return nil, err
 		}
 	}
+	if k := f.Knowledge; k != nil {
+		set(&k.Every, tomlfile.Span(2*time.Second))
+		set(&k.Bytes, 128<<10)
+		if d := k.Every.D(); d < everyLeast || d > everyMost {
+			return nil, c.at("knowledge", 0, "every", "knowledge.every = %v is not from %v to %v", d, everyLeast, everyMost)
+		}
+		if k.Bytes < knowledge.LeastBytes || k.Bytes > knowledge.MostBytes {
+			return nil, c.at("knowledge", 0, "bytes", "knowledge.bytes = %d is not from %d to %d", k.Bytes, knowledge.LeastBytes, knowledge.MostBytes)
+		}
+	}
+	if p := f.Peers; p != nil {
+		set(&p.Listen, ":7946")
+		set(&p.Exchange, ":7947")
+		set(&p.Follow, peers.DefaultFollow)
+		set(&p.Facts, peers.DefaultFacts)
+		if p.Follow < 1 || p.Follow > 16 {
+			return nil, c.at("peers", 0, "follow", "peers.follow = %d is not from 1 to 16", p.Follow)
+		}
+		if p.Facts < 100 || p.Facts > 1_000_000 {
+			return nil, c.at("peers", 0, "facts", "peers.facts = %d is not from 100 to 1000000", p.Facts)
+		}
+		for _, one := range []struct {
+			key  string
+			edit func(*peers.Config)
+		}{{"cluster", func(c *peers.Config) { c.Cluster = p.Cluster }}, {"listen", func(c *peers.Config) { c.Listen = p.Listen }},
+			{"exchange", func(c *peers.Config) { c.Exchange = p.Exchange }}, {"seeds", func(c *peers.Config) { c.Seeds = p.Seeds }}} {
+			// Without a host it is the one that clients connect to, which the file does not know.
+			sound := peers.Config{Name: "n", Cluster: "c", Listen: "127.0.0.1:0", Exchange: "127.0.0.1:0"}
+			one.edit(&sound)
+			sound.Listen, sound.Exchange = peers.WithHost(sound.Listen, "127.0.0.1"), peers.WithHost(sound.Exchange, "127.0.0.1")
+			if err := sound.Check(); err != nil {
+				return nil, c.at("peers", 0, one.key, "%w", err)
+			}
+		}
+	}
 	if u := f.Undelivered; u != nil {
 		set(&u.Bytes, 256<<20)
 		set(&u.Age, tomlfile.Span(7*24*time.Hour))
@@ -366,6 +455,16 @@
 		}
 		lines = append(lines, fmt.Sprintf("undelivered: kept in %s, %d bytes at most, for %v", folder, u.Bytes, u.Age.D()))
 	}
+	if k := f.Knowledge; k != nil {
+		lines = append(lines, fmt.Sprintf("knowledge: what is known of receivers is written down every %v, in %d bytes at most", k.Every.D(), k.Bytes))
+	}
+	if p := f.Peers; p != nil {
+		keys := "in clear"
+		if p.KeysFile != "" {
+			keys = "with the keys in " + p.KeysFile
+		}
+		lines = append(lines, fmt.Sprintf("peers: of cluster %s, membership at %s %s, %d seeds; what is known is told at %s; %d peers are followed", p.Cluster, p.Listen, keys, len(p.Seeds), p.Exchange, p.Follow))
+	}
 	if lines == nil {
 		return []string{"nothing is on: the sender does as without the file"}
 	}
--- a/internal/features/features_test.go
+++ b/internal/features/features_test.go
@@ -28,6 +28,12 @@
 		"below nothing": {"[quiet]\nfold_after = \"-5m\"\n", "x.toml:2: "},
 		"not set":       {"# c\n[quiet]\n", "x.toml:2: quiet.fold_after = 0s"},
 		"no TOML":       {"[quiet\n", "x.toml:1: "},
+		"rarely":        {"[knowledge]\nbytes = 9000\nevery = \"2h\"\n", "x.toml:3: knowledge.every = 2h0m0s"},
+		"no room":       {"[knowledge]\nbytes = 90\n", "x.toml:2: knowledge.bytes = 90"},
+		"no cluster":    {"[peers]\nfollow = 2\n", `x.toml:1: peers: cluster "" is empty`},
+		"beyond":        {"[peers]\ncluster = \"a\"\nexchange = \"10.0.0.1:80\"\n", `x.toml:3: peers: exchange = "10.0.0.1:80": it is not a loopback address`},
+		"a bad seed":    {"[peers]\ncluster = \"a\"\nseeds = [\"n1\"]\n", `x.toml:3: peers: seed "n1"`},
+		"follows none":  {"[peers]\ncluster = \"a\"\nfollow = 99\n", "x.toml:3: peers.follow = 99 is not from 1 to 16"},
 		"too long":      {strings.Repeat("#", maxFile+1), "longer than"},
 	} {
 		if _, err := Parse("x.toml", []byte(c.text)); err == nil || !strings.Contains(err.Error(), c.says) {
@@ -39,6 +45,25 @@
 	}
 }
 
+// A file of keys, whole or not at all.
+func TestPeersKeys(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "keys")
+	for text, want := range map[string]string{
+		"# now\nQUFBQUFBQUFBQUFBQUFBQQ==\n\n  QkJCQkJCQkJCQkJCQkJCQg==\n": "",
+		"QUFB\n": "keys:1: a key of 3 bytes", "# c\nnot base64\n": "keys:2: no key in base64", "\n# none\n": "it holds no key"} {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		keys, err := (&Peers{KeysFile: path}).Keys()
+		if want == "" && (err != nil || len(keys) != 2 || string(keys[1]) != "BBBBBBBBBBBBBBBB") || want != "" && (err == nil || !strings.Contains(err.Error(), want)) {
+			t.Errorf("%q: %q, %v", text, keys, err)
+		}
+	}
+	if keys, err := (&Peers{}).Keys(); keys != nil || err != nil {
+		t.Errorf("without a file: %v, %v", keys, err)
+	}
+}
+
 const rule = "[[events.rule]]\nclass = \"safe\"\ndestination = \"1\"\n"
 
 func TestEvents(t *testing.T) {
@@ -128,7 +153,7 @@
 			on = append(on, rest)
 		}
 	}
-	if f, err := Parse("saffronyard.toml", []byte(strings.Join(on, "\n"))); err != nil || f.Quiet == nil || f.Events == nil || f.Delivery == nil || f.Undelivered == nil || f.Undelivered.Bytes != 256<<20 {
+	if f, err := Parse("saffronyard.toml", []byte(strings.Join(on, "\n"))); err != nil || f.Quiet == nil || f.Events == nil || f.Delivery == nil || f.Undelivered == nil || f.Undelivered.Bytes != 256<<20 || f.Knowledge == nil || f.Peers == nil || f.Peers.Follow != 3 {
 		t.Errorf("turned on: %+v %v", f, err)
 	}
 }
--- /dev/null
+++ b/internal/knowledge/knowledge_test.go
@@ -0,0 +1,392 @@
+package knowledge
+
+import (
+	"errors"
+	"math"
+	"os"
+	"path/filepath"
+	"reflect"
+	"slices"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protowire"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	pb "dockshift.example/dockshift/proto/saffronyard/knowledge/v1"
+)
+
+const at0 = 1000 * time.Hour // now, in tests
+
+func fact(sort Sort, age time.Duration, source string) Fact {
+	f := Fact{Subject: Subject{Destination: 7}, Sort: sort, At: at0 - age, Calls: 5}
+	if source != "" {
+		f.Source = Source{source, 1}
+	}
+	switch sort {
+	case Pace:
+		f.Mean, f.Median, f.Quickest, f.Bound = 100*time.Millisecond, 90*time.Millisecond, 50*time.Millisecond, time.Second
+	case Bears:
+		f.Window = 4
+	case Limit:
+		f.PerSecond = 25
+	case Wait:
+		f.Until = at0 + time.Second
+	case Health:
+		f.State, f.Since, f.Rate = Out, f.At-time.Second, 3
+	}
+	return f
+}
+
+// drawn is any sound fact; few values, so that ties come up.
+func drawn(t *rapid.T) Fact {
+	f := fact(Sort(rapid.IntRange(1, int(sorts)-1).Draw(t, "sort")), time.Duration(rapid.IntRange(0, 12).Draw(t, "age"))*time.Second,
+		rapid.SampledFrom([]string{"", "a", "b"}).Draw(t, "source"))
+	f.Destination = uint32(rapid.IntRange(0, 2).Draw(t, "destination"))
+	f.Endpoint = rapid.SampledFrom([]string{"", "e1"}).Draw(t, "endpoint")
+	f.Calls = uint32(rapid.IntRange(1, 3).Draw(t, "calls"))
+	switch f.Sort {
+	case Health:
+		f.State = State(rapid.IntRange(int(Serves), int(Out)).Draw(t, "state"))
+	case Wait:
+		f.Until = at0 + time.Duration(rapid.IntRange(1, 3).Draw(t, "until"))*time.Second
+	case Bears:
+		f.Window = float64(rapid.IntRange(1, 3).Draw(t, "window"))
+	}
+	if !f.Source.Own() {
+		f.Source.Life = uint64(rapid.IntRange(1, 2).Draw(t, "life"))
+	}
+	return f
+}
+
+func viewOf(facts ...Fact) *View {
+	v := NewView(1000)
+	for _, f := range facts {
+		v.Add(f, at0)
+	}
+	return v
+}
+
+// The merge is the same in whatever order and however often facts come, and however they were put together before.
+func TestMergeLaws(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		all := rapid.SliceOfN(rapid.Custom(drawn), 0, 12).Draw(t, "facts")
+		want := viewOf(all...)
+		shuffled := rapid.Permutation(all).Draw(t, "order")
+		if got := viewOf(shuffled...); !reflect.DeepEqual(got.Facts(), want.Facts()) || !reflect.DeepEqual(got.Told(), want.Told()) {
+			t.Fatalf("in another order %v, not %v", got.Facts(), want.Facts())
+		}
+		if got := viewOf(append(slices.Clone(all), shuffled...)...); !reflect.DeepEqual(got.Facts(), want.Facts()) {
+			t.Fatalf("twice %v, not %v", got.Facts(), want.Facts())
+		}
+		cut := rapid.IntRange(0, len(all)).Draw(t, "cut")
+		parts := append(viewOf(all[:cut]...).Facts(), viewOf(all[cut:]...).Facts()...)
+		if got := viewOf(parts...); !reflect.DeepEqual(got.Facts(), want.Facts()) {
+			t.Fatalf("in parts %v, not %v", got.Facts(), want.Facts())
+		}
+		for _, f := range want.Told() {
+			if !f.Source.Own() {
+				t.Fatalf("%v was heard, and is told on", f)
+			}
+		}
+	})
+}
+
+// All histories of up to three facts of one subject and sort: the order of views is total, and the one that wins is the
+// same whatever came first.
+func TestAllSmallHistories(t *testing.T) {
+	var some []Fact
+	for _, source := range []string{"", "a", "b"} {
+		for _, age := range []time.Duration{0, 3 * time.Second, 6 * time.Second} {
+			for _, state := range []State{Serves, Out} {
+				f := fact(Health, age, source)
+				f.State = state
+				some = append(some, f)
+			}
+		}
+	}
+	for _, a := range some {
+		for _, b := range some {
+			if (a != b) != (Better(&a, &b) || Better(&b, &a)) || Better(&a, &b) && Better(&b, &a) {
+				t.Fatalf("%v and %v: no order", a, b)
+			}
+			for _, c := range some {
+				if Better(&a, &b) && Better(&b, &c) && !Better(&a, &c) {
+					t.Fatalf("%v, %v, %v: the order goes round", a, b, c)
+				}
+				want := viewOf(a, b, c).Facts()
+				for _, order := range [][]Fact{{a, c, b}, {b, a, c}, {b, c, a}, {c, a, b}, {c, b, a}} {
+					if got := viewOf(order...).Facts(); !reflect.DeepEqual(got, want) {
+						t.Fatalf("%v: %v, not %v", order, got, want)
+					}
+				}
+			}
+		}
+	}
+}
+
+// Which of two views wins, as a list of what can be.
+func TestBetter(t *testing.T) {
+	own, heard := fact(Health, 4*time.Second, ""), fact(Health, 0, "a")
+	if !Better(&own, &heard) {
+		t.Error("hearsay that is little fresher wins over own evidence")
+	}
+	if own.At -= 2 * time.Second; Better(&own, &heard) {
+		t.Error("own evidence wins over what is fresher by more than an outage's telling")
+	}
+	more := heard
+	if more.Calls++; !Better(&more, &heard) {
+		t.Error("of equal age the better founded does not win")
+	}
+	short, long := fact(Wait, 0, ""), fact(Wait, 9*time.Second, "a")
+	if long.Until += time.Second; !Better(&long, &short) {
+		t.Error("the longer wait does not win")
+	}
+}
+
+// What is known is trusted less the older it is, and a wait until its end.
+func TestTrust(t *testing.T) {
+	for sort := Pace; sort < sorts; sort++ {
+		f := fact(sort, 0, "a")
+		if got := f.Trust(at0); got != 1 {
+			t.Errorf("%v: %v at once", sort, got)
+		}
+		if sort == Wait {
+			if f.Trust(f.Until-1) != 1 || f.Trust(f.Until) != 0 {
+				t.Error("a wait does not hold until its end")
+			}
+			continue
+		}
+		if got := f.Trust(at0 + halfLife[sort]); math.Abs(got-0.5) > 1e-9 {
+			t.Errorf("%v: %v after its half-life", sort, got)
+		}
+	}
+}
+
+// A view drops what is trusted no more, and where hearsay goes the own fact stands again.
+func TestForget(t *testing.T) {
+	v := viewOf(fact(Pace, 2*time.Hour, ""), fact(Pace, time.Hour, "a"), fact(Health, 0, "a"))
+	if n := len(v.Facts()); n != 2 || len(v.Told()) != 1 {
+		t.Fatalf("%d facts", n)
+	}
+	v.Forget(at0 + 10*time.Minute)
+	if f := v.Facts(); len(f) != 1 || f[0].Sort != Pace {
+		t.Errorf("%v", f)
+	}
+	v.Forget(at0 + 24*time.Hour)
+	if len(v.Facts()) != 0 || v.Subjects() != 0 {
+		t.Errorf("%v, %d subjects", v.Facts(), v.Subjects())
+	}
+}
+
+// What can't be is not taken in, and there is a bound on subjects.
+func TestUnsound(t *testing.T) {
+	v := NewView(1)
+	for name, spoil := range map[string]func(*Fact){
+		"no sort":          func(f *Fact) { f.Sort = 0 },
+		"a newer sort":     func(f *Fact) { f.Sort = sorts },
+		"from the future":  func(f *Fact) { f.At = at0 + time.Second },
+		"since the future": func(f *Fact) { f.Since = at0 + time.Second },
+		"no state":         func(f *Fact) { f.State = 0 },
+		"another state":    func(f *Fact) { f.State = Out + 1 },
+		"rate no number":   func(f *Fact) { f.Rate = math.NaN() },
+		"rate endless":     func(f *Fact) { f.Rate = math.Inf(1) },
+		"rate negative":    func(f *Fact) { f.Rate = -1 },
+		"too old":          func(f *Fact) { f.At = at0 - time.Hour; f.Since = f.At },
+	} {
+		f := fact(Health, 0, "a")
+		if spoil(&f); v.Add(f, at0) || v.Subjects() != 0 {
+			t.Errorf("%s is taken in", name)
+		}
+	}
+	if f := fact(Wait, 0, "a"); v.Add(func() Fact { f.Until = at0 + 25*time.Hour; return f }(), at0) {
+		t.Error("a wait of 25 hours is taken in")
+	}
+	other := fact(Pace, 0, "a")
+	other.Destination = 8
+	if !v.Add(fact(Pace, 0, "a"), at0) || v.Add(other, at0) {
+		t.Error("the bound on subjects does not hold")
+	}
+}
+
+// Ages travel: a fact read at another clock says the same, older by the way it took.
+func TestCodec(t *testing.T) {
+	const there, way = 5 * time.Hour, 3 * time.Second
+	for sort := Pace; sort < sorts; sort++ {
+		f := fact(sort, 2*time.Second, "")
+		got, err := Decode(Encode(&f, at0), Source{"a", 9}, there+way, way)
+		if err != nil {
+			t.Fatal(err)
+		}
+		want := f
+		shift := there - at0
+		want.At, want.Source = f.At+shift, Source{"a", 9}
+		if sort == Wait {
+			want.Until += shift
+		}
+		if sort == Health {
+			want.Since += shift
+		}
+		if got != want {
+			t.Errorf("%v: %+v, want %+v", sort, got, want)
+		}
+	}
+	if _, err := Decode(&pb.Fact{Destination: 1}, Source{}, at0, 0); err == nil {
+		t.Error("a fact without a value is read")
+	}
+}
+
+// The form of a snapshot, as versions before and after must read it.
+func TestGoldenSnapshot(t *testing.T) {
+	f := fact(Health, time.Second, "")
+	raw, dropped := Marshal([]Fact{f}, at0, time.UnixMicro(1700000000000000), 4096)
+	const want = "SYKNOW\x01\x00&\x00\x00\x00K&tm\b\x01\x10\x80\x80\xf9\xc0\xc1\xc4\x82\x03\x1a\x19" + // format 1, the time; one fact:
+		"\b\a\x18\xc0\x84= \x05J\x0f\b\x03\x10\x80\x89z\x19\x00\x00\x00\x00\x00\x00\b@" // receiver 7, 1 s old, 5 calls; out for 2 s, 3 calls a second
+	if dropped != 0 || string(raw) != want {
+		t.Errorf("%q", raw)
+	}
+	got, skipped, err := Unmarshal(raw, at0, time.UnixMicro(1700000000000000))
+	if err != nil || skipped != 0 || len(got) != 1 || got[0] != f {
+		t.Errorf("%+v, %d, %v", got, skipped, err)
+	}
+	// A newer writer's fields, and its sorts of facts, are no error.
+	body := protowire.AppendTag(nil, 3, protowire.BytesType)
+	body = protowire.AppendBytes(body, protowire.AppendVarint(protowire.AppendTag(nil, 99, protowire.VarintType), 1))
+	body = protowire.AppendVarint(protowire.AppendTag(body, 77, protowire.VarintType), 5)
+	var s pb.Snapshot
+	if err := proto.Unmarshal(append(raw[headLen:len(raw):len(raw)], body...), &s); err != nil || len(s.Facts) != 2 {
+		t.Errorf("%v, %d facts", err, len(s.Facts))
+	}
+	if _, err := Decode(s.Facts[1], Source{}, at0, 0); !errors.Is(err, errUnknownFact) {
+		t.Error(err)
+	}
+}
+
+// A snapshot that is cut off anywhere, or has a byte changed, is none; one of a newer format is left aside.
+func TestDamagedSnapshot(t *testing.T) {
+	wall := time.UnixMicro(1700000000000000)
+	raw, _ := Marshal([]Fact{fact(Pace, 0, ""), fact(Wait, 0, "")}, at0, wall, 4096)
+	for n := range raw {
+		if _, _, err := Unmarshal(raw[:n], at0, wall); !errors.Is(err, ErrDamaged) {
+			t.Fatalf("cut at %d: %v", n, err)
+		}
+		bad := slices.Clone(raw)
+		bad[n] ^= 0x10
+		if _, _, err := Unmarshal(bad, at0, wall); !errors.Is(err, ErrDamaged) && !errors.Is(err, ErrNewer) {
+			t.Fatalf("byte %d changed: %v", n, err)
+		}
+	}
+	if facts, _, err := Unmarshal(raw, at0, wall.Add(-time.Hour)); err == nil || len(facts) > 0 {
+		t.Error("a snapshot from ahead of the clock is read")
+	}
+	facts, _, err := Unmarshal(raw, at0, wall.Add(time.Hour))
+	if err != nil || len(facts) != 2 || at0-facts[0].At < time.Hour && facts[0].Sort == Pace {
+		t.Errorf("%+v, %v", facts, err)
+	}
+	if v := viewOf(facts...); len(v.Facts()) != 1 { // the wait is over
+		t.Errorf("%+v", v.Facts())
+	}
+}
+
+// A kill at any point of writing a snapshot leaves the one before, or the new one.
+func TestKillWhileSaving(t *testing.T) {
+	path, wall := filepath.Join(t.TempDir(), "knowledge"), time.UnixMicro(1700000000000000)
+	old, _ := Marshal([]Fact{fact(Bears, 0, "")}, at0, wall, 4096)
+	next, _ := Marshal([]Fact{fact(Pace, 0, ""), fact(Wait, 0, "")}, at0, wall, 4096)
+	if err := Save(path, old); err != nil {
+		t.Fatal(err)
+	}
+	read := func() int {
+		facts, _, err := Load(path, at0, wall)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return len(facts)
+	}
+	for n := range len(next) + 1 { // killed with so much of the new one written
+		if err := os.WriteFile(path+".new", next[:n], 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if got := read(); got != 1 {
+			t.Fatalf("cut at %d: %d facts", n, got)
+		}
+	}
+	if err := Save(path, next); err != nil || read() != 2 {
+		t.Errorf("%v, %d facts", err, read())
+	}
+	if facts, _, err := Load(path+".none", at0, wall); err != nil || facts != nil {
+		t.Errorf("%v, %v", facts, err)
+	}
+	// Where the disk takes none, the old one stands, and nothing of the new one takes room.
+	if err := os.Mkdir(path+".new", 0o700); err != nil {
+		t.Fatal(err)
+	}
+	if err := Save(path, old); err == nil || read() != 2 {
+		t.Errorf("%v, %d facts", err, read())
+	}
+}
+
+// Where not all finds room, what spares failed calls stays.
+func TestRoom(t *testing.T) {
+	var all []Fact
+	for d := range uint32(100) {
+		for sort := Pace; sort < sorts; sort++ {
+			f := fact(sort, 0, "")
+			f.Destination = d
+			all = append(all, f)
+		}
+	}
+	raw, dropped := Marshal(all, at0, time.Now(), 4096)
+	got, _, err := Unmarshal(raw, at0, time.Now())
+	if err != nil || len(raw) > 4096 || len(got)+dropped != len(all) || len(raw) < 3000 {
+		t.Fatalf("%d bytes, %d facts, %d dropped, %v", len(raw), len(got), dropped, err)
+	}
+	waits := 0
+	for _, f := range got {
+		if f.Sort == Wait {
+			waits++
+		}
+	}
+	if waits != 100 {
+		t.Errorf("%d of 100 waits are kept", waits)
+	}
+}
+
+func FuzzUnmarshal(f *testing.F) {
+	wall := time.UnixMicro(1700000000000000)
+	raw, _ := Marshal([]Fact{fact(Pace, 0, ""), fact(Wait, 0, ""), fact(Health, 0, "")}, at0, wall, 4096)
+	f.Add(raw[headLen:])
+	f.Fuzz(func(t *testing.T, body []byte) {
+		var s pb.Snapshot
+		if proto.Unmarshal(body, &s) != nil {
+			return
+		}
+		v := NewView(10)
+		for _, m := range s.Facts {
+			if got, err := Decode(m, Source{"a", 1}, at0, 0); err == nil {
+				v.Add(got, at0)
+			}
+		}
+		for _, got := range v.Facts() {
+			if !got.sound(at0) || got.Trust(at0) < LeastTrust || v.Subjects() > 10 {
+				t.Fatalf("%+v", got)
+			}
+		}
+	})
+}
+
+func BenchmarkMarshal5000(b *testing.B) {
+	var all []Fact
+	for d := range uint32(5000) {
+		for _, sort := range []Sort{Pace, Bears, Health} {
+			f := fact(sort, 0, "")
+			f.Destination = d
+			all = append(all, f)
+		}
+	}
+	for b.Loop() {
+		raw, _ := Marshal(all, at0, time.Now(), MostBytes)
+		b.ReportMetric(float64(len(raw))/5000, "B/receiver")
+	}
+}
--- /dev/null
+++ b/internal/knowledge/telling_test.go
@@ -0,0 +1,131 @@
+package knowledge
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// Whoever follows, in whatever portions, comes to hold what is told; what only ages is not told again.
+func TestTelling(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tell, heard, version, now := NewTelling(), map[slot]Fact{}, uint64(0), at0
+		var last []Fact
+		for range rapid.IntRange(1, 8).Draw(t, "updates") {
+			now += time.Duration(rapid.IntRange(0, 3).Draw(t, "passes")) * time.Second
+			v := NewView(100)
+			for _, f := range rapid.SliceOfN(rapid.Custom(drawn), 0, 6).Draw(t, "facts") {
+				f.At, f.Since = f.At+now-at0, f.Since+now-at0
+				v.Add(f, now)
+			}
+			last = v.Told()
+			tell.Update(last, now)
+			for range rapid.IntRange(0, 3).Draw(t, "reads") {
+				var facts []Fact
+				facts, version = tell.After(version, rapid.IntRange(1, 4).Draw(t, "most"))
+				for _, f := range facts {
+					heard[slot{f.Subject, f.Sort}] = f
+				}
+			}
+		}
+		for version < tell.Version() {
+			var facts []Fact
+			facts, version = tell.After(version, 3)
+			for _, f := range facts {
+				heard[slot{f.Subject, f.Sort}] = f
+			}
+		}
+		for _, f := range last {
+			got, ok := heard[slot{f.Subject, f.Sort}]
+			if f.Trust(now) < LeastTrust {
+				continue
+			}
+			if !ok || got.Value.State != f.Value.State || news(&got, &f) {
+				t.Fatalf("%+v came as %+v", f, got)
+			}
+		}
+		if tell.Update(last, now) {
+			t.Fatal("the same again is news")
+		}
+	})
+}
+
+func TestWhatOnlyAgesIsNoNews(t *testing.T) {
+	tell := NewTelling()
+	f := fact(Pace, 0, "")
+	if !tell.Update([]Fact{f}, at0) || tell.Update([]Fact{f}, at0+time.Hour) {
+		t.Error("a fact that grows older is told again")
+	}
+	if f.At += 20 * time.Minute; tell.Update([]Fact{f}, f.At) {
+		t.Error("a pace that is confirmed is told again at once")
+	}
+	if f.At += 20 * time.Minute; !tell.Update([]Fact{f}, f.At) {
+		t.Error("a pace that others trust by half only is not told again")
+	}
+	if heard := fact(Health, 0, "a"); tell.Update([]Fact{f, heard}, f.At) {
+		t.Error("what was heard is told on")
+	}
+	if facts, _ := tell.After(0, 10); len(facts) != 1 || facts[0].At != f.At {
+		t.Errorf("%+v", facts)
+	}
+}
+
+// A sender whose own line is broken holds every receiver to be out: it does not talk others into that.
+func TestBrokenLine(t *testing.T) {
+	r := NewReports(100)
+	say := func(source string, dest uint32, state State, age time.Duration) {
+		f := fact(Health, age, source)
+		f.Destination, f.State = dest, state
+		r.Add(f, at0)
+	}
+	verdict := func(dest uint32) string {
+		f, ok := r.Verdict(Subject{Destination: dest}, at0)
+		return fmt.Sprint(f.State, " ", ok)
+	}
+	for d := range uint32(10) {
+		say("broken", d, Out, 0)
+		if d > 0 {
+			say("sound", d, Serves, time.Second)
+		}
+	}
+	say("sound", 0, Out, time.Second)
+	if got := verdict(0); got != "out true" {
+		t.Errorf("what two see is out: %s", got)
+	}
+	for d := uint32(1); d < 10; d++ {
+		if got := verdict(d); got != "serves true" {
+			t.Errorf("receiver %d: %s", d, got)
+		}
+	}
+	say("broken", 20, Out, 0)
+	if got := verdict(20); got != "unknown false" {
+		t.Errorf("what the one with a broken line tells alone: %s", got)
+	}
+	say("sound", 21, Out, 0)
+	if got := verdict(21); got != "out true" {
+		t.Errorf("what a sound one tells alone: %s", got)
+	}
+	// One that serves for two is not out for a third; and reports of a life that has ended count for nothing.
+	say("a", 30, Out, 0)
+	say("b", 30, Serves, 0)
+	say("c", 30, Serves, time.Second)
+	if got := verdict(30); got != "serves true" {
+		t.Errorf("two against one: %s", got)
+	}
+	f := fact(Health, 0, "a")
+	f.Destination, f.State, f.Source.Life = 40, Serves, 2
+	r.Add(f, at0)
+	if _, ok := r.by[Source{"a", 1}]; ok {
+		t.Error("an earlier life's reports stand")
+	}
+	f.Source.Life = 1
+	if r.Add(f, at0); r.by[Source{"a", 1}] != nil {
+		t.Error("an earlier life comes back")
+	}
+	r.Forget("sound")
+	if got := verdict(21); got != "unknown false" {
+		t.Errorf("of one that is forgotten: %s", got)
+	}
+}
--- /dev/null
+++ b/internal/peers/peers_test.go
@@ -0,0 +1,378 @@
+package peers
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"dockshift.example/dockshift/internal/knowledge"
+	kpb "dockshift.example/dockshift/proto/saffronyard/knowledge/v1"
+	pb "dockshift.example/dockshift/proto/saffronyard/peers/v1"
+)
+
+const wait = 20 * time.Second
+
+func until(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(wait); !holds(); time.Sleep(2 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("%s does not come to hold", what)
+		}
+	}
+}
+
+// peer is a node in a test, with a clock of its own that is off by an hour or more.
+type peer struct {
+	*Node
+	c     Config
+	start time.Time
+	off   time.Duration
+
+	mu    sync.Mutex
+	facts []knowledge.Fact
+}
+
+func (p *peer) now() time.Duration { return p.off + time.Since(p.start) }
+
+func (p *peer) heard() []knowledge.Fact {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.facts)
+}
+
+func config(name string, seeds ...string) Config {
+	return Config{Name: name, Life: 1, Cluster: "test", Listen: "127.0.0.1:0", Exchange: "127.0.0.1:0", Seeds: seeds}
+}
+
+var quietLog = slog.New(slog.NewTextHandler(io.Discard, nil))
+
+func begin(t *testing.T, c Config, off time.Duration) *peer {
+	t.Helper()
+	p := &peer{c: c, start: time.Now(), off: off}
+	n, err := Start(c, quietLog, p.now, func(f []knowledge.Fact) bool {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.facts = append(p.facts, f...)
+		return true
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.Node = n
+	t.Cleanup(n.Close)
+	return p
+}
+
+func out(p *peer, dest uint32, age time.Duration) knowledge.Fact {
+	now := p.now()
+	return knowledge.Fact{Subject: knowledge.Subject{Destination: dest}, Sort: knowledge.Health, At: now - age, Calls: 3,
+		Value: knowledge.Value{State: knowledge.Out, Since: now - age - time.Second, Rate: 2}}
+}
+
+func (p *peer) state(name string) string {
+	for _, m := range p.Members() {
+		if m.Name == name {
+			return m.State
+		}
+	}
+	return "unknown"
+}
+
+// Three senders find each other by one seed; what one has seen reaches the others, of its age by their own clocks, in
+// the name of who saw it, and is not told on by them. What changes is told; one that leaves is known to have.
+func TestThreeSenders(t *testing.T) {
+	t.Parallel()
+	a := begin(t, config("a"), time.Hour)
+	b := begin(t, config("b", a.Address()), 5*time.Hour)
+	a.Tell([]knowledge.Fact{out(a, 7, 4*time.Second)})
+	c := begin(t, config("c", a.Address()), 100*time.Hour)
+	for _, p := range []*peer{b, c} {
+		until(t, "a's fact is heard", func() bool { return len(p.heard()) > 0 })
+		f := p.heard()[0]
+		age := p.now() - f.At
+		if f.Source != (knowledge.Source{Name: "a", Life: 1}) || f.State != knowledge.Out || age < 4*time.Second || age > 10*time.Second {
+			t.Errorf("%+v, %v old", f, age)
+		}
+	}
+	b.Tell(nil) // it has heard, and seen nothing itself
+	a.Tell([]knowledge.Fact{out(a, 7, 0), out(a, 8, 0)})
+	until(t, "the change is heard", func() bool {
+		return slices.ContainsFunc(c.heard(), func(f knowledge.Fact) bool { return f.Destination == 8 })
+	})
+	for _, f := range append(a.heard(), c.heard()...) {
+		if f.Source.Name != "a" {
+			t.Errorf("%s tells what it has heard", f.Source.Name)
+		}
+	}
+	until(t, "all know all", func() bool { return b.state("c") == here && c.state("b") == here && a.state("c") == here })
+	b.Close()
+	until(t, "b is known to have left", func() bool { return a.state("b") == left && c.state("b") == left })
+}
+
+// One that comes back, under its name, at another address and in another life, is followed anew from the start.
+func TestComesBack(t *testing.T) {
+	t.Parallel()
+	a := begin(t, config("a"), time.Hour)
+	b := begin(t, config("b", a.Address()), time.Hour)
+	b.Tell([]knowledge.Fact{out(b, 1, 0)})
+	until(t, "b is heard", func() bool { return len(a.heard()) > 0 })
+	b.Close()
+	next := config("b", a.Address())
+	next.Life = 2
+	again := begin(t, next, time.Hour)
+	again.Tell([]knowledge.Fact{out(again, 2, 0)})
+	until(t, "b is heard in its next life", func() bool {
+		return slices.ContainsFunc(a.heard(), func(f knowledge.Fact) bool { return f.Source.Life == 2 && f.Destination == 2 })
+	})
+}
+
+// Another deployment on the same network stays apart, and so do those that lack a key; a key is changed in service.
+func TestStrangersAndKeys(t *testing.T) {
+	t.Parallel()
+	key := func(b byte) []byte { return []byte(strings.Repeat(string(rune('a'+b)), 32)) }
+	with := func(c Config, keys ...[]byte) Config { c.Keys = keys; return c }
+	a := begin(t, with(config("a"), key(0)), 0)
+	b := begin(t, with(config("b", a.Address()), key(0)), 0)
+	stranger := config("stranger", a.Address())
+	stranger.Cluster = "other"
+	s := begin(t, with(stranger, key(0)), 0)
+	n := begin(t, with(config("no-key", a.Address()), key(1)), 0)
+	until(t, "b joins", func() bool { return a.state("b") == here && b.state("a") == here })
+	for _, p := range []*peer{a, b} { // the new key is known to all before it is sent with, and the old goes last
+		if err := p.Keys([][]byte{key(0), key(2)}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, p := range []*peer{a, b} {
+		if err := p.Keys([][]byte{key(2)}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	c := begin(t, with(config("c", a.Address()), key(2)), 0)
+	until(t, "c joins by the new key", func() bool { return b.state("c") == here && c.state("b") == here })
+	if a.state("stranger") != "unknown" || a.state("no-key") != "unknown" || s.state("a") != "unknown" || n.state("a") != "unknown" {
+		t.Errorf("strangers: %v", a.Members())
+	}
+	// The exchange asks, too.
+	for _, other := range []Config{stranger, config("a")} {
+		var p progress
+		err := follow(context.Background(), &other, Member{Name: "a", Exchange: a.exchange(t)}, a.now, &p, func([]knowledge.Fact) bool { return true })
+		if got := status.Code(errors.Unwrap(err)); got != codes.PermissionDenied && got != codes.AlreadyExists {
+			t.Errorf("%s of %s: %v", other.Name, other.Cluster, err)
+		}
+	}
+}
+
+func (p *peer) exchange(t *testing.T) string {
+	p.meta.mu.Lock()
+	defer p.meta.mu.Unlock()
+	return p.meta.Exchange
+}
+
+func TestCheck(t *testing.T) {
+	t.Parallel()
+	for name, edit := range map[string]func(*Config){
+		"no name":         func(c *Config) { c.Name = "" },
+		"no cluster":      func(c *Config) { c.Cluster = "" },
+		"beyond loopback": func(c *Config) { c.Exchange = "10.0.0.4:7000" },
+		"all addresses":   func(c *Config) { c.Exchange = "0.0.0.0:7000" },
+		"a host's name":   func(c *Config) { c.Listen = "localhost:7000" },
+		"no port":         func(c *Config) { c.Seeds = []string{"127.0.0.1"} },
+		"a short key":     func(c *Config) { c.Keys = [][]byte{[]byte("short")} },
+	} {
+		c := config("a")
+		edit(&c)
+		if err := c.Check(); err == nil || !strings.HasPrefix(err.Error(), "peers: ") {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	c := config("a")
+	if c.Exchange = "192.168.1.1:1"; !errors.Is(c.Check(), ErrBeyondLoopback) {
+		t.Error(c.Check())
+	}
+}
+
+// Who is followed: as many as are wanted, the oldest first, none that has gone, none before its pause is over.
+func TestChoose(t *testing.T) {
+	t.Parallel()
+	one := func(name string, life uint64, edit func(*followed)) followed {
+		f := followed{Member: Member{Name: name, Life: life, Exchange: "127.0.0.1:1", State: here}}
+		if edit != nil {
+			edit(&f)
+		}
+		return f
+	}
+	all := []followed{one("new", 9, nil), one("old", 1, nil), one("mid", 5, nil), one("gone", 0, func(f *followed) { f.State = left }),
+		one("dead", 0, func(f *followed) { f.State = dead }), one("mute", 0, func(f *followed) { f.Exchange = "" }),
+		one("pauses", 0, func(f *followed) { f.again = 10 * time.Second }), one("fails", 0, func(f *followed) { f.failures = 2 })}
+	for _, c := range []struct {
+		most int
+		now  time.Duration
+		want string
+	}{{2, 0, "[old mid]"}, {10, 0, "[old mid new fails]"}, {1, 10 * time.Second, "[pauses]"}, {0, 0, "[]"}} {
+		if got := fmt.Sprint(choose(all, c.most, c.now)); got != c.want {
+			t.Errorf("%d at %v: %s, want %s", c.most, c.now, got, c.want)
+		}
+	}
+	all[1].following = true
+	if got := fmt.Sprint(choose(all, 2, 0)); got != "[mid]" {
+		t.Errorf("with one followed: %s", got)
+	}
+	for n, want := range map[int]time.Duration{1: firstPause, 2: 2 * firstPause, 100: pauseMost} {
+		if got := pause(n); got != want {
+			t.Errorf("pause %d: %v", n, got)
+		}
+	}
+}
+
+// bad is a peer that answers as a test has it.
+type bad struct {
+	pb.UnimplementedExchangeServer
+	answer func(grpc.ServerStreamingServer[pb.Piece]) error
+}
+
+func (b bad) Follow(_ *pb.FollowRequest, to grpc.ServerStreamingServer[pb.Piece]) error {
+	return b.answer(to)
+}
+
+func badPeer(t *testing.T, answer func(grpc.ServerStreamingServer[pb.Piece]) error) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := grpc.NewServer()
+	pb.RegisterExchangeServer(s, bad{answer: answer})
+	go s.Serve(l)
+	t.Cleanup(s.Stop)
+	return l.Addr().String()
+}
+
+func followOne(addr string, p *progress, heard func([]knowledge.Fact) bool) error {
+	c := config("z")
+	return follow(context.Background(), &c, Member{Name: "bad", Exchange: addr}, func() time.Duration { return time.Hour }, p, heard)
+}
+
+// Peers that do wrong: each ends its stream, in bounded time, with a bounded number of facts taken in.
+func TestBadPeers(t *testing.T) {
+	t.Parallel()
+	fact := &kpb.Fact{Destination: 1, Calls: 1, Value: &kpb.Fact_Health{Health: &kpb.Health{State: kpb.State_STATE_OUT}}}
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { silent.Close() })
+	for name, c := range map[string]struct {
+		addr string
+		want string
+		most int // facts taken in
+	}{
+		"nobody there":     {"127.0.0.1:1", "Unavailable", 0},
+		"takes, and quiet": {silent.Addr().String(), "Canceled", 0},
+		"quiet in gRPC":    {badPeer(t, func(to grpc.ServerStreamingServer[pb.Piece]) error { <-to.Context().Done(); return nil }), "Canceled", 0},
+		"endless": {badPeer(t, func(to grpc.ServerStreamingServer[pb.Piece]) error {
+			for to.Send(&pb.Piece{Life: 1, Facts: []*kpb.Fact{fact}}) == nil {
+			}
+			return nil
+		}), errFloods.Error(), 2 * burstPieces},
+		"huge": {badPeer(t, func(to grpc.ServerStreamingServer[pb.Piece]) error {
+			return to.Send(&pb.Piece{Life: 1, Facts: slices.Repeat([]*kpb.Fact{fact}, pieceBytes)})
+		}), "ResourceExhausted", 0},
+		"dies after one": {badPeer(t, func(to grpc.ServerStreamingServer[pb.Piece]) error {
+			to.Send(&pb.Piece{Life: 1, Facts: []*kpb.Fact{fact}})
+			return status.Error(codes.Aborted, "dies")
+		}), "dies", 1},
+		"tells what nobody knows": {badPeer(t, func(to grpc.ServerStreamingServer[pb.Piece]) error {
+			to.Send(&pb.Piece{Life: 1, Facts: []*kpb.Fact{{Destination: 3}, fact}})
+			return status.Error(codes.Aborted, "ends")
+		}), "ends", 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			taken := 0
+			err := followOne(c.addr, &progress{}, func(f []knowledge.Fact) bool { taken += len(f); return true })
+			if err == nil || !strings.Contains(err.Error(), c.want) || taken > c.most || c.most == 1 && taken != 1 {
+				t.Errorf("%v; %d facts", err, taken)
+			}
+		})
+	}
+}
+
+// A stream that breaks off after any number of bytes: what came is whole pieces, and the next stream goes on from the
+// last of them, so that all comes and none is lost.
+func TestCutAtEachByte(t *testing.T) {
+	t.Parallel()
+	const all = 3
+	a := begin(t, config("a"), time.Hour)
+	var facts []knowledge.Fact
+	for d := range uint32(all) {
+		facts = append(facts, out(a, d, 0))
+	}
+	a.Tell(facts)
+	target := a.exchange(t)
+	whole := proxied(t, target, 1<<30, all)
+	for n := int64(0); n < whole; n += 1 + whole/200 {
+		proxied(t, target, n, all)
+	}
+}
+
+// proxied follows through a proxy that lets so many bytes of the answer pass, then directly, wants all facts, and gives
+// how many bytes passed until they were there.
+func proxied(t *testing.T, target string, most int64, want int) int64 {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	var passed atomic.Int64
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		to, err := net.Dial("tcp", target)
+		if err != nil {
+			return
+		}
+		defer to.Close()
+		go func() {
+			io.Copy(to, c)
+			to.Close()
+		}()
+		n, _ := io.Copy(c, io.LimitReader(to, most))
+		passed.Add(n)
+	}()
+	var p progress
+	seen := map[uint32]int{}
+	heard := func(f []knowledge.Fact) bool {
+		for _, one := range f {
+			seen[one.Destination]++
+		}
+		return len(seen) < want
+	}
+	followOne(l.Addr().String(), &p, heard)
+	l.Close()
+	if len(seen) < want {
+		followOne(target, &p, heard)
+	}
+	if len(seen) != want {
+		t.Fatalf("cut after %d bytes: %d of %d facts", most, len(seen), want)
+	}
+	if most == 1<<30 {
+		until(t, "the proxy has ended", func() bool { return passed.Load() > 0 })
+	}
+	return passed.Load()
+}
--- a/internal/rehearsal/day/day_test.go
+++ b/internal/rehearsal/day/day_test.go
@@ -232,9 +232,24 @@
 			handed[e.Sender]++
 		}
 	}
-	if handed["n2"] == 0 && handed["n0"] == 0 {
+	if handed["n0"] == 0 {
 		t.Errorf("handed in: %v", handed)
 	}
+	// From when it is ready the one that joined has its part: a third while three are up, half while n1 is lost.
+	here, all, joined := false, 0, 0
+	for _, e := range events {
+		switch {
+		case e.Kind == eventlog.Ready && e.Sender == "n2":
+			here = true
+		case e.Kind == eventlog.HandIn && here:
+			if all++; e.Sender == "n2" {
+				joined++
+			}
+		}
+	}
+	if all < 30 || joined*5 < all || joined*3 > 2*all {
+		t.Errorf("the one that joined was handed %d of %d", joined, all)
+	}
 }
 
 // Addresses are dealt out once, and lie in 127/8.
--- a/internal/rehearsal/traffic/clients.go
+++ b/internal/rehearsal/traffic/clients.go
@@ -132,6 +132,31 @@
 	return time.Now().After(p.avoid) && (p.target.Accepts() || len(p.idle) > 0)
 }
 
+// own is the sender of the n-th message's client: as planned, or one that has joined since, and is up: clients of each
+// planned sender turn to it until all have an even part. By number, so that a day is the same each time it is played.
+func (c *Clients) own(n int, a script.Arrival) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	up := 0
+	for _, p := range c.pools[c.plan.Senders:] {
+		if p.target.Accepts() {
+			up++
+		}
+	}
+	if up == 0 {
+		return a.Sender
+	}
+	at := rand.New(rand.NewPCG(c.plan.Day.Seed, uint64(n))).IntN(c.plan.Senders + up)
+	for i, p := range c.pools[c.plan.Senders:] {
+		if p.target.Accepts() {
+			if up--; at == c.plan.Senders+up {
+				return c.plan.Senders + i
+			}
+		}
+	}
+	return a.Sender
+}
+
 // choose is the client's own sender, or the next that can be used; nil if there is none.
 func (c *Clients) choose(own int) *pool {
 	c.mu.Lock()
@@ -168,12 +193,13 @@
 	mark := ""
 	var first *handIn // an event that got no answer: its client hands in the same again
 	var at *pool      // to the same sender, which alone knows it
+	own := c.own(n, a)
 	for try := 0; ; {
 		left := expires - c.log.Now()
 		if left < leftLeast {
 			return
 		}
-		p := c.choose(a.Sender)
+		p := c.choose(own)
 		switch {
 		case first == nil:
 		case at.usable():
--- a/internal/sender/config.go
+++ b/internal/sender/config.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"dockshift.example/dockshift/brain"
+	"dockshift.example/dockshift/internal/peers"
 	"dockshift.example/dockshift/internal/settings"
 )
 
@@ -58,6 +59,9 @@
 	Events   *Events   // CloudEvents are taken in; nil: they are not
 	Recorder Recorder  // messages that are not delivered are kept; nil: they are not
 	Delivery *Delivery // in which form messages go out; nil: all as in the platform's protocol
+
+	Peers     *peers.Config // other senders, who tell what they know; nil: none
+	Knowledge *Knowledge    // what is known of receivers outlasts the process; nil: only their usual rates do
 }
 
 // LoadConfig reads the file that EDGE_CONFIG names. The other variables win over what it says.
--- a/internal/sender/events.go
+++ b/internal/sender/events.go
@@ -62,9 +62,12 @@
 // journalLeast is the least room that the journal needs, in bytes.
 const journalLeast = 512 << 10
 
-// journalRoom is the bytes that the journal may take: what the disk's limit leaves of the ends of events.
+// journalRoom is the bytes that the journal may take: what the disk's limit leaves of snapshots and of the ends of events.
 func (c *Config) journalRoom() (int64, error) {
-	room := int64(c.Limits.DiskMB * 1e6 * journalPart)
+	room := int64(c.Limits.DiskMB*1e6*journalPart) - c.knowledgeRoom()
+	if room < journalLeast && c.Knowledge != nil {
+		return 0, fmt.Errorf("knowledge: bytes = %d, twice, leaves less than %d of the disk's %.0f to the journal", c.Knowledge.Bytes, journalLeast, c.Limits.DiskMB*1e6)
+	}
 	if c.Events == nil {
 		return room, nil
 	}
--- /dev/null
+++ b/internal/sender/inspect.go
@@ -0,0 +1,201 @@
+package sender
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"time"
+
+	"dockshift.example/dockshift/brain"
+	"dockshift.example/dockshift/internal/knowledge"
+	"dockshift.example/dockshift/internal/peers"
+)
+
+// SocketName is the Unix socket in the state folder by which the command line asks a sender that runs what it knows.
+const SocketName = "sender.sock"
+
+// KnownFact is one fact as it is told to operators.
+type KnownFact struct {
+	Receiver uint32  `json:"receiver"`
+	Endpoint string  `json:"endpoint,omitempty"`
+	Sort     string  `json:"sort"`
+	Says     string  `json:"says"`
+	Source   string  `json:"source"` // self, earlier, or a peer's name
+	AgeMS    int64   `json:"age_ms"`
+	Trust    float64 `json:"trust"` // 1 for what is seen now, 0 for what counts no more
+	Calls    uint32  `json:"calls"`
+}
+
+// PeersReport is who is there and what is told.
+type PeersReport struct {
+	Name    string         `json:"name"`
+	Cluster string         `json:"cluster"`
+	Address string         `json:"address"` // of its membership
+	Tells   int            `json:"tells"`   // facts of its own
+	Members []peers.Member `json:"members"`
+	Heard   map[string]int `json:"heard"` // facts held, by who told them
+	NowMS   int64          `json:"now_ms"`
+}
+
+// inspection answers the command line. What it is asked for goes through the loop, which owns all that is known.
+type inspection struct {
+	noPart
+	s      *Sender
+	server *http.Server
+	done   sync.WaitGroup
+}
+
+// question is put to the loop; it answers in the same turn.
+type question struct {
+	ask    func(s *Sender, now time.Duration) any
+	answer chan any
+}
+
+func (question) partEvent() {}
+
+const askTime = 2 * time.Second
+
+func newInspection(s *Sender) (*inspection, error) {
+	path := filepath.Join(s.c.State, SocketName)
+	if err := os.Remove(path); err != nil && !errors.Is(err, os.ErrNotExist) { // a process that was killed leaves its own
+		return nil, fmt.Errorf("command line: %w", err)
+	}
+	l, err := net.Listen("unix", path)
+	if err != nil {
+		return nil, fmt.Errorf("command line: %w", err)
+	}
+	if err := os.Chmod(path, 0o600); err != nil {
+		l.Close()
+		return nil, fmt.Errorf("command line: %w", err)
+	}
+	i := &inspection{s: s}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /peers", i.handle(func(*http.Request) (func(*Sender, time.Duration) any, error) {
+		return func(s *Sender, now time.Duration) any { return s.peersReport(now) }, nil
+	}))
+	mux.HandleFunc("GET /knowledge", i.handle(func(r *http.Request) (func(*Sender, time.Duration) any, error) {
+		only := r.URL.Query().Get("receiver")
+		n, err := strconv.ParseUint(only, 10, 32)
+		if only != "" && err != nil {
+			return nil, fmt.Errorf("receiver %q is no number", only)
+		}
+		return func(s *Sender, now time.Duration) any { return s.knowledgeReport(now, only == "", uint32(n)) }, nil
+	}))
+	i.server = &http.Server{Handler: mux, ReadHeaderTimeout: askTime}
+	i.done.Add(1)
+	go func() {
+		defer i.done.Done()
+		i.server.Serve(l)
+	}()
+	return i, nil
+}
+
+func (i *inspection) handle(read func(*http.Request) (func(*Sender, time.Duration) any, error)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		ask, err := read(r)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		ctx, cancel := context.WithTimeout(r.Context(), askTime)
+		defer cancel()
+		q := question{ask, make(chan any, 1)}
+		if i.s.post(ctx, q) {
+			select {
+			case v := <-q.answer:
+				json.NewEncoder(w).Encode(v)
+				return
+			case <-ctx.Done():
+			}
+		}
+		http.Error(w, "the sender is leaving, or too busy to answer", http.StatusServiceUnavailable)
+	}
+}
+
+func (i *inspection) take(e any, now time.Duration) []brain.Event {
+	if q, ok := e.(question); ok {
+		q.answer <- q.ask(i.s, now)
+	}
+	return nil
+}
+
+func (i *inspection) leaving() error {
+	err := i.server.Close()
+	i.done.Wait()
+	return err
+}
+
+func partOf[T participant](s *Sender) (T, bool) {
+	for _, p := range s.parts {
+		if got, ok := p.(T); ok {
+			return got, true
+		}
+	}
+	var none T
+	return none, false
+}
+
+func (s *Sender) peersReport(now time.Duration) PeersReport {
+	r := PeersReport{Name: s.c.Name, Heard: map[string]int{}, NowMS: now.Milliseconds(), Tells: len(s.knownNow(now))}
+	s.knownAll = nil
+	if p, ok := partOf[*peersPart](s); ok {
+		r.Cluster, r.Address, r.Members = s.c.Peers.Cluster, p.node.Address(), p.node.Members()
+		for _, f := range append(p.view.Facts(), p.reports.All()...) {
+			r.Heard[f.Source.Name]++
+		}
+	}
+	return r
+}
+
+// knowledgeReport is all facts, or those of one receiver: what this process has seen, what it was told by others, and
+// what is left of an earlier process's.
+func (s *Sender) knowledgeReport(now time.Duration, all bool, only uint32) []KnownFact {
+	list := []KnownFact{}
+	add := func(facts []knowledge.Fact, source string) {
+		for _, f := range facts {
+			if !all && f.Destination != only {
+				continue
+			}
+			from := source
+			if from == "" {
+				from = f.Source.Name
+			}
+			list = append(list, KnownFact{f.Destination, f.Endpoint, f.Sort.String(), says(&f, now), from, (now - f.At).Milliseconds(), f.Trust(now), f.Calls})
+		}
+	}
+	add(s.knownNow(now), "self")
+	s.knownAll = nil
+	if p, ok := partOf[*past](s); ok {
+		add(p.view.Facts(), "earlier")
+	}
+	if p, ok := partOf[*peersPart](s); ok {
+		add(p.view.Facts(), "")
+		add(p.reports.All(), "")
+	}
+	return list
+}
+
+// says puts a fact into words.
+func says(f *knowledge.Fact, now time.Duration) string {
+	ms := func(d time.Duration) string { return strconv.FormatInt(d.Milliseconds(), 10) + " ms" }
+	switch f.Sort {
+	case knowledge.Pace:
+		return fmt.Sprintf("calls take %s in the middle, %s at the least; time-out %s", ms(f.Median), ms(f.Quickest), ms(f.Bound))
+	case knowledge.Bears:
+		return fmt.Sprintf("bore %.1f calls at once", f.Window)
+	case knowledge.Limit:
+		return fmt.Sprintf("takes %.2f calls a second of all senders", f.PerSecond)
+	case knowledge.Wait:
+		return fmt.Sprintf("asked for a wait, of which %s are left", ms(max(0, f.Until-now)))
+	case knowledge.Health:
+		return fmt.Sprintf("%s for %s; %.2f calls a second usually", f.State, ms(now-f.Since), f.Rate)
+	}
+	return "?"
+}
--- a/internal/sender/loop.go
+++ b/internal/sender/loop.go
@@ -12,6 +12,7 @@
 
 	"dockshift.example/dockshift/brain"
 	"dockshift.example/dockshift/internal/identity"
+	"dockshift.example/dockshift/internal/knowledge"
 )
 
 const (
@@ -101,6 +102,7 @@
 	byID     map[string]*message
 	ends     *eventBooks    // nil where no events are taken in
 	records  *recorderBooks // nil without a recorder
+	parts    []participant  // features that take part in each turn
 	last     brain.MessageID
 	held     int // messages taken on that have not ended
 	out      int // calls out
@@ -109,6 +111,9 @@
 
 	answers   []owedAnswer  // of messages that this step ends, to be given once that is written down
 	batches   []sendBatch   // calls that this step begins with several messages
+	learnt    []brain.Event // what the features have for the module, after the news that they heard
+	knownAt   time.Duration // when what the module knows was asked for last
+	knownAll  []knowledge.Fact
 	withdrawn []brain.Event // of messages that could not be written down, for the next step
 
 	grace, leaveAfter time.Duration
@@ -124,6 +129,7 @@
 	listEvent   struct{ Targets }
 	failedEvent struct{ err error }
 	toldEvent   struct{ notices []notice }
+	partEvent   interface{ partEvent() } // of a feature's own
 )
 
 // New opens the journal; Run does the rest.
@@ -150,6 +156,9 @@
 		return nil, err
 	}
 	s.records = newRecorder(c.Recorder, room)
+	if s.parts, err = s.takeParts(); err != nil {
+		return nil, err
+	}
 	s.server = newServer(c, s.clock, log, func(ctx context.Context, sub submission) bool { return s.post(ctx, sub) })
 	return s, nil
 }
@@ -218,6 +227,11 @@
 			// Once it is quitting nothing is served as usual.
 			if !s.quitting && looks%(1+len(s.list.byID)/ratesAtOnce) == 0 {
 				s.journal.keepRates(s.brain.Rates()) // what fails here fails again with the next message
+				now := s.clock.now()
+				for _, p := range s.parts {
+					p.looked(now)
+				}
+				s.knownAll = nil
 			}
 		case <-done:
 			done = nil
@@ -252,7 +266,11 @@
 	stop()
 	s.server.close()
 	s.log.Info("stopped", "held", s.held, "calls", s.out, "notices", len(s.owed))
-	return errors.Join(s.ends.close(), s.journal.close())
+	var errs []error
+	for _, p := range s.parts {
+		errs = append(errs, p.leaving())
+	}
+	return errors.Join(append(errs, s.journal.close())...)
 }
 
 // resume hands the Brain what an earlier process left, before any client is heard. The list in the
@@ -292,6 +310,10 @@
 			Tenant: place(s.c.Tenants, m.Tenant, -1), Destination: brain.DestinationID(m.Dest), Key: m.orderKey(), Deadline: m.Deadline,
 			Tried: len(m.Tries), MayRun: may, FirstRun: first.At, RanZone: first.Zone})
 	}
+	events, s.learnt = append(events, s.learnt...), s.learnt[:0]
+	for _, p := range s.parts {
+		events = append(events, p.resumed(now)...)
+	}
 	s.step(ctx, events)
 }
 
@@ -312,6 +334,7 @@
 		if ev := s.take(e); ev != nil {
 			events = append(events, ev)
 		}
+		events, s.learnt = append(events, s.learnt...), s.learnt[:0]
 		select {
 		case e = <-s.events:
 		default:
@@ -321,7 +344,7 @@
 	if s.quitting {
 		s.flush()
 		s.tell()
-		s.record()
+		s.after(ctx)
 		return
 	}
 	s.step(ctx, events)
@@ -337,10 +360,18 @@
 	case callEnd:
 		return s.callEnded(e)
 	case listEvent:
-		return s.news(e.Targets, e.Full)
+		news := s.news(e.Targets, e.Full)
+		for _, p := range s.parts {
+			s.learnt = append(s.learnt, p.listed(s.clock.now())...)
+		}
+		return news
 	case failedEvent:
 		s.log.Warn("discovery failed", "err", e.err)
 		return brain.ListNews{Failed: true}
+	case partEvent:
+		for _, p := range s.parts {
+			s.learnt = append(s.learnt, p.take(e, s.clock.now())...)
+		}
 	case keptEvent:
 		s.kept()
 	case toldEvent:
@@ -469,8 +500,10 @@
 // flush writes the journal. What fails here fails again at the next message, which is refused.
 func (s *Sender) flush() bool {
 	// How an event ended is written before the journal forgets it: between the two it is held, and known as over.
-	if err := s.ends.flush(); err != nil {
-		s.log.Warn("ends of events", "err", err)
+	for _, p := range s.parts {
+		if err := p.beforeWrite(); err != nil {
+			s.log.Warn("before the journal is written", "err", err)
+		}
 	}
 	err := s.journal.flush()
 	if err != nil {
@@ -541,7 +574,14 @@
 		s.drop(m)
 	}
 	s.tell()
-	s.record()
+	s.after(ctx)
+}
+
+// after lets the features know that a turn is over.
+func (s *Sender) after(ctx context.Context) {
+	for _, p := range s.parts {
+		p.afterWrite(ctx)
+	}
 }
 
 // recall takes back the leave of calls that the module would not make now.
--- /dev/null
+++ b/internal/sender/peers_test.go
@@ -0,0 +1,208 @@
+package sender
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"dockshift.example/dockshift/brain"
+	"dockshift.example/dockshift/internal/knowledge"
+	"dockshift.example/dockshift/internal/peers"
+	st "dockshift.example/dockshift/internal/sendertest"
+)
+
+// asked gets an answer over a sender's socket.
+func asked(t *testing.T, state, path string, into any) {
+	t.Helper()
+	client := http.Client{Timeout: st.Wait, Transport: &http.Transport{DisableKeepAlives: true,
+		DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
+			var d net.Dialer
+			return d.DialContext(ctx, "unix", filepath.Join(state, SocketName))
+		}}}
+	resp, err := client.Get("http://sender" + path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		t.Fatal(resp.Status)
+	}
+	if err := json.NewDecoder(resp.Body).Decode(into); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func knows(t *testing.T, state, sort, source, says string) bool {
+	t.Helper()
+	var facts []KnownFact
+	asked(t, state, "/knowledge?receiver=0", &facts)
+	for _, f := range facts {
+		if f.Sort == sort && f.Source == source && strings.Contains(f.Says, says) {
+			return true
+		}
+	}
+	return false
+}
+
+// begun is a sender that a test ends itself, in a folder that outlasts it.
+func begun(t *testing.T, p *st.Platform, state string, edit func(*Config)) (addr string, leave func()) {
+	t.Helper()
+	s := newTest(t, p, func(c *Config) {
+		c.State = state
+		c.Knowledge = &Knowledge{Every: 500 * time.Millisecond, Bytes: 64 << 10}
+		edit(c)
+	})
+	at := make(chan string, 1)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() {
+		done <- s.Run(ctx, func() (net.Listener, error) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err == nil {
+				at <- l.Addr().String()
+			}
+			return l, err
+		})
+	}()
+	ended := false
+	leave = func() {
+		if ended {
+			return
+		}
+		ended = true
+		cancel()
+		if err := st.Receive(t, done); err != nil {
+			t.Error(err)
+		}
+	}
+	t.Cleanup(leave)
+	return st.Receive(t, at), leave
+}
+
+// told is an endpoint that asks for a wait with its first call and serves the others.
+func told(t *testing.T, wait time.Duration) *st.Endpoint {
+	first := make(chan struct{}, 1)
+	first <- struct{}{}
+	return st.NewEndpoint(t, func(c st.Call, nc net.Conn) bool {
+		select {
+		case <-first:
+			return st.Status(429, "X-RateLimit-Wait-Ms: "+strings.TrimSuffix(wait.String(), "s")+"000")(c, nc)
+		default:
+			return st.Status(200)(c, nc)
+		}
+	})
+}
+
+// A process heeds the wait that the one before it was told; without its own past it would not know of it. A snapshot
+// that is damaged costs that knowledge and nothing else.
+func TestOwnPast(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct {
+		spoil func(path string) error
+		heeds bool
+	}{"whole": {func(string) error { return nil }, true}, "damaged": {func(path string) error { return os.WriteFile(path, []byte("SYKNOW"), 0o600) }, false},
+		"none": {os.Remove, false}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			const wait = 3 * time.Second
+			e := told(t, wait)
+			p := st.NewPlatform(t, e.Addr)
+			state := t.TempDir()
+			addr, leave := begun(t, p, state, func(*Config) {})
+			st.HandIn(t, addr, "first", "keyed", 0, 15*time.Second)
+			e.Next(t)
+			from := time.Now()
+			until(t, func() bool { return knows(t, state, "wait", "self", "asked for a wait") })
+			leave()
+			if err := c.spoil(filepath.Join(state, knowledgeName)); err != nil {
+				t.Fatal(err)
+			}
+			begun(t, p, state, func(*Config) {})
+			e.Next(t)
+			// The first process was told after from: what comes a little before the wait's end by that is within it.
+			if heeds := time.Since(from) >= wait-50*time.Millisecond; heeds != c.heeds {
+				t.Errorf("the next call came %v after a wait of %v was asked for", time.Since(from), wait)
+			}
+		})
+	}
+}
+
+// A sender that is new heeds a wait that another was told, and says whose word that is; the one that is told leaves it
+// to itself when its peer is silent.
+func TestPeersTeach(t *testing.T) {
+	t.Parallel()
+	const wait = 5 * time.Second
+	e := told(t, wait)
+	p := st.NewPlatform(t, e.Addr)
+	among := func(name string, seeds ...string) func(*Config) {
+		return func(c *Config) {
+			c.Name = name
+			c.Peers = &peers.Config{Name: name, Life: 1, Cluster: "test", Listen: "127.0.0.1:0", Exchange: "127.0.0.1:0", Seeds: seeds}
+		}
+	}
+	oldState, newState := t.TempDir(), t.TempDir()
+	old, _ := begun(t, p, oldState, among("old"))
+	st.HandIn(t, old, "first", "keyed", 0, 15*time.Second)
+	e.Next(t)
+	from := time.Now()
+	until(t, func() bool { return knows(t, oldState, "wait", "self", "asked for a wait") })
+	var report PeersReport
+	asked(t, oldState, "/peers", &report)
+	if report.Name != "old" || report.Cluster != "test" || report.Tells == 0 {
+		t.Errorf("%+v", report)
+	}
+	fresh, _ := begun(t, p, newState, among("fresh", membership(t, oldState)))
+	until(t, func() bool { return knows(t, newState, "wait", "old", "asked for a wait") })
+	st.HandIn(t, fresh, "second", "keyed", 0, 15*time.Second)
+	e.Next(t)
+	if got := time.Since(from); got < wait-50*time.Millisecond {
+		t.Errorf("a call came %v after a wait of %v was asked for", got, wait)
+	}
+	asked(t, newState, "/peers", &report)
+	if len(report.Members) != 1 || report.Members[0].Name != "old" || report.Heard["old"] == 0 {
+		t.Errorf("%+v", report)
+	}
+}
+
+// membership is where a sender's membership listens, as it tells itself.
+func membership(t *testing.T, state string) string {
+	t.Helper()
+	var r PeersReport
+	asked(t, state, "/peers", &r)
+	return r.Address
+}
+
+// What is heard of a receiver before the list names it is told as it does; what no list ever names is forgotten with its
+// trust. What the module is told is a single word for each.
+func TestHeardBeforeListed(t *testing.T) {
+	s := newTest(t, st.NewPlatform(t), nil)
+	p := &peersPart{s: s, view: knowledge.NewView(10), reports: knowledge.NewReports(10), later: map[knowledge.Subject]struct{}{}}
+	now := s.clock.now()
+	fact := func(dest uint32, endpoint string) knowledge.Fact {
+		return knowledge.Fact{Subject: knowledge.Subject{Destination: dest, Endpoint: endpoint}, Sort: knowledge.Health, At: now, Calls: 1,
+			Source: knowledge.Source{Name: "a", Life: 1}, Value: knowledge.Value{State: knowledge.Out, Since: now}}
+	}
+	own := fact(3, "")
+	own.Source = knowledge.Source{}
+	if got := p.take(heardEvent{[]knowledge.Fact{fact(3, ""), fact(4, "e4"), own}}, now); len(got) != 0 {
+		t.Errorf("of those that no list names the module is told %+v", got)
+	}
+	s.list.news(Targets{Servers: []Target{{ID: "e3", Addr: "127.0.0.1:1", Cell: 3, State: "SERVING"}}}, false, s.c, s.pool)
+	got := p.listed(now)
+	if len(got) != 1 || got[0].(brain.Learnt).Destination != 3 || got[0].(brain.Learnt).Health != brain.OutOfService || got[0].(brain.Learnt).Own {
+		t.Errorf("%+v", got)
+	}
+	s.list.news(Targets{Servers: []Target{{ID: "e4", Addr: "127.0.0.1:1", Cell: 9, State: "SERVING"}}}, false, s.c, s.pool)
+	if got := p.listed(now); len(got) != 0 {
+		t.Errorf("of an endpoint that serves another receiver the module is told %+v", got)
+	}
+	if len(p.later) != 1 {
+		t.Errorf("%v wait for the list", p.later)
+	}
+}
--- /dev/null
+++ b/proto/generate/main.go
@@ -0,0 +1,74 @@
+// Command generate makes the Go code of the .proto files under proto/, with the generators that go.mod pins.
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io/fs"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+
+	"github.com/bufbuild/protocompile"
+	"github.com/bufbuild/protocompile/protoutil"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/pluginpb"
+)
+
+func main() {
+	if err := generate(); err != nil {
+		fmt.Fprintln(os.Stderr, "generate:", err)
+		os.Exit(1)
+	}
+}
+
+// generate runs in the folder proto.
+func generate() error {
+	var names []string
+	err := filepath.WalkDir("saffronyard", func(path string, _ fs.DirEntry, err error) error {
+		if strings.HasSuffix(path, ".proto") {
+			names = append(names, filepath.ToSlash(path))
+		}
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	compiler := protocompile.Compiler{Resolver: &protocompile.SourceResolver{ImportPaths: []string{"."}}, SourceInfoMode: protocompile.SourceInfoStandard}
+	files, err := compiler.Compile(context.Background(), names...)
+	if err != nil {
+		return err
+	}
+	parameter := "paths=source_relative"
+	req := &pluginpb.CodeGeneratorRequest{FileToGenerate: names, Parameter: &parameter}
+	for _, f := range files {
+		req.ProtoFile = append(req.ProtoFile, protoutil.ProtoFromFileDescriptor(f))
+	}
+	in, err := proto.Marshal(req)
+	if err != nil {
+		return err
+	}
+	for _, plugin := range []string{"protoc-gen-go", "protoc-gen-go-grpc"} {
+		run := exec.Command("go", "tool", plugin)
+		run.Stdin, run.Stderr = bytes.NewReader(in), os.Stderr
+		out, err := run.Output()
+		if err != nil {
+			return fmt.Errorf("%s: %w", plugin, err)
+		}
+		var resp pluginpb.CodeGeneratorResponse
+		if err := proto.Unmarshal(out, &resp); err != nil {
+			return fmt.Errorf("%s: %w", plugin, err)
+		}
+		if resp.Error != nil {
+			return fmt.Errorf("%s: %s", plugin, *resp.Error)
+		}
+		for _, f := range resp.File {
+			if err := os.WriteFile(filepath.FromSlash(f.GetName()), []byte(f.GetContent()), 0o644); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
