Outages, returns and waits are told to peers in the turn that sees them

Need: what is known was walked once a second, with 5,000 receivers every six: an early warning came late.

Change: Brain.News gives the routes whose health or wait has changed, kept only where it is asked for; the peers' part tells them after the turn.

All tests pass; off, nothing is kept.

--- a/brain/api.go
+++ b/brain/api.go
@@ -23,6 +23,7 @@
 	IdleConnections  time.Duration // a connection without a call is kept this long
 	AsksForList      bool          // the endpoint list comes only when asked for
 	Step             time.Duration // batches come at most this often
+	TellsNews        bool          // News is asked for after each step
 	FoldAfter        time.Duration // a destination that was quiet for so long is remembered in short; 0: never
 	SettleAfterDoubt time.Duration // an ordered key rests this long after an attempt that may still run
 	FallMultiple     float64       // a cold destination falls over above this multiple of its capacity
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -235,6 +235,7 @@
 func (b *Brain) open(r *route) bool {
 	if r.state == cold && b.now-r.since > b.s.Cold {
 		r.state, r.since = well, b.now
+		b.changed(r)
 	}
 	if r.state == well && b.silent(r, min(inRow/2, b.enough(r))-1) {
 		b.goOut(r)
@@ -272,6 +273,7 @@
 	r.state, r.since, r.probes, r.tokens, r.filled = out, b.now, 0, spread, b.now
 	r.window = 1
 	b.doubt(r)
+	b.changed(r)
 	b.log(r, "out: calls fail, are refused or go unanswered; one call at a time")
 }
 
@@ -798,6 +800,7 @@
 	if e.Wait > 0 { // each outcome of a shared call may tell a later end
 		a.route.askedUntil = max(a.route.askedUntil, b.now+e.Wait+time.Millisecond)
 		b.toWait(a.route, a.route.askedUntil)
+		b.changed(a.route)
 	}
 	if !a.booked && e.Outcome != NotSent {
 		a.booked = true
@@ -924,6 +927,7 @@
 			b.crowd(a.at, 0) // an outage as such: its connects did not fail for a full table
 		}
 		r.fails = min(r.fails, failing)
+		b.changed(r)
 		b.log(r, "answers again; warming up")
 	}
 	// A window that is not in use says nothing about what the destination bears: it grows in use only,
--- a/brain/learn.go
+++ b/brain/learn.go
@@ -191,6 +191,34 @@
 	return all
 }
 
+// changed notes that a route's health or wait is news.
+func (b *Brain) changed(r *route) {
+	if b.s.TellsNews && !r.news {
+		r.news = true
+		b.newsOf = append(b.newsOf, r)
+	}
+}
+
+// News is what Known has of the routes whose health or wait has changed since it was asked for last, in that order. It
+// costs nothing where nothing has; without Settings.TellsNews there is none.
+func (b *Brain) News() []Learnt {
+	if len(b.newsOf) == 0 {
+		return nil
+	}
+	var all []Learnt
+	for _, r := range b.newsOf {
+		r.news = false
+		if d := b.dests[DestinationID(r.name)]; d != nil && d.shared == r {
+			all = b.known(all, r, Learnt{Destination: DestinationID(r.name)})
+		} else if e := b.endpoints[EndpointID(r.name)]; e != nil && e.route == r {
+			all = b.known(all, r, Learnt{Destination: e.Destination, Endpoint: e.ID})
+		} // or it has left the list
+	}
+	clear(b.newsOf)
+	b.newsOf = b.newsOf[:0]
+	return all
+}
+
 func (b *Brain) known(all []Learnt, r *route, k Learnt) []Learnt {
 	k.Own = true
 	served := r.served > 0 // by this process
--- a/brain/learn_test.go
+++ b/brain/learn_test.go
@@ -218,3 +218,40 @@
 		}
 	}
 }
+
+// What has changed is news once, and only what was seen; where nobody asks nothing is kept.
+func TestNews(t *testing.T) {
+	s := settings()
+	s.TellsNews = true
+	r := newRig(t, s)
+	r.serve(5, 1, 50*ms)
+	if n := r.b.News(); len(n) != 0 {
+		t.Errorf("calls that are served are news: %+v", n)
+	}
+	r.fallOut()
+	n := r.b.News()
+	if len(n) != 1 || n[0].Destination != 0 || n[0].Health != OutOfService || !n[0].Own {
+		t.Errorf("an outage: %+v", n)
+	}
+	if n := r.b.News(); len(n) != 0 {
+		t.Errorf("told again: %+v", n)
+	}
+	r.step(Learnt{Destination: 1, Health: OutOfService, HealthAge: -time.Second, For: time.Second})
+	for _, l := range r.b.News() {
+		if l.Health == OutOfService {
+			t.Errorf("hearsay is news: %+v", l)
+		}
+	}
+	sends := r.step(r.message(0, 2, 0)) // routes apart
+	e := r.end(sends[0], Refused)
+	e.Wait = time.Second
+	r.step(e)
+	if n := r.b.News(); len(n) != 1 || n[0].Destination != 2 || n[0].Endpoint != sends[0].Endpoint || n[0].Wait == 0 {
+		t.Errorf("a wait: %+v", n)
+	}
+	quiet := newRig(t, settings())
+	quiet.fallOut()
+	if len(quiet.b.newsOf) != 0 || quiet.b.News() != nil {
+		t.Error("news are kept for nobody")
+	}
+}
--- a/brain/state.go
+++ b/brain/state.go
@@ -60,6 +60,7 @@
 	others      int           // other senders that hold it out
 	othersAt    time.Duration // as of then
 	askedUntil  time.Duration // that, as far as it was told to us and not to another sender
+	news        bool          // it is in the Brain's list of those
 	recheck     bool          // something has come up that calls there may not stand against
 	pause       time.Duration
 	fails       float64 // mean share of failed calls
@@ -218,6 +219,7 @@
 	timers     timers // of all that wait
 	unanswered []*route
 	rechecks   []*route // of which recheck is set
+	newsOf     []*route // with a health or a wait that others may want to know
 	offers     offers
 	usable     []*endpoint
 	idles      uint64
--- a/internal/knowledge/telling.go
+++ b/internal/knowledge/telling.go
@@ -30,14 +30,30 @@
 // Update takes all that a sender knows of its own; what is not among it any more is not told any more. It reports
 // whether there is something new to tell.
 func (t *Telling) Update(facts []Fact, now time.Duration) bool {
-	before := t.version
 	seen := make(map[slot]struct{}, len(facts))
+	for _, f := range facts {
+		if f.Source.Own() && f.Trust(now) >= LeastTrust {
+			seen[slot{f.Subject, f.Sort}] = struct{}{}
+		}
+	}
+	changed := t.Add(facts, now)
+	for at := range t.at {
+		if _, ok := seen[at]; !ok {
+			delete(t.at, at)
+		}
+	}
+	return changed
+}
+
+// Add takes some of what a sender knows of its own, as it comes to know it, and reports whether there is something new to
+// tell.
+func (t *Telling) Add(facts []Fact, now time.Duration) bool {
+	before := t.version
 	for _, f := range facts {
 		if !f.Source.Own() || f.Trust(now) < LeastTrust {
 			continue
 		}
 		at := slot{f.Subject, f.Sort}
-		seen[at] = struct{}{}
 		old := t.at[at]
 		if old != nil && !news(&old.as, &f) {
 			old.Fact = f // whoever begins to listen now hears it at its age
@@ -46,11 +62,6 @@
 		t.version++
 		t.at[at] = &told{f, f, t.version}
 	}
-	for at := range t.at {
-		if _, ok := seen[at]; !ok {
-			delete(t.at, at)
-		}
-	}
 	return t.version != before
 }
 
--- a/internal/peers/exchange.go
+++ b/internal/peers/exchange.go
@@ -45,11 +45,15 @@
 	return &teller{c: c, now: now, telling: knowledge.NewTelling(), changed: make(chan struct{})}
 }
 
-// update takes what this sender has seen by now.
-func (t *teller) update(facts []knowledge.Fact, now time.Duration) {
+// update takes what this sender has seen by now: all of it, or some that is new.
+func (t *teller) update(facts []knowledge.Fact, all bool, now time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.telling.Update(facts, now) {
+	take := t.telling.Add
+	if all {
+		take = t.telling.Update
+	}
+	if take(facts, now) {
 		close(t.changed)
 		t.changed = make(chan struct{})
 	}
--- a/internal/peers/node.go
+++ b/internal/peers/node.go
@@ -101,7 +101,7 @@
 	m.GossipInterval = gossipEvery // it is sent only when there is something to tell
 	m.Events = (*events)(n)
 	m.Conflict = (*events)(n)
-	m.DeadNodeReclaimTime = 10 * time.Second // one that comes back under its name at another address
+	m.DeadNodeReclaimTime = time.Millisecond // one that died may come back under its name at another address, at once
 	if len(n.c.Keys) > 0 {
 		if n.ring, err = memberlist.NewKeyring(n.c.Keys, n.c.Keys[0]); err != nil {
 			return fmt.Errorf("peers: %w", err)
@@ -215,7 +215,10 @@
 }
 
 // Tell takes what this sender has seen by now, all of it.
-func (n *Node) Tell(facts []knowledge.Fact) { n.teller.update(facts, n.now()) }
+func (n *Node) Tell(facts []knowledge.Fact) { n.teller.update(facts, true, n.now()) }
+
+// TellNews takes some that it has just seen.
+func (n *Node) TellNews(facts []knowledge.Fact) { n.teller.update(facts, false, n.now()) }
 
 // Members is who is known, by name.
 func (n *Node) Members() []Member {
--- a/internal/sender/loop.go
+++ b/internal/sender/loop.go
@@ -145,6 +145,7 @@
 	if err != nil {
 		return nil, err
 	}
+	c.Settings.TellsNews = c.Peers != nil
 	s := &Sender{c: c, log: log, clock: newClock(), brain: brain.New(c.Settings, c.Seed), journal: j, pool: newPool(c),
 		list: newEndpoints(), disc: newDiscovery(c.Discovery), events: make(chan any, eventRoom),
 		asked: make(chan struct{}, 1), notices: make(chan []notice, 1), messages: map[brain.MessageID]*message{},
--- a/internal/sender/participant.go
+++ b/internal/sender/participant.go
@@ -69,7 +69,7 @@
 	if s.c.Knowledge != nil {
 		parts = append(parts, newPast(s))
 	}
-	if s.c.Peers != nil {
+	if s.c.Peers != nil { // the module was made to give news
 		p, err := newPeers(s)
 		if err != nil {
 			return parts, err
--- a/internal/sender/past.go
+++ b/internal/sender/past.go
@@ -160,11 +160,17 @@
 	if s.knownAt == now && s.knownAll != nil { // several features ask in one look
 		return s.knownAll
 	}
+	s.knownAt, s.knownAll = now, s.list.facts(s.brain.Known(), now)
+	return s.knownAll
+}
+
+// facts puts what the module knows of some routes into facts of one's own.
+func (l *endpoints) facts(known []brain.Learnt, now time.Duration) []knowledge.Fact {
 	var all []knowledge.Fact
-	for _, k := range s.brain.Known() {
+	for _, k := range known {
 		id := ""
 		if k.Endpoint != 0 {
-			e := s.list.byNumber[k.Endpoint]
+			e := l.byNumber[k.Endpoint]
 			if e == nil {
 				continue
 			}
@@ -172,7 +178,6 @@
 		}
 		all = append(all, facts(k, id, now)...)
 	}
-	s.knownAt, s.knownAll = now, all
 	return all
 }
 
--- a/internal/sender/peerspart.go
+++ b/internal/sender/peerspart.go
@@ -104,6 +104,13 @@
 	return events
 }
 
+// afterWrite tells at once what matters most to others: an outage, a return, a wait.
+func (p *peersPart) afterWrite(context.Context) {
+	if news := p.s.brain.News(); len(news) > 0 {
+		p.node.TellNews(p.s.list.facts(news, p.s.clock.now()))
+	}
+}
+
 func (p *peersPart) looked(now time.Duration) {
 	p.view.Forget(now)
 	for subject := range p.later { // what is heard of one that no list names is kept as long as it is trusted
