A test for events under the id of a message that has failed: 409

Need: the answer was mended with the write permits, with no test of its own. Change: the test; without the line it is red (500). Only tests change.

--- a/internal/sender/events_test.go
+++ b/internal/sender/events_test.go
@@ -928,3 +928,23 @@
 		})
 	}
 }
+
+// An event under the id of another message that has failed, and waits to be kept, is another message: it is not answered
+// as that was.
+func TestEventUnderAFailedMessagesID(t *testing.T) {
+	s := newTest(t, st.NewPlatform(t), takesEvents)
+	m, err := s.journal.put(record{ID: "m", Class: "keyed", Key: "k", Deadline: time.Hour})
+	if err != nil {
+		t.Fatal(err)
+	}
+	m.how = answered
+	for want, id := range map[int]*ident{http.StatusConflict: {key: identity.Key{1}}, http.StatusInternalServerError: nil} {
+		answer := make(chan answerLine, 1)
+		if e := s.submitted(submission{record: record{ID: "m", Ident: id}, answer: answer}); e != nil {
+			t.Errorf("the module is told %+v", e)
+		}
+		if got := st.Receive(t, answer); got.status != want {
+			t.Errorf("answered %d, want %d", got.status, want)
+		}
+	}
+}
