--- a/internal/sender/events_test.go
+++ b/internal/sender/events_test.go
@@ -604,24 +604,7 @@
 			takesEvents(c)
 			c.State = state
 		})
-		at := make(chan string, 1)
-		ctx, cancel := context.WithCancel(context.Background())
-		done := make(chan error, 1)
-		go func() {
-			done <- s.Run(ctx, func() (net.Listener, error) {
-				l, err := net.Listen("tcp", "127.0.0.1:0")
-				if err == nil {
-					at <- l.Addr().String()
-				}
-				return l, err
-			})
-		}()
-		return st.Receive(t, at), func() {
-			cancel()
-			if err := st.Receive(t, done); err != nil {
-				t.Error(err)
-			}
-		}
+		return serving(t, s)
 	}
 	addr, stop := begin()
 	handEvent(t, addr, "over", "keyed", 202)
--- a/internal/sender/peers_test.go
+++ b/internal/sender/peers_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -58,31 +59,10 @@
 		c.Knowledge = &Knowledge{Every: 500 * time.Millisecond, Bytes: 64 << 10}
 		edit(c)
 	})
-	at := make(chan string, 1)
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan error, 1)
-	go func() {
-		done <- s.Run(ctx, func() (net.Listener, error) {
-			l, err := net.Listen("tcp", "127.0.0.1:0")
-			if err == nil {
-				at <- l.Addr().String()
-			}
-			return l, err
-		})
-	}()
-	ended := false
-	leave = func() {
-		if ended {
-			return
-		}
-		ended = true
-		cancel()
-		if err := st.Receive(t, done); err != nil {
-			t.Error(err)
-		}
-	}
+	addr, stop := serving(t, s)
+	leave = sync.OnceFunc(stop)
 	t.Cleanup(leave)
-	return st.Receive(t, at), leave
+	return addr, leave
 }
 
 // told is an endpoint that asks for a wait with its first call and serves the others.
--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -52,24 +52,32 @@
 	t.Helper()
 	s := newTest(t, p, edit)
 	change(s)
-	addr := make(chan string, 1)
-	listen := func() (net.Listener, error) {
-		l, err := net.Listen("tcp", s.c.Listen)
-		if err == nil {
-			addr <- l.Addr().String()
-		}
-		return l, err
-	}
+	addr, leave := serving(t, s)
+	t.Cleanup(leave)
+	return addr
+}
+
+// serving runs a sender and gives its address; leave ends it and wants no error.
+func serving(t *testing.T, s *Sender) (addr string, leave func()) {
+	t.Helper()
+	at := make(chan string, 1)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
-	go func() { done <- s.Run(ctx, listen) }()
-	t.Cleanup(func() {
+	go func() {
+		done <- s.Run(ctx, func() (net.Listener, error) {
+			l, err := net.Listen("tcp", s.c.Listen)
+			if err == nil {
+				at <- l.Addr().String()
+			}
+			return l, err
+		})
+	}()
+	return st.Receive(t, at), func() {
 		cancel()
 		if err := st.Receive(t, done); err != nil {
 			t.Error(err)
 		}
-	})
-	return st.Receive(t, addr)
+	}
 }
 
 func TestDelivery(t *testing.T) {
