Sources of endpoints feed one list through a seam; discovery is its first user

Need: names in DNS are to say where endpoints are, beside discovery, and each source would else add branches to the loop. Change: what lists endpoints implements Source and posts updates; the loop books them in one place. With a second source a pure merge says who wins for each destination: one address is one endpoint under the id it had first, drains are honoured whoever tells of them. With discovery alone there is no merge and the lines are passed on as before.

--- /dev/null
+++ b/internal/membership/merge.go
@@ -0,0 +1,288 @@
+package membership
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+)
+
+// Source is one of the sources that feed a list.
+type Source int
+
+// The sources.
+const (
+	Discovery Source = iota
+	Names
+	sources
+)
+
+// Precedence says which sources count for a destination.
+type Precedence int
+
+// The precedences.
+const (
+	NamesFirst     Precedence = iota // names; discovery for destinations of which they have never said anything
+	DiscoveryFirst                   // the other way round
+	Both                             // all that either lists
+)
+
+// Precedences are the words for them.
+func Precedences() []string { return []string{"names", "discovery", "both"} }
+
+// PrecedenceOf reads a word.
+func PrecedenceOf(word string) (Precedence, error) {
+	if i := slices.Index(Precedences(), word); i >= 0 {
+		return Precedence(i), nil
+	}
+	return 0, fmt.Errorf("%q is no precedence; there are %q", word, Precedences())
+}
+
+func (p Precedence) String() string {
+	if p < 0 || int(p) >= len(Precedences()) {
+		return fmt.Sprintf("precedence %d", int(p))
+	}
+	return Precedences()[p]
+}
+
+// Merge makes one list of what several sources tell. At one destination one address is one endpoint, whoever lists it and
+// how often, under the id it had first: with one window, limit and health. It is for one goroutine.
+type Merge struct {
+	precedence map[uint32]Precedence
+	fallback   Precedence
+
+	lines [sources]map[string]Target // by the source's own id
+	dests map[uint32]*destination
+	held  map[string]place // where each id of the merged list is
+}
+
+type place struct {
+	dest uint32
+	addr string
+}
+
+// destination is what is merged for one.
+type destination struct {
+	spoke [sources]bool                // it has named the destination
+	ids   [sources]map[string]struct{} // its lines
+	list  map[string]Target            // the merged lines, by address
+}
+
+// NewMerge gives a merge without lines. precedence is by destination, fallback for all others.
+func NewMerge(precedence map[uint32]Precedence, fallback Precedence) *Merge {
+	m := &Merge{precedence: precedence, fallback: fallback, dests: map[uint32]*destination{}, held: map[string]place{}}
+	for s := range m.lines {
+		m.lines[s] = map[string]Target{}
+	}
+	return m
+}
+
+// Apply takes in news of a source and gives what changes in the merged list, as changes: deleted lines among them, each
+// before another line takes its address or id over.
+func (m *Merge) Apply(from Source, u Update) []Target {
+	touched := map[uint32]struct{}{}
+	listed := map[string]struct{}{}
+	for _, t := range u.Servers {
+		listed[t.ID] = struct{}{}
+		m.line(from, t, touched)
+	}
+	if u.Full {
+		for id, t := range m.lines[from] {
+			if _, ok := listed[id]; !ok {
+				t.State = Deleted
+				m.line(from, t, touched)
+			}
+		}
+	}
+	order := make([]uint32, 0, len(touched))
+	for d := range touched {
+		order = append(order, d)
+	}
+	slices.Sort(order)
+	want := make([]map[string]Target, len(order))
+	var changes []Target
+	for i, n := range order { // first what goes everywhere, so that ids are free that another destination takes
+		want[i] = m.want(n)
+		changes = append(changes, m.leave(m.dests[n], want[i])...)
+	}
+	gone := len(changes)
+	for i, n := range order {
+		changes = append(changes, m.become(n, m.dests[n], want[i])...)
+	}
+	back := map[string]struct{}{} // the same endpoint, at another destination
+	for _, t := range changes[gone:] {
+		back[t.ID] = struct{}{}
+	}
+	return slices.DeleteFunc(changes, func(t Target) bool {
+		_, ok := back[t.ID]
+		return ok && t.State == Deleted
+	})
+}
+
+// line books a source's line.
+func (m *Merge) line(from Source, t Target, touched map[uint32]struct{}) {
+	if old, ok := m.lines[from][t.ID]; ok {
+		if t.Addr == "" { // discovery's changes may leave it out
+			t.Addr = old.Addr
+		}
+		if old.Cell != t.Cell && t.State != Deleted {
+			delete(m.dest(old.Cell).ids[from], t.ID)
+			touched[old.Cell] = struct{}{}
+		}
+		if t.State == Deleted {
+			t.Cell = old.Cell
+		}
+	}
+	d := m.dest(t.Cell)
+	touched[t.Cell] = struct{}{}
+	if t.State == Deleted {
+		delete(m.lines[from], t.ID)
+		delete(d.ids[from], t.ID)
+		return
+	}
+	d.spoke[from] = true
+	d.ids[from][t.ID] = struct{}{}
+	m.lines[from][t.ID] = t
+}
+
+func (m *Merge) dest(n uint32) *destination {
+	d := m.dests[n]
+	if d == nil {
+		d = &destination{list: map[string]Target{}}
+		for s := range d.ids {
+			d.ids[s] = map[string]struct{}{}
+		}
+		m.dests[n] = d
+	}
+	return d
+}
+
+// counts says which sources count for a destination now.
+func (m *Merge) counts(n uint32, d *destination) [sources]bool {
+	p, ok := m.precedence[n]
+	if !ok {
+		p = m.fallback
+	}
+	switch {
+	case p == Both:
+		return [sources]bool{Discovery: true, Names: true}
+	case p == NamesFirst && d.spoke[Names], p == DiscoveryFirst && !d.spoke[Discovery]:
+		return [sources]bool{Names: true}
+	}
+	return [sources]bool{Discovery: true}
+}
+
+// want is what the merged lines of a destination are to be, by address.
+func (m *Merge) want(n uint32) map[string]Target {
+	d := m.dests[n]
+	counts := m.counts(n, d)
+	want := map[string]Target{}
+	for s := range sources {
+		for _, id := range sorted(d.ids[s]) {
+			t := m.lines[s][id]
+			have, ok := want[t.Addr]
+			switch {
+			case !counts[s] && t.State != Draining:
+				continue // it does not count, but a drain is honoured whoever tells of it
+			case !counts[s]:
+				if ok {
+					have.State = Draining
+					want[t.Addr] = have
+				}
+				continue
+			case !ok:
+				want[t.Addr] = t
+			case have.State == Dropped && t.State != Dropped:
+				want[t.Addr] = t
+			case have.State == Serving && t.State == Draining:
+				have.State = Draining
+				want[t.Addr] = have
+			}
+		}
+	}
+	// A drain by a source that does not count may have been met before the line that it is about.
+	for s := range sources {
+		if !counts[s] {
+			for id := range d.ids[s] {
+				if t := m.lines[s][id]; t.State == Draining {
+					if have, ok := want[t.Addr]; ok {
+						have.State = Draining
+						want[t.Addr] = have
+					}
+				}
+			}
+		}
+	}
+	return want
+}
+
+// leave takes away what is not wanted any more. A line whose id is wanted at an address that is new has moved: it stays the
+// endpoint that it is.
+func (m *Merge) leave(d *destination, want map[string]Target) []Target {
+	var changes []Target
+	for _, addr := range sorted(want) {
+		t := want[addr]
+		if _, ok := d.list[addr]; ok {
+			continue
+		}
+		if was, ok := m.held[t.ID]; ok && was.dest == t.Cell {
+			if _, still := want[was.addr]; !still {
+				d.list[addr] = d.list[was.addr]
+				delete(d.list, was.addr)
+				m.held[t.ID] = place{t.Cell, addr}
+			}
+		}
+	}
+	for _, addr := range sorted(d.list) {
+		if _, ok := want[addr]; !ok {
+			t := d.list[addr]
+			t.State = Deleted
+			changes = append(changes, t)
+			delete(d.list, addr)
+			delete(m.held, t.ID)
+		}
+	}
+	return changes
+}
+
+// become makes the merged list of a destination what is wanted.
+func (m *Merge) become(n uint32, d *destination, want map[string]Target) []Target {
+	var changes []Target
+	for _, addr := range sorted(want) {
+		t := want[addr]
+		old, ok := d.list[addr]
+		if ok {
+			t.ID = old.ID
+		} else if _, taken := m.held[t.ID]; taken { // by another address, which another source lists
+			t.ID = fmt.Sprintf("at:%d:%s", n, addr)
+		}
+		if t.State == Dropped {
+			t.State = Draining
+		}
+		if !ok || old != t {
+			changes = append(changes, t)
+			d.list[addr], m.held[t.ID] = t, place{n, addr}
+		}
+	}
+	return changes
+}
+
+// List is the merged lines, by destination and address.
+func (m *Merge) List() []Target {
+	var all []Target
+	for _, d := range m.dests {
+		for _, t := range d.list {
+			all = append(all, t)
+		}
+	}
+	slices.SortFunc(all, func(a, b Target) int { return cmp.Or(cmp.Compare(a.Cell, b.Cell), cmp.Compare(a.Addr, b.Addr)) })
+	return all
+}
+
+func sorted[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
--- a/internal/sender/config.go
+++ b/internal/sender/config.go
@@ -61,6 +61,7 @@
 	Delivery *Delivery // in which form messages go out; nil: all as in the platform's protocol
 
 	Peers     *peers.Config // other senders, who tell what they know; nil: none
+	Names     *Names        // names say where endpoints are, beside discovery; nil: discovery alone does
 	Knowledge *Knowledge    // what is known of receivers outlasts the process; nil: only their usual rates do
 }
 
--- a/internal/sender/discovery.go
+++ b/internal/sender/discovery.go
@@ -10,6 +10,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"dockshift.example/dockshift/internal/membership"
 )
 
 const (
@@ -22,23 +24,11 @@
 	maxList    = 8 << 20 // bytes of a list
 )
 
-// Target is an endpoint in discovery's list.
-type Target struct {
-	ID     string  `json:"id"`
-	Addr   string  `json:"addr"`
-	Zone   string  `json:"zone"`
-	Kind   string  `json:"kind"`
-	Cell   uint32  `json:"cell"`
-	State  string  `json:"state"`
-	Weight float64 `json:"weight"`
-}
-
-// Targets is discovery's answer.
-type Targets struct {
-	Version int64    `json:"version"`
-	Full    bool     `json:"full"`
-	Servers []Target `json:"servers"`
-}
+// Target is an endpoint as a source lists it, Targets is discovery's answer.
+type (
+	Target  = membership.Target
+	Targets = membership.Update
+)
 
 // discovery speaks with the platform: the list and its changes, and notices. Where it listens may change
 // while calls are out.
--- a/internal/sender/events_test.go
+++ b/internal/sender/events_test.go
@@ -330,7 +330,7 @@
 	s = newTest(t, st.NewPlatform(t, e.Addr), edit)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(func() { s.leave(cancel) })
-	s.step(ctx, []brainEvent{s.news(s.c.Known, true)})
+	s.step(ctx, s.listsAtStart())
 	front := &eventsFront{s.c, s.clock, s.c.Events}
 	return s, e, func(body string) answerLine {
 		t.Helper()
@@ -402,7 +402,7 @@
 		e := st.NewEndpoint(t, st.Status(200))
 		s := newTest(t, st.NewPlatform(t, e.Addr), takesEvents)
 		ctx, cancel := context.WithCancel(context.Background())
-		s.step(ctx, []brainEvent{s.news(s.c.Known, true)})
+		s.step(ctx, s.listsAtStart())
 		if fails {
 			s.journal.file = &failingFile{s.journal.file}
 		}
@@ -747,7 +747,7 @@
 	s.ends.file.Use(func(d identity.Disk) identity.Disk { return &loggedDisk{d, log} })
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	s.step(ctx, []brainEvent{s.news(s.c.Known, true)})
+	s.step(ctx, s.listsAtStart())
 	front := &eventsFront{s.c, s.clock, s.c.Events}
 	h, err := front.begin(mustRequest(t, contentType))
 	if err != nil {
--- a/internal/sender/loop.go
+++ b/internal/sender/loop.go
@@ -13,6 +13,7 @@
 	"dockshift.example/dockshift/brain"
 	"dockshift.example/dockshift/internal/identity"
 	"dockshift.example/dockshift/internal/knowledge"
+	"dockshift.example/dockshift/internal/membership"
 )
 
 const (
@@ -91,6 +92,7 @@
 	pool    *pool
 	list    endpoints
 	disc    *discovery
+	sources sources
 	server  *server
 
 	events   chan any
@@ -126,7 +128,10 @@
 }
 
 type (
-	listEvent   struct{ Targets }
+	listEvent struct {
+		from membership.Source
+		Targets
+	}
 	failedEvent struct{ err error }
 	toldEvent   struct{ notices []notice }
 	partEvent   interface{ partEvent() } // of a feature's own
@@ -156,6 +161,7 @@
 	if s.ends, err = openEvents(c, s.clock.now()); err != nil {
 		return nil, err
 	}
+	s.sources = newSources(s)
 	s.records = newRecorder(c.Recorder, room)
 	if s.parts, err = s.takeParts(); err != nil {
 		return nil, err
@@ -190,12 +196,7 @@
 func (s *Sender) Run(ctx context.Context, listen func() (net.Listener, error)) error {
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
-	known := s.c.Known.Version
-	if len(s.c.Known.Servers) == 0 {
-		known = -1
-	}
-	go s.disc.follow(work, known, s.asked,
-		func(t Targets) { s.post(work, listEvent{t}) }, func(err error) { s.post(work, failedEvent{err}) })
+	s.sources.follow(work, s.post)
 	go s.disc.tell(work, s.notices, func(n []notice) { s.post(work, toldEvent{n}) })
 
 	if s.records != nil {
@@ -278,7 +279,7 @@
 // configuration may be older than what that process had been told, and an endpoint on it may have drained
 // since: nothing is sent until discovery has answered once, or has had its time.
 func (s *Sender) resume(ctx context.Context) {
-	s.step(ctx, []brain.Event{s.news(s.c.Known, true)})
+	s.step(ctx, s.listsAtStart())
 	var events []brain.Event
 	select {
 	case e := <-s.events:
@@ -361,7 +362,7 @@
 	case callEnd:
 		return s.callEnded(e)
 	case listEvent:
-		news := s.news(e.Targets, e.Full)
+		news := s.news(e)
 		for _, p := range s.parts {
 			s.learnt = append(s.learnt, p.listed(s.clock.now())...)
 		}
@@ -496,8 +497,6 @@
 	}
 }
 
-func (s *Sender) news(t Targets, whole bool) brain.Event { return s.list.news(t, whole, s.c, s.pool) }
-
 // flush writes the journal. What fails here fails again at the next message, which is refused.
 func (s *Sender) flush() bool {
 	// How an event ended is written before the journal forgets it: between the two it is held, and known as over.
--- a/internal/sender/peers_test.go
+++ b/internal/sender/peers_test.go
@@ -137,7 +137,7 @@
 	if report.Name != "old" || report.Cluster != "test" || report.Tells == 0 {
 		t.Errorf("%+v", report)
 	}
-	fresh, _ := begun(t, p, newState, among("fresh", membership(t, oldState)))
+	fresh, _ := begun(t, p, newState, among("fresh", membershipAt(t, oldState)))
 	until(t, func() bool { return knows(t, newState, "wait", "old", "asked for a wait") })
 	st.HandIn(t, fresh, "second", "keyed", 0, 15*time.Second)
 	e.Next(t)
@@ -150,8 +150,8 @@
 	}
 }
 
-// membership is where a sender's membership listens, as it tells itself.
-func membership(t *testing.T, state string) string {
+// membershipAt is where a sender's membership listens, as it tells itself.
+func membershipAt(t *testing.T, state string) string {
 	t.Helper()
 	var r PeersReport
 	asked(t, state, "/peers", &r)
--- a/internal/sender/recorder_test.go
+++ b/internal/sender/recorder_test.go
@@ -168,7 +168,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	go s.records.run(ctx, func(err error) { t.Error(err) }, func() { s.post(ctx, keptEvent{}) })
 	go s.disc.tell(ctx, s.notices, func(n []notice) { s.post(ctx, toldEvent{n}) })
-	s.step(ctx, []brainEvent{s.news(s.c.Known, true)})
+	s.step(ctx, s.listsAtStart())
 	for i := range n {
 		sub := submission{record: record{ID: fmt.Sprint("m", i), Class: "unsafe", Tenant: "acme", Deadline: s.clock.now() + time.Minute, Body: []byte("x")},
 			class: 2, answer: make(chan answerLine, 1)}
