--- a/cmd/saffronyard/main.go
+++ b/cmd/saffronyard/main.go
@@ -21,6 +21,7 @@
 
 	"dockshift.example/dockshift/internal/cloudevents"
 	"dockshift.example/dockshift/internal/features"
+	"dockshift.example/dockshift/internal/nameserver"
 	"dockshift.example/dockshift/internal/peers"
 	"dockshift.example/dockshift/internal/sender"
 	"dockshift.example/dockshift/internal/undelivered"
@@ -38,6 +39,9 @@
 	if len(os.Args) > 1 && os.Args[1] == "undelivered" {
 		os.Exit(undeliveredCommand(os.Args[2:], os.Getenv, os.Stdout, os.Stderr))
 	}
+	if len(os.Args) > 1 && os.Args[1] == "zone" {
+		os.Exit(zoneCommand(os.Args[2:], os.Getenv, os.Stdin, os.Stdout, os.Stderr))
+	}
 	if len(os.Args) > 1 && (os.Args[1] == "peers" || os.Args[1] == "knowledge") {
 		os.Exit(askCommand(os.Args[1], os.Args[2:], os.Getenv, os.Stdout, os.Stderr))
 	}
@@ -47,7 +51,7 @@
 		os.Exit(2)
 	}
 	if flags.NArg() > 0 {
-		log.Error("saffronyard takes no arguments but -features FILE, check FILE, undelivered COMMAND, peers and knowledge", "argument", flags.Arg(0))
+		log.Error("saffronyard takes no arguments but -features FILE, check FILE, undelivered COMMAND, zone COMMAND, peers and knowledge", "argument", flags.Arg(0))
 		os.Exit(2)
 	}
 	if err := run(log, *file); err != nil {
@@ -153,14 +157,20 @@
 	if err != nil {
 		return err
 	}
-	var keys func() ([][]byte, error) // of the peers' membership, which may change while it runs
+	var again []func(*sender.Sender) error // what else SIGHUP has read again
 	if file != "" {
 		f, err := features.Load(file)
 		if err != nil {
 			return err
 		}
 		if f.Peers != nil && f.Peers.KeysFile != "" {
-			keys = f.Peers.Keys
+			again = append(again, func(s *sender.Sender) error {
+				keys, err := f.Peers.Keys()
+				if err != nil {
+					return fmt.Errorf("the peers' keys are kept as they were: %w", err)
+				}
+				return s.PeerKeys(keys)
+			})
 		}
 		if err := apply(f, c); err != nil {
 			return err
@@ -180,6 +190,24 @@
 			}()
 		}
 		log.Info("features", "on", f.Lines())
+		if d := f.DNS; d != nil {
+			names, err := startNames(d, c, log)
+			if err != nil {
+				return err
+			}
+			defer names.Close()
+			again = append(again, func(*sender.Sender) error {
+				names.Look()
+				keys, err := d.Keys()
+				if err == nil {
+					err = names.SetKeys(keys)
+				}
+				if err != nil {
+					return fmt.Errorf("the keys of zones are kept as they were: %w", err)
+				}
+				return nil
+			})
+		}
 	}
 	if c.Limits.Cores > 0 {
 		runtime.GOMAXPROCS(max(1, int(math.Ceil(c.Limits.Cores))))
@@ -193,31 +221,46 @@
 	}
 	running := make(chan struct{})
 	defer close(running)
-	go reload(running, hup, s, keys, log)
+	go reload(running, hup, s, again, log)
 	return s.Run(ctx, func() (net.Listener, error) { return net.Listen("tcp", c.Listen) })
 }
 
-// reload reads the configuration again with each SIGHUP, until the sender has left. One that can't be read changes nothing.
-func reload(running <-chan struct{}, hup <-chan os.Signal, s *sender.Sender, keys func() ([][]byte, error), log *slog.Logger) {
+// startNames holds zones and follows members' names through them.
+func startNames(d *features.DNS, c *sender.Config, log *slog.Logger) (*nameserver.Service, error) {
+	nc, err := d.Config(filepath.Join(c.State, "zones"))
+	if err != nil {
+		return nil, err
+	}
+	if host, _, err := net.SplitHostPort(c.Listen); err == nil && nc.Listen != "" {
+		nc.Listen = peers.WithHost(nc.Listen, host)
+	}
+	names, err := nameserver.Start(nc, log)
+	if err != nil {
+		return nil, err
+	}
+	by, fallback := d.Precedences()
+	c.Names = &sender.Names{Source: names, First: names.First(), Destinations: names.Destinations(), Precedence: by, Fallback: fallback,
+		Report: func() any { return names.Report() }}
+	return names, nil
+}
+
+// reload reads the configuration again with each SIGHUP, until the sender has left. What can't be read changes nothing.
+func reload(running <-chan struct{}, hup <-chan os.Signal, s *sender.Sender, again []func(*sender.Sender) error, log *slog.Logger) {
 	for {
 		select {
 		case <-running:
 			return
 		case <-hup:
 		}
-		c, err := sender.ReloadConfig(os.Getenv)
-		if err != nil {
+		if c, err := sender.ReloadConfig(os.Getenv); err != nil {
 			log.Error("the configuration is kept as it was", "err", err)
-			continue
+		} else {
+			s.Reload(c)
 		}
-		s.Reload(c)
-		if keys == nil {
-			continue
-		}
-		if ring, err := keys(); err != nil {
-			log.Error("the peers' keys are kept as they were", "err", err)
-		} else if err := s.PeerKeys(ring); err != nil {
-			log.Error("the peers' keys", "err", err)
+		for _, read := range again {
+			if err := read(s); err != nil {
+				log.Error("SIGHUP", "err", err)
+			}
 		}
 	}
 }
--- /dev/null
+++ b/internal/features/dns.go
@@ -0,0 +1,273 @@
+package features
+
+import (
+	"fmt"
+	"net"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/miekg/dns"
+
+	"dockshift.example/dockshift/internal/membership"
+	"dockshift.example/dockshift/internal/nameserver"
+	"dockshift.example/dockshift/internal/tomlfile"
+	"dockshift.example/dockshift/internal/zone"
+)
+
+// DNS is how members are followed by name.
+type DNS struct {
+	Listen     string        `toml:"listen"`     // of the name server, UDP and TCP; default: none
+	Folder     string        `toml:"folder"`     // default: "zones" in the sender's state folder
+	KeysFile   string        `toml:"keys_file"`  // TSIG keys, a line each: NAME ALGORITHM SECRET; default: none
+	Records    int           `toml:"records"`    // of a zone, at most; from 10 to 10000000, default 1000000
+	Precedence string        `toml:"precedence"` // names, discovery or both; default "names"
+	Keep       tomlfile.Span `toml:"keep"`       // an address that comes back within it is the same endpoint; from 2s to 1h, default 2m
+	Flaps      int           `toml:"flaps"`      // one that went so often; from 1 to 100, default 3
+	FlapSpan   tomlfile.Span `toml:"flap_span"`  // within this; from 1s to 1h, default 30s
+	Settle     tomlfile.Span `toml:"settle"`     // comes back when it has stood so long; from 1s to 1h, default 10s
+	Zones      []Zone        `toml:"zone"`
+	Members    []Member      `toml:"member"`
+}
+
+// Zone is one zone: from a file or from a primary.
+type Zone struct {
+	Name         string       `toml:"name"`
+	File         string       `toml:"file"`
+	Primary      string       `toml:"primary"`       // address:port
+	Key          string       `toml:"key"`           // signs what the primary is asked; default: none
+	TransferKeys []string     `toml:"transfer_keys"` // that may have it whole
+	Notify       []string     `toml:"notify"`        // address:port of secondaries
+	NotifyKey    string       `toml:"notify_key"`
+	Updates      []ZoneUpdate `toml:"update"`
+}
+
+// ZoneUpdate is what one key may change.
+type ZoneUpdate struct {
+	Key   string   `toml:"key"`
+	Names []string `toml:"names"` // exact, or "*." and what it is below
+	Types []string `toml:"types"` // default: all
+}
+
+// Member is a destination's name.
+type Member struct {
+	Destination uint32        `toml:"destination"`
+	Name        string        `toml:"name"`
+	SRV         bool          `toml:"srv"`
+	Port        uint16        `toml:"port"` // without srv
+	Kind        string        `toml:"kind"`
+	Zone        string        `toml:"zone"`
+	Weight      float64       `toml:"weight"`      // default 1
+	EmptyAfter  tomlfile.Span `toml:"empty_after"` // no address at all is believed after so long; to 24h, default 0s: at once
+	Precedence  string        `toml:"precedence"`  // default: that of [dns]
+}
+
+const (
+	zonesMost   = 10_000
+	membersMost = 100_000
+)
+
+func (d *DNS) check(c checker) error {
+	set(&d.Records, nameserver.DefaultRecords)
+	set(&d.Precedence, membership.NamesFirst.String())
+	usual := membership.DefaultSpans()
+	set(&d.Keep, tomlfile.Span(usual.Keep))
+	set(&d.Flaps, usual.Flaps)
+	set(&d.FlapSpan, tomlfile.Span(usual.FlapSpan))
+	set(&d.Settle, tomlfile.Span(usual.Settle))
+	if d.Records < 10 || d.Records > 10_000_000 {
+		return c.at("dns", 0, "records", "dns.records = %d is not from 10 to 10000000", d.Records)
+	}
+	if d.Flaps < 1 || d.Flaps > 100 {
+		return c.at("dns", 0, "flaps", "dns.flaps = %d is not from 1 to 100", d.Flaps)
+	}
+	for _, s := range []struct {
+		key   string
+		v     tomlfile.Span
+		least time.Duration
+	}{{"keep", d.Keep, 2 * time.Second}, {"flap_span", d.FlapSpan, time.Second}, {"settle", d.Settle, time.Second}} {
+		if s.v.D() < s.least || s.v.D() > time.Hour {
+			return c.at("dns", 0, s.key, "dns.%s = %v is not from %v to 1h", s.key, s.v.D(), s.least)
+		}
+	}
+	if _, err := membership.PrecedenceOf(d.Precedence); err != nil {
+		return c.at("dns", 0, "precedence", "dns.precedence: %w", err)
+	}
+	if d.Listen != "" {
+		if _, _, err := net.SplitHostPort(d.Listen); err != nil {
+			return c.at("dns", 0, "listen", "dns.listen = %q is no address:port", d.Listen)
+		}
+	}
+	if len(d.Zones) == 0 {
+		return c.at("dns", 0, "", "dns has no [[dns.zone]]: no name would be found")
+	}
+	if len(d.Zones) > zonesMost || len(d.Members) > membersMost {
+		return c.at("dns", 0, "", "dns has more than %d zones or %d members", zonesMost, membersMost)
+	}
+	updates := 0
+	for i := range d.Zones {
+		z := &d.Zones[i]
+		for j := range z.Updates {
+			for _, t := range z.Updates[j].Types {
+				if _, ok := dns.StringToType[t]; !ok {
+					return c.at("dns.zone.update", updates+j, "types", "dns.zone %q: update: %q is no type", z.Name, t)
+				}
+			}
+		}
+		updates += len(z.Updates)
+		one := nameserver.Config{Zones: []nameserver.ZoneConfig{z.config()}}
+		one.Keys = d.named(z)
+		if err := one.Check(); err != nil {
+			return c.at("dns.zone", i, "name", "%w", err)
+		}
+	}
+	dest := map[uint32]string{}
+	for i := range d.Members {
+		m := &d.Members[i]
+		set(&m.Weight, 1)
+		at := func(key, format string, args ...any) error {
+			return c.at("dns.member", i, key, "dns.member %d: %w", i+1, fmt.Errorf(format, args...))
+		}
+		if m.Destination > destMost {
+			return at("destination", "destination %d is over %d", m.Destination, destMost)
+		}
+		if !zone.Label(m.Name) {
+			return at("name", "name = %q is no name", m.Name)
+		}
+		if m.SRV == (m.Port != 0) {
+			return at("port", "either srv = true, or a port of its addresses")
+		}
+		if !(m.Weight > 0 && m.Weight <= 1e6) {
+			return at("weight", "weight = %v is not above 0, and up to 1000000", m.Weight)
+		}
+		if m.EmptyAfter.D() > 24*time.Hour {
+			return at("empty_after", "empty_after = %v is over 24h", m.EmptyAfter.D())
+		}
+		if m.Precedence != "" {
+			if _, err := membership.PrecedenceOf(m.Precedence); err != nil {
+				return at("precedence", "precedence: %w", err)
+			}
+			if p, ok := dest[m.Destination]; ok && p != m.Precedence {
+				return at("precedence", "destination %d has precedence %q and %q", m.Destination, p, m.Precedence)
+			}
+			dest[m.Destination] = m.Precedence
+		}
+		name := zone.Name(m.Name)
+		if !slices.ContainsFunc(d.Zones, func(z Zone) bool { return zone.Within(zone.Name(z.Name), name) }) {
+			return at("name", "%s is in none of the zones", m.Name)
+		}
+	}
+	return nil
+}
+
+// named is keys with the names that a zone uses: whether they are there shows when their file is read.
+func (d *DNS) named(z *Zone) []nameserver.Key {
+	var keys []nameserver.Key
+	if d.KeysFile == "" {
+		return nil
+	}
+	all := append(append([]string{}, z.TransferKeys...), z.Key, z.NotifyKey)
+	for _, u := range z.Updates {
+		all = append(all, u.Key)
+	}
+	for _, k := range all {
+		keys = append(keys, nameserver.Key{Name: zone.Name(k)})
+	}
+	return keys
+}
+
+func (z *Zone) config() nameserver.ZoneConfig {
+	canonical := func(names []string) []string {
+		var out []string
+		for _, n := range names {
+			out = append(out, zone.Name(n))
+		}
+		return out
+	}
+	key := func(k string) string {
+		if k == "" {
+			return ""
+		}
+		return zone.Name(k)
+	}
+	c := nameserver.ZoneConfig{File: z.File, Primary: z.Primary, Key: key(z.Key), Transfer: canonical(z.TransferKeys), Notify: z.Notify, NotifyKey: key(z.NotifyKey)}
+	if z.Name != "" {
+		c.Name = zone.Name(z.Name)
+	}
+	for _, u := range z.Updates {
+		g := zone.Grant{Names: canonical(u.Names)}
+		for _, t := range u.Types {
+			g.Types = append(g.Types, dns.StringToType[t])
+		}
+		c.Updates = append(c.Updates, nameserver.Update{Key: key(u.Key), Grant: g})
+	}
+	return c
+}
+
+// Keys reads the file of keys.
+func (d *DNS) Keys() ([]nameserver.Key, error) {
+	if d.KeysFile == "" {
+		return nil, nil
+	}
+	return nameserver.ReadKeys(d.KeysFile)
+}
+
+// Config is what the name server is told. folder is where its state is, unless the file names it.
+func (d *DNS) Config(folder string) (*nameserver.Config, error) {
+	keys, err := d.Keys()
+	if err != nil {
+		return nil, err
+	}
+	c := &nameserver.Config{Listen: d.Listen, Folder: d.Folder, Keys: keys, Records: d.Records,
+		Spans: membership.Spans{Keep: d.Keep.D(), Flaps: d.Flaps, FlapSpan: d.FlapSpan.D(), Settle: d.Settle.D()}}
+	if c.Folder == "" {
+		c.Folder = folder
+	}
+	for i := range d.Zones {
+		c.Zones = append(c.Zones, d.Zones[i].config())
+	}
+	for _, m := range d.Members {
+		c.Members = append(c.Members, membership.Member{Destination: m.Destination, Name: zone.Name(m.Name), SRV: m.SRV, Port: m.Port,
+			Kind: m.Kind, Zone: m.Zone, Weight: m.Weight, EmptyAfter: m.EmptyAfter.D()})
+	}
+	return c, nil
+}
+
+// Precedences is the precedence by destination, and that of all others.
+func (d *DNS) Precedences() (map[uint32]membership.Precedence, membership.Precedence) {
+	by := map[uint32]membership.Precedence{}
+	fallback, _ := membership.PrecedenceOf(d.Precedence) // checked as the file was read
+	for _, m := range d.Members {
+		if p, err := membership.PrecedenceOf(m.Precedence); err == nil {
+			by[m.Destination] = p
+		}
+	}
+	return by, fallback
+}
+
+func (d *DNS) lines() []string {
+	where := "no server"
+	if d.Listen != "" {
+		where = "served at " + d.Listen
+	}
+	lines := []string{fmt.Sprintf("dns: %d zones, %s; %d members are followed by name, precedence %s", len(d.Zones), where, len(d.Members), d.Precedence)}
+	for _, z := range d.Zones {
+		from := "the file " + z.File
+		if z.Primary != "" {
+			from = "its primary " + z.Primary
+		}
+		line := fmt.Sprintf("dns: zone %s from %s", z.Name, from)
+		for _, u := range z.Updates {
+			kinds := "all types"
+			if len(u.Types) > 0 {
+				kinds = strings.Join(u.Types, ", ")
+			}
+			line += fmt.Sprintf("; key %s may change %s of %s", u.Key, kinds, strings.Join(u.Names, ", "))
+		}
+		if len(z.TransferKeys) > 0 {
+			line += "; transfers to " + strings.Join(z.TransferKeys, ", ")
+		}
+		lines = append(lines, line)
+	}
+	return lines
+}
--- a/internal/features/features.go
+++ b/internal/features/features.go
@@ -25,6 +25,7 @@
 	Undelivered *Undelivered `toml:"undelivered"`
 	Knowledge   *Knowledge   `toml:"knowledge"`
 	Peers       *Peers       `toml:"peers"`
+	DNS         *DNS         `toml:"dns"`
 }
 
 // Peers is how this sender takes part among the others of its deployment.
@@ -227,6 +228,11 @@
 			}
 		}
 	}
+	if f.DNS != nil {
+		if err := f.DNS.check(c); err != nil {
+			return nil, err
+		}
+	}
 	if u := f.Undelivered; u != nil {
 		set(&u.Bytes, 256<<20)
 		set(&u.Age, tomlfile.Span(7*24*time.Hour))
@@ -465,6 +471,9 @@
 		}
 		lines = append(lines, fmt.Sprintf("peers: of cluster %s, membership at %s %s, %d seeds; what is known is told at %s; %d peers are followed", p.Cluster, p.Listen, keys, len(p.Seeds), p.Exchange, p.Follow))
 	}
+	if f.DNS != nil {
+		lines = append(lines, f.DNS.lines()...)
+	}
 	if lines == nil {
 		return []string{"nothing is on: the sender does as without the file"}
 	}
--- /dev/null
+++ b/internal/nameserver/keys.go
@@ -0,0 +1,179 @@
+package nameserver
+
+import (
+	"crypto/hmac"
+	"crypto/sha1" //nolint:gosec // RFC 8945 6: HMAC-SHA1 is one that must be understood
+	"crypto/sha256"
+	"crypto/sha512"
+	"encoding/base64"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"hash"
+	"os"
+	"strings"
+	"sync/atomic"
+
+	"github.com/miekg/dns"
+
+	"dockshift.example/dockshift/internal/zone"
+)
+
+// Key is a TSIG key (RFC 8945).
+type Key struct {
+	Name      string // absolute, lower case
+	Algorithm string // as in a TSIG record, "hmac-sha256."
+	secret    []byte
+}
+
+const (
+	secretLeast = 16 // bytes: RFC 8945 8 asks for as many as the digest; half of SHA-256's is the least taken
+	keysMost    = 1000
+	fudgeMost   = 300 // seconds: RFC 8945 10's recommendation; one who asks for more gets this
+)
+
+func hashOf(algorithm string) (func() hash.Hash, bool) {
+	switch dns.CanonicalName(algorithm) {
+	case dns.HmacSHA1:
+		return sha1.New, true
+	case dns.HmacSHA224:
+		return sha256.New224, true
+	case dns.HmacSHA256:
+		return sha256.New, true
+	case dns.HmacSHA384:
+		return sha512.New384, true
+	case dns.HmacSHA512:
+		return sha512.New, true
+	}
+	return nil, false
+}
+
+// ReadKeys reads a file of keys: a line each, "NAME ALGORITHM SECRET", the secret in base64. Errors name file and line, and
+// no secret.
+func ReadKeys(path string) ([]Key, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("keys: %w", err)
+	}
+	return parseKeys(path, string(raw))
+}
+
+func parseKeys(path, text string) ([]Key, error) {
+	var keys []Key
+	seen := map[string]bool{}
+	for i, line := range strings.Split(text, "\n") {
+		f := strings.Fields(line)
+		if len(f) == 0 || strings.HasPrefix(f[0], "#") {
+			continue
+		}
+		bad := func(format string, args ...any) error {
+			return fmt.Errorf("%s:%d: %w", path, i+1, fmt.Errorf(format, args...))
+		}
+		if len(f) != 3 {
+			return nil, bad("a line is NAME ALGORITHM SECRET, this one has %d words", len(f))
+		}
+		if !zone.Label(f[0]) {
+			return nil, bad("%q is no name", f[0])
+		}
+		k := Key{Name: zone.Name(f[0]), Algorithm: zone.Name(f[1])}
+		if _, ok := hashOf(k.Algorithm); !ok {
+			return nil, bad("algorithm %q; there are hmac-sha1, -sha224, -sha256, -sha384 and -sha512", f[1])
+		}
+		if k.secret = decodeSecret(f[2]); k.secret == nil {
+			return nil, bad("the secret is no base64")
+		}
+		if len(k.secret) < secretLeast {
+			return nil, bad("the secret has %d bytes; %d is the least", len(k.secret), secretLeast)
+		}
+		if seen[k.Name] {
+			return nil, bad("key %s is there twice", k.Name)
+		}
+		seen[k.Name] = true
+		if keys = append(keys, k); len(keys) > keysMost {
+			return nil, bad("more than %d keys", keysMost)
+		}
+	}
+	return keys, nil
+}
+
+// Keyring is the keys in use; they may change in service.
+type Keyring struct {
+	keys atomic.Pointer[map[string]Key]
+}
+
+// NewKeyring holds keys.
+func NewKeyring(keys []Key) *Keyring {
+	r := &Keyring{}
+	r.Set(keys)
+	return r
+}
+
+// Set takes other keys in their place: those that are missing are refused from now on.
+func (r *Keyring) Set(keys []Key) {
+	m := make(map[string]Key, len(keys))
+	for _, k := range keys {
+		m[k.Name] = k
+	}
+	r.keys.Store(&m)
+}
+
+func (r *Keyring) get(name string) (Key, bool) {
+	k, ok := (*r.keys.Load())[zone.Name(name)]
+	return k, ok
+}
+
+// Has reports whether a key is there.
+func (r *Keyring) Has(name string) bool {
+	_, ok := r.get(name)
+	return ok
+}
+
+func (r *Keyring) mac(msg []byte, t *dns.TSIG) ([]byte, error) {
+	k, ok := r.get(t.Hdr.Name)
+	if !ok {
+		return nil, dns.ErrSecret
+	}
+	if zone.Name(t.Algorithm) != k.Algorithm {
+		return nil, dns.ErrKeyAlg
+	}
+	h, _ := hashOf(k.Algorithm)
+	m := hmac.New(h, k.secret)
+	m.Write(msg)
+	return m.Sum(nil), nil
+}
+
+// Generate is dns.TsigProvider's.
+func (r *Keyring) Generate(msg []byte, t *dns.TSIG) ([]byte, error) { return r.mac(msg, t) }
+
+// Verify is dns.TsigProvider's. A truncated signature is none (RFC 8945 5.2.2.1 allows to refuse it).
+func (r *Keyring) Verify(msg []byte, t *dns.TSIG) error {
+	want, err := r.mac(msg, t)
+	if err != nil {
+		return err
+	}
+	got, err := hex.DecodeString(t.MAC)
+	if err != nil || !hmac.Equal(got, want) {
+		return dns.ErrSig
+	}
+	return nil
+}
+
+// Sign marks a message to be signed with a key as it is sent.
+func (r *Keyring) Sign(m *dns.Msg, name string, now int64) error {
+	k, ok := r.get(name)
+	if !ok {
+		return fmt.Errorf("there is no key %s", name)
+	}
+	m.SetTsig(k.Name, k.Algorithm, fudgeMost, now)
+	return nil
+}
+
+var errUnsigned = errors.New("the answer is not signed")
+
+func decodeSecret(text string) []byte {
+	b, err := base64.StdEncoding.DecodeString(text)
+	if err != nil {
+		return nil
+	}
+	return b
+}
--- /dev/null
+++ b/internal/nameserver/notify.go
@@ -0,0 +1,93 @@
+package nameserver
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/miekg/dns"
+
+	"dockshift.example/dockshift/internal/zone"
+)
+
+const (
+	notifyTries = 5
+	notifyPause = time.Second // after the first failure; doubles (RFC 1996 3.6 asks for a timeout and retries)
+	notifyTime  = 2 * time.Second
+)
+
+// notifier tells secondaries that a zone has changed. While one is told a further change is told after; many changes are
+// one NOTIFY, as it names the newest serial.
+type notifier struct {
+	log   *slog.Logger
+	keys  *Keyring
+	ctx   context.Context
+	done  sync.WaitGroup
+	wakes map[*served][]chan struct{}
+}
+
+func newNotifier(ctx context.Context, zones []*served, keys *Keyring, log *slog.Logger) *notifier {
+	n := &notifier{log: log, keys: keys, ctx: ctx, wakes: map[*served][]chan struct{}{}}
+	for _, z := range zones {
+		for _, to := range z.c.Notify {
+			wake := make(chan struct{}, 1)
+			n.wakes[z] = append(n.wakes[z], wake)
+			n.done.Add(1)
+			go func() {
+				defer n.done.Done()
+				for {
+					select {
+					case <-ctx.Done():
+						return
+					case <-wake:
+						n.tell(z, to)
+					}
+				}
+			}()
+		}
+	}
+	return n
+}
+
+func (n *notifier) changed(z *served) {
+	for _, wake := range n.wakes[z] {
+		select {
+		case wake <- struct{}{}:
+		default:
+		}
+	}
+}
+
+func (n *notifier) tell(z *served, to string) {
+	pause := notifyPause
+	for try := range notifyTries {
+		held := z.now.Load()
+		if held.Zone == nil {
+			return
+		}
+		m := new(dns.Msg).SetNotify(z.c.Name)
+		m.Answer = zone.Copies([]dns.RR{held.SOA()})
+		if z.c.NotifyKey != "" {
+			if err := n.keys.Sign(m, z.c.NotifyKey, time.Now().Unix()); err != nil {
+				n.log.Error("a secondary can't be notified", "zone", z.c.Name, "to", to, "err", err)
+				return
+			}
+		}
+		c := dns.Client{Net: "udp", Timeout: notifyTime, TsigProvider: n.keys}
+		r, _, err := c.ExchangeContext(n.ctx, m, to)
+		if err == nil && r.Rcode == dns.RcodeSuccess || n.ctx.Err() != nil {
+			return
+		}
+		if try == notifyTries-1 {
+			n.log.Warn("a secondary was not reached; it will ask by itself", "zone", z.c.Name, "to", to, "err", err)
+			return
+		}
+		select {
+		case <-n.ctx.Done():
+			return
+		case <-time.After(pause):
+			pause *= 2
+		}
+	}
+}
--- /dev/null
+++ b/internal/nameserver/service.go
@@ -0,0 +1,439 @@
+package nameserver
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/miekg/dns"
+
+	"dockshift.example/dockshift/internal/membership"
+	"dockshift.example/dockshift/internal/zone"
+)
+
+// Config is what is held, served and followed.
+type Config struct {
+	Listen  string // of the server, UDP and TCP; empty: there is none
+	Folder  string // of what must outlast the process
+	Keys    []Key
+	Zones   []ZoneConfig
+	Members []membership.Member
+	Spans   membership.Spans
+	Records int // of a zone, at most
+}
+
+// ZoneConfig is one zone: from a file, which updates may change too, or from a primary.
+type ZoneConfig struct {
+	Name      string // absolute, lower case
+	File      string
+	Primary   string   // address:port
+	Key       string   // signs what the primary is asked
+	Transfer  []string // keys that may have it whole
+	Notify    []string // address:port of secondaries that are told of changes
+	NotifyKey string
+	Updates   []Update
+	Bounds    *zone.Bounds // of what the primary's SOA asks for; nil: the usual ones
+}
+
+// Update is what one key may change.
+type Update struct {
+	Key string
+	zone.Grant
+}
+
+// DefaultRecords is how many records a zone has at most, unless it is stated.
+const DefaultRecords = 1_000_000
+
+// Check says what is wrong with a configuration.
+func (c *Config) Check() error {
+	keys := NewKeyring(c.Keys)
+	seen := map[string]bool{}
+	for i := range c.Zones {
+		z := &c.Zones[i]
+		bad := func(format string, args ...any) error {
+			return fmt.Errorf("zone %s: %w", z.Name, fmt.Errorf(format, args...))
+		}
+		switch {
+		case z.Name == "" || !zone.Label(z.Name) || z.Name != zone.Name(z.Name):
+			return bad("it is no zone's name")
+		case seen[z.Name]:
+			return bad("it is there twice")
+		case (z.File == "") == (z.Primary == ""):
+			return bad("it comes from a file or from a primary: one of them is named")
+		case z.Primary != "" && len(z.Updates) > 0:
+			return bad("what comes from a primary is updated there")
+		}
+		seen[z.Name] = true
+		used := append(append([]string{}, z.Transfer...), z.Key, z.NotifyKey)
+		for _, u := range z.Updates {
+			used = append(used, u.Key)
+			if len(u.Names) == 0 {
+				return bad("key %s may change no name", u.Key)
+			}
+			for _, n := range u.Names {
+				if !zone.Label(n) || !zone.Within(z.Name, zone.Name(n)) {
+					return bad("key %s: %q is no name within it", u.Key, n)
+				}
+			}
+		}
+		for _, k := range used {
+			if k != "" && !keys.Has(k) {
+				return bad("there is no key %s", k)
+			}
+		}
+		for _, a := range append(append([]string{}, z.Notify...), z.Primary) {
+			if _, _, err := net.SplitHostPort(a); a != "" && err != nil {
+				return bad("%q is no address:port: %w", a, err)
+			}
+		}
+	}
+	for _, m := range c.Members {
+		if !zone.Label(m.Name) || m.Name != zone.Name(m.Name) {
+			return fmt.Errorf("member %d: %q is no absolute name", m.Destination, m.Name)
+		}
+		if !m.SRV && m.Port == 0 {
+			return fmt.Errorf("member %d: %s: without SRV a port is named", m.Destination, m.Name)
+		}
+	}
+	return nil
+}
+
+// Service holds zones, serves them, and follows members' names through them. It is a source of endpoints.
+type Service struct {
+	c       *Config
+	log     *slog.Logger
+	keys    *Keyring
+	zones   map[string]*hosted
+	ordered []*served
+	server  *server
+	files   *files
+	start   time.Time
+	stop    context.CancelFunc
+	done    sync.WaitGroup
+	notify  *notifier
+
+	mu       sync.Mutex // the rest
+	follower *membership.Follower
+	rests    map[string]map[int]struct{} // members by the names that their answers rest on
+	on       [][]string                  // and the other way round
+	stale    map[int]struct{}            // members to be asked again
+	wake     chan struct{}
+	first    membership.Update
+}
+
+// Start opens what an earlier process left, reads files, and begins to serve and to follow. A zone that can't be had is
+// told in the log; the sender starts without it.
+func Start(c *Config, log *slog.Logger) (*Service, error) { return start(c, log, osDisk{}) }
+
+func start(c *Config, log *slog.Logger, d disk) (*Service, error) {
+	if err := c.Check(); err != nil {
+		return nil, err
+	}
+	if c.Records == 0 {
+		c.Records = DefaultRecords
+	}
+	if err := os.MkdirAll(c.Folder, 0o700); err != nil {
+		return nil, fmt.Errorf("dns: %w", err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	s := &Service{c: c, log: log, keys: NewKeyring(c.Keys), zones: map[string]*hosted{}, start: time.Now(), stop: stop,
+		follower: membership.NewFollower(c.Members, c.Spans), rests: map[string]map[int]struct{}{}, on: make([][]string, len(c.Members)),
+		stale: map[int]struct{}{}, wake: make(chan struct{}, 1)}
+	var fromFiles []*served
+	for i := range c.Zones {
+		zc := &c.Zones[i]
+		h := &hosted{transfer: map[string]bool{}, updates: map[string]*zone.Grant{}}
+		h.served = newServed(zc, d, c.Folder, c.Records, log, func(names []string, all bool) { s.changed(h.served, names, all) })
+		for _, k := range zc.Transfer {
+			h.transfer[zone.Name(k)] = true
+		}
+		for i := range zc.Updates {
+			h.updates[zone.Name(zc.Updates[i].Key)] = &zc.Updates[i].Grant
+		}
+		if zc.File != "" {
+			h.load() // it tells what is wrong
+			fromFiles = append(fromFiles, h.served)
+		} else {
+			h.follows = newSecondary(h.served, s.keys, s.now)
+		}
+		s.zones[zc.Name] = h
+		s.ordered = append(s.ordered, h.served)
+	}
+	s.server = newServer(s.zones, s.keys, log, s.now)
+	var err error
+	if c.Listen != "" {
+		if err = s.server.listen(c.Listen); err != nil {
+			stop()
+			return nil, errors.Join(err, s.closeZones())
+		}
+		log.Info("dns", "listen", s.server.addr(), "zones", len(c.Zones), "members", len(c.Members))
+	}
+	if s.files, err = newFiles(fromFiles, log); err != nil {
+		stop()
+		return nil, errors.Join(fmt.Errorf("dns: %w", err), s.server.close(), s.closeZones())
+	}
+	notify := newNotifier(ctx, s.ordered, s.keys, log)
+	s.mu.Lock()
+	s.notify = notify
+	for i := range c.Members {
+		s.stale[i] = struct{}{}
+	}
+	s.first = membership.Update{Servers: s.ask()}
+	s.mu.Unlock()
+	for _, run := range []func(){func() { s.files.run(ctx) }, func() { writeBack(ctx, fromFiles) }} {
+		s.done.Add(1)
+		go func() {
+			defer s.done.Done()
+			run()
+		}()
+	}
+	for _, h := range s.zones {
+		if h.follows != nil {
+			s.done.Add(1)
+			go func() {
+				defer s.done.Done()
+				h.follows.run(ctx)
+			}()
+		}
+	}
+	return s, nil
+}
+
+// now is the follower's clock.
+func (s *Service) now() time.Duration { return time.Since(s.start) }
+
+// Address is where the server listens; empty without one.
+func (s *Service) Address() string { return s.server.addr() }
+
+// First is what is known at the start.
+func (s *Service) First() membership.Update {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.first
+}
+
+// Destinations are those of which it will speak.
+func (s *Service) Destinations() []uint32 {
+	var all []uint32
+	for _, m := range s.c.Members {
+		all = append(all, m.Destination)
+	}
+	slices.Sort(all)
+	return slices.Compact(all)
+}
+
+// SetKeys changes the keys in service. One that a zone's settings name must be there still.
+func (s *Service) SetKeys(keys []Key) error {
+	c := *s.c
+	c.Keys = keys
+	if err := c.Check(); err != nil {
+		return err
+	}
+	s.keys.Set(keys)
+	return nil
+}
+
+// Look has all files read again now.
+func (s *Service) Look() {
+	select {
+	case s.files.look <- struct{}{}:
+	default:
+	}
+}
+
+// changed books that names of a zone have changed, or all of it.
+func (s *Service) changed(z *served, names []string, all bool) {
+	s.mu.Lock()
+	if all || len(names) > namesMost {
+		for i := range s.c.Members {
+			s.stale[i] = struct{}{}
+		}
+	} else {
+		for _, n := range names {
+			s.touched(n, z.c.Name)
+		}
+	}
+	notify := s.notify
+	s.mu.Unlock()
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+	if notify != nil {
+		notify.changed(z)
+	}
+}
+
+// namesMost is how many changed names are looked up one by one; with more, all members are asked again.
+const namesMost = 50
+
+// touched marks the members whose answers rest on a name that has changed. A name that comes or goes may also be a cut, a
+// wildcard, or the closest encloser that hides one (RFC 4592 3.3): those below it, or below a name between it and the
+// zone's origin, are asked again too. The caller holds mu.
+func (s *Service) touched(name, origin string) {
+	for i := range s.rests[name] {
+		s.stale[i] = struct{}{}
+	}
+	if name == origin { // each version changes its SOA, which says nothing of others
+		return
+	}
+	top := name
+	for up := name; up != origin && zone.Within(origin, up); {
+		top = up
+		off, end := dns.NextLabel(up, 0)
+		if end {
+			break
+		}
+		up = up[off:]
+	}
+	if strings.HasPrefix(top, "*.") { // a wildcard at the origin itself speaks for all
+		top = origin
+	}
+	for n, members := range s.rests {
+		if zone.Within(top, n) {
+			for i := range members {
+				s.stale[i] = struct{}{}
+			}
+		}
+	}
+}
+
+// ask asks for the members that are stale and gives the lines that change. The caller holds mu.
+func (s *Service) ask() []membership.Target {
+	var heard []membership.Heard
+	for i := range s.stale {
+		for _, n := range s.on[i] {
+			delete(s.rests[n], i)
+			if len(s.rests[n]) == 0 {
+				delete(s.rests, n)
+			}
+		}
+		a, on := membership.Resolve(s.held, &s.c.Members[i])
+		s.on[i] = on
+		for _, n := range on {
+			if s.rests[n] == nil {
+				s.rests[n] = map[int]struct{}{}
+			}
+			s.rests[n][i] = struct{}{}
+		}
+		heard = append(heard, membership.Heard{Member: i, Answer: a})
+	}
+	clear(s.stale)
+	slices.SortFunc(heard, func(a, b membership.Heard) int { return cmp.Compare(a.Member, b.Member) })
+	return s.follower.Step(s.now(), heard)
+}
+
+// held finds the zone for a name.
+func (s *Service) held(name string) (membership.Held, bool) {
+	h := s.server.find(name)
+	if h == nil {
+		return membership.Held{}, false
+	}
+	v := h.now.Load()
+	return membership.Held{Zone: v.Zone, Expired: v.expired}, true
+}
+
+// Follow passes on what changes, until ctx ends.
+func (s *Service) Follow(ctx context.Context, news func(membership.Update)) {
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	for {
+		s.mu.Lock()
+		lines := s.ask()
+		next := s.follower.Next()
+		s.mu.Unlock()
+		if len(lines) > 0 {
+			news(membership.Update{Servers: lines})
+		}
+		timer.Reset(max(0, min(next-s.now(), time.Hour)))
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.wake:
+		case <-timer.C:
+		}
+	}
+}
+
+func (s *Service) closeZones() error {
+	var err error
+	for _, z := range s.ordered {
+		err = errors.Join(err, z.close())
+	}
+	return err
+}
+
+// Close ends it. What was answered is on the disk already.
+func (s *Service) Close() error {
+	s.stop()
+	err := s.server.close()
+	s.done.Wait()
+	s.notify.done.Wait()
+	return errors.Join(err, s.closeZones())
+}
+
+// ---- For operators
+
+// ZoneState is what is known of a zone.
+type ZoneState struct {
+	Name    string `json:"name"`
+	From    string `json:"from"`
+	State   string `json:"state"` // held, expired, or never had
+	Serial  uint32 `json:"serial"`
+	Records int    `json:"records"`
+	ForMS   int64  `json:"for_ms"` // the version is held
+	Behind  bool   `json:"behind,omitempty"`
+	Fault   string `json:"fault,omitempty"`
+}
+
+// Report is all that is known.
+type Report struct {
+	Address string             `json:"address,omitempty"`
+	Zones   []ZoneState        `json:"zones"`
+	Members []membership.State `json:"members"`
+	Counts  map[string]int64   `json:"counts"`
+}
+
+// Report tells what is held and where members are.
+func (s *Service) Report() Report {
+	r := Report{Address: s.Address(), Zones: []ZoneState{}, Counts: map[string]int64{}}
+	for _, z := range s.ordered {
+		z.mu.Lock()
+		v := z.now.Load()
+		st := ZoneState{Name: z.c.Name, From: z.c.File, State: "held", Behind: z.behind, Fault: z.fault, ForMS: time.Since(z.since).Milliseconds()}
+		z.mu.Unlock()
+		if z.c.Primary != "" {
+			st.From = z.c.Primary
+		}
+		switch {
+		case v.Zone == nil:
+			st.State = "never had"
+		case v.expired:
+			st.State = "expired"
+		}
+		if v.Zone != nil {
+			st.Serial, st.Records = v.Serial(), v.Records()
+		}
+		r.Zones = append(r.Zones, st)
+	}
+	n := &s.server.counts
+	for name, c := range map[string]int64{"queries": n.queries.Load(), "updates": n.updates.Load(), "refused": n.refused.Load(),
+		"notifies": n.notifies.Load(), "transfers": n.transfers.Load(), "dropped": n.dropped.Load()} {
+		r.Counts[name] = c
+	}
+	s.mu.Lock()
+	r.Members = s.follower.States()
+	s.mu.Unlock()
+	if r.Members == nil {
+		r.Members = []membership.State{}
+	}
+	return r
+}
--- a/internal/sender/inspect.go
+++ b/internal/sender/inspect.go
@@ -88,6 +88,13 @@
 		}
 		return func(s *Sender, now time.Duration) any { return s.knowledgeReport(now, only == "", uint32(n)) }, nil
 	}))
+	mux.HandleFunc("GET /zones", func(w http.ResponseWriter, r *http.Request) { // it has locks of its own
+		if n := i.s.c.Names; n != nil && n.Report != nil {
+			json.NewEncoder(w).Encode(n.Report())
+			return
+		}
+		http.Error(w, "no names are followed: the operators' file has no [dns]", http.StatusNotFound)
+	})
 	i.server = &http.Server{Handler: mux, ReadHeaderTimeout: askTime}
 	i.done.Add(1)
 	go func() {
--- a/internal/sender/loop.go
+++ b/internal/sender/loop.go
@@ -281,10 +281,17 @@
 func (s *Sender) resume(ctx context.Context) {
 	s.step(ctx, s.listsAtStart())
 	var events []brain.Event
-	select {
-	case e := <-s.events:
-		events = append(events, s.take(e))
-	case <-time.After(firstList):
+	for first, over := false, time.After(firstList); !first; {
+		select {
+		case e := <-s.events:
+			if ev := s.take(e); ev != nil {
+				events = append(events, ev)
+			}
+			l, ok := e.(listEvent)
+			first = !ok || l.from == membership.Discovery // the names' word was in before
+		case <-over:
+			first = true
+		}
 	}
 	now := s.clock.now()
 	for dest, rate := range s.journal.rates {
--- /dev/null
+++ b/internal/sender/names_test.go
@@ -0,0 +1,344 @@
+package sender
+
+import (
+	"encoding/base64"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/miekg/dns"
+
+	"dockshift.example/dockshift/internal/membership"
+	"dockshift.example/dockshift/internal/nameserver"
+	st "dockshift.example/dockshift/internal/sendertest"
+	"dockshift.example/dockshift/internal/zone"
+)
+
+// named is a name server with a zone that key "ops." may change; _hooks._tcp.example. says where destination 0 is.
+type named struct {
+	t    testing.TB
+	c    *nameserver.Config
+	svc  *nameserver.Service
+	ring *nameserver.Keyring
+}
+
+func newNamed(t testing.TB, dir string, members ...membership.Member) *named {
+	t.Helper()
+	path, keys := filepath.Join(dir, "example.zone"), filepath.Join(dir, "keys")
+	for name, text := range map[string]string{path: "@ 300 IN SOA ns h 1 60 10 300 60\n@ 300 IN NS ns\nhere 300 IN A 127.0.0.1\nhooks 300 IN A 127.0.0.1\n",
+		keys: "ops. hmac-sha256 " + base64.StdEncoding.EncodeToString([]byte(strings.Repeat("k", 32)))} {
+		if _, err := os.Stat(name); err != nil {
+			if err := os.WriteFile(name, []byte(text), 0o600); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	ring, err := nameserver.ReadKeys(keys)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if members == nil {
+		members = []membership.Member{{Name: "_hooks._tcp.example.", SRV: true, Kind: "plain", Zone: "a", Weight: 1}}
+	}
+	n := &named{t: t, ring: nameserver.NewKeyring(ring), c: &nameserver.Config{Listen: "127.0.0.1:0", Folder: filepath.Join(dir, "zones"), Keys: ring,
+		Spans: membership.DefaultSpans(), Members: members,
+		Zones: []nameserver.ZoneConfig{{Name: "example.", File: path, Updates: []nameserver.Update{{Key: "ops.", Grant: zone.Grant{Names: []string{"*.example."}}}}}}}}
+	if n.svc, err = nameserver.Start(n.c, slog.New(slog.DiscardHandler)); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { n.svc.Close() })
+	return n
+}
+
+// names is what the sender is told of it.
+func (n *named) names(p membership.Precedence) func(*Config) {
+	return func(c *Config) {
+		c.Names = &Names{Source: n.svc, First: n.svc.First(), Destinations: n.svc.Destinations(), Fallback: p, Report: func() any { return n.svc.Report() }}
+	}
+}
+
+// at repoints the member by a signed update, and gives the time at which that was answered.
+func (n *named) at(addrs ...string) time.Time {
+	n.t.Helper()
+	m := new(dns.Msg).SetUpdate("example.")
+	m.RemoveRRset([]dns.RR{&dns.ANY{Hdr: dns.RR_Header{Name: "_hooks._tcp.example.", Rrtype: dns.TypeSRV}}})
+	for _, a := range addrs {
+		_, port, _ := net.SplitHostPort(a)
+		rr, err := dns.NewRR("_hooks._tcp.example. 60 IN SRV 0 1 " + port + " here.example.")
+		if err != nil {
+			n.t.Fatal(err)
+		}
+		m.Insert([]dns.RR{rr})
+	}
+	if err := n.ring.Sign(m, "ops.", time.Now().Unix()); err != nil {
+		n.t.Fatal(err)
+	}
+	c := dns.Client{Net: "tcp", Timeout: st.Wait, TsigProvider: n.ring}
+	r, _, err := c.Exchange(m, n.svc.Address())
+	if err != nil || r.Rcode != dns.RcodeSuccess {
+		n.t.Fatal(r, err)
+	}
+	return time.Now()
+}
+
+// Two hundred moves under load: each message is delivered, and no new call goes to an address later than two seconds after
+// the update that removed it was answered. How late the last call to each was is logged.
+func TestMembersMove(t *testing.T) {
+	const moves = 200
+	var mu sync.Mutex
+	last, got := make([]time.Time, moves+1), make([]int, moves+1) // calls to each: when the last came, and how many
+	delivered := map[string]int{}
+	var addrs []string
+	for i := range moves + 1 {
+		e := st.NewEndpoint(t, func(c st.Call, nc net.Conn) bool {
+			mu.Lock()
+			last[i] = time.Now()
+			got[i]++
+			delivered[c.ID]++
+			mu.Unlock()
+			return st.Status(200)(c, nc)
+		})
+		addrs = append(addrs, e.Addr)
+	}
+	n := newNamed(t, t.TempDir())
+	n.at(addrs[0])
+	addr := run(t, st.NewPlatform(t), n.names(membership.NamesFirst))
+	done, handed := make(chan struct{}), 0
+	var load sync.WaitGroup
+	for client := range 4 {
+		load.Add(1)
+		go func() {
+			defer load.Done()
+			for n := 0; ; n++ {
+				select {
+				case <-done:
+					return
+				default:
+				}
+				resp, _ := st.Do(t, st.Message(t, addr, fmt.Sprintf("m%d-%d", client, n), "unsafe", 0, 15*time.Second, "b"))
+				switch resp.StatusCode {
+				case http.StatusAccepted:
+					mu.Lock()
+					handed++
+					mu.Unlock()
+				case http.StatusServiceUnavailable: // its room is taken: the load is as much as it bears
+				default:
+					t.Errorf("m%d-%d is answered %s", client, n, resp.Status)
+				}
+			}
+		}()
+	}
+	told := make([]time.Time, moves+1)
+	for i := 1; i <= moves; i++ {
+		told[i-1] = n.at(addrs[i])
+		for over := time.Now().Add(st.Wait); ; { // the next move comes when some calls have gone to this address
+			mu.Lock()
+			reached := got[i] >= 5
+			mu.Unlock()
+			if reached {
+				break
+			}
+			if time.Now().After(over) {
+				t.Fatalf("move %d is not followed", i)
+			}
+			time.Sleep(time.Millisecond)
+		}
+	}
+	close(done)
+	load.Wait()
+	all := func() bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return len(delivered) == handed
+	}
+	for over := time.Now().Add(st.Wait); !all(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(over) {
+			t.Fatalf("%d of %d are delivered", len(delivered), handed)
+		}
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	var late []time.Duration
+	for i := range moves {
+		if d := last[i].Sub(told[i]); d > 2*time.Second+50*time.Millisecond {
+			t.Errorf("move %d: a call went to the old address %v after", i+1, d)
+		} else {
+			late = append(late, max(0, d))
+		}
+	}
+	for id, times := range delivered {
+		if times != 1 {
+			t.Errorf("%s was delivered %d times", id, times)
+		}
+	}
+	slices.Sort(late)
+	t.Logf("%d messages; last call to the old address after the answer: median %v, p90 %v, most %v", handed, late[len(late)/2], late[len(late)*9/10], late[len(late)-1])
+}
+
+// The last address goes while one message is out and others wait: nothing new goes there, the call that is out runs to its
+// end, the others wait for an address to come, and one whose time is over before ends honestly.
+func TestLastAddressRemoved(t *testing.T) {
+	answer := make(chan struct{})
+	old := st.NewEndpoint(t, func(c st.Call, nc net.Conn) bool {
+		<-answer
+		return st.Status(200)(c, nc)
+	})
+	next := st.NewEndpoint(t, st.Status(200))
+	n := newNamed(t, t.TempDir())
+	n.at(old.Addr)
+	p := st.NewPlatform(t)
+	addr := run(t, p, n.names(membership.NamesFirst))
+	st.HandIn(t, addr, "out", "unsafe", 0, 15*time.Second)
+	old.Next(t)
+	n.at() // none is left
+	for over := time.Now().Add(st.Wait); !slices.ContainsFunc(n.svc.Report().Members[0].Lines, func(l membership.Target) bool { return l.State == membership.Dropped }); {
+		if time.Now().After(over) {
+			t.Fatal("it is not dropped")
+		}
+		time.Sleep(time.Millisecond)
+	}
+	st.HandIn(t, addr, "short", "unsafe", 0, 300*time.Millisecond)
+	st.HandIn(t, addr, "waits", "unsafe", 0, 15*time.Second)
+	if got := st.Receive(t, p.Notices); got.Message != "short" || got.Outcome != "given_up" {
+		t.Errorf("%+v", got)
+	}
+	close(answer)
+	n.at(next.Addr)
+	if c := next.Next(t); c.ID != "waits" {
+		t.Error(c.ID)
+	}
+	st.HandIn(t, addr, "after", "unsafe", 0, 15*time.Second)
+	if c := next.Next(t); c.ID != "after" {
+		t.Error(c.ID)
+	}
+	if len(old.Calls) > 0 {
+		t.Errorf("the old address got %s", (<-old.Calls).ID)
+	}
+	select {
+	case got := <-p.Notices:
+		t.Errorf("%+v", got)
+	default:
+	}
+}
+
+// An address that two names list, one of them twice, and discovery under an id of its own, is one endpoint; it serves until
+// the last of them has dropped it.
+func TestListedTwice(t *testing.T) {
+	e, other := st.NewEndpoint(t, st.Status(200)), st.NewEndpoint(t, st.Status(200))
+	_, port, _ := net.SplitHostPort(e.Addr)
+	number, _ := strconv.ParseUint(port, 10, 16)
+	n := newNamed(t, t.TempDir(), membership.Member{Name: "_hooks._tcp.example.", SRV: true, Kind: "plain", Zone: "a", Weight: 1},
+		membership.Member{Name: "hooks.example.", Port: uint16(number), Kind: "plain", Zone: "a", Weight: 1})
+	n.at(e.Addr, e.Addr)
+	s := newTest(t, st.NewPlatform(t, e.Addr), n.names(membership.Both))
+	s.step(t.Context(), s.listsAtStart())
+	if len(s.list.byID) != 1 {
+		t.Fatalf("it is %d endpoints", len(s.list.byID))
+	}
+	number0 := s.list.byID["s-0"].number
+	news := func(from membership.Source, u membership.Update) {
+		s.step(t.Context(), []brainEvent{s.news(listEvent{from, u})})
+	}
+	news(membership.Discovery, membership.Update{Full: true}) // discovery drops it
+	if got := s.list.byID["s-0"]; got == nil || got.number != number0 || !got.line.Ready {
+		t.Fatalf("%+v", got)
+	}
+	follower := membership.NewFollower(n.c.Members, n.c.Spans)
+	one := func(addr string) membership.Answer {
+		return membership.Answer{Result: membership.Found, Addresses: []membership.Address{{AddrPort: mustParse(t, addr)}}}
+	}
+	follower.Step(0, []membership.Heard{{Member: 0, Answer: one(e.Addr)}, {Member: 1, Answer: one(e.Addr)}})
+	news(membership.Names, membership.Update{Servers: follower.Step(time.Second, []membership.Heard{{Member: 0, Answer: one(other.Addr)}})})
+	if got := s.list.byID["s-0"]; !got.line.Ready || len(s.list.byID) != 2 {
+		t.Error("one of two names dropped it, and it does not serve")
+	}
+	news(membership.Names, membership.Update{Servers: follower.Step(2*time.Second, []membership.Heard{{Member: 1, Answer: one(other.Addr)}})})
+	if got := s.list.byID["s-0"]; got == nil || got.line.Ready {
+		t.Error("both names dropped it, and it serves, or is forgotten")
+	}
+	news(membership.Names, membership.Update{Servers: follower.Step(3*time.Second, []membership.Heard{{Member: 1, Answer: one(e.Addr)}})})
+	if got := s.list.byID["s-0"]; got.number != number0 || !got.line.Ready {
+		t.Error("it came back, and is another")
+	}
+	news(membership.Names, membership.Update{Servers: follower.Step(4*time.Second, []membership.Heard{{Member: 1, Answer: one(other.Addr)}})})
+	news(membership.Names, membership.Update{Servers: follower.Step(time.Hour, nil)})
+	if s.list.byID["s-0"] != nil {
+		t.Error("it is not forgotten")
+	}
+}
+
+// A keyed message may have run at an address that names listed. The next process, which knows that address by discovery's
+// id, sends it again under its key, and as one that may have run.
+func TestHistoryOutlivesItsName(t *testing.T) {
+	calls := make(chan st.Call, 10)
+	silent := make(chan struct{}, 1)
+	silent <- struct{}{}
+	e := st.NewEndpoint(t, func(c st.Call, nc net.Conn) bool {
+		calls <- c
+		select {
+		case <-silent:
+			return st.Silent(c, nc)
+		default:
+			return st.Status(200)(c, nc)
+		}
+	})
+	dir := t.TempDir()
+	state := filepath.Join(dir, "state")
+	if err := os.MkdirAll(state, 0o755); err != nil {
+		t.Fatal(err)
+	}
+	n := newNamed(t, dir)
+	n.at(e.Addr)
+	p := st.NewPlatform(t)
+	s := newTest(t, p, func(c *Config) { c.State = state; n.names(membership.NamesFirst)(c) })
+	addr, leave := serving(t, s)
+	st.HandIn(t, addr, "m", "keyed", 0, 15*time.Second)
+	first := st.Receive(t, calls)
+	leave()
+	p.Change(st.Target("s-9", e.Addr, 0, "SERVING"))
+	s = newTest(t, p, func(c *Config) { c.State = state })
+	held := s.journal.held()
+	if len(held) != 1 || len(held[0].Tries) != 1 || !strings.HasPrefix(held[0].Tries[0].Endpoint, "dns:0:") {
+		t.Fatalf("%+v", held)
+	}
+	if f, may := held[0].firstRun(); !may || f.At == 0 {
+		t.Error("that it may have run is lost")
+	}
+	_, leave = serving(t, s)
+	defer leave()
+	if again := st.Receive(t, calls); again.ID != "m" || again.Key != first.Key || again.Key == "" {
+		t.Errorf("%+v, first %+v", again, first)
+	}
+}
+
+// What the command line asks for.
+func TestZonesReport(t *testing.T) {
+	n := newNamed(t, t.TempDir())
+	n.at("127.0.0.1:9")
+	state := t.TempDir()
+	_ = run(t, st.NewPlatform(t), func(c *Config) { c.State = state; n.names(membership.NamesFirst)(c) })
+	var r nameserver.Report
+	asked(t, state, "/zones", &r)
+	if len(r.Zones) != 1 || r.Zones[0].State != "held" || len(r.Members) != 1 || r.Counts["updates"] != 1 {
+		t.Errorf("%+v", r)
+	}
+}
+
+func mustParse(t *testing.T, addr string) netip.AddrPort {
+	t.Helper()
+	a, err := netip.ParseAddrPort(addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return a
+}
--- a/internal/sender/participant.go
+++ b/internal/sender/participant.go
@@ -76,7 +76,7 @@
 		}
 		parts = append(parts, p)
 	}
-	if s.c.Knowledge != nil || s.c.Peers != nil {
+	if s.c.Knowledge != nil || s.c.Peers != nil || s.c.Names != nil {
 		i, err := newInspection(s)
 		if err != nil { // without it the sender goes on, and the command line gets no answer
 			s.log.Error("what is known can't be asked for", "err", err)
--- /dev/null
+++ b/internal/zone/access.go
@@ -0,0 +1,89 @@
+package zone
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/miekg/dns"
+)
+
+// Grant is what one key may change: names, each exact or, with "*." before it, all below the rest; and types, none
+// meaning all.
+type Grant struct {
+	Names []string
+	Types []uint16
+}
+
+func (g *Grant) name(name string) bool {
+	return slices.ContainsFunc(g.Names, func(n string) bool {
+		if rest, ok := strings.CutPrefix(n, "*."); ok {
+			rest = Name(rest)
+			return name != rest && Within(rest, name)
+		}
+		return Name(n) == name
+	})
+}
+
+func (g *Grant) kind(t uint16) bool { return len(g.Types) == 0 || slices.Contains(g.Types, t) }
+
+// Allows looks at each record of an update (RFC 2136 3.3): one that the key may not change refuses all of it. A deletion of
+// all that a name has needs each type that stands there.
+func (g *Grant) Allows(z *Zone, updates []dns.RR) error {
+	for _, rr := range updates {
+		h := rr.Header()
+		name := Name(h.Name)
+		if !g.name(name) {
+			return refuse(dns.RcodeRefused, "the key may not change %s", name)
+		}
+		if h.Rrtype != dns.TypeANY {
+			if !g.kind(h.Rrtype) {
+				return refuse(dns.RcodeRefused, "the key may not change %s of %s", dns.Type(h.Rrtype), name)
+			}
+			continue
+		}
+		for _, s := range z.node(name) {
+			if !g.kind(s.kind()) {
+				return refuse(dns.RcodeRefused, "the key may not change %s of %s, and deletes all there", dns.Type(s.kind()), name)
+			}
+		}
+	}
+	return nil
+}
+
+// Replays remembers the signatures of messages that were taken, for as long as a copy of one would be in time (RFC 8945
+// 5.2.3: within its fudge of now). It is not for several goroutines.
+type Replays struct {
+	Most int
+
+	until map[string]time.Duration
+	next  time.Duration // nothing lapses before
+}
+
+// Seen books a message by its key and signature, signed for until a time of the same clock as now, and reports whether
+// it is a repeat; full reports that no room is left to remember it, so that it can't be taken.
+func (r *Replays) Seen(key, mac string, now, until time.Duration) (repeat, full bool) {
+	if r.until == nil {
+		r.until = map[string]time.Duration{}
+	}
+	id := Name(key) + "\x00" + mac
+	if u, ok := r.until[id]; ok && u >= now {
+		return true, false
+	}
+	if len(r.until) >= r.Most && now >= r.next {
+		r.next = time.Duration(1<<63 - 1)
+		for k, u := range r.until {
+			if u < now {
+				delete(r.until, k)
+			} else {
+				r.next = min(r.next, u+1)
+			}
+		}
+	}
+	if len(r.until) >= r.Most {
+		return false, true
+	}
+	r.until[id] = until
+	r.next = min(r.next, until+1)
+	return false, false
+}
--- /dev/null
+++ b/internal/zone/answer.go
@@ -0,0 +1,174 @@
+package zone
+
+import (
+	"strings"
+
+	"github.com/miekg/dns"
+)
+
+// Reply is what a zone says to a question.
+type Reply struct {
+	Rcode      int
+	Authority  bool     // it is the zone's own word; false for a referral
+	Answer     []dns.RR // with the chain of CNAMEs within the zone
+	Ns         []dns.RR // the SOA of a negative answer, or a referral's NS
+	Additional []dns.RR // addresses of what is referred to (glue)
+	Next       string   // a CNAME leads out of the zone, to this name
+}
+
+// cnameMost is how long a chain of CNAMEs within a zone is followed.
+const cnameMost = 16
+
+// Answer is RFC 1034 4.3.2, step 3, with RFC 2308's negative answers and RFC 4592's wildcards.
+func (z *Zone) Answer(name string, kind uint16) Reply {
+	r := Reply{Authority: true}
+	name = Name(name)
+	seen := map[string]bool{}
+	for range cnameMost {
+		if !Within(z.origin, name) {
+			r.Next = name
+			return r
+		}
+		if seen[name] { // a loop: what there is of it
+			return r
+		}
+		seen[name] = true
+		if cut := z.cut(name); cut != nil && !(kind == dns.TypeDS && name == Name(cut[0].Header().Name)) {
+			r.Authority = len(r.Answer) > 0
+			r.Ns = cut
+			for _, rr := range cut {
+				if ns, ok := rr.(*dns.NS); ok && Within(z.origin, Name(ns.Ns)) {
+					r.Additional = append(r.Additional, z.Set(ns.Ns, dns.TypeA)...)
+					r.Additional = append(r.Additional, z.Set(ns.Ns, dns.TypeAAAA)...)
+				}
+			}
+			return r
+		}
+		n := z.node(name)
+		wild := false
+		if n == nil && !z.exists(name) {
+			if n = z.wildcard(name); n == nil {
+				if len(r.Answer) == 0 {
+					r.Rcode = dns.RcodeNameError
+				}
+				r.Ns = z.negative()
+				return r
+			}
+			wild = true
+		}
+		if c := n.of(dns.TypeCNAME); c != nil && kind != dns.TypeCNAME && kind != dns.TypeANY {
+			r.Answer = append(r.Answer, at(c, name, wild)...)
+			target, ok := c[0].(*dns.CNAME)
+			if !ok {
+				return r
+			}
+			name = Name(target.Target)
+			continue
+		}
+		found := false
+		for _, s := range n {
+			if s.kind() == kind || kind == dns.TypeANY {
+				r.Answer = append(r.Answer, at(s, name, wild)...)
+				found = true
+				if kind == dns.TypeANY { // RFC 8482 4.1: one set is enough
+					break
+				}
+			}
+		}
+		if !found {
+			r.Ns = z.negative()
+		}
+		return r
+	}
+	return r
+}
+
+// at is a set as records of a name; those of a wildcard take the name that was asked for (RFC 4592 3.3.1).
+func at(s rrset, name string, wild bool) []dns.RR {
+	if !wild {
+		return s
+	}
+	out := make([]dns.RR, 0, len(s))
+	for _, rr := range s {
+		rr = dns.Copy(rr)
+		rr.Header().Name = name
+		out = append(out, rr)
+	}
+	return out
+}
+
+// exists reports whether a name is there or has something below it.
+func (z *Zone) exists(name string) bool {
+	it := z.tree.Root().Iterator()
+	it.SeekPrefix(key(name))
+	_, _, ok := it.Next()
+	return ok
+}
+
+// cut is the NS records of the delegation that a name is at or below, nil if the zone itself speaks for it.
+func (z *Zone) cut(name string) rrset {
+	if name == z.origin {
+		return nil
+	}
+	var above []string
+	for n := name; n != z.origin && Within(z.origin, n); n = parent(n) {
+		above = append(above, n)
+	}
+	for i := len(above) - 1; i >= 0; i-- { // the highest one counts
+		if ns := z.set(above[i], dns.TypeNS); ns != nil {
+			return ns
+		}
+	}
+	return nil
+}
+
+// wildcard is the node of the wildcard that speaks for a name that is not there (RFC 4592 3.3): that of its closest
+// encloser, if it has one.
+func (z *Zone) wildcard(name string) node {
+	for n := parent(name); Within(z.origin, n); n = parent(n) {
+		if z.exists(n) {
+			return z.node(below("*", n))
+		}
+		if n == z.origin || n == "." {
+			return nil
+		}
+	}
+	return nil
+}
+
+func below(label, name string) string {
+	if name == "." {
+		return label + "."
+	}
+	return label + "." + name
+}
+
+// parent is the name one label up; of the root it is the root.
+func parent(name string) string {
+	off, end := dns.NextLabel(name, 0)
+	if end || off >= len(name) {
+		return "."
+	}
+	return name[off:]
+}
+
+// negative is the SOA with the time to live of a negative answer (RFC 2308 3).
+func (z *Zone) negative() []dns.RR {
+	soa := z.SOA()
+	if soa == nil {
+		return nil
+	}
+	c, ok := dns.Copy(soa).(*dns.SOA)
+	if !ok {
+		return nil
+	}
+	c.Hdr.Ttl = min(c.Hdr.Ttl, c.Minttl)
+	return []dns.RR{c}
+}
+
+// Label reports whether a name is one that may be written in a file or a setting: absolute or not, each label of 63 octets
+// at most.
+func Label(name string) bool {
+	_, ok := dns.IsDomainName(name)
+	return ok && name != "" && !strings.ContainsAny(name, " \t")
+}
--- /dev/null
+++ b/internal/zone/codec.go
@@ -0,0 +1,91 @@
+package zone
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"hash/crc32"
+
+	"github.com/miekg/dns"
+)
+
+// A difference as the journal holds it:
+//
+//	length of the payload, 4 octets; its CRC-32C, 4; the payload:
+//	serial before, 4; serial after, 4; how many records go, 4; how many come, 4;
+//	each record: its length, 4, and the record as on the wire, uncompressed
+//
+// All numbers are big endian.
+const (
+	deltaHead = 8
+	deltaMost = 1 << 30
+)
+
+// ErrTorn says that what follows is no whole difference: its writing was cut off, or it was damaged.
+var ErrTorn = errors.New("no whole difference")
+
+func castagnoli() *crc32.Table { return crc32.MakeTable(crc32.Castagnoli) }
+
+// Append appends a difference as bytes.
+func (d *Delta) Append(b []byte) ([]byte, error) {
+	head := len(b)
+	b = append(b, make([]byte, deltaHead)...)
+	for _, n := range []uint32{d.From, d.To, uint32(len(d.Removed)), uint32(len(d.Added))} {
+		b = binary.BigEndian.AppendUint32(b, n)
+	}
+	for _, side := range [][]dns.RR{d.Removed, d.Added} {
+		for _, rr := range side {
+			wire, err := packRR(rr)
+			if err != nil {
+				return b[:head], err
+			}
+			b = append(binary.BigEndian.AppendUint32(b, uint32(len(wire))), wire...)
+		}
+	}
+	payload := b[head+deltaHead:]
+	if len(payload) > deltaMost {
+		return b[:head], fmt.Errorf("a difference of %d bytes", len(payload))
+	}
+	binary.BigEndian.PutUint32(b[head:], uint32(len(payload)))
+	binary.BigEndian.PutUint32(b[head+4:], crc32.Checksum(payload, castagnoli()))
+	return b, nil
+}
+
+// ReadDelta reads the difference that b begins with, and says how many bytes it takes; ErrTorn if there is no whole one.
+func ReadDelta(b []byte) (*Delta, int, error) {
+	if len(b) < deltaHead {
+		return nil, 0, ErrTorn
+	}
+	n := int(binary.BigEndian.Uint32(b))
+	if n < 16 || n > deltaMost || n > len(b)-deltaHead {
+		return nil, 0, ErrTorn
+	}
+	payload := b[deltaHead : deltaHead+n]
+	if crc32.Checksum(payload, castagnoli()) != binary.BigEndian.Uint32(b[4:]) {
+		return nil, 0, ErrTorn
+	}
+	d := &Delta{From: binary.BigEndian.Uint32(payload), To: binary.BigEndian.Uint32(payload[4:])}
+	counts := [2]uint32{binary.BigEndian.Uint32(payload[8:]), binary.BigEndian.Uint32(payload[12:])}
+	rest := payload[16:]
+	for i, side := range []*[]dns.RR{&d.Removed, &d.Added} {
+		for range counts[i] {
+			if len(rest) < 4 {
+				return nil, 0, fmt.Errorf("%w: records are missing", ErrTorn)
+			}
+			n := int(binary.BigEndian.Uint32(rest))
+			if rest = rest[4:]; n > len(rest) {
+				return nil, 0, fmt.Errorf("%w: a record is cut off", ErrTorn)
+			}
+			rr, at, err := dns.UnpackRR(rest[:n], 0)
+			if err != nil || at != n {
+				return nil, 0, fmt.Errorf("%w: a record can't be read: %v", ErrTorn, err)
+			}
+			*side = append(*side, rr)
+			rest = rest[n:]
+		}
+	}
+	if len(rest) > 0 {
+		return nil, 0, fmt.Errorf("%w: more behind its records", ErrTorn)
+	}
+	return d, deltaHead + n, nil
+}
--- /dev/null
+++ b/internal/zone/delta.go
@@ -0,0 +1,284 @@
+package zone
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+
+	"github.com/miekg/dns"
+)
+
+// Delta is the difference between two versions of a zone, as RFC 1995 sends it: first what goes, then what comes, the SOA
+// of each version among them.
+type Delta struct {
+	From, To       uint32
+	Removed, Added []dns.RR
+}
+
+// Records is how many records it names.
+func (d *Delta) Records() int { return len(d.Removed) + len(d.Added) }
+
+// ErrOther says that a difference was made from another version, or does not fit what the zone holds.
+var ErrOther = errors.New("the difference does not fit this version")
+
+// Apply gives the zone after a difference. All that it removes must be there and all that it adds must not, or it is
+// ErrOther.
+func (z *Zone) Apply(d *Delta) (*Zone, error) {
+	if z.Serial() != d.From {
+		return nil, fmt.Errorf("%s: %w: from serial %d, the zone has %d", z.origin, ErrOther, d.From, z.Serial())
+	}
+	e := z.edit()
+	for _, rr := range d.Removed {
+		if !e.remove(rr) {
+			return nil, fmt.Errorf("%s: %w: it removes what is not there: %s", z.origin, ErrOther, rr)
+		}
+	}
+	for _, rr := range d.Added {
+		if err := z.fits(rr); err != nil {
+			return nil, err
+		}
+		before := e.records
+		if e.add(rr, true); e.records == before {
+			return nil, fmt.Errorf("%s: %w: it adds what is there: %s", z.origin, ErrOther, rr)
+		}
+	}
+	after := e.zone()
+	if err := after.check(); err != nil {
+		return nil, err
+	}
+	if after.Serial() != d.To {
+		return nil, fmt.Errorf("%s: %w: to serial %d, it gives %d", z.origin, ErrOther, d.To, after.Serial())
+	}
+	return after, nil
+}
+
+// Diff is what makes b of a: two walks side by side. Where a time to live differs the set's records go and come.
+func Diff(a, b *Zone) *Delta {
+	d := &Delta{From: a.Serial(), To: b.Serial()}
+	x, y := a.tree.Root().Iterator(), b.tree.Root().Iterator()
+	kx, nx, okx := x.Next()
+	ky, ny, oky := y.Next()
+	for okx || oky {
+		switch order := bytes.Compare(kx, ky); {
+		case !oky || okx && order < 0:
+			d.node(nx, nil)
+			kx, nx, okx = x.Next()
+		case !okx || order > 0:
+			d.node(nil, ny)
+			ky, ny, oky = y.Next()
+		default:
+			d.node(nx, ny)
+			kx, nx, okx = x.Next()
+			ky, ny, oky = y.Next()
+		}
+	}
+	return d
+}
+
+// DiffNames is Diff where only some names can differ: its cost goes by them, not by the zone.
+func DiffNames(a, b *Zone, names []string) *Delta {
+	d := &Delta{From: a.Serial(), To: b.Serial()}
+	done := map[string]bool{}
+	for _, name := range append([]string{a.origin}, names...) { // the SOA is always among them
+		if name = Name(name); !done[name] {
+			done[name] = true
+			d.node(a.node(name), b.node(name))
+		}
+	}
+	return d
+}
+
+func (d *Delta) node(a, b node) {
+	if len(a) == len(b) && len(a) > 0 && &a[0] == &b[0] {
+		return
+	}
+	for _, s := range a {
+		t := b.of(s.kind())
+		if sameSet(s, t) {
+			continue
+		}
+		for _, rr := range s {
+			if !has(t, rr) {
+				d.Removed = append(d.Removed, rr)
+			}
+		}
+	}
+	for _, t := range b {
+		s := a.of(t.kind())
+		if sameSet(s, t) {
+			continue
+		}
+		for _, rr := range t {
+			if !has(s, rr) {
+				d.Added = append(d.Added, rr)
+			}
+		}
+	}
+}
+
+// has reports whether a set has a record, with the same time to live.
+func has(s rrset, rr dns.RR) bool {
+	for _, o := range s {
+		if o == rr || o.Header().Ttl == rr.Header().Ttl && dns.IsDuplicate(o, rr) {
+			return true
+		}
+	}
+	return false
+}
+
+// Rebase puts what was done to base by hand, which gave edited, onto the zone as it is now: for each set that the hand
+// touched, the hand wins; all else is as it is now. The serial is the edited one if that is newer than now, else the
+// next; changed is false where the hand changed nothing but the serial, backwards.
+func Rebase(base, edited, now *Zone) (after *Zone, changed bool, err error) {
+	type place struct {
+		name string
+		kind uint16
+	}
+	touched := map[place]bool{}
+	d := Diff(base, edited)
+	for _, rr := range append(append([]dns.RR{}, d.Removed...), d.Added...) {
+		touched[place{Name(rr.Header().Name), rr.Header().Rrtype}] = true
+	}
+	e := now.edit()
+	for p := range touched {
+		if p.kind != dns.TypeSOA {
+			e.swap(p.name, p.kind, edited.set(p.name, p.kind))
+		}
+	}
+	serial := now.Serial()
+	if soa := edited.set(edited.origin, dns.TypeSOA); len(soa) == 1 && touched[place{edited.origin, dns.TypeSOA}] {
+		e.swap(edited.origin, dns.TypeSOA, soa)
+	}
+	after = e.zone()
+	if len(Diff(now.WithSerial(0), after.WithSerial(0)).Added)+len(Diff(now.WithSerial(0), after.WithSerial(0)).Removed) > 0 || NewerSerial(edited.Serial(), serial) {
+		changed = true
+	}
+	if !changed {
+		return now, false, nil
+	}
+	if s := edited.Serial(); NewerSerial(s, serial) {
+		after = after.WithSerial(s)
+	} else {
+		after = after.WithSerial(NextSerial(serial))
+	}
+	return after, true, after.check()
+}
+
+// History is the last differences of a zone, each from where the one before it ended. It is not for several goroutines.
+type History struct {
+	MaxVersions, MaxRecords int
+
+	deltas  []*Delta
+	records int
+}
+
+// Add books a difference. One that does not go on from the last starts anew.
+func (h *History) Add(d *Delta) {
+	if n := len(h.deltas); n > 0 && h.deltas[n-1].To != d.From {
+		h.deltas, h.records = nil, 0
+	}
+	h.deltas = append(h.deltas, d)
+	h.records += d.Records()
+	for len(h.deltas) > h.MaxVersions || h.records > h.MaxRecords && len(h.deltas) > 0 {
+		h.records -= h.deltas[0].Records()
+		h.deltas[0] = nil
+		h.deltas = h.deltas[1:]
+	}
+}
+
+// Since is the differences from a serial to the last; false if it is not held.
+func (h *History) Since(serial uint32) ([]*Delta, bool) {
+	for i := len(h.deltas) - 1; i >= 0; i-- {
+		if h.deltas[i].From == serial {
+			return append([]*Delta{}, h.deltas[i:]...), true
+		}
+	}
+	return nil, false
+}
+
+// Incremental is the records of an answer to IXFR (RFC 1995 4): the SOA now, for each difference the old SOA with what
+// goes and the new SOA with what comes, and the SOA now.
+func Incremental(now *Zone, deltas []*Delta) []dns.RR {
+	rrs := []dns.RR{now.SOA()}
+	for _, d := range deltas {
+		for _, side := range [][]dns.RR{d.Removed, d.Added} {
+			for _, rr := range side {
+				if rr.Header().Rrtype == dns.TypeSOA {
+					rrs = append(rrs, rr)
+				}
+			}
+			for _, rr := range side {
+				if rr.Header().Rrtype != dns.TypeSOA {
+					rrs = append(rrs, rr)
+				}
+			}
+		}
+	}
+	return append(rrs, now.SOA())
+}
+
+// ErrTransfer says that a transfer is not one: cut short, without its SOAs, or with more behind its end.
+var ErrTransfer = errors.New("the transfer is not whole")
+
+// FromTransfer makes the next version of the records of an answer to AXFR (RFC 5936 2.2) or IXFR (RFC 1995 4): whole, or by
+// differences from before, which may be nil. Where the answer says that before is the newest, it is given back. deltas is
+// empty for a whole zone.
+func FromTransfer(origin string, before *Zone, rrs []dns.RR) (after *Zone, deltas []*Delta, err error) {
+	if len(rrs) == 0 {
+		return nil, nil, fmt.Errorf("%s: %w: no record", origin, ErrTransfer)
+	}
+	last, ok := rrs[0].(*dns.SOA)
+	if !ok || Name(last.Hdr.Name) != Name(origin) {
+		return nil, nil, fmt.Errorf("%s: %w: it begins with no SOA of the zone", origin, ErrTransfer)
+	}
+	if len(rrs) == 1 {
+		if before != nil && before.Serial() == last.Serial {
+			return before, nil, nil
+		}
+		return nil, nil, fmt.Errorf("%s: %w: a SOA alone, serial %d", origin, ErrTransfer, last.Serial)
+	}
+	end, ok := rrs[len(rrs)-1].(*dns.SOA)
+	if !ok || end.Serial != last.Serial {
+		return nil, nil, fmt.Errorf("%s: %w: it does not end with the SOA it began with", origin, ErrTransfer)
+	}
+	body := rrs[1 : len(rrs)-1]
+	if len(body) == 0 || body[0].Header().Rrtype != dns.TypeSOA {
+		for _, rr := range body {
+			if rr.Header().Rrtype == dns.TypeSOA {
+				return nil, nil, fmt.Errorf("%s: %w: more behind its end", origin, ErrTransfer)
+			}
+		}
+		after, err = New(origin, rrs[:len(rrs)-1])
+		return after, nil, err
+	}
+	if before == nil {
+		return nil, nil, fmt.Errorf("%s: %w: differences, and no version is held", origin, ErrTransfer)
+	}
+	after = before
+	for at := 0; at < len(body); {
+		from, ok := body[at].(*dns.SOA)
+		if !ok {
+			return nil, nil, fmt.Errorf("%s: %w: a difference without its SOA", origin, ErrTransfer)
+		}
+		d := &Delta{From: from.Serial, Removed: []dns.RR{from}}
+		for at++; at < len(body) && body[at].Header().Rrtype != dns.TypeSOA; at++ {
+			d.Removed = append(d.Removed, body[at])
+		}
+		if at == len(body) {
+			return nil, nil, fmt.Errorf("%s: %w: a difference from %d without its end", origin, ErrTransfer, d.From)
+		}
+		to, _ := body[at].(*dns.SOA)
+		d.To, d.Added = to.Serial, []dns.RR{to}
+		for at++; at < len(body) && body[at].Header().Rrtype != dns.TypeSOA; at++ {
+			d.Added = append(d.Added, body[at])
+		}
+		if after, err = after.Apply(d); err != nil {
+			return nil, nil, err
+		}
+		deltas = append(deltas, d)
+	}
+	if after.Serial() != last.Serial {
+		return nil, nil, fmt.Errorf("%s: %w: the differences end at %d, not at %d", origin, ErrTransfer, after.Serial(), last.Serial)
+	}
+	return after, deltas, nil
+}
--- /dev/null
+++ b/internal/zone/load.go
@@ -0,0 +1,100 @@
+package zone
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"io/fs"
+
+	"github.com/miekg/dns"
+)
+
+// Parse reads a zone file (RFC 1035 5, RFC 2308 4 for $TTL; $GENERATE as BIND has it). $INCLUDE opens files of the folder
+// that files stands for, and no others. An error names the file and the line. most bounds the records.
+func Parse(r io.Reader, origin, file string, files fs.FS, most int) (*Zone, error) {
+	p := dns.NewZoneParser(r, Name(origin), file)
+	if files != nil {
+		p.SetIncludeAllowed(true)
+		p.SetIncludeFS(confined{files})
+	}
+	z := &Zone{origin: Name(origin), tree: emptyTree()}
+	e := z.edit()
+	soas := 0
+	for rr, ok := p.Next(); ok; rr, ok = p.Next() {
+		if err := z.fits(rr); err != nil {
+			return nil, fmt.Errorf("%s: %w", file, err)
+		}
+		if rr.Header().Rrtype == dns.TypeSOA {
+			if soas++; soas > 1 {
+				return nil, fmt.Errorf("%s: a second SOA: %s", file, rr)
+			}
+		}
+		if e.add(rr, false); e.records > most {
+			return nil, fmt.Errorf("%s: more than %d records", file, most)
+		}
+	}
+	if err := p.Err(); err != nil {
+		return nil, fmt.Errorf("zone file: %w", err) // the parser names file and line
+	}
+	z = e.zone()
+	if err := z.check(); err != nil {
+		return nil, fmt.Errorf("%s: %w", file, err)
+	}
+	return z, nil
+}
+
+// confined opens what a valid path names and nothing that a link leads out to: files that are regular.
+type confined struct{ fs.FS }
+
+func (c confined) Open(name string) (fs.File, error) {
+	f, err := c.FS.Open(name)
+	if err != nil {
+		return nil, err
+	}
+	info, err := f.Stat()
+	if err == nil && !info.Mode().IsRegular() {
+		err = &fs.PathError{Op: "open", Path: name, Err: errors.New("no regular file")}
+	}
+	if err != nil {
+		return nil, errors.Join(err, f.Close())
+	}
+	return f, nil
+}
+
+// Write writes a zone as a file that Parse reads: the SOA first, names in canonical order.
+func (z *Zone) Write(w io.Writer) error {
+	var err error
+	if _, err = fmt.Fprintf(w, "; %s, %d records, written by saffronyard\n", z.origin, z.records); err != nil {
+		return err
+	}
+	z.All(func(rr dns.RR) bool {
+		_, err = fmt.Fprintln(w, rr.String())
+		return err != nil
+	})
+	return err
+}
+
+// Changed says what a newly read file is to the version held.
+type Changed int
+
+// What it may be.
+const (
+	Same      Changed = iota
+	Newer             // and its serial says so
+	Forgotten         // the data are others, the serial is the same: it is taken, as the next serial
+	Backwards         // the serial went back: not taken
+)
+
+// Next decides on a file that was read while a version is held. next is what is to be served from then on, nil where
+// nothing changes.
+func Next(held, read *Zone) (next *Zone, what Changed) {
+	switch d := Diff(held, read); {
+	case d.From == d.To && d.Records() == 0:
+		return nil, Same
+	case d.From == d.To:
+		return read.WithSerial(NextSerial(held.Serial())), Forgotten
+	case !NewerSerial(d.To, d.From):
+		return nil, Backwards
+	}
+	return read, Newer
+}
