--- a/internal/sender/names_test.go
+++ b/internal/sender/names_test.go
@@ -342,3 +342,17 @@
 	}
 	return a
 }
+
+// A member whose name has no address yet exists all the same: its messages wait for the first one.
+func TestMemberWithoutAddress(t *testing.T) {
+	e, other := st.NewEndpoint(t, st.Status(200)), st.NewEndpoint(t, st.Status(200))
+	n := newNamed(t, t.TempDir())
+	p := st.NewPlatform(t)
+	p.Change(st.Target("s-1", other.Addr, 1, "SERVING"))
+	addr := run(t, p, n.names(membership.NamesFirst))
+	st.HandIn(t, addr, "early", "unsafe", 0, 15*time.Second)
+	n.at(e.Addr)
+	if c := e.Next(t); c.ID != "early" {
+		t.Error(c.ID)
+	}
+}
