--- /dev/null
+++ b/internal/work/report.go
@@ -0,0 +1,143 @@
+package work
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// View is a job as operators see it.
+type View struct {
+	ID       ID     `json:"id"`
+	Kind     string `json:"kind"`
+	Owner    string `json:"owner"`
+	Priority string `json:"priority"`
+	State    string `json:"state"` // running, waiting or parked
+	Why      string `json:"why,omitempty"`
+	ForMS    int64  `json:"for_ms,omitempty"` // it has been ready
+	Slices   int    `json:"slices"`
+	Fails    int    `json:"fails,omitempty"`
+	Err      string `json:"err,omitempty"`
+	Used     Cost   `json:"used"`
+}
+
+// Filter chooses jobs; what is empty holds for all.
+type Filter struct {
+	ID    ID
+	Kind  string
+	Owner string
+	State string
+	Most  int
+}
+
+// Views are the jobs that a filter chooses, by number.
+func (s *Scheduler) Views(f Filter) []View {
+	var ids []ID
+	for id, j := range s.jobs {
+		if (f.ID == 0 || f.ID == id) && (f.Kind == "" || f.Kind == j.Kind) && (f.Owner == "" || f.Owner == j.Owner) && (f.State == "" || f.State == j.word()) {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	if f.Most > 0 && len(ids) > f.Most {
+		ids = ids[:f.Most]
+	}
+	views := make([]View, 0, len(ids))
+	for _, id := range ids {
+		j := s.jobs[id]
+		v := View{ID: id, Kind: j.Kind, Owner: j.Owner, Priority: j.Priority.String(), State: j.word(), Why: s.why(j), Slices: j.slices, Fails: j.fails, Err: j.err, Used: j.used}
+		if j.state == ready {
+			v.ForMS = (s.now - j.since).Milliseconds()
+		}
+		views = append(views, v)
+	}
+	return views
+}
+
+func (j *job) word() string {
+	switch j.state {
+	case running:
+		return "running"
+	case parked:
+		return "parked"
+	}
+	return "waiting"
+}
+
+// why says what a job waits for.
+func (s *Scheduler) why(j *job) string {
+	switch j.state {
+	case running:
+		return ""
+	case parked:
+		return "it failed too often, or can't be settled by itself: run or drop it"
+	case delayed:
+		if j.retry && j.fails > 0 {
+			return "pause after a failure"
+		}
+		return "its time"
+	case locked:
+		return "lock " + j.Lock
+	case broken:
+		return "breaker of " + j.Resource
+	case credited:
+		return "retry budget of " + j.Kind
+	}
+	k, o := s.kind(j.Kind), s.owner(j.Owner)
+	switch {
+	case k.paused || o.paused:
+		return "paused"
+	case !s.all.free() && s.allow < 1:
+		return "pressure of live traffic"
+	case !s.all.free():
+		return "budget of all work"
+	case !o.budget.free():
+		return "budget of " + o.name
+	case k.Window != nil && k.opens > s.now:
+		return "window of " + k.name
+	case !s.may(k) && k.Running > 0 && k.running >= k.Running:
+		return "others of its kind"
+	case !s.may(k):
+		return "budget of " + k.name
+	}
+	return "its turn"
+}
+
+// Total is what a kind or an owner has, and has used.
+type Total struct {
+	Name   string `json:"name"`
+	Jobs   int    `json:"jobs"`
+	Used   Cost   `json:"used"`
+	Paused bool   `json:"paused,omitempty"`
+}
+
+// Totals are those of kinds and of owners, by name.
+func (s *Scheduler) Totals() (kinds, owners []Total) {
+	n := map[string]int{}
+	for _, j := range s.jobs {
+		n[j.Kind]++
+	}
+	for _, k := range s.kinds {
+		kinds = append(kinds, Total{k.name, n[k.name], k.used, k.paused})
+	}
+	for _, o := range s.owners {
+		owners = append(owners, Total{o.name, o.jobs, o.used, o.paused})
+	}
+	byName := func(a, b Total) int { return cmp.Compare(a.Name, b.Name) }
+	slices.SortFunc(kinds, byName)
+	slices.SortFunc(owners, byName)
+	return kinds, owners
+}
+
+// Len is how many jobs are held, and how many slices run.
+func (s *Scheduler) Len() (jobs, slices int) { return len(s.jobs), s.running }
+
+// Waited is how long the job that has been ready for longest has been so.
+func (s *Scheduler) Waited() time.Duration {
+	if e := s.oldest.Front(); e != nil {
+		if j, ok := e.Value.(*job); ok {
+			return s.now - j.since
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/work/run/run.go
@@ -0,0 +1,696 @@
+// Package run does background work: workers, cancellation and a watchdog round the decisions of package work, with what
+// must outlast the process in package store.
+package run
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"runtime"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"dockshift.example/dockshift/internal/work"
+	"dockshift.example/dockshift/internal/work/store"
+)
+
+// Task is a slice that is to be done.
+type Task struct {
+	ID    work.ID
+	Owner string
+	State []byte // where the last slice said to go on
+	Fails int    // in a row
+}
+
+// Result is how a slice went.
+type Result struct {
+	State []byte // where to go on
+	More  bool   // there is more; else the job is done
+	After time.Duration
+	Used  work.Cost
+	Jobs  []New // made by it
+}
+
+// New is a job to be taken on.
+type New struct {
+	Kind     string
+	Owner    string
+	Priority work.Priority
+	After    time.Duration
+	Within   time.Duration // it should be done; 0: no deadline
+	Left     time.Duration
+	Slice    work.Cost // what a slice is said to use
+	Lock     string
+	Resource string
+	State    []byte
+}
+
+// ErrPark says that a slice is not to be tried again by itself.
+var ErrPark = errors.New("this waits for an operator")
+
+// Kind is what a kind of jobs does.
+type Kind struct {
+	Name    string
+	Version int // of its state's form; a job of a newer one waits
+	// Memory: its jobs are not kept. One that the process leaves behind is taken on anew by whoever wants it.
+	Memory bool
+	// Repeat: a slice does no harm if it is done once more. Without it what is about to be done is written down first.
+	Repeat bool
+	// Settle says after a kill whether the slice that was about to be done was done, and if so where to go on, as its
+	// result. Nil: nobody can say, and the job is parked.
+	Settle func(ctx context.Context, t Task) (done bool, r Result, err error)
+	// Slice does one slice. It ends soon after ctx.
+	Slice func(ctx context.Context, t Task) (Result, error)
+	// Timer has a job of this kind taken on by schedule; nil: none.
+	Timer *Timer
+}
+
+// Timer is a schedule and the job that it makes.
+type Timer struct {
+	work.Schedule
+	Job New
+}
+
+// Config is a runner's.
+type Config struct {
+	Settings work.Settings
+	Path     string // of the store
+	Bytes    int64  // of all jobs in it
+	Targets  work.Targets
+	Facts    func() work.Facts // how busy live work is; nil: not at all
+	Workers  int
+	Slow     time.Duration // a slice that runs for longer is named
+	Random   func() float64
+	Wall     func() time.Time
+	NoLimit  bool // pressure is not heeded: for measurements
+
+	around func(keeper) keeper // for tests
+}
+
+// keeper is what is kept of jobs; package store has it.
+type keeper interface {
+	Add(records []store.Record, timer string, ran time.Time) error
+	Ran(timer string) (time.Time, error)
+	Intend(id work.ID) error
+	Unintend(id work.ID) error
+	Fail(id work.ID, fails int, parked string) error
+	Park(id work.ID, why string) error
+	Checkpoint(id work.ID, state []byte, earliest int64, made []store.Record) error
+	End(id work.ID, made []store.Record) error
+	Load(f func(store.Record) error) error
+	Close() error
+}
+
+const (
+	factsEvery = 100 * time.Millisecond
+	timerLook  = 30 * time.Second // wall clocks jump: schedules and windows are looked at so often
+	stackMost  = 1 << 20
+)
+
+// Runner does background work.
+type Runner struct {
+	c     Config
+	log   *slog.Logger
+	kinds map[string]*Kind
+	store keeper
+	start time.Time
+
+	asks    chan func()
+	results chan ended
+	stop    context.CancelFunc
+	ctx     context.Context
+	done    chan struct{}
+	workers sync.WaitGroup
+
+	// The loop's.
+	sched    *work.Scheduler
+	pressure work.Pressure
+	running  map[work.ID]*slice
+	records  map[work.ID]*store.Record // of all jobs that are held
+	memory   work.ID                   // numbers of those that are not kept count down from here
+	last     map[string]time.Time      // schedules: of which time the last run was
+	due      map[string]time.Time
+	failing  bool // the store
+}
+
+type slice struct {
+	cancel context.CancelFunc
+	begun  time.Time
+	named  bool
+	kind   *Kind
+}
+
+type ended struct {
+	id  work.ID
+	res Result
+	err error
+}
+
+// Start opens the store, takes up what an earlier process left, and begins.
+func Start(c Config, kinds []*Kind, log *slog.Logger) (*Runner, error) {
+	if c.Random == nil {
+		c.Random = rand.Float64
+	}
+	if c.Wall == nil {
+		c.Wall = time.Now
+	}
+	if c.Workers <= 0 {
+		c.Workers = 2
+	}
+	if c.Slow <= 0 {
+		c.Slow = 30 * time.Second
+	}
+	c.Settings.Limits.Running = c.Workers
+	r := &Runner{c: c, log: log, kinds: map[string]*Kind{}, start: time.Now(), asks: make(chan func()), results: make(chan ended, c.Workers),
+		done: make(chan struct{}), sched: work.New(c.Settings, c.Random), pressure: work.Pressure{Targets: c.Targets}, running: map[work.ID]*slice{},
+		records: map[work.ID]*store.Record{}, memory: 1 << 62, last: map[string]time.Time{}, due: map[string]time.Time{}}
+	for _, k := range kinds {
+		r.kinds[k.Name] = k
+	}
+	st, err := store.Open(c.Path, c.Bytes)
+	if err != nil {
+		return nil, err
+	}
+	if r.store = st; c.around != nil {
+		r.store = c.around(st)
+	}
+	r.ctx, r.stop = context.WithCancel(context.Background())
+	if err := r.resume(); err != nil {
+		r.stop()
+		return nil, errors.Join(err, r.store.Close())
+	}
+	go r.loop()
+	return r, nil
+}
+
+func (r *Runner) now() time.Duration { return time.Since(r.start) }
+
+// resume takes up what an earlier process left.
+func (r *Runner) resume() error {
+	var events []work.Event
+	err := r.store.Load(func(rec store.Record) error {
+		parked := rec.Parked
+		k := r.kinds[rec.Kind]
+		switch {
+		case k == nil:
+			parked = "nobody here does " + rec.Kind
+		case rec.Version > k.Version:
+			parked = fmt.Sprintf("it is of version %d of %s, and this is %d", rec.Version, rec.Kind, k.Version)
+		case rec.Intended && k.Settle == nil && parked == "":
+			parked = "the process ended while a slice of it was under way: it may have been done"
+		}
+		r.records[rec.ID] = &rec
+		events = append(events, work.Submit{Job: r.job(&rec), Fails: rec.Fails, Parked: parked})
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	for _, k := range r.kinds {
+		if k.Timer != nil {
+			if r.last[k.Name], err = r.store.Ran(k.Name); err != nil {
+				return err
+			}
+		}
+	}
+	// What is held already is held, whatever the bounds are now.
+	open := r.c.Settings
+	open.Limits = work.Limits{}
+	r.act(r.sched.Step(r.now(), r.c.Wall(), append([]work.Event{work.Configure{Settings: open}, work.Allow{Part: 0}}, events...)...))
+	r.act(r.sched.Step(r.now(), r.c.Wall(), work.Configure{Settings: r.c.Settings}, work.Allow{Part: 1}))
+	return nil
+}
+
+// job is a record as the scheduler takes it: its times are of the runner's clock.
+func (r *Runner) job(rec *store.Record) work.Job {
+	j := work.Job{ID: rec.ID, Kind: rec.Kind, Owner: rec.Owner, Priority: rec.Priority, Slice: rec.Slice, Left: time.Duration(rec.Left), Lock: rec.Lock,
+		Resource: rec.Resource, Depth: rec.Depth, Size: int64(len(rec.State)) + 200}
+	wall, now := r.c.Wall().UnixNano(), r.now()
+	if rec.Earliest > 0 {
+		j.Earliest = now + time.Duration(rec.Earliest-wall)
+	}
+	if rec.Deadline > 0 {
+		j.Deadline = max(1, now+time.Duration(rec.Deadline-wall))
+	}
+	return j
+}
+
+func (r *Runner) record(n *New, depth int) store.Record {
+	wall := r.c.Wall().UnixNano()
+	rec := store.Record{Kind: n.Kind, Owner: n.Owner, Priority: n.Priority, Slice: n.Slice, Left: int64(n.Left), Lock: n.Lock, Resource: n.Resource, Depth: depth, State: n.State}
+	if k := r.kinds[n.Kind]; k != nil {
+		rec.Version = k.Version
+	}
+	if n.After > 0 {
+		rec.Earliest = wall + int64(n.After)
+	}
+	if n.Within > 0 {
+		rec.Deadline = wall + int64(n.Within)
+	}
+	return rec
+}
+
+// ErrLeaving says that the runner has ended.
+var ErrLeaving = errors.New("background work is ending")
+
+// within runs f in the loop.
+func (r *Runner) within(f func()) error {
+	done := make(chan struct{})
+	select {
+	case r.asks <- func() { f(); close(done) }:
+		<-done
+		return nil
+	case <-r.ctx.Done():
+		return ErrLeaving
+	}
+}
+
+// Submit takes jobs on, all or none. When it returns without an error those that are kept are on the disk.
+func (r *Runner) Submit(jobs ...New) error {
+	err := ErrLeaving
+	if e := r.within(func() { err = r.submit(jobs, 0, "", time.Time{}) }); e != nil {
+		return e
+	}
+	return err
+}
+
+func (r *Runner) submit(jobs []New, depth int, timer string, ran time.Time) error {
+	var keep []store.Record
+	var all []*store.Record
+	var ask []work.Job
+	for i := range jobs {
+		k := r.kinds[jobs[i].Kind]
+		if k == nil {
+			return fmt.Errorf("there is no kind of work %q", jobs[i].Kind)
+		}
+		rec := r.record(&jobs[i], depth)
+		ask = append(ask, r.job(&rec))
+		if k.Memory {
+			r.memory--
+			rec.ID = r.memory
+			all = append(all, &rec)
+		} else {
+			keep = append(keep, rec)
+		}
+	}
+	if why := r.sched.Room(ask...); why != "" {
+		return errors.New(why)
+	}
+	if len(keep) > 0 || timer != "" {
+		if err := r.store.Add(keep, timer, ran); err != nil {
+			return err
+		}
+	}
+	for i := range keep {
+		all = append(all, &keep[i])
+	}
+	r.taken(all)
+	return nil
+}
+
+// taken tells the scheduler of jobs that stand where they are to.
+func (r *Runner) taken(all []*store.Record) {
+	var events []work.Event
+	for _, rec := range all {
+		r.records[rec.ID] = rec
+		events = append(events, work.Submit{Job: r.job(rec)})
+	}
+	r.step(events...)
+}
+
+func (r *Runner) step(events ...work.Event) {
+	r.act(r.sched.Step(r.now(), r.c.Wall(), events...))
+}
+
+// act does what the scheduler says.
+func (r *Runner) act(actions []work.Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case work.Start:
+			r.begin(a.ID)
+		case work.Refuse: // it was asked before whether there is room
+			r.log.Error("a job is refused", "job", a.ID, "why", a.Why)
+			delete(r.records, a.ID)
+		case work.Over:
+			if a.Dropped {
+				r.forget(a.ID)
+			}
+			delete(r.records, a.ID)
+		case work.Park:
+			r.log.Warn("a job waits for an operator", "job", a.ID, "kind", r.records[a.ID].Kind, "owner", r.records[a.ID].Owner, "why", a.Why)
+		case work.Stop:
+			if s := r.running[a.ID]; s != nil {
+				s.cancel()
+			}
+		}
+	}
+}
+
+// kept reports whether a job stands in the store.
+func (r *Runner) kept(id work.ID) bool { return id < 1<<61 }
+
+func (r *Runner) forget(id work.ID) {
+	if r.kept(id) {
+		if err := r.store.End(id, nil); err != nil && !errors.Is(err, store.ErrGone) {
+			r.log.Error("a dropped job is still in the store and comes back with the next process", "job", id, "err", err)
+		}
+	}
+}
+
+// begin has a worker do a slice.
+func (r *Runner) begin(id work.ID) {
+	if r.ctx.Err() != nil { // it is leaving: the next process begins it
+		return
+	}
+	rec := r.records[id]
+	k := r.kinds[rec.Kind]
+	if k == nil { // it was started by hand, and nobody does it
+		r.results <- ended{id, Result{}, fmt.Errorf("nobody here does %s: %w", rec.Kind, ErrPark)}
+		return
+	}
+	settle := rec.Intended && r.kept(id) && !k.Repeat
+	if !settle && !k.Repeat && r.kept(id) {
+		if err := r.store.Intend(id); err != nil {
+			r.results <- ended{id, Result{}, fmt.Errorf("what is intended can't be written down: %w", err)}
+			return
+		}
+		rec.Intended = true
+	}
+	ctx, cancel := context.WithCancel(r.ctx)
+	r.running[id] = &slice{cancel: cancel, begun: time.Now(), kind: k}
+	t := Task{ID: id, Owner: rec.Owner, State: rec.State, Fails: rec.Fails}
+	r.workers.Add(1)
+	go func() {
+		defer r.workers.Done()
+		e := ended{id: id}
+		e.res, e.err = do(ctx, k, t, settle)
+		r.results <- e
+	}()
+}
+
+// errUndone says that a slice that was about to be done was not.
+var errUndone = errors.New("the slice was not done")
+
+// do does a slice, or finds out whether it was done. What panics has failed.
+func do(ctx context.Context, k *Kind, t Task, settle bool) (res Result, err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			res, err = Result{}, fmt.Errorf("panic: %v\n%s", p, debug.Stack())
+		}
+	}()
+	if !settle {
+		return k.Slice(ctx, t)
+	}
+	if k.Settle == nil { // an operator has it run all the same
+		return k.Slice(ctx, t)
+	}
+	done, res, err := k.Settle(ctx, t)
+	if err == nil && !done {
+		err = errUndone
+	}
+	return res, err
+}
+
+func (r *Runner) loop() {
+	defer close(r.done)
+	timer := time.NewTimer(0)
+	facts := time.NewTicker(factsEvery)
+	look := time.NewTicker(timerLook)
+	defer timer.Stop()
+	defer facts.Stop()
+	defer look.Stop()
+	r.timers()
+	for {
+		timer.Reset(max(0, min(r.sched.Next()-r.now(), r.nextTimer())))
+		select {
+		case <-r.ctx.Done():
+			return
+		case f := <-r.asks:
+			f()
+		case e := <-r.results:
+			r.ended(e)
+		case <-facts.C:
+			r.watch()
+			part := 1.0
+			if r.c.Facts != nil && !r.c.NoLimit {
+				part = r.pressure.Step(r.now(), r.c.Facts())
+			}
+			r.step(work.Allow{Part: part})
+		case <-look.C:
+			r.timers()
+			r.step()
+		case <-timer.C:
+			r.timers()
+			r.step()
+		}
+	}
+}
+
+// ended books how a slice went: first where it lasts, then with the scheduler.
+func (r *Runner) ended(e ended) {
+	rec := r.records[e.id]
+	if s := r.running[e.id]; s != nil {
+		s.cancel()
+		delete(r.running, e.id)
+	}
+	if rec == nil {
+		return
+	}
+	ev := work.Ended{ID: e.id, Used: e.res.Used, More: e.res.More, After: e.res.After}
+	if errors.Is(e.err, errUndone) { // it is to be done now
+		rec.Intended = false
+		if err := r.store.Unintend(e.id); err != nil {
+			rec.Intended = true
+			ev.Err = err.Error()
+		} else {
+			ev.More = true
+		}
+		r.step(ev)
+		return
+	}
+	var made []store.Record
+	if e.err == nil {
+		made, e.err = r.made(rec, e.res.Jobs)
+	}
+	if e.err == nil && r.kept(e.id) {
+		if e.res.More {
+			earliest := int64(0)
+			if e.res.After > 0 {
+				earliest = r.c.Wall().UnixNano() + int64(e.res.After)
+			}
+			e.err = r.store.Checkpoint(e.id, e.res.State, earliest, made)
+		} else {
+			e.err = r.store.End(e.id, made)
+		}
+		if e.err != nil { // the slice is done, and that can't be written down: if it can't be done twice, nobody may try
+			e.err = fmt.Errorf("what was done can't be written down: %w", e.err)
+			if !r.kinds[rec.Kind].Repeat {
+				ev.Park = true
+			}
+			ev.Err = e.err.Error()
+			r.step(ev)
+			return
+		}
+	}
+	if e.err == nil {
+		rec.State, rec.Intended, rec.Fails = e.res.State, false, 0
+		var all []*store.Record
+		for i := range made {
+			if k := r.kinds[made[i].Kind]; k.Memory {
+				r.memory--
+				made[i].ID = r.memory
+			}
+			all = append(all, &made[i])
+		}
+		r.step(ev)
+		r.taken(all)
+		return
+	}
+	ev.Err, ev.Park = e.err.Error(), errors.Is(e.err, ErrPark)
+	rec.Fails++
+	if r.ctx.Err() != nil { // called off as the runner leaves: it is no failure, and nothing is written
+		return
+	}
+	parked := ""
+	if limit := r.retry(rec.Kind); ev.Park || limit > 0 && rec.Fails >= limit {
+		parked, ev.Park = ev.Err, true
+	}
+	if r.kept(e.id) {
+		// A slice that failed says that it was not done: what is intended no more.
+		if err := r.store.Fail(e.id, rec.Fails, parked); err != nil && !errors.Is(err, store.ErrGone) {
+			r.log.Warn("that a job failed can't be written down", "job", e.id, "err", err)
+		} else {
+			rec.Intended = false
+		}
+	}
+	r.step(ev)
+}
+
+func (r *Runner) retry(kind string) int {
+	if k, ok := r.c.Settings.Kinds[kind]; ok && k.Retry != (work.Retry{}) {
+		return k.Retry.Fails
+	}
+	return work.DefaultRetry().Fails
+}
+
+// made is the records of jobs that a slice made, if there is room for them.
+func (r *Runner) made(by *store.Record, jobs []New) ([]store.Record, error) {
+	var recs []store.Record
+	var ask []work.Job
+	for i := range jobs {
+		k := r.kinds[jobs[i].Kind]
+		if k == nil {
+			return nil, fmt.Errorf("there is no kind of work %q: %w", jobs[i].Kind, ErrPark)
+		}
+		if k.Memory != r.kinds[by.Kind].Memory {
+			return nil, fmt.Errorf("%s is kept and %s is not, or the other way round: %w", by.Kind, jobs[i].Kind, ErrPark)
+		}
+		rec := r.record(&jobs[i], by.Depth+1)
+		recs = append(recs, rec)
+		ask = append(ask, r.job(&rec))
+	}
+	if why := r.sched.Room(ask...); why != "" {
+		return nil, fmt.Errorf("the jobs that it makes are not taken: %s", why)
+	}
+	return recs, nil
+}
+
+// timers takes on what schedules say.
+func (r *Runner) timers() {
+	wall := r.c.Wall()
+	for name, k := range r.kinds {
+		if k.Timer == nil || wall.Before(r.due[name]) && r.due[name].Sub(wall) < timerLook {
+			continue
+		}
+		runs, last, next := k.Timer.Due(r.last[name], wall)
+		r.due[name] = next
+		if runs == 0 && last.Equal(r.last[name]) {
+			continue
+		}
+		jobs := make([]New, runs)
+		for i := range jobs {
+			jobs[i] = k.Timer.Job
+		}
+		if err := r.submit(jobs, 0, name, last); err != nil {
+			if !r.failing {
+				r.log.Warn("timed work is not taken on", "kind", name, "err", err)
+			}
+			r.failing = true
+			r.due[name] = wall.Add(time.Second)
+			continue
+		}
+		r.failing = false
+		r.last[name] = last
+	}
+}
+
+func (r *Runner) nextTimer() time.Duration {
+	next := timerLook
+	wall := r.c.Wall()
+	for _, t := range r.due {
+		next = min(next, t.Sub(wall))
+	}
+	return next
+}
+
+// watch names slices that overrun, each once, with what all goroutines do: among them is the one that hangs.
+func (r *Runner) watch() {
+	for id, s := range r.running {
+		if s.named || time.Since(s.begun) < r.c.Slow {
+			continue
+		}
+		s.named = true
+		stack := make([]byte, stackMost)
+		stack = stack[:runtime.Stack(stack, true)]
+		r.log.Error("a slice takes long", "job", id, "kind", s.kind.Name, "owner", r.records[id].Owner, "for", time.Since(s.begun).Round(time.Millisecond), "stack", string(stack))
+	}
+}
+
+// Command does what an operator wants.
+func (r *Runner) Command(c work.Command) error {
+	return r.within(func() {
+		if c.Verb == work.Run { // what was parked is so no more, in the store too
+			for _, v := range r.sched.Views(work.Filter{ID: c.ID, Kind: c.Kind, Owner: c.Owner, State: "parked"}) {
+				if r.kept(v.ID) {
+					if err := r.store.Park(v.ID, ""); err != nil {
+						r.log.Warn("that a job is parked no more can't be written down", "job", v.ID, "err", err)
+					}
+				}
+				r.records[v.ID].Fails = 0
+			}
+		}
+		r.step(c)
+	})
+}
+
+// Configure takes other settings.
+func (r *Runner) Configure(set work.Settings) error {
+	set.Limits.Running = r.c.Workers
+	return r.within(func() {
+		r.c.Settings = set
+		r.step(work.Configure{Settings: set})
+	})
+}
+
+// Report is what is known of all work.
+type Report struct {
+	Jobs    []work.View  `json:"jobs"`
+	Kinds   []work.Total `json:"kinds"`
+	Owners  []work.Total `json:"owners"`
+	Held    int          `json:"held"`
+	Running int          `json:"running"`
+	Allow   float64      `json:"allow"` // the part of its budget that live traffic leaves
+	Worst   string       `json:"worst,omitempty"`
+	Over    float64      `json:"over"`
+}
+
+// Report tells of the jobs that a filter chooses.
+func (r *Runner) Report(f work.Filter) (rep Report, err error) {
+	err = r.within(func() {
+		rep.Jobs = r.sched.Views(f)
+		rep.Kinds, rep.Owners = r.sched.Totals()
+		rep.Held, rep.Running = r.sched.Len()
+		rep.Allow = r.pressure.Allow()
+		rep.Worst, rep.Over = r.pressure.Worst()
+	})
+	return rep, err
+}
+
+// Close calls off what runs and waits for it, but not for longer than a time: what overruns is named, and its slice counts
+// as one that a kill has cut off.
+func (r *Runner) Close(most time.Duration) error {
+	r.stop()
+	<-r.done
+	drained := make(chan struct{})
+	go func() {
+		r.workers.Wait()
+		close(drained)
+	}()
+	over := time.NewTimer(most)
+	defer over.Stop()
+	for left := true; left; {
+		select {
+		case e := <-r.results: // done in the last moment: it is written down
+			r.ended(e)
+		case <-drained:
+			for drain := true; drain; {
+				select {
+				case e := <-r.results:
+					r.ended(e)
+				default:
+					drain = false
+				}
+			}
+			left = false
+		case <-over.C:
+			for id, s := range r.running {
+				r.log.Error("a slice does not end", "job", id, "kind", s.kind.Name, "for", time.Since(s.begun).Round(time.Millisecond))
+			}
+			left = false
+		}
+	}
+	return r.store.Close()
+}
--- /dev/null
+++ b/internal/work/run/run_test.go
@@ -0,0 +1,588 @@
+package run
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"dockshift.example/dockshift/internal/work"
+	"dockshift.example/dockshift/internal/work/store"
+)
+
+const wait = 20 * time.Second
+
+var errDead = errors.New("the process is dead")
+
+// mortal is a process that dies at its n-th step, before it or after it. Steps are those of the store, and the effects of
+// slices on the world outside. Once it is dead nothing of it reaches either.
+type mortal struct {
+	mu     sync.Mutex
+	steps  int
+	dies   int
+	after  bool
+	dead   bool
+	killed chan struct{}
+}
+
+func (m *mortal) do(f func() error) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.dead {
+		return errDead
+	}
+	m.steps++
+	if m.steps != m.dies {
+		return f()
+	}
+	m.dead = true
+	close(m.killed)
+	if m.after {
+		f()
+	}
+	return errDead
+}
+
+// dying is a store of a mortal process.
+type dying struct {
+	keeper
+	m *mortal
+}
+
+func (d dying) Add(r []store.Record, timer string, ran time.Time) error {
+	return d.m.do(func() error { return d.keeper.Add(r, timer, ran) })
+}
+func (d dying) Intend(id work.ID) error { return d.m.do(func() error { return d.keeper.Intend(id) }) }
+func (d dying) Unintend(id work.ID) error {
+	return d.m.do(func() error { return d.keeper.Unintend(id) })
+}
+func (d dying) Fail(id work.ID, n int, p string) error {
+	return d.m.do(func() error { return d.keeper.Fail(id, n, p) })
+}
+func (d dying) Checkpoint(id work.ID, s []byte, e int64, m []store.Record) error {
+	return d.m.do(func() error { return d.keeper.Checkpoint(id, s, e, m) })
+}
+func (d dying) End(id work.ID, m []store.Record) error {
+	return d.m.do(func() error { return d.keeper.End(id, m) })
+}
+
+// world is what slices do to others: so often each.
+type world struct {
+	mu      sync.Mutex
+	effects map[string]int
+}
+
+func (w *world) happen(m *mortal, what string) error {
+	return m.do(func() error {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.effects[what]++
+		return nil
+	})
+}
+
+func (w *world) happened(what string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.effects[what] > 0
+}
+
+// counting is a kind whose jobs have three slices with an effect each; the second makes another job, which has one.
+func counting(name string, w *world, m *mortal, repeat, settles bool) *Kind {
+	next := func(t Task) (Result, string) {
+		n := len(t.State) // "", "p", "pp"; a child begins with "c"
+		what := fmt.Sprintf("%s %s %d", name, t.Owner, n)
+		if strings.HasPrefix(string(t.State), "c") {
+			return Result{}, what + " child"
+		}
+		r := Result{State: append(bytes.Clone(t.State), 'p'), More: n < 2, Used: work.Cost{work.CPU: 1}}
+		if n == 1 {
+			r.Jobs = []New{{Kind: name, Owner: t.Owner, Priority: work.Low, State: []byte("c")}}
+		}
+		return r, what
+	}
+	k := &Kind{Name: name, Repeat: repeat, Slice: func(_ context.Context, t Task) (Result, error) {
+		r, what := next(t)
+		return r, w.happen(m, what)
+	}}
+	if settles {
+		k.Settle = func(_ context.Context, t Task) (bool, Result, error) {
+			r, what := next(t)
+			return w.happened(what), r, nil
+		}
+	}
+	return k
+}
+
+func quiet() *slog.Logger { return slog.New(slog.DiscardHandler) }
+
+func config(path string) Config {
+	return Config{Path: path, Bytes: 1 << 20, Workers: 2, Settings: work.Settings{Limits: work.Limits{Jobs: 1000, OwnerJobs: 1000, Depth: 2},
+		Kinds: map[string]work.Kind{}}, Random: func() float64 { return 0 }}
+}
+
+// settled waits until nothing but parked jobs is left.
+func settled(t *testing.T, r *Runner) Report {
+	t.Helper()
+	for over := time.Now().Add(wait); ; time.Sleep(time.Millisecond) {
+		rep, err := r.Report(work.Filter{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		left := 0
+		for _, j := range rep.Jobs {
+			if j.State != "parked" {
+				left++
+			}
+		}
+		if left == 0 {
+			return rep
+		}
+		if time.Now().After(over) {
+			t.Fatalf("%+v", rep.Jobs)
+		}
+	}
+}
+
+// The process dies at each step that writes or has an effect, before it and after it: the next one goes on, and each slice
+// has been done once; or once more where its kind says that this does no harm; or, where nobody can say, its job is parked.
+func TestDiesAtEachStep(t *testing.T) {
+	jobs := []New{{Kind: "repeat", Owner: "a"}, {Kind: "settle", Owner: "b"}, {Kind: "neither", Owner: "c"}}
+	play := func(t *testing.T, dies int, after bool) (steps int) {
+		path := filepath.Join(t.TempDir(), "work.db")
+		w := &world{effects: map[string]int{}}
+		kinds := func(m *mortal) []*Kind {
+			return []*Kind{counting("repeat", w, m, true, false), counting("settle", w, m, false, true), counting("neither", w, m, false, false)}
+		}
+		first := &mortal{dies: dies, after: after, killed: make(chan struct{})}
+		c := config(path)
+		c.around = func(k keeper) keeper { return dying{k, first} }
+		r, err := Start(c, kinds(first), quiet())
+		if err != nil {
+			t.Fatal(err)
+		}
+		submitted := r.Submit(jobs...) == nil
+		if dies == 0 {
+			settled(t, r)
+		} else {
+			select {
+			case <-first.killed:
+			case <-time.After(wait):
+				t.Fatal("it does not come to this step")
+			}
+		}
+		if err := r.Close(wait); err != nil {
+			t.Fatal(err)
+		}
+		if dies == 0 {
+			return first.steps
+		}
+		second := &mortal{killed: make(chan struct{})}
+		if r, err = Start(config(path), kinds(second), quiet()); err != nil {
+			t.Fatal(err)
+		}
+		defer r.Close(wait)
+		rep := settled(t, r)
+		for _, j := range rep.Jobs {
+			if j.Kind != "neither" || !strings.Contains(j.Err, "may have been done") {
+				t.Errorf("%+v is parked", j)
+			}
+		}
+		if len(rep.Jobs) > 2 {
+			t.Errorf("%d are parked", len(rep.Jobs))
+		}
+		twice := 0
+		for what, n := range w.effects {
+			if n > 1 {
+				twice += n - 1
+				if !strings.HasPrefix(what, "repeat") {
+					t.Errorf("%s happened %d times", what, n)
+				}
+			}
+		}
+		if twice > 2 { // two slices may be under way
+			t.Errorf("%d effects came again", twice)
+		}
+		if submitted || len(w.effects) > 0 {
+			for _, kind := range []string{"repeat a", "settle b", "neither c"} {
+				if kind == "neither c" && len(rep.Jobs) > 0 {
+					continue
+				}
+				for _, what := range []string{"0", "1", "2", "1 child"} {
+					if w.effects[kind+" "+what] == 0 {
+						t.Errorf("%s %s never happened: %v", kind, what, w.effects)
+					}
+				}
+			}
+		}
+		return 0
+	}
+	steps := play(t, 0, false)
+	if steps < 30 {
+		t.Fatalf("%d steps", steps)
+	}
+	for dies := 1; dies <= steps; dies++ {
+		for _, after := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%d/%v", dies, after), func(t *testing.T) {
+				t.Parallel()
+				play(t, dies, after)
+			})
+		}
+	}
+}
+
+// A store that is full, or fails for a while: what is not taken is said to be so, what is done and can't be written down is
+// done again only where that does no harm, and it goes on when the disk does.
+func TestStoreFails(t *testing.T) {
+	w := &world{effects: map[string]int{}}
+	m := &mortal{killed: make(chan struct{})}
+	c := config(filepath.Join(t.TempDir(), "work.db"))
+	fails := &failing{}
+	c.around = func(k keeper) keeper { fails.keeper = k; return fails }
+	c.Settings.Kinds["repeat"] = work.Kind{Retry: work.Retry{First: 1, Most: 1, Credit: 100}}
+	r, err := Start(c, []*Kind{counting("repeat", w, m, true, false), counting("neither", w, m, false, false)}, quiet())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer r.Close(wait)
+	fails.set(true)
+	if err := r.Submit(New{Kind: "repeat", Owner: "a"}); !errors.Is(err, errFull) {
+		t.Error(err)
+	}
+	fails.set(false)
+	if err := r.Submit(New{Kind: "repeat", Owner: "a"}, New{Kind: "neither", Owner: "b", After: time.Hour}); err != nil {
+		t.Fatal(err)
+	}
+	settle := func() { // all but the one that waits for an hour
+		for over := time.Now().Add(wait); ; time.Sleep(time.Millisecond) {
+			if rep, _ := r.Report(work.Filter{Kind: "repeat"}); len(rep.Jobs) == 0 {
+				return
+			}
+			if time.Now().After(over) {
+				t.Fatal("it does not go on")
+			}
+		}
+	}
+	settle()
+	fails.checkpoints(true)
+	if err := r.Submit(New{Kind: "repeat", Owner: "z"}); err != nil {
+		t.Fatal(err)
+	}
+	for over := time.Now().Add(wait); !w.happened("repeat z 0"); time.Sleep(time.Millisecond) {
+		if time.Now().After(over) {
+			t.Fatal("it was not begun")
+		}
+	}
+	fails.checkpoints(false)
+	settle()
+	// What can't be done twice and can't be written down is parked.
+	fails.checkpoints(true)
+	if err := r.Command(work.Command{Verb: work.Run, Kind: "neither"}); err != nil {
+		t.Fatal(err)
+	}
+	rep := settled(t, r)
+	if len(rep.Jobs) != 1 || !strings.Contains(rep.Jobs[0].Err, "can't be written down") || w.effects["neither b 0"] != 1 {
+		t.Errorf("%+v, %v", rep.Jobs, w.effects)
+	}
+	big := config(filepath.Join(t.TempDir(), "small.db"))
+	big.Bytes = 1000
+	r2, err := Start(big, []*Kind{counting("repeat", w, m, true, false)}, quiet())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer r2.Close(wait)
+	if err := r2.Submit(New{Kind: "repeat", Owner: "a", State: make([]byte, 2000)}); !errors.Is(err, store.ErrFull) {
+		t.Error(err)
+	}
+}
+
+var errFull = errors.New("no space left on device")
+
+type failing struct {
+	keeper
+	mu          sync.Mutex
+	all, checks bool
+}
+
+func (f *failing) set(on bool)         { f.mu.Lock(); f.all = on; f.mu.Unlock() }
+func (f *failing) checkpoints(on bool) { f.mu.Lock(); f.checks = on; f.mu.Unlock() }
+
+func (f *failing) Add(r []store.Record, timer string, ran time.Time) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.all {
+		return errFull
+	}
+	return f.keeper.Add(r, timer, ran)
+}
+
+func (f *failing) Checkpoint(id work.ID, s []byte, e int64, m []store.Record) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.checks {
+		return errFull
+	}
+	return f.keeper.Checkpoint(id, s, e, m)
+}
+
+// What panics, hangs, makes jobs that make jobs, or is of a newer version.
+func TestBadJobs(t *testing.T) {
+	var logged syncBuffer
+	c := config(filepath.Join(t.TempDir(), "work.db"))
+	c.Slow = 50 * time.Millisecond
+	c.Settings.Limits.OwnerJobs = 20
+	for _, k := range []string{"panics", "breeds"} {
+		c.Settings.Kinds[k] = work.Kind{Retry: work.Retry{First: 1, Most: 1, Fails: 2, Credit: 100}}
+	}
+	hangs := make(chan struct{})
+	bred := 0
+	kinds := []*Kind{
+		{Name: "panics", Repeat: true, Slice: func(context.Context, Task) (Result, error) { panic("at the disco") }},
+		{Name: "hangs", Repeat: true, Slice: func(ctx context.Context, _ Task) (Result, error) { <-hangs; return Result{}, nil }},
+		{Name: "breeds", Repeat: true, Slice: func(context.Context, Task) (Result, error) {
+			bred++
+			return Result{Jobs: make10("breeds")}, nil
+		}},
+		{Name: "parks", Repeat: true, Slice: func(context.Context, Task) (Result, error) {
+			return Result{}, fmt.Errorf("ask somebody: %w", ErrPark)
+		}},
+	}
+	c.Workers = 3
+	r, err := Start(c, kinds, slog.New(slog.NewTextHandler(&logged, nil)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := r.Submit(New{Kind: "nonsense"}); err == nil || !strings.Contains(err.Error(), "no kind of work") {
+		t.Error(err)
+	}
+	if err := r.Submit(New{Kind: "panics", Owner: "a"}, New{Kind: "parks", Owner: "a"}, New{Kind: "hangs", Owner: "h"}); err != nil {
+		t.Fatal(err)
+	}
+	for over := time.Now().Add(wait); ; time.Sleep(time.Millisecond) {
+		rep, _ := r.Report(work.Filter{State: "parked"})
+		if len(rep.Jobs) == 2 && strings.Contains(logged.String(), "a slice takes long") {
+			if !strings.Contains(rep.Jobs[0].Err, "at the disco") || !strings.Contains(rep.Jobs[0].Err, "run_test.go") || !strings.Contains(rep.Jobs[1].Err, "ask somebody") {
+				t.Errorf("%+v", rep.Jobs)
+			}
+			break
+		}
+		if time.Now().After(over) {
+			t.Fatalf("%+v\n%s", rep.Jobs, logged.String())
+		}
+	}
+	if n := strings.Count(logged.String(), "a slice takes long"); n != 1 || !strings.Contains(logged.String(), "TestBadJobs") {
+		t.Errorf("it is named %d times", n)
+	}
+	close(hangs)
+	if err := r.Submit(New{Kind: "breeds", Owner: "b"}); err != nil {
+		t.Fatal(err)
+	}
+	rep := settled(t, r)
+	if bred > 40 || rep.Held > 25 {
+		t.Errorf("%d slices, %d jobs are held", bred, rep.Held)
+	}
+	for _, j := range rep.Jobs {
+		if j.Kind == "breeds" && !strings.Contains(j.Err, "not taken") {
+			t.Errorf("%+v", j)
+		}
+	}
+	if err := r.Close(wait); err != nil {
+		t.Fatal(err)
+	}
+	// The next process knows an earlier version only, and of some nothing at all.
+	st, err := store.Open(c.Path, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := st.Add([]store.Record{{Kind: "parks", Version: 2, Owner: "n"}}, "", time.Time{}); err != nil {
+		t.Fatal(err)
+	}
+	st.Close()
+	if r, err = Start(c, kinds[3:], quiet()); err != nil {
+		t.Fatal(err)
+	}
+	defer r.Close(wait)
+	rep = settled(t, r)
+	newer, unknown := 0, 0
+	for _, j := range rep.Jobs {
+		if strings.Contains(j.Err, "of version 2") {
+			newer++
+		}
+		if strings.Contains(j.Err, "nobody here does") {
+			unknown++
+		}
+	}
+	if newer != 1 || unknown == 0 {
+		t.Errorf("%+v", rep.Jobs)
+	}
+}
+
+func make10(kind string) []New {
+	var out []New
+	for range 10 {
+		out = append(out, New{Kind: kind, Owner: "b"})
+	}
+	return out
+}
+
+type syncBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (s *syncBuffer) Write(p []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.Write(p)
+}
+
+func (s *syncBuffer) String() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.String()
+}
+
+// Leaving in the middle of ten slices: those that heed their context are called off, one that does not is named, and it
+// ends in time; the next process takes all of them up.
+func TestLeaving(t *testing.T) {
+	var logged syncBuffer
+	c := config(filepath.Join(t.TempDir(), "work.db"))
+	c.Workers = 10
+	begun := make(chan struct{}, 10)
+	deaf := make(chan struct{})
+	defer close(deaf)
+	slow := func(deafened bool) func(context.Context, Task) (Result, error) {
+		return func(ctx context.Context, _ Task) (Result, error) {
+			begun <- struct{}{}
+			if deafened {
+				<-deaf
+			}
+			<-ctx.Done()
+			return Result{}, ctx.Err()
+		}
+	}
+	r, err := Start(c, []*Kind{{Name: "slow", Repeat: true, Slice: slow(false)}, {Name: "deaf", Repeat: true, Slice: slow(true)}}, slog.New(slog.NewTextHandler(&logged, nil)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range 9 {
+		if err := r.Submit(New{Kind: "slow", Owner: "a"}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	r.Submit(New{Kind: "deaf", Owner: "a"})
+	for range 10 {
+		<-begun
+	}
+	from := time.Now()
+	if err := r.Close(200 * time.Millisecond); err != nil {
+		t.Fatal(err)
+	}
+	if took := time.Since(from); took > 10*time.Second || strings.Count(logged.String(), "a slice does not end") != 1 {
+		t.Errorf("%v\n%s", took, logged.String())
+	}
+	if err := r.Submit(New{Kind: "slow"}); !errors.Is(err, ErrLeaving) {
+		t.Error(err)
+	}
+	quick := func(context.Context, Task) (Result, error) { return Result{}, nil }
+	if r, err = Start(c, []*Kind{{Name: "slow", Repeat: true, Slice: quick}, {Name: "deaf", Repeat: true, Slice: quick}}, quiet()); err != nil {
+		t.Fatal(err)
+	}
+	defer r.Close(wait)
+	if rep := settled(t, r); rep.Kinds == nil || rep.Held != 0 {
+		t.Errorf("%+v", rep)
+	}
+}
+
+// A slice that is called off as the process leaves may have been done: the next one does not do it again by itself.
+func TestCalledOffMayHaveBeenDone(t *testing.T) {
+	c := config(filepath.Join(t.TempDir(), "work.db"))
+	begun, times := make(chan struct{}), 0
+	kind := &Kind{Name: "once", Slice: func(ctx context.Context, _ Task) (Result, error) {
+		times++
+		close(begun)
+		<-ctx.Done()
+		return Result{}, ctx.Err()
+	}}
+	r, err := Start(c, []*Kind{kind}, quiet())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := r.Submit(New{Kind: "once", Owner: "a"}); err != nil {
+		t.Fatal(err)
+	}
+	<-begun
+	if err := r.Close(wait); err != nil {
+		t.Fatal(err)
+	}
+	if r, err = Start(c, []*Kind{kind}, quiet()); err != nil {
+		t.Fatal(err)
+	}
+	defer r.Close(wait)
+	if rep := settled(t, r); len(rep.Jobs) != 1 || !strings.Contains(rep.Jobs[0].Err, "may have been done") || times != 1 {
+		t.Errorf("%+v, done %d times", rep.Jobs, times)
+	}
+}
+
+// Timed work keeps its promise over restarts, and with a clock that jumps: what is missed runs once.
+func TestTimedWork(t *testing.T) {
+	c := config(filepath.Join(t.TempDir(), "work.db"))
+	var mu sync.Mutex
+	wall := time.Date(2026, 12, 1, 12, 0, 0, 0, time.UTC)
+	c.Wall = func() time.Time { mu.Lock(); defer mu.Unlock(); return wall }
+	jump := func(r *Runner, d time.Duration) {
+		mu.Lock()
+		wall = wall.Add(d)
+		mu.Unlock()
+		if r != nil {
+			r.within(func() { r.timers() }) // it looks every so often
+		}
+	}
+	ran := make(chan struct{}, 100)
+	kind := func(memory bool) *Kind {
+		return &Kind{Name: "timed", Repeat: true, Memory: memory, Timer: &Timer{work.Schedule{Every: time.Hour}, New{Kind: "timed", Owner: "a"}},
+			Slice: func(context.Context, Task) (Result, error) { ran <- struct{}{}; return Result{}, nil }}
+	}
+	for _, memory := range []bool{false, true} {
+		c.Path = filepath.Join(t.TempDir(), "work.db")
+		r, err := Start(c, []*Kind{kind(memory)}, quiet())
+		if err != nil {
+			t.Fatal(err)
+		}
+		count := func(want int) {
+			t.Helper()
+			settled(t, r)
+			if len(ran) != want {
+				t.Errorf("memory %v: it ran %d times, want %d", memory, len(ran), want)
+			}
+			for len(ran) > 0 {
+				<-ran
+			}
+		}
+		count(0)
+		jump(r, time.Hour)
+		count(1)
+		jump(r, -30*time.Minute) // set back
+		count(0)
+		jump(r, 40*time.Minute)
+		count(0)
+		if err := r.Close(wait); err != nil {
+			t.Fatal(err)
+		}
+		jump(nil, 10*time.Hour) // nobody is there
+		if r, err = Start(c, []*Kind{kind(memory)}, quiet()); err != nil {
+			t.Fatal(err)
+		}
+		r.within(func() {})
+		count(1)
+		if err := r.Close(wait); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/work/store/store.go
@@ -0,0 +1,291 @@
+// Package store keeps background jobs that must outlast the process, and how far each has come, in one bbolt file:
+//
+//	meta    version (8 bytes), next (8: the next job's number), bytes (8: of all jobs)
+//	jobs    number (8 bytes) → Record, JSON
+//	timers  name of a schedule → when it ran last (8 bytes, Unix nanoseconds)
+//
+// What belongs together is one transaction: a slice's checkpoint and the jobs that it makes.
+package store
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"runtime/debug"
+	"time"
+
+	bolt "go.etcd.io/bbolt"
+
+	"dockshift.example/dockshift/internal/work"
+)
+
+// Record is a job as it is kept. Times are Unix nanoseconds; 0: none.
+type Record struct {
+	ID       work.ID       `json:"id"`
+	Kind     string        `json:"kind"`
+	Version  int           `json:"version"` // of its state's form
+	Owner    string        `json:"owner"`
+	Priority work.Priority `json:"priority"`
+	Earliest int64         `json:"earliest,omitempty"`
+	Deadline int64         `json:"deadline,omitempty"`
+	Slice    work.Cost     `json:"slice"`
+	Left     int64         `json:"left,omitempty"` // nanoseconds
+	Lock     string        `json:"lock,omitempty"`
+	Resource string        `json:"resource,omitempty"`
+	Depth    int           `json:"depth,omitempty"`
+	State    []byte        `json:"state,omitempty"` // where to go on
+	Slices   int           `json:"slices,omitempty"`
+	Fails    int           `json:"fails,omitempty"`
+	Parked   string        `json:"parked,omitempty"`
+	Intended bool          `json:"intended,omitempty"` // a slice was about to begin
+}
+
+var (
+	bucketMeta   = []byte("meta")
+	bucketJobs   = []byte("jobs")
+	bucketTimers = []byte("timers")
+	keyVersion   = []byte("version")
+	keyNext      = []byte("next")
+	keyBytes     = []byte("bytes")
+)
+
+const (
+	version  = 1
+	lockTime = 2 * time.Second
+)
+
+// Errors that a caller tells apart.
+var (
+	ErrNewer = errors.New("the file was written by a newer version")
+	ErrFull  = errors.New("there is no room for more jobs")
+	ErrGone  = errors.New("there is no such job")
+)
+
+// Store is open. It is safe for several goroutines.
+type Store struct {
+	db   *bolt.DB
+	most int64 // bytes of all records
+}
+
+// Open opens the file, or makes it; most bounds the bytes of all jobs.
+func Open(path string, most int64) (s *Store, err error) {
+	defer func() { // bbolt panics at some damage
+		if p := recover(); p != nil {
+			s, err = nil, fmt.Errorf("work: %s is damaged: %v", path, p)
+		}
+	}()
+	if info, err := os.Stat(path); err == nil && info.Size() > 0 && info.Size() < int64(2*os.Getpagesize()) {
+		return nil, fmt.Errorf("work: %s is damaged: it has %d bytes", path, info.Size())
+	}
+	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true))
+	db, err := bolt.Open(path, 0o600, &bolt.Options{Timeout: lockTime, FreelistType: bolt.FreelistMapType, NoFreelistSync: true})
+	if err != nil {
+		return nil, fmt.Errorf("work: %s: %w", path, err)
+	}
+	s = &Store{db: db, most: most}
+	err = s.update(func(tx *bolt.Tx) error {
+		for _, name := range [][]byte{bucketMeta, bucketJobs, bucketTimers} {
+			if _, err := tx.CreateBucketIfNotExists(name); err != nil {
+				return err
+			}
+		}
+		meta := tx.Bucket(bucketMeta)
+		switch v := value(meta.Get(keyVersion)); {
+		case v == 0:
+			return meta.Put(keyVersion, number(version))
+		case v > version:
+			return fmt.Errorf("%w: %d, and this one knows %d", ErrNewer, v, version)
+		}
+		return nil
+	})
+	if err != nil {
+		return nil, errors.Join(fmt.Errorf("%s: %w", path, err), db.Close())
+	}
+	return s, nil
+}
+
+// Close closes the file.
+func (s *Store) Close() error { return s.db.Close() }
+
+func (s *Store) update(f func(*bolt.Tx) error) (err error) {
+	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true))
+	defer func() {
+		if p := recover(); p != nil {
+			err = fmt.Errorf("work: the file is damaged: %v", p)
+		}
+	}()
+	if err := s.db.Update(f); err != nil {
+		return fmt.Errorf("work: %w", err)
+	}
+	return nil
+}
+
+func number(v int64) []byte { return binary.BigEndian.AppendUint64(nil, uint64(v)) }
+
+func value(b []byte) int64 {
+	if len(b) != 8 {
+		return 0
+	}
+	return int64(binary.BigEndian.Uint64(b))
+}
+
+// put writes a record in place of what is there, and keeps count of bytes.
+func (s *Store) put(tx *bolt.Tx, r *Record, more bool) error {
+	raw, err := json.Marshal(r)
+	if err != nil {
+		return err
+	}
+	jobs, meta, key := tx.Bucket(bucketJobs), tx.Bucket(bucketMeta), number(int64(r.ID))
+	size := value(meta.Get(keyBytes)) + int64(len(raw)) - int64(len(jobs.Get(key)))
+	if more && s.most > 0 && size > s.most {
+		return fmt.Errorf("%w: they have %d of %d bytes", ErrFull, value(meta.Get(keyBytes)), s.most)
+	}
+	if err := meta.Put(keyBytes, number(size)); err != nil {
+		return err
+	}
+	return jobs.Put(key, raw)
+}
+
+func (s *Store) get(tx *bolt.Tx, id work.ID) (*Record, error) {
+	raw := tx.Bucket(bucketJobs).Get(number(int64(id)))
+	if raw == nil {
+		return nil, fmt.Errorf("%w: %d", ErrGone, id)
+	}
+	r := &Record{}
+	if err := json.Unmarshal(raw, r); err != nil {
+		return nil, fmt.Errorf("job %d: %w", id, err)
+	}
+	return r, nil
+}
+
+func (s *Store) remove(tx *bolt.Tx, id work.ID) error {
+	jobs, meta, key := tx.Bucket(bucketJobs), tx.Bucket(bucketMeta), number(int64(id))
+	raw := jobs.Get(key)
+	if raw == nil {
+		return fmt.Errorf("%w: %d", ErrGone, id)
+	}
+	if err := meta.Put(keyBytes, number(value(meta.Get(keyBytes))-int64(len(raw)))); err != nil {
+		return err
+	}
+	return jobs.Delete(key)
+}
+
+// add gives new records their numbers and writes them.
+func (s *Store) add(tx *bolt.Tx, records []Record) error {
+	meta := tx.Bucket(bucketMeta)
+	next := max(1, value(meta.Get(keyNext)))
+	for i := range records {
+		records[i].ID = work.ID(next)
+		next++
+		if err := s.put(tx, &records[i], true); err != nil {
+			return err
+		}
+	}
+	return meta.Put(keyNext, number(next))
+}
+
+// Add keeps new jobs, all or none, and gives them their numbers. With the name of a schedule it notes that this ran, in the
+// same step.
+func (s *Store) Add(records []Record, timer string, ran time.Time) error {
+	return s.update(func(tx *bolt.Tx) error {
+		if err := s.add(tx, records); err != nil {
+			return err
+		}
+		if timer == "" {
+			return nil
+		}
+		return tx.Bucket(bucketTimers).Put([]byte(timer), number(ran.UnixNano()))
+	})
+}
+
+// Ran is when a schedule ran last; zero if never.
+func (s *Store) Ran(timer string) (t time.Time, err error) {
+	err = s.db.View(func(tx *bolt.Tx) error {
+		if v := value(tx.Bucket(bucketTimers).Get([]byte(timer))); v != 0 {
+			t = time.Unix(0, v)
+		}
+		return nil
+	})
+	return t, err
+}
+
+// Intend notes that a slice is about to begin.
+func (s *Store) Intend(id work.ID) error {
+	return s.change(id, func(r *Record) { r.Intended = true })
+}
+
+// Unintend notes that it was not done.
+func (s *Store) Unintend(id work.ID) error {
+	return s.change(id, func(r *Record) { r.Intended = false })
+}
+
+// Fail notes how often a job has failed, and why it is parked, if it is.
+func (s *Store) Fail(id work.ID, fails int, parked string) error {
+	return s.change(id, func(r *Record) { r.Fails, r.Parked, r.Intended = fails, parked, false })
+}
+
+// Park notes that a job waits for an operator; what was intended stays so.
+func (s *Store) Park(id work.ID, why string) error {
+	return s.change(id, func(r *Record) { r.Parked = why })
+}
+
+func (s *Store) change(id work.ID, f func(*Record)) error {
+	return s.update(func(tx *bolt.Tx) error {
+		r, err := s.get(tx, id)
+		if err != nil {
+			return err
+		}
+		f(r)
+		return s.put(tx, r, false)
+	})
+}
+
+// Checkpoint notes that a slice is done, where to go on, not before when, and the jobs that it made: all of it or nothing.
+func (s *Store) Checkpoint(id work.ID, state []byte, earliest int64, made []Record) error {
+	return s.update(func(tx *bolt.Tx) error {
+		r, err := s.get(tx, id)
+		if err != nil {
+			return err
+		}
+		r.State, r.Earliest, r.Intended, r.Fails, r.Parked = state, earliest, false, 0, ""
+		r.Slices++
+		if err := s.put(tx, r, false); err != nil {
+			return err
+		}
+		return s.add(tx, made)
+	})
+}
+
+// End takes a job away, with the jobs that its last slice made in the same step.
+func (s *Store) End(id work.ID, made []Record) error {
+	return s.update(func(tx *bolt.Tx) error {
+		if err := s.remove(tx, id); err != nil {
+			return err
+		}
+		return s.add(tx, made)
+	})
+}
+
+// Load calls f with all jobs, by number.
+func (s *Store) Load(f func(Record) error) error {
+	return s.db.View(func(tx *bolt.Tx) error {
+		return tx.Bucket(bucketJobs).ForEach(func(k, raw []byte) error {
+			var r Record
+			if err := json.Unmarshal(raw, &r); err != nil {
+				return fmt.Errorf("work: job %d: %w", value(k), err)
+			}
+			return f(r)
+		})
+	})
+}
+
+// Bytes is what all jobs have.
+func (s *Store) Bytes() (n int64, err error) {
+	err = s.db.View(func(tx *bolt.Tx) error {
+		n = value(tx.Bucket(bucketMeta).Get(keyBytes))
+		return nil
+	})
+	return n, err
+}
