--- a/cmd/saffronyard/ask.go
+++ b/cmd/saffronyard/ask.go
@@ -60,15 +60,22 @@
 	return 0
 }
 
-func overSocket(socket, path string) ([]byte, error) {
+func overSocket(socket, path string) ([]byte, error) { return askSocket(http.MethodGet, socket, path) }
+
+// askSocket asks a sender that runs by its socket.
+func askSocket(method, socket, path string) ([]byte, error) {
 	client := http.Client{Timeout: askTimeout, Transport: &http.Transport{DisableKeepAlives: true,
 		DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
 			var d net.Dialer
 			return d.DialContext(ctx, "unix", socket)
 		}}}
-	resp, err := client.Get("http://sender" + path)
+	req, err := http.NewRequest(method, "http://sender"+path, nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := client.Do(req)
 	if err != nil {
-		return nil, fmt.Errorf("no sender answers (it runs with [peers] or [knowledge] in its file?): %w", err)
+		return nil, fmt.Errorf("no sender answers (it runs with [peers], [knowledge], [dns] or [work] in its file?): %w", err)
 	}
 	defer resp.Body.Close()
 	raw, err := io.ReadAll(resp.Body)
--- a/cmd/saffronyard/main.go
+++ b/cmd/saffronyard/main.go
@@ -39,6 +39,9 @@
 	if len(os.Args) > 1 && os.Args[1] == "undelivered" {
 		os.Exit(undeliveredCommand(os.Args[2:], os.Getenv, os.Stdout, os.Stderr))
 	}
+	if len(os.Args) > 1 && os.Args[1] == "work" {
+		os.Exit(workCommand(os.Args[2:], os.Getenv, os.Stdout, os.Stderr))
+	}
 	if len(os.Args) > 1 && os.Args[1] == "zone" {
 		os.Exit(zoneCommand(os.Args[2:], os.Getenv, os.Stdin, os.Stdout, os.Stderr))
 	}
@@ -51,7 +54,7 @@
 		os.Exit(2)
 	}
 	if flags.NArg() > 0 {
-		log.Error("saffronyard takes no arguments but -features FILE, check FILE, undelivered COMMAND, zone COMMAND, peers and knowledge", "argument", flags.Arg(0))
+		log.Error("saffronyard takes no arguments but -features FILE, check FILE, undelivered COMMAND, zone COMMAND, work COMMAND, peers and knowledge", "argument", flags.Arg(0))
 		os.Exit(2)
 	}
 	if err := run(log, *file); err != nil {
@@ -157,6 +160,7 @@
 	if err != nil {
 		return err
 	}
+	var background *behind
 	var again []func(*sender.Sender) error // what else SIGHUP has read again
 	if file != "" {
 		f, err := features.Load(file)
@@ -183,6 +187,10 @@
 			k := undelivered.NewKeeper(folder, undelivered.Limits{Bytes: u.Bytes, Age: u.Age.D()})
 			defer k.Close()
 			c.Recorder = k
+			if f.Work != nil {
+				background = &behind{features: f, keeper: k}
+				k.ByWork(background.engineOf(c))
+			}
 			go func() { // without it the sender goes on, and the command line gets no answer
 				if err := k.Serve(ctx); err != nil {
 					log.Error("undelivered messages can't be asked for", "err", err)
@@ -190,6 +198,14 @@
 			}()
 		}
 		log.Info("features", "on", f.Lines())
+		if f.Work != nil {
+			if background == nil {
+				background = &behind{features: f}
+			}
+			c.Background = true
+			c.Work = background.report
+			c.WorkDo = background.command
+		}
 		if d := f.DNS; d != nil {
 			names, err := startNames(d, c, log)
 			if err != nil {
@@ -219,6 +235,13 @@
 	if err != nil {
 		return err
 	}
+	if background != nil {
+		if err := background.start(s, c, log); err != nil {
+			return err
+		}
+		defer background.close(log)
+		again = append(again, func(*sender.Sender) error { return background.reload(file) })
+	}
 	running := make(chan struct{})
 	defer close(running)
 	go reload(running, hup, s, again, log)
--- /dev/null
+++ b/cmd/saffronyard/resend_test.go
@@ -0,0 +1,252 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	st "dockshift.example/dockshift/internal/sendertest"
+	"dockshift.example/dockshift/internal/undelivered"
+)
+
+// effects counts what a receiver has done: a call with a key that it remembers does nothing more.
+type effects struct {
+	mu    sync.Mutex
+	calls map[string]int
+	done  map[string]int       // effects, by message
+	keys  map[string]time.Time // first seen
+	slow  time.Duration
+}
+
+const keyWindow = 7500 * time.Millisecond // of the tests' classes
+
+func (e *effects) answer(c st.Call, nc net.Conn) bool {
+	e.mu.Lock()
+	e.calls[c.ID]++
+	if at, ok := e.keys[c.Key]; !ok || strings.HasPrefix(c.ID, "unsafe") || time.Since(at) > keyWindow {
+		e.done[c.ID]++
+		e.keys[c.Key] = time.Now()
+	}
+	e.mu.Unlock()
+	time.Sleep(e.slow)
+	return st.Status(200)(c, nc)
+}
+
+func (e *effects) of(id string) (calls, done int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.calls[id], e.done[id]
+}
+
+// kept fills a store with messages of each class, that never ran and that may have run, as an outage left them.
+func kept(t *testing.T, folder string, each int) (ids []string) {
+	t.Helper()
+	if err := os.MkdirAll(folder, 0o700); err != nil {
+		t.Fatal(err)
+	}
+	s, err := undelivered.Open(filepath.Join(folder, undelivered.FileName), undelivered.Limits{Bytes: 1 << 24})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	now := time.Now()
+	var all []undelivered.Entry
+	for _, class := range []string{"safe", "keyed", "unsafe"} {
+		for _, how := range []undelivered.Outcome{undelivered.Refused, undelivered.TimedOut} {
+			for i := range each {
+				id := fmt.Sprintf("%s-%s-%d", class, strings.ReplaceAll(string(how), " ", "-"), i)
+				e := undelivered.Entry{Message: id, Member: "acme", Class: class, Key: "key-" + id, Body: []byte("body of " + id), How: undelivered.GivenUp,
+					Effect: undelivered.Effect(class), Taken: now.Add(-time.Hour).UnixNano(), Ended: now.Add(-time.Hour + time.Duration(len(all))*time.Millisecond).UnixNano(), Deadline: now.Add(-time.Hour).UnixNano(),
+					Attempts: []undelivered.Attempt{{At: now.Add(-time.Hour).UnixNano(), Endpoint: "s-0", Outcome: how}}}
+				e.Reason = undelivered.ReasonOf(e.History())
+				all = append(all, e)
+				ids = append(ids, id)
+			}
+		}
+	}
+	if err := s.Keep(all, now.UnixNano()); err != nil {
+		t.Fatal(err)
+	}
+	return ids
+}
+
+const resendFile = `[work]
+[undelivered]
+[[undelivered.resend]]
+name = "all"
+well_for = "10ms"
+share = 1.0
+most = 50
+deadline = "10s"
+`
+
+// Kept messages go again by rule while live ones come, and the sender is killed again and again as they do: nothing whose
+// class forbids it has its effect twice, and all that may go has gone in the end. SAFFRONYARD_RESENDS sets how many of each
+// of six sorts there are, and so how long it takes; SAFFRONYARD_KILLS how often it is killed.
+func TestResendsSurviveKills(t *testing.T) {
+	each, kills := 12, 5
+	fmt.Sscan(os.Getenv("SAFFRONYARD_RESENDS"), &each)
+	fmt.Sscan(os.Getenv("SAFFRONYARD_KILLS"), &kills)
+	r := &effects{calls: map[string]int{}, done: map[string]int{}, keys: map[string]time.Time{}, slow: 3 * time.Millisecond}
+	e := st.NewEndpoint(t, r.answer)
+	go func() {
+		for range e.Calls { // it holds a thousand only
+		}
+	}()
+	p := st.NewPlatform(t, e.Addr)
+	go func() {
+		for range p.Lists {
+		}
+	}()
+	state := t.TempDir()
+	ids := kept(t, filepath.Join(state, "undelivered"), each)
+	file := filepath.Join(t.TempDir(), "features.toml")
+	if err := os.WriteFile(file, []byte(resendFile), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	var out bytes.Buffer
+	seed := uint64(time.Now().UnixNano())
+	t.Log("seed", seed)
+	rnd := rand.New(rand.NewPCG(seed, 0))
+	live, n := 0, 0
+	delivered := func() (n int) {
+		for _, id := range ids {
+			if calls, _ := r.of(id); calls > 0 {
+				n++
+			}
+		}
+		return n
+	}
+	for kill := 0; ; kill++ {
+		c := start(t, p, state, "-features", file)
+		until := time.Now().Add(time.Duration(300+rnd.IntN(1200)) * time.Millisecond)
+		for kill < kills && time.Now().Before(until) || kill >= kills {
+			id := fmt.Sprintf("live-%d", n)
+			n++
+			if resp, _ := st.Do(t, st.Message(t, c.addr, id, "safe", 0, 10*time.Second, "b")); resp.StatusCode == 202 {
+				live++
+			}
+			time.Sleep(time.Duration(rnd.IntN(4)) * time.Millisecond)
+			if kill < kills {
+				continue
+			}
+			// The last one runs until all that may go has gone: what is left may not.
+			out.Reset()
+			if code := undeliveredCommand([]string{"list", "-folder", filepath.Join(state, "undelivered"), "-json"}, os.Getenv, &out, os.Stderr); code != 0 {
+				t.Fatal(code)
+			}
+			left := 0
+			for _, line := range strings.Split(out.String(), "\n") {
+				if strings.Contains(line, `"state":"resending"`) || strings.Contains(line, `"class":"safe"`) || strings.Contains(line, "-refused-") && !strings.Contains(line, `"outcome":"unknown"`) {
+					left++
+				}
+			}
+			if left == 0 {
+				break
+			}
+			if time.Now().After(until.Add(st.Wait + time.Duration(each)*time.Second)) {
+				t.Fatalf("%d are left, %d went\n%s", left, delivered(), out.String())
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+		c.Process.Kill()
+		c.Wait()
+		if kill >= kills {
+			break
+		}
+	}
+	lost := 0
+	for _, id := range ids {
+		calls, done := r.of(id)
+		stays := strings.Contains(out.String(), `"message":"`+id+`"`)
+		mayRepeat := strings.HasPrefix(id, "safe")
+		switch {
+		case strings.Contains(id, "timed-out") && !mayRepeat && calls > 0:
+			t.Errorf("%s may have run, and was sent again", id)
+		case !mayRepeat && done > 1:
+			t.Errorf("%s had its effect %d times in %d calls", id, done, calls)
+		case done == 0 && !stays:
+			t.Errorf("%s is lost", id)
+		case done == 0:
+			lost++
+		}
+	}
+	// Those that may not go, and at the most one or two for each kill whose call was out then.
+	if may := 2*each + 10*kills; lost > may {
+		t.Errorf("%d did not go, %d may not", lost, may)
+	}
+	t.Logf("%d kept messages, %d kills, %d live messages beside; %d have gone", len(ids), kills, live, delivered())
+}
+
+// By hand: what would go is said first, nothing goes without a rule or a word, and what may not go does not.
+func TestResendByHand(t *testing.T) {
+	r := &effects{calls: map[string]int{}, done: map[string]int{}, keys: map[string]time.Time{}}
+	e := st.NewEndpoint(t, r.answer)
+	p := st.NewPlatform(t, e.Addr)
+	state := t.TempDir()
+	folder := filepath.Join(state, "undelivered")
+	kept(t, folder, 1)
+	file := filepath.Join(t.TempDir(), "features.toml")
+	if err := os.WriteFile(file, []byte("[work]\n[undelivered]\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	start(t, p, state, "-features", file)
+	run := func(args ...string) string {
+		t.Helper()
+		var out, errs bytes.Buffer
+		if code := undeliveredCommand(append(args, "-folder", folder), os.Getenv, &out, &errs); code != 0 {
+			t.Fatalf("%v: %d %s", args, code, &errs)
+		}
+		return out.String()
+	}
+	dry := run("resend", "-dry-run")
+	for _, want := range []string{"4 would go again", "1 would not: it may have run, and its class may not be repeated", "1 would not: it may have run, and the receiver may have forgotten its key"} {
+		if !strings.Contains(dry, want) {
+			t.Errorf("%s\nwant %q", dry, want)
+		}
+	}
+	if len(e.Calls) > 0 {
+		t.Error("something went")
+	}
+	if got := run("resend", "-class", "unsafe"); !strings.Contains(got, "2 are to go again") {
+		t.Error(got)
+	}
+	if c := e.Next(t); c.ID != "unsafe-refused-0" || c.Body != "body of unsafe-refused-0" {
+		t.Errorf("%+v", c)
+	}
+	if got := run("resend", "-stop"); !strings.Contains(got, "are stopped") {
+		t.Error(got)
+	}
+	for over := time.Now().Add(st.Wait); !strings.Contains(run("count"), "1 were delivered after"); time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(over) {
+			t.Fatal(run("count"))
+		}
+	}
+	var out, errs bytes.Buffer
+	if code := workCommand([]string{"list", "-state", state}, os.Getenv, &out, &errs); code != 0 || !strings.Contains(out.String(), "resend") {
+		t.Errorf("%d %s%s", code, &out, &errs)
+	}
+	for _, c := range []struct {
+		args []string
+		code int
+		says string
+	}{
+		{nil, 2, "saffronyard work list"}, {[]string{"list", "x"}, 2, "saffronyard work list"}, {[]string{"pause"}, 2, "saffronyard work"}, {[]string{"show", "x"}, 2, "no job's number"},
+		{[]string{"show", "999", "-state", state}, 2, "saffronyard work"}, {[]string{"show", "-state", state, "999"}, 1, "no such job"}, {[]string{"pause", "-state", state, "-kind", "resend"}, 0, ""},
+		{[]string{"list", "-state", state}, 0, "paused"}, {[]string{"resume", "-state", state, "-kind", "resend"}, 0, ""}, {[]string{"drop", "-state", state, "77"}, 0, ""},
+		{[]string{"list", "-state", state, "-json"}, 0, `"allow":`}, {[]string{"list", "-state", filepath.Join(state, "none")}, 1, "no sender answers"},
+	} {
+		var out, errs bytes.Buffer
+		code := workCommand(c.args, func(string) string { return "" }, &out, &errs)
+		if code != c.code || !strings.Contains(out.String()+errs.String(), c.says) {
+			t.Errorf("%q: %d, %s%s; want %d, %q", c.args, code, &out, &errs, c.code, c.says)
+		}
+	}
+}
--- a/cmd/saffronyard/undelivered.go
+++ b/cmd/saffronyard/undelivered.go
@@ -6,7 +6,9 @@
 	"flag"
 	"fmt"
 	"io"
+	"maps"
 	"path/filepath"
+	"slices"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -22,6 +24,7 @@
   export   entries with their bodies, a JSON object a line
   settle   mark entries as dealt with: -by WHO -why TEXT
   drop     take entries out for good; they are counted as dropped
+  resend   have entries go again, by the same filters; -dry-run says what would go, what may not, and why; -stop stops it
 
 A sender that runs is asked by its socket in -folder (default $EDGE_STATE/undelivered); -store FILE looks at a copy of
 its file instead.
@@ -35,7 +38,7 @@
 	}
 	what := args[0]
 	switch what {
-	case "list", "show", "count", "export", "settle", "drop":
+	case "list", "show", "count", "export", "settle", "drop", "resend":
 	default:
 		fmt.Fprintf(errs, "there is no command %q\n\n%s", what, undeliveredUsage)
 		return 2
@@ -53,6 +56,8 @@
 	asJSON := f.Bool("json", false, "JSON in place of a table")
 	by := f.String("by", "", "settle: `who` does so")
 	why := f.String("why", "", "settle: `why`")
+	dry := f.Bool("dry-run", false, "resend: only say what would go, what may not, and why")
+	stop := f.Bool("stop", false, "resend: what has not gone yet stays")
 	if err := f.Parse(args[1:]); err != nil {
 		return 2
 	}
@@ -111,6 +116,12 @@
 		from = undelivered.Dial(*folder)
 	}
 	switch what {
+	case "resend":
+		remote, ok := from.(*undelivered.Remote)
+		if !ok {
+			return fail(errors.New("resend asks a sender that runs, no copy"))
+		}
+		err = resendEntries(remote, filter, *dry, *stop, out)
 	case "list":
 		err = listEntries(from, filter, *asJSON, out)
 	case "export":
@@ -209,6 +220,36 @@
 	return nil
 }
 
+// resendEntries has entries go again, or says what would become of them.
+func resendEntries(from *undelivered.Remote, f undelivered.Filter, dry, stop bool, out io.Writer) error {
+	if !dry {
+		n, err := from.Want(f, !stop)
+		if err == nil && stop {
+			fmt.Fprintf(out, "%d are stopped\n", n)
+		} else if err == nil {
+			fmt.Fprintf(out, "%d are to go again, as far as they may; 'saffronyard undelivered count' says how many have\n", n)
+		}
+		return err
+	}
+	goes, stays := 0, map[string]int{}
+	err := from.Plans(f, func(p undelivered.Plan) {
+		if p.Goes {
+			goes++
+		} else {
+			stays[p.Why]++
+			fmt.Fprintf(out, "%s of %s stays: %s\n", p.Name, p.Member, p.Why)
+		}
+	})
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "%d would go again\n", goes)
+	for _, why := range slices.Sorted(maps.Keys(stays)) {
+		fmt.Fprintf(out, "%d would not: %s\n", stays[why], why)
+	}
+	return nil
+}
+
 func countEntries(from undelivered.Source, asJSON bool, out io.Writer) error {
 	t, err := from.Count()
 	if err != nil {
@@ -225,6 +266,6 @@
 	if err := w.Flush(); err != nil {
 		return err
 	}
-	fmt.Fprintf(out, "%d bytes\n", t.Bytes)
+	fmt.Fprintf(out, "%d bytes; %d were delivered after they had been kept\n", t.Bytes, t.Resent)
 	return nil
 }
--- a/internal/features/features.go
+++ b/internal/features/features.go
@@ -26,6 +26,7 @@
 	Knowledge   *Knowledge   `toml:"knowledge"`
 	Peers       *Peers       `toml:"peers"`
 	DNS         *DNS         `toml:"dns"`
+	Work        *Work        `toml:"work"`
 }
 
 // Peers is how this sender takes part among the others of its deployment.
@@ -79,6 +80,7 @@
 	Folder string        `toml:"folder"` // default: "undelivered" in the sender's state folder
 	Bytes  int64         `toml:"bytes"`  // of all entries; default 268435456
 	Age    tomlfile.Span `toml:"age"`    // an entry is dropped so long after it ended; default 168h
+	Resend []Resend      `toml:"resend"` // rules by which they go again, the first that fits; default: none, by hand only
 }
 
 // Quiet is how destinations without traffic are remembered.
@@ -233,6 +235,11 @@
 			return nil, err
 		}
 	}
+	if f.Work != nil {
+		if err := f.Work.check(c); err != nil {
+			return nil, err
+		}
+	}
 	if u := f.Undelivered; u != nil {
 		set(&u.Bytes, 256<<20)
 		set(&u.Age, tomlfile.Span(7*24*time.Hour))
@@ -242,6 +249,9 @@
 		if d := u.Age.D(); d < ageLeast || d > ageMost {
 			return nil, c.at("undelivered", 0, "age", "undelivered.age = %v is not from %v to %v", d, ageLeast, ageMost)
 		}
+		if err := u.checkResend(c, f.Work != nil); err != nil {
+			return nil, err
+		}
 	}
 	return f, nil
 }
@@ -471,6 +481,18 @@
 		}
 		lines = append(lines, fmt.Sprintf("peers: of cluster %s, membership at %s %s, %d seeds; what is known is told at %s; %d peers are followed", p.Cluster, p.Listen, keys, len(p.Seeds), p.Exchange, p.Follow))
 	}
+	if u := f.Undelivered; u != nil {
+		for _, r := range u.Resend {
+			when := fmt.Sprintf("once the receiver has been well for %v", r.WellFor.D())
+			if r.ByHand {
+				when = "by hand"
+			}
+			lines = append(lines, fmt.Sprintf("undelivered: rule %s: sent again %s, at %v of the receiver's pace, %d times at most, then %s", r.Name, when, r.Share, r.Most, r.Then))
+		}
+	}
+	if f.Work != nil {
+		lines = append(lines, f.Work.lines()...)
+	}
 	if f.DNS != nil {
 		lines = append(lines, f.DNS.lines()...)
 	}
--- a/internal/features/features_test.go
+++ b/internal/features/features_test.go
@@ -153,7 +153,7 @@
 			on = append(on, rest)
 		}
 	}
-	if f, err := Parse("saffronyard.toml", []byte(strings.Join(on, "\n"))); err != nil || f.Quiet == nil || f.Events == nil || f.Delivery == nil || f.Undelivered == nil || f.Undelivered.Bytes != 256<<20 || f.Knowledge == nil || f.Peers == nil || f.Peers.Follow != 3 || f.DNS == nil || len(f.DNS.Members) != 1 {
+	if f, err := Parse("saffronyard.toml", []byte(strings.Join(on, "\n"))); err != nil || f.Quiet == nil || f.Events == nil || f.Delivery == nil || f.Undelivered == nil || f.Undelivered.Bytes != 256<<20 || f.Knowledge == nil || f.Peers == nil || f.Peers.Follow != 3 || f.DNS == nil || len(f.DNS.Members) != 1 || f.Work == nil || len(f.Undelivered.Resend) != 1 {
 		t.Errorf("turned on: %+v %v", f, err)
 	}
 }
--- a/internal/sender/config.go
+++ b/internal/sender/config.go
@@ -15,6 +15,7 @@
 	"dockshift.example/dockshift/brain"
 	"dockshift.example/dockshift/internal/peers"
 	"dockshift.example/dockshift/internal/settings"
+	"dockshift.example/dockshift/internal/work"
 )
 
 // foldAfter is how long a destination is quiet before it is remembered in short: longer than a usual lull, as what
@@ -60,9 +61,12 @@
 	Recorder Recorder  // messages that are not delivered are kept; nil: they are not
 	Delivery *Delivery // in which form messages go out; nil: all as in the platform's protocol
 
-	Peers     *peers.Config // other senders, who tell what they know; nil: none
-	Names     *Names        // names say where endpoints are, beside discovery; nil: discovery alone does
-	Knowledge *Knowledge    // what is known of receivers outlasts the process; nil: only their usual rates do
+	Peers      *peers.Config                         // other senders, who tell what they know; nil: none
+	Background bool                                  // work behind the messages asks of the sender: see Sender.Background
+	Work       func(filter work.Filter) (any, error) // what the command line is told of it, and what it wants done
+	WorkDo     func(work.Command) error
+	Names      *Names     // names say where endpoints are, beside discovery; nil: discovery alone does
+	Knowledge  *Knowledge // what is known of receivers outlasts the process; nil: only their usual rates do
 }
 
 // LoadConfig reads the file that EDGE_CONFIG names. The other variables win over what it says.
--- a/internal/sender/inspect.go
+++ b/internal/sender/inspect.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -16,6 +17,7 @@
 	"dockshift.example/dockshift/brain"
 	"dockshift.example/dockshift/internal/knowledge"
 	"dockshift.example/dockshift/internal/peers"
+	"dockshift.example/dockshift/internal/work"
 )
 
 // SocketName is the Unix socket in the state folder by which the command line asks a sender that runs what it knows.
@@ -95,6 +97,8 @@
 		}
 		http.Error(w, "no names are followed: the operators' file has no [dns]", http.StatusNotFound)
 	})
+	mux.HandleFunc("GET /work", i.work)
+	mux.HandleFunc("POST /work", i.work)
 	i.server = &http.Server{Handler: mux, ReadHeaderTimeout: askTime}
 	i.done.Add(1)
 	go func() {
@@ -126,6 +130,40 @@
 	}
 }
 
+// work tells of background work, and passes on what an operator wants of it.
+func (i *inspection) work(w http.ResponseWriter, r *http.Request) {
+	c := i.s.c
+	if c.Work == nil {
+		http.Error(w, "there is no background work: the operators' file has no [work]", http.StatusNotFound)
+		return
+	}
+	q := r.URL.Query()
+	id, err := strconv.ParseUint(q.Get("id"), 10, 63)
+	if q.Get("id") != "" && err != nil {
+		http.Error(w, fmt.Sprintf("%q is no job's number", q.Get("id")), http.StatusBadRequest)
+		return
+	}
+	if r.Method == http.MethodPost {
+		verb := slices.Index([]string{"pause", "resume", "run", "drop"}, q.Get("do"))
+		if verb < 0 {
+			http.Error(w, "there are pause, resume, run and drop", http.StatusBadRequest)
+			return
+		}
+		err = c.WorkDo(work.Command{Verb: work.Verb(verb), ID: work.ID(id), Kind: q.Get("kind"), Owner: q.Get("owner")})
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		}
+		return
+	}
+	most, _ := strconv.Atoi(q.Get("most"))
+	v, err := c.Work(work.Filter{ID: work.ID(id), Kind: q.Get("kind"), Owner: q.Get("owner"), State: q.Get("state"), Most: most})
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	json.NewEncoder(w).Encode(v)
+}
+
 func (i *inspection) take(e any, now time.Duration) []brain.Event {
 	if q, ok := e.(question); ok {
 		q.answer <- q.ask(i.s, now)
--- a/internal/sender/journal.go
+++ b/internal/sender/journal.go
@@ -56,6 +56,9 @@
 	Event *cloudevents.Event `json:"event,omitempty"`
 	Ident *ident             `json:"ident,omitempty"`
 	Tries []try              `json:"tries,omitempty"`
+	// Of a kept message that goes again: for which time, and how many of its attempts are those of earlier ones.
+	Life   int `json:"life,omitempty"`
+	Before int `json:"before,omitempty"`
 
 	Try int `json:"try,omitempty"` // end: which attempt, from 0
 	// send: the new attempt; end: that it never ran
@@ -146,10 +149,12 @@
 	return try{}, false
 }
 
-// made is how many attempts count as such: those that were recalled before anything was written do not.
+// made is how many attempts count as such: those that were recalled before anything was written do not, and of one that
+// went again those of its earlier lives do not.
 func (m *stored) made() int {
-	n := len(m.Tries)
-	for _, t := range m.Tries {
+	own := m.Tries[min(m.Before, len(m.Tries)):]
+	n := len(own)
+	for _, t := range own {
 		if t.Recalled {
 			n--
 		}
@@ -324,6 +329,8 @@
 	if len(r.Tries) > 0 {
 		b = append(b, ']')
 	}
+	number(`,"life":`, int64(r.Life))
+	number(`,"before":`, int64(r.Before))
 	number(`,"try":`, int64(r.Try))
 	if r.Sent != nil {
 		b = appendTry(append(b, `,"sent":`...), r.Sent)
--- a/internal/sender/loop.go
+++ b/internal/sender/loop.go
@@ -305,7 +305,7 @@
 			if m.keep && s.records != nil {
 				s.records.cost += m.cost
 				s.records.waiting = append(s.records.waiting, m)
-			} else if m.keep { // the recorder was turned off
+			} else if m.keep && m.Life == 0 { // the recorder was turned off
 				s.journal.note(m, record{Op: "kept"})
 			}
 			continue
@@ -444,6 +444,9 @@
 		s.ends.release(sub.Ident)
 		return refuse("no room to keep the message")
 	}
+	if s.records != nil && sub.Key != "" {
+		s.records.handed = append(s.records.handed, [2]string{sub.Tenant, sub.Key})
+	}
 	return brain.Message{ID: s.hold(st, sub.answer), Class: sub.class, Tenant: sub.tenant,
 		Destination: brain.DestinationID(sub.Dest), Key: st.orderKey(), Deadline: sub.Deadline}
 }
@@ -470,10 +473,10 @@
 		switch {
 		case e.Outcome == brain.Served:
 			s.ends.end(m, s.clock.now(), identity.Delivered, 0)
-			s.end(m, record{How: delivered})
+			s.end(m, s.overAs(m, delivered))
 		case e.Over:
 			s.ends.end(m, s.clock.now(), identity.Failed, 0)
-			s.end(m, record{How: answered})
+			s.end(m, s.overAs(m, answered))
 		default:
 			never := e.Outcome == brain.Refused || e.Outcome == brain.ConnectFailed || e.Outcome == brain.NotSent
 			rec := record{Op: "end", Try: m.base + e.attempt, Never: never, Recalled: e.Recalled}
@@ -487,6 +490,15 @@
 	return e.AttemptEnd
 }
 
+// overAs is the end of a message that is not given up: of one that went again the recorder hears that, too.
+func (s *Sender) overAs(m *message, how string) record {
+	rec := record{How: how}
+	if m.Life > 0 && s.wants(m, how) {
+		rec.Keep, rec.At = true, s.clock.now()
+	}
+	return rec
+}
+
 // end writes down that a message is over. A client that still waits hears it from the caller.
 func (s *Sender) end(m *message, rec record) {
 	rec.Op = "over"
@@ -663,12 +675,14 @@
 		}
 		s.end(m, rec)
 	} else {
-		rec := record{How: how, RetryMS: hold.Milliseconds()}
+		rec := record{How: how, RetryMS: hold.Milliseconds(), Told: m.Life > 0} // of one that went again nobody waits to hear
 		if s.wants(m, how) {
 			rec.Keep, rec.At = true, s.clock.now()
 		}
 		s.end(m, rec)
-		s.owed = append(s.owed, m.notice())
+		if m.Life == 0 {
+			s.owed = append(s.owed, m.notice())
+		}
 	}
 	s.forget(m)
 }
--- a/internal/sender/participant.go
+++ b/internal/sender/participant.go
@@ -76,7 +76,10 @@
 		}
 		parts = append(parts, p)
 	}
-	if s.c.Knowledge != nil || s.c.Peers != nil || s.c.Names != nil {
+	if s.c.Background {
+		parts = append(parts, &backgroundPart{s: s, resent: map[brain.MessageID]*message{}})
+	}
+	if s.c.Knowledge != nil || s.c.Peers != nil || s.c.Names != nil || s.c.Background {
 		i, err := newInspection(s)
 		if err != nil { // without it the sender goes on, and the command line gets no answer
 			s.log.Error("what is known can't be asked for", "err", err)
--- a/internal/sender/recorder.go
+++ b/internal/sender/recorder.go
@@ -15,6 +15,9 @@
 	Keep(entries []undelivered.Entry, now int64) error
 	// Missed counts ends that were not offered, by member and reason.
 	Missed(counts map[[2]string]int64) error
+	// HandedIn tells of messages that clients handed in under a key, by member and key: one that is kept under it is its
+	// client's again.
+	HandedIn(keys [][2]string) error
 }
 
 const (
@@ -33,12 +36,15 @@
 	cost    int64     // in the journal, of all of these
 	most    int64
 	missed  map[[2]string]int64
+	handed  [][2]string // member and key of messages that were handed in
+	busy    bool        // something is offered
 }
 
 // offer is a batch on its way to the recorder.
 type offer struct {
 	entries []undelivered.Entry
 	missed  map[[2]string]int64
+	handed  [][2]string
 }
 
 type keptEvent struct{}
@@ -63,6 +69,11 @@
 			err := b.to.Missed(o.missed)
 			if err == nil {
 				o.missed = nil
+				if err = b.to.HandedIn(o.handed); err == nil {
+					o.handed = nil
+				}
+			}
+			if err == nil {
 				err = b.to.Keep(o.entries, time.Now().UnixNano())
 			}
 			if err == nil {
@@ -108,10 +119,10 @@
 // wants is whether an end that is about to be written down is to be kept, and books the room for it.
 func (s *Sender) wants(m *message, how string) bool {
 	b := s.records
-	if b == nil {
-		return false
+	if b == nil { // what went again is the store's still, and it must hear of its end when it is there again
+		return m.Life > 0
 	}
-	if b.cost+m.cost > b.most { // the recorder is too slow, or its disk fails: nothing else is to suffer for that
+	if b.cost+m.cost > b.most && m.Life == 0 { // the recorder is too slow, or its disk fails: nothing else is to suffer for that
 		rec := *m.stored
 		rec.how, rec.at = how, s.clock.now()
 		e := s.entry(&rec)
@@ -129,12 +140,14 @@
 // record offers what waits, if nothing is out.
 func (s *Sender) record() {
 	b := s.records
-	if b == nil || len(b.out) > 0 || len(b.waiting) == 0 {
+	if b == nil || b.busy || len(b.waiting) == 0 && len(b.handed) == 0 {
 		return
 	}
+	b.busy = true
 	n := min(len(b.waiting), recordMost)
 	b.out, b.waiting = b.waiting[:n:n], b.waiting[n:]
-	o := offer{missed: b.missed}
+	o := offer{missed: b.missed, handed: b.handed}
+	b.handed = nil
 	b.missed = map[[2]string]int64{}
 	for _, m := range b.out {
 		o.entries = append(o.entries, s.entry(m))
@@ -151,15 +164,18 @@
 			s.journal.note(m, record{Op: "kept"})
 		}
 	}
-	b.out = nil
+	b.out, b.busy = nil, false
 }
 
 // entry is a message that has ended, for the recorder.
 func (s *Sender) entry(m *stored) undelivered.Entry {
 	e := undelivered.Entry{Message: m.ID, Member: m.Tenant, Class: m.Class, Destination: m.Dest, Key: m.Key, Order: m.Order, Body: m.Body,
-		How: undelivered.GivenUp, Answered: m.how == answered, Ended: int64(m.at), Deadline: int64(m.Deadline), Effect: undelivered.Unsafe}
-	if m.how == handedBack {
+		How: undelivered.GivenUp, Answered: m.how == answered, Lives: m.Life, Ended: int64(m.at), Deadline: int64(m.Deadline), Effect: undelivered.Unsafe}
+	switch m.how {
+	case handedBack:
 		e.How = undelivered.HandedBack
+	case delivered:
+		e.How = undelivered.Delivered
 	}
 	if m.Event != nil {
 		e.Event = m.Event.AppendHead(nil)
--- a/internal/sender/recorder_test.go
+++ b/internal/sender/recorder_test.go
@@ -47,6 +47,8 @@
 	return nil
 }
 
+func (r *memoryRecorder) HandedIn([][2]string) error { return nil }
+
 func (r *memoryRecorder) Missed(counts map[[2]string]int64) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/undelivered/reason.go
+++ b/internal/undelivered/reason.go
@@ -52,6 +52,7 @@
 const (
 	GivenUp    = "given_up"
 	HandedBack = "handed_back"
+	Delivered  = "delivered" // of one that went again
 )
 
 // Reason is why a message was not delivered. The list is closed.
--- a/internal/undelivered/serve.go
+++ b/internal/undelivered/serve.go
@@ -129,6 +129,37 @@
 		}
 		return answer(w, n)
 	})
+	// What goes again is not asked of the store: its engine says what may, and has it go.
+	again := func(pattern string, f func(Filter, http.ResponseWriter, url.Values) error) {
+		mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) {
+			if k.byWork == nil {
+				http.Error(w, "nothing goes again: the operators' file has no [work]", http.StatusNotFound)
+				return
+			}
+			filter, err := filterOf(r.URL.Query())
+			if err == nil {
+				err = f(filter, w, r.URL.Query())
+			}
+			if err != nil {
+				http.Error(w, err.Error(), http.StatusInternalServerError)
+			}
+		})
+	}
+	again("GET /plans", func(f Filter, w http.ResponseWriter, _ url.Values) error {
+		f.Most = min(max(1, f.Most), pageMost)
+		plans, err := k.byWork.Plans(f)
+		if err != nil {
+			return err
+		}
+		return answer(w, plans)
+	})
+	again("POST /want", func(f Filter, w http.ResponseWriter, q url.Values) error {
+		n, err := k.byWork.Want(f, q.Get("stop") == "")
+		if err != nil {
+			return err
+		}
+		return answer(w, n)
+	})
 	return mux
 }
 
@@ -258,6 +289,45 @@
 	}
 }
 
+// Plans asks page by page what would become of entries if they were to go again by hand.
+func (r *Remote) Plans(f Filter, do func(Plan)) error {
+	for left := f.Most; ; {
+		page := f
+		if page.Most = pageMost; left > 0 {
+			page.Most = min(left, pageMost)
+		}
+		var all []Plan
+		if err := r.ask(http.MethodGet, "/plans", page.query(), &all); err != nil {
+			return err
+		}
+		for _, p := range all {
+			key, err := ParseKey(p.Name)
+			if err != nil {
+				return err
+			}
+			f.After = key
+			do(p)
+		}
+		if left > 0 {
+			if left -= len(all); left <= 0 {
+				return nil
+			}
+		}
+		if len(all) < page.Most {
+			return nil
+		}
+	}
+}
+
+// Want has entries go again by hand, as far as they may, or stops that; how many that changed.
+func (r *Remote) Want(f Filter, want bool) (n int, err error) {
+	q := f.query()
+	if !want {
+		q.Set("stop", "1")
+	}
+	return n, r.ask(http.MethodPost, "/want", q, &n)
+}
+
 // Get is one entry.
 func (r *Remote) Get(key Key) (Entry, bool, error) {
 	var e *Entry
--- a/internal/undelivered/store.go
+++ b/internal/undelivered/store.go
@@ -22,6 +22,7 @@
 //	messages id of a message → key
 //	members  member, 0, key → nothing; and by the same scheme reasons, classes, destinations, and, for the usual
 //	         question, pairs: member, 0, reason, 0, key
+//	keys     member, 0, idempotency key, 0, key → nothing
 //	totals   member → entries and bytes (8 each)
 //	dropped  member, 0, reason → how many were dropped (8)
 //
@@ -37,9 +38,11 @@
 	bucketPairs        = []byte("pairs")
 	bucketTotals       = []byte("totals")
 	bucketDropped      = []byte("dropped")
+	bucketKeys         = []byte("keys")
 
 	keyVersion = []byte("version")
 	keyBytes   = []byte("bytes")
+	keyResent  = []byte("resent")
 )
 
 // version is that of the file's layout.
@@ -52,6 +55,8 @@
 const (
 	Kept    State = "kept"
 	Settled State = "settled" // by hand
+	// Resending is one that was handed to the sender again, or is about to be. Until it has ended it is the journal's.
+	Resending State = "resending"
 )
 
 // Entry is one message that was not delivered.
@@ -75,9 +80,12 @@
 	Attempts    []Attempt       `json:"attempts,omitempty"`
 
 	State State  `json:"state"`
-	By    string `json:"by,omitempty"`   // who settled it
-	Why   string `json:"why,omitempty"`  // and why
-	When  int64  `json:"when,omitempty"` // Unix nanoseconds
+	Lives int    `json:"lives,omitempty"` // times that it went again
+	Hand  bool   `json:"hand,omitempty"`  // an operator wants it to go again
+	Began int64  `json:"began,omitempty"` // of one that went again: when it ended first; Unix nanoseconds
+	By    string `json:"by,omitempty"`    // who settled it
+	Why   string `json:"why,omitempty"`   // and why
+	When  int64  `json:"when,omitempty"`  // Unix nanoseconds
 }
 
 // History is what is asked of an entry.
@@ -117,8 +125,9 @@
 
 // Store keeps entries. It is safe for several goroutines.
 type Store struct {
-	db     *bolt.DB
-	limits Limits
+	db      *bolt.DB
+	limits  Limits
+	expires bool // Expire is called now and then: Keep need not look for what is too old
 }
 
 // ErrNewer is that a file was written by a later version.
@@ -172,14 +181,27 @@
 	}
 	return s.update(func(tx *bolt.Tx) error {
 		if tx.Bucket(bucketMeta) == nil {
-			for _, name := range [][]byte{bucketMeta, bucketEntries, bucketMessages, bucketMembers, bucketReasons, bucketClasses, bucketDestinations, bucketPairs, bucketTotals, bucketDropped} {
+			for _, name := range [][]byte{bucketMeta, bucketEntries, bucketMessages, bucketMembers, bucketReasons, bucketClasses, bucketDestinations, bucketPairs, bucketTotals, bucketDropped, bucketKeys} {
 				if _, err := tx.CreateBucketIfNotExists(name); err != nil {
 					return err
 				}
 			}
 			return tx.Bucket(bucketMeta).Put(keyVersion, number(version))
 		}
-		return checkVersion(tx)
+		if err := checkVersion(tx); err != nil || tx.Bucket(bucketKeys) != nil {
+			return err
+		}
+		keys, err := tx.CreateBucket(bucketKeys) // a file from before there was this index
+		if err != nil {
+			return err
+		}
+		return tx.Bucket(bucketEntries).ForEach(func(k, raw []byte) error {
+			var e Entry
+			if err := json.Unmarshal(raw, &e); err != nil || e.Key == "" {
+				return err
+			}
+			return keys.Put(append(join(e.Member, e.Key), k...), nil)
+		})
 	})
 }
 
@@ -294,6 +316,9 @@
 			return err
 		}
 	}
+	if b := tx.Bucket(bucketKeys); b != nil && e.Key != "" {
+		return f(b, join(e.Member, e.Key))
+	}
 	return nil
 }
 
@@ -315,9 +340,11 @@
 }
 
 func (s *Store) put(tx *bolt.Tx, e *Entry) error {
-	key := KeyOf(e.Message, e.Ended)
-	if tx.Bucket(bucketMessages).Get([]byte(e.Message)) != nil {
-		return nil // offered again after a kill
+	if was := tx.Bucket(bucketMessages).Get([]byte(e.Message)); was != nil {
+		return s.ended(tx, bytes.Clone(was), e) // or offered again after a kill
+	}
+	if e.Lives > 0 { // it went again, and was dropped or delivered meanwhile
+		return nil
 	}
 	if e.State == "" {
 		e.State = Kept
@@ -326,6 +353,38 @@
 	if err != nil {
 		return fmt.Errorf("message %s: %w", e.Message, err)
 	}
+	return insert(tx, e, raw)
+}
+
+// ended books how a message ended that went again: delivered it is gone, else it is kept as it is now. An end that is known
+// already changes nothing.
+func (s *Store) ended(tx *bolt.Tx, key []byte, e *Entry) error {
+	var was Entry
+	if err := json.Unmarshal(tx.Bucket(bucketEntries).Get(key), &was); err != nil {
+		return fmt.Errorf("entry %x: %w", key, err)
+	}
+	if was.State != Resending || e.Lives != was.Lives+1 {
+		return nil
+	}
+	if _, err := remove(tx, key); err != nil {
+		return err
+	}
+	if e.How == Delivered {
+		b := tx.Bucket(bucketMeta)
+		return b.Put(keyResent, number(value(b.Get(keyResent))+1))
+	}
+	e.Began = was.First()
+	e.State = Kept
+	raw, err := json.Marshal(e)
+	if err != nil {
+		return fmt.Errorf("message %s: %w", e.Message, err)
+	}
+	return insert(tx, e, raw)
+}
+
+// insert puts an entry and its indexes in.
+func insert(tx *bolt.Tx, e *Entry, raw []byte) error {
+	key := KeyOf(e.Message, e.Ended)
 	if err := tx.Bucket(bucketEntries).Put(key[:], raw); err != nil {
 		return err
 	}
@@ -338,6 +397,161 @@
 	return count(tx, e.Member, 1, int64(len(raw)))
 }
 
+// Begin marks entries as about to be handed to the sender again, before they are; those that are no longer there, or not
+// just kept, are left out of what it gives back.
+func (s *Store) Begin(keys []Key) (begun []Entry, err error) {
+	err = s.update(func(tx *bolt.Tx) error {
+		begun = nil
+		for _, k := range keys {
+			e, ok, err := s.mark(tx, k, Kept, Resending)
+			if err != nil {
+				return err
+			}
+			if ok {
+				begun = append(begun, e)
+			}
+		}
+		return nil
+	})
+	if err != nil {
+		return nil, fmt.Errorf("undelivered: %w", err)
+	}
+	return begun, nil
+}
+
+// Want notes that an operator wants entries to go again, or does no longer; how many that changed.
+func (s *Store) Want(keys []Key, want bool) (n int, err error) {
+	err = s.update(func(tx *bolt.Tx) error {
+		n = 0
+		for _, k := range keys {
+			raw := tx.Bucket(bucketEntries).Get(k[:])
+			if raw == nil {
+				continue
+			}
+			var e Entry
+			if err := json.Unmarshal(raw, &e); err != nil {
+				return fmt.Errorf("entry %s: %w", k, err)
+			}
+			if e.Hand == want || e.State != Kept {
+				continue
+			}
+			e.Hand = want
+			is, err := json.Marshal(&e)
+			if err != nil {
+				return err
+			}
+			size := int64(len(is) - len(raw))
+			if err := tx.Bucket(bucketEntries).Put(k[:], is); err != nil {
+				return err
+			}
+			if err := count(tx, e.Member, 0, size); err != nil {
+				return err
+			}
+			n++
+		}
+		return nil
+	})
+	if err != nil {
+		return 0, fmt.Errorf("undelivered: %w", err)
+	}
+	return n, nil
+}
+
+// Members are those of whom anything is kept.
+func (s *Store) Members() (members []string, err error) {
+	err = s.view(func(tx *bolt.Tx) error {
+		return tx.Bucket(bucketTotals).ForEach(func(k, _ []byte) error {
+			members = append(members, string(k))
+			return nil
+		})
+	})
+	if err != nil {
+		return nil, fmt.Errorf("undelivered: %w", err)
+	}
+	return members, nil
+}
+
+// Back marks entries as kept again that the sender has not taken.
+func (s *Store) Back(keys []Key) error {
+	err := s.update(func(tx *bolt.Tx) error {
+		for _, k := range keys {
+			if _, _, err := s.mark(tx, k, Resending, Kept); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+	if err != nil {
+		return fmt.Errorf("undelivered: %w", err)
+	}
+	return nil
+}
+
+func (s *Store) mark(tx *bolt.Tx, key Key, from, to State) (e Entry, ok bool, err error) {
+	raw := tx.Bucket(bucketEntries).Get(key[:])
+	if raw == nil {
+		return e, false, nil
+	}
+	if err := json.Unmarshal(raw, &e); err != nil {
+		return e, false, fmt.Errorf("entry %s: %w", key, err)
+	}
+	if e.State != from {
+		return e, false, nil
+	}
+	size := int64(len(raw))
+	e.State = to
+	is, err := json.Marshal(&e)
+	if err != nil {
+		return e, false, err
+	}
+	if err := tx.Bucket(bucketEntries).Put(key[:], is); err != nil {
+		return e, false, err
+	}
+	return e, true, count(tx, e.Member, 0, int64(len(is))-size)
+}
+
+// Reconcile marks those as kept again that were about to be handed to the sender as an earlier process ended, and that its
+// journal does not hold. It is called before anything is handed over in this process.
+func (s *Store) Reconcile(held map[string]bool) (n int, err error) {
+	var back []Key
+	err = s.List(Filter{}, func(k Key, e Entry) bool {
+		if e.State == Resending && !held[e.Message] {
+			back = append(back, k)
+		}
+		return true
+	})
+	if err != nil {
+		return 0, err
+	}
+	return len(back), s.Back(back)
+}
+
+// Expire drops what is too old, so many at most; more says that there is more of it.
+func (s *Store) Expire(now int64, most int) (n int, more bool, err error) {
+	if s.limits.Age <= 0 {
+		return 0, false, nil
+	}
+	err = s.update(func(tx *bolt.Tx) error {
+		n, more = 0, false
+		c := tx.Bucket(bucketEntries).Cursor()
+		for k, _ := c.First(); k != nil && int64(binary.BigEndian.Uint64(k)) <= now-int64(s.limits.Age); k, _ = c.First() {
+			if n == most {
+				more = true
+				return nil
+			}
+			if err := drop(tx, k); err != nil {
+				return err
+			}
+			n++
+		}
+		return nil
+	})
+	if err != nil {
+		return 0, false, fmt.Errorf("undelivered: %w", err)
+	}
+	return n, more, nil
+}
+
 // count adds to the totals.
 func count(tx *bolt.Tx, member string, n, size int64) error {
 	meta, totals := tx.Bucket(bucketMeta), tx.Bucket(bucketTotals)
@@ -415,7 +629,7 @@
 // retain drops what is too old, and, while there are too many bytes, the oldest of the member that is furthest over an
 // even share of them: one member's flood costs that member.
 func (s *Store) retain(tx *bolt.Tx, now int64) error {
-	if s.limits.Age > 0 {
+	if s.limits.Age > 0 && !s.expires {
 		c := tx.Bucket(bucketEntries).Cursor()
 		for k, _ := c.First(); k != nil && int64(binary.BigEndian.Uint64(k)) <= now-int64(s.limits.Age); k, _ = c.First() {
 			if err := drop(tx, k); err != nil {
@@ -549,6 +763,9 @@
 		if err := json.Unmarshal(raw, &e); err != nil {
 			return fmt.Errorf("entry %s: %w", key, err)
 		}
+		if e.State == Resending {
+			return fmt.Errorf("entry %s is on its way", key)
+		}
 		if e.State == Settled {
 			return fmt.Errorf("entry %s was settled by %s at %s", key, e.By, time.Unix(0, e.When).UTC().Format(time.RFC3339))
 		}
@@ -569,6 +786,40 @@
 	return nil
 }
 
+// HandedIn settles entries whose member's client has handed in another message under the same key: it is the client's again.
+func (s *Store) HandedIn(keys [][2]string, now int64) error {
+	var found []Key
+	err := s.view(func(tx *bolt.Tx) error {
+		b := tx.Bucket(bucketKeys)
+		if b == nil {
+			return nil
+		}
+		c := b.Cursor()
+		for _, k := range keys {
+			prefix := join(k[0], k[1])
+			for at, _ := c.Seek(prefix); bytes.HasPrefix(at, prefix) && len(at) == len(prefix)+16; at, _ = c.Next() {
+				found = append(found, Key(at[len(prefix):]))
+			}
+		}
+		return nil
+	})
+	if err != nil {
+		return fmt.Errorf("undelivered: %w", err)
+	}
+	for _, k := range found {
+		if e, ok, err := s.Get(k); err != nil || !ok || e.State != Kept {
+			if err != nil {
+				return err
+			}
+			continue
+		}
+		if err := s.Settle(k, "client", "its client has handed it in anew", now); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // Drop takes entries out for good, and counts them as dropped; how many there were.
 func (s *Store) Drop(keys []Key) (n int, err error) {
 	err = s.update(func(tx *bolt.Tx) error {
@@ -601,12 +852,14 @@
 type Totals struct {
 	Counts []Count `json:"counts"`
 	Bytes  int64   `json:"bytes"`
+	Resent int64   `json:"resent"` // delivered after they had been kept
 }
 
 // Count counts by member and reason.
 func (s *Store) Count() (t Totals, err error) {
 	err = s.view(func(tx *bolt.Tx) error {
 		t.Bytes = value(tx.Bucket(bucketMeta).Get(keyBytes))
+		t.Resent = value(tx.Bucket(bucketMeta).Get(keyResent))
 		at := map[[2]string]int{}
 		add := func(member, reason string) *Count {
 			who := [2]string{member, reason}
