--- a/internal/work/run/run_test.go
+++ b/internal/work/run/run_test.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -341,12 +342,12 @@
 		c.Settings.Kinds[k] = work.Kind{Retry: work.Retry{First: 1, Most: 1, Fails: 2, Credit: 100}}
 	}
 	hangs := make(chan struct{})
-	bred := 0
+	var bred atomic.Int32
 	kinds := []*Kind{
 		{Name: "panics", Repeat: true, Slice: func(context.Context, Task) (Result, error) { panic("at the disco") }},
 		{Name: "hangs", Repeat: true, Slice: func(ctx context.Context, _ Task) (Result, error) { <-hangs; return Result{}, nil }},
 		{Name: "breeds", Repeat: true, Slice: func(context.Context, Task) (Result, error) {
-			bred++
+			bred.Add(1)
 			return Result{Jobs: make10("breeds")}, nil
 		}},
 		{Name: "parks", Repeat: true, Slice: func(context.Context, Task) (Result, error) {
@@ -384,8 +385,8 @@
 		t.Fatal(err)
 	}
 	rep := settled(t, r)
-	if bred > 40 || rep.Held > 25 {
-		t.Errorf("%d slices, %d jobs are held", bred, rep.Held)
+	if bred.Load() > 40 || rep.Held > 25 {
+		t.Errorf("%d slices, %d jobs are held", bred.Load(), rep.Held)
 	}
 	for _, j := range rep.Jobs {
 		if j.Kind == "breeds" && !strings.Contains(j.Err, "not taken") {
