--- a/cmd/saffronyard/background.go
+++ b/cmd/saffronyard/background.go
@@ -66,6 +66,9 @@
 		b.engine.Sender, b.engine.Log = s.Background(), log
 		kinds = b.engine.Kinds(true)
 	}
+	if c.Knowledge != nil {
+		kinds = append(kinds, snapshots(s.Background(), c.Knowledge.Every))
+	}
 	r, err := worker.Start(worker.Config{Settings: b.settings(b.features), Path: filepath.Join(folder, "work.db"), Bytes: w.Bytes, Targets: w.Pressure(),
 		Facts: b.facts, Workers: w.Workers, Slow: w.Slow.D()}, kinds, log)
 	if err != nil {
@@ -79,7 +82,7 @@
 // settings are the file's; resends are tried for as long as it takes, as the store says what is left to do.
 func (b *behind) settings(f *features.Features) work.Settings {
 	set := f.Work.Settings()
-	for _, name := range []string{resend.Look, resend.Member, resend.Expire} {
+	for _, name := range []string{resend.Look, resend.Member, resend.Expire, snapshotKind} {
 		k := set.Kinds[name]
 		k.Retry = work.Retry{First: 200 * time.Millisecond, Most: 10 * time.Second, Ratio: 0.1, Credit: 100}
 		set.Kinds[name] = k
@@ -87,6 +90,19 @@
 	return set
 }
 
+// snapshotKind is the writing down of what is known of receivers.
+const snapshotKind = "knowledge.snapshot"
+
+func snapshots(s *sender.Background, every time.Duration) *worker.Kind {
+	return &worker.Kind{Name: snapshotKind, Memory: true, Repeat: true,
+		Slice: func(ctx context.Context, _ worker.Task) (worker.Result, error) {
+			n, err := s.Snapshot(ctx)
+			return worker.Result{Used: work.Cost{work.DiskWrite: int64(n)}}, err
+		},
+		Timer: &worker.Timer{Schedule: work.Schedule{Every: every, Missed: work.MissedOnce},
+			Job: worker.New{Kind: snapshotKind, Owner: "knowledge", Priority: work.Low, Lock: snapshotKind, Resource: "state folder", Slice: work.Cost{work.DiskWrite: 4096}}}}
+}
+
 // look asks the sender how busy it is, time and again.
 func (b *behind) look(ctx context.Context, s *sender.Background) {
 	every := time.NewTicker(factsTime)
--- /dev/null
+++ b/cmd/saffronyard/background_test.go
@@ -0,0 +1,51 @@
+package main
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	st "dockshift.example/dockshift/internal/sendertest"
+)
+
+// What is known of receivers is written down as background work, and what the next process learns from is that.
+func TestSnapshotsByWork(t *testing.T) {
+	e := st.NewEndpoint(t, st.Status(200))
+	p := st.NewPlatform(t, e.Addr)
+	state := t.TempDir()
+	file := filepath.Join(t.TempDir(), "features.toml")
+	if err := os.WriteFile(file, []byte("[work]\n[knowledge]\nevery = \"500ms\"\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	c := start(t, p, state, "-features", file)
+	st.HandIn(t, c.addr, "m", "safe", 0, 10*time.Second)
+	e.Next(t)
+	list := func() string {
+		var out, errs bytes.Buffer
+		workCommand([]string{"list", "-state", state}, os.Getenv, &out, &errs)
+		return out.String() + errs.String()
+	}
+	for over := time.Now().Add(st.Wait); !strings.Contains(list(), "knowledge.snapshot"); time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(over) {
+			t.Fatal(list())
+		}
+	}
+	for over := time.Now().Add(st.Wait); ; time.Sleep(20 * time.Millisecond) {
+		if info, err := os.Stat(filepath.Join(state, "knowledge")); err == nil && info.Size() > 60 {
+			break
+		}
+		if time.Now().After(over) {
+			t.Fatal("nothing is written down")
+		}
+	}
+	c.Process.Kill() // it writes nothing as it leaves
+	c.Wait()
+	start(t, p, state, "-features", file)
+	var out, errs bytes.Buffer
+	if code := askCommand("knowledge", []string{"-state", state, "0"}, os.Getenv, &out, &errs); code != 0 || !strings.Contains(out.String(), "earlier") {
+		t.Errorf("%d %s%s", code, &out, &errs)
+	}
+}
--- a/internal/nameserver/server.go
+++ b/internal/nameserver/server.go
@@ -336,7 +336,9 @@
 	}
 	now := s.clock()
 	s.mu.Lock()
-	repeat, full := s.replays.Seen(signed, t.MAC, now, now+2*fudgeMost*time.Second)
+	// A copy is in time for as long as the message itself: until its time of signing and the fudge are over.
+	left := time.Duration(int64(t.TimeSigned)+fudgeMost+1-time.Now().Unix()) * time.Second
+	repeat, full := s.replays.Seen(signed, t.MAC, now, now+left)
 	s.mu.Unlock()
 	if repeat {
 		return refused(dns.RcodeNotAuth, "it was sent before")
--- a/internal/nameserver/service_test.go
+++ b/internal/nameserver/service_test.go
@@ -865,3 +865,71 @@
 		}
 	}
 }
+
+// Questions, signed updates and whole transfers of 10,000 records a second, over loopback, by one who asks.
+func BenchmarkServer(b *testing.B) {
+	c := updated(b, b.TempDir())
+	var text strings.Builder
+	text.WriteString(zoneText)
+	for i := range 10_000 {
+		fmt.Fprintf(&text, "h%d 300 IN A 10.0.%d.%d\n", i, i>>8, i&255)
+	}
+	put(b, c.Zones[0].File, text.String())
+	s, err := Start(c, quiet())
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer s.Close()
+	ring := NewKeyring(c.Keys)
+	var conn *dns.Conn
+	asked := 0
+	exchange := func(b *testing.B, m *dns.Msg) {
+		if asked%(tcpQueries/2) == 0 { // the server ends a connection after so many
+			var err error
+			if conn, err = dns.DialTimeout("tcp", s.Address(), wait); err != nil {
+				b.Fatal(err)
+			}
+		}
+		asked++
+		client := dns.Client{Net: "tcp", Timeout: wait, TsigProvider: ring}
+		if r, _, err := client.ExchangeWithConn(m, conn); err != nil || r.Rcode != dns.RcodeSuccess {
+			b.Fatal(r, err)
+		}
+	}
+	b.Run("question", func(b *testing.B) {
+		for range b.N {
+			exchange(b, new(dns.Msg).SetQuestion("h77.example.", dns.TypeA))
+		}
+	})
+	b.Run("update", func(b *testing.B) {
+		for i := range b.N {
+			m := replaceWith(b, "hooks.example.", fmt.Sprintf("127.2.%d.%d", i>>8&255, i&255))
+			m.Id = dns.Id()
+			ring.Sign(m, "ops.", time.Now().Unix())
+			client := dns.Client{Timeout: wait, TsigProvider: ring} // the library signs one message a connection rightly
+			if r, _, err := client.Exchange(m, s.Address()); err != nil || r.Rcode != dns.RcodeSuccess {
+				b.Fatal(r, err)
+			}
+		}
+	})
+	b.Run("transfer", func(b *testing.B) {
+		for range b.N {
+			m := new(dns.Msg).SetAxfr("example.")
+			ring.Sign(m, "xfer.", time.Now().Unix())
+			ch, err := (&dns.Transfer{TsigProvider: ring, ReadTimeout: wait}).In(m, s.Address())
+			if err != nil {
+				b.Fatal(err)
+			}
+			n := 0
+			for e := range ch {
+				if e.Error != nil {
+					b.Fatal(e.Error)
+				}
+				n += len(e.RR)
+			}
+			if n < 10_000 {
+				b.Fatal(n)
+			}
+		}
+	})
+}
--- a/internal/rehearsal/day/day.go
+++ b/internal/rehearsal/day/day.go
@@ -122,7 +122,16 @@
 	// The day's clock starts with its arrivals: what is set up before has its events at time 0 and after.
 	d := &Day{plan: plan, hosts: newHosts(), drains: map[string]int{}, delay: plan.Day.ListDelay.D(), ctx: ctx}
 	d.first = d.hosts.next()
-	if text := strings.ReplaceAll(plan.FeaturesText(), firstHost, d.first); text != "" {
+	zone := &zoneFile{path: filepath.Join(opt.Folder, "kit.zone")}
+	text := strings.ReplaceAll(plan.FeaturesText(), firstHost, d.first)
+	if plan.Day.Names {
+		var err error
+		if zone.path, err = filepath.Abs(zone.path); err != nil {
+			return nil, fmt.Errorf("rehearsal: %w", err)
+		}
+		text += "\n" + zone.features(plan)
+	}
+	if text != "" {
 		path, err := filepath.Abs(filepath.Join(opt.Folder, "features.toml"))
 		if err == nil {
 			err = os.WriteFile(path, []byte(text), 0o644)
@@ -137,6 +146,9 @@
 	d.late = newLateness(d.log)
 	d.book = traffic.NewBook(d.log, mostAttempts, opt.Open)
 	d.disc = platform.New(d.log, d.hosts.next, d.book.Notice)
+	if plan.Day.Names {
+		d.disc.Names(zone.write)
+	}
 	d.log.Add(eventlog.Event{Kind: eventlog.World, Figures: d.figures()})
 	fail := func(err error) (*Day, error) { return nil, errors.Join(err, d.Close()) }
 	numbers := &atomic.Int64{}
--- /dev/null
+++ b/internal/rehearsal/day/zonefile.go
@@ -0,0 +1,54 @@
+package day
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"slices"
+	"strings"
+
+	"dockshift.example/dockshift/internal/rehearsal/platform"
+	"dockshift.example/dockshift/internal/rehearsal/script"
+)
+
+// zoneFile stands in for the operators' DNS: a zone file that says where receivers are, replaced whole with each change.
+type zoneFile struct {
+	path   string
+	serial int
+}
+
+const zoneName = "kit"
+
+// features is what has a sender follow the file.
+func (z *zoneFile) features(plan *script.Plan) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "[dns]\n[[dns.zone]]\nname = %q\nfile = %q\n", zoneName, z.path)
+	for i, r := range plan.Receivers {
+		fmt.Fprintf(&b, "[[dns.member]]\ndestination = %d\nname = \"_r%d._tcp.%s\"\nsrv = true\nkind = %q\nzone = \"a\"\n", i, i, zoneName, r.Kind)
+	}
+	return b.String()
+}
+
+// write lists the endpoints, each as a SRV record of its receiver.
+func (z *zoneFile) write(all []platform.Target) error {
+	z.serial++
+	var b strings.Builder
+	fmt.Fprintf(&b, "$ORIGIN %s.\n@ 1 IN SOA ns hostmaster %d 60 10 300 1\n@ 1 IN NS ns\n", zoneName, z.serial)
+	var hosts []string
+	for _, t := range all {
+		host, port, err := net.SplitHostPort(t.Addr)
+		if err != nil {
+			return err
+		}
+		name := "h-" + strings.ReplaceAll(host, ".", "-")
+		fmt.Fprintf(&b, "_r%d._tcp 1 IN SRV 0 1 %s %s\n", t.Cell, port, name)
+		if !slices.Contains(hosts, name) {
+			hosts = append(hosts, name)
+			fmt.Fprintf(&b, "%s 1 IN A %s\n", name, host)
+		}
+	}
+	if err := os.WriteFile(z.path+".new", []byte(b.String()), 0o644); err != nil {
+		return err
+	}
+	return os.Rename(z.path+".new", z.path)
+}
--- a/internal/rehearsal/platform/platform.go
+++ b/internal/rehearsal/platform/platform.go
@@ -75,6 +75,7 @@
 	failed  int                // calls while it was down
 	offices map[string]*office // by sender
 	stop    chan struct{}
+	zone    func([]Target) error // writes the zone file that senders follow in place of the list; nil: there is none
 }
 
 // office is where one sender asks.
@@ -99,6 +100,14 @@
 	return p
 }
 
+// Names has endpoints told by a zone file, which write writes anew: discovery lists none. A sender counts as told from the
+// moment in which the file is there.
+func (p *Platform) Names(write func([]Target) error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.zone = write
+}
+
 // Open gives a sender its address.
 func (p *Platform) Open(sender string) (string, error) {
 	o := &office{sender: sender, told: map[string]string{}, last: p.log.Now()}
@@ -157,6 +166,10 @@
 	defer p.mu.Unlock()
 	o := p.offices[sender]
 	o.run, o.last, o.failed = run, p.log.Now(), false
+	if p.zone != nil { // it reads the file as it is
+		p.tell(o, p.whole(), "zone")
+		return Targets{Version: p.version, Full: true, Servers: []Target{}}
+	}
 	if fresh || len(o.told) == 0 {
 		o.told = map[string]string{}
 		whole := p.whole()
@@ -189,6 +202,22 @@
 	p.list[t.ID] = t
 	p.changes = append(p.changes, change{p.version, p.log.Now(), t})
 	p.log.Add(eventlog.Event{Kind: eventlog.Changed, Endpoint: t.ID, Dest: t.Cell, State: t.State})
+	if p.zone != nil {
+		var listed []Target
+		for _, line := range p.sorted() {
+			if line.State == Serving {
+				listed = append(listed, line)
+			}
+		}
+		if err := p.zone(listed); err != nil {
+			p.log.Add(eventlog.Event{Kind: eventlog.Fault, Note: fmt.Sprintf("zone file: %v", err)})
+		}
+		for _, o := range p.offices {
+			if o.run > 0 {
+				p.tell(o, Targets{Version: p.version, Servers: []Target{t}}, "zone")
+			}
+		}
+	}
 	p.wakeAll()
 }
 
@@ -325,6 +354,10 @@
 	if watch {
 		t = p.since(after)
 	}
+	named := p.zone != nil
+	if named {
+		t.Servers = []Target{}
+	}
 	p.mu.Unlock()
 	raw, err := json.Marshal(t)
 	if err == nil {
@@ -334,7 +367,7 @@
 		}
 	}
 	p.mu.Lock()
-	if err == nil {
+	if err == nil && !named {
 		p.tell(o, t, "")
 	}
 	end(err != nil)
@@ -357,7 +390,7 @@
 			if o.failed {
 				within *= afterFailed
 			}
-			if o.run == 0 || o.watching > 0 || now-o.last <= max(within, watchGap) {
+			if p.zone != nil || o.run == 0 || o.watching > 0 || now-o.last <= max(within, watchGap) {
 				continue
 			}
 			listed := Targets{}
--- a/internal/rehearsal/script/script.go
+++ b/internal/rehearsal/script/script.go
@@ -72,6 +72,7 @@
 	Speak       form.Form `toml:"speak"`        // how clients hand messages in: plain, binary, structured, batched or mixed; default plain
 	LostAnswers float64   `toml:"lost_answers"` // share of the answers to events that their clients never see: they hand the same in again; default 0
 	Features    string    `toml:"features"`     // text of the operators' file that the senders are started with
+	Names       bool      `toml:"names"`        // endpoints are told by a zone file that the senders follow, in place of discovery
 	ReportLate  Span      `toml:"report_late"`  // and tell what was so long ago; default 100ms
 }
 
--- a/internal/sender/past.go
+++ b/internal/sender/past.go
@@ -1,6 +1,7 @@
 package sender
 
 import (
+	"context"
 	"errors"
 	"os"
 	"path/filepath"
@@ -36,6 +37,7 @@
 	writing chan []byte // room for one; what comes while that is taken waits for the next look
 	done    sync.WaitGroup
 	failed  bool // the last write, as told
+	saving  sync.Mutex
 }
 
 // knowledgeRoom is the bytes on the disk for snapshots: the one that stands, and the one that is written.
@@ -67,7 +69,7 @@
 	go func() {
 		defer p.done.Done()
 		for raw := range p.writing {
-			err := knowledge.Save(p.path, raw)
+			err := p.save(raw)
 			if err != nil && !p.failed {
 				s.log.Warn("what is known is not written down", "err", err)
 			}
@@ -197,7 +199,7 @@
 
 // looked writes a snapshot down when its time has come, and the one before is written.
 func (p *past) looked(now time.Duration) {
-	if now-p.wrote < p.s.c.Knowledge.Every || len(p.writing) > 0 {
+	if p.s.c.Background || now-p.wrote < p.s.c.Knowledge.Every || len(p.writing) > 0 {
 		return
 	}
 	p.wrote = now
@@ -216,5 +218,31 @@
 	if raw == nil {
 		return errors.New("knowledge: it can't be written")
 	}
+	return p.save(raw)
+}
+
+// save writes a snapshot; two at a time would write into one file.
+func (p *past) save(raw []byte) error {
+	p.saving.Lock()
+	defer p.saving.Unlock()
 	return knowledge.Save(p.path, raw)
 }
+
+// Snapshot writes down what is known of receivers, as the looks of a sender do that has no background work; it gives the
+// bytes that it wrote, 0 where nothing is to be kept.
+func (b *Background) Snapshot(ctx context.Context) (n int, err error) {
+	p, ok := partOf[*past](b.s)
+	if !ok {
+		return 0, nil
+	}
+	var raw []byte
+	err = b.within(ctx, func(_ *backgroundPart, now time.Duration) []brain.Event {
+		p.wrote = now
+		raw, _ = knowledge.Marshal(p.known(now), now, time.Now(), int(b.s.c.Knowledge.Bytes))
+		return nil
+	})
+	if err != nil || raw == nil {
+		return 0, err
+	}
+	return len(raw), p.save(raw)
+}
