Background work ends with the first word to leave; keys of hand-ins that wait are bounded

Need: after a SIGTERM the sender takes up to 3.2 s of the 3.7 s that it has, and background work began to end only then; keys that clients hand in under wait for the recorder, without a bound where that fails. Change: background work is called off with the signal; 20,000 keys wait at the most. Rehearsals by zone file list each address at two names.

--- a/cmd/saffronyard/background.go
+++ b/cmd/saffronyard/background.go
@@ -26,14 +26,15 @@
 	engine   *resend.Engine
 	runner   atomic.Pointer[worker.Runner]
 
-	stop context.CancelFunc
-	mu   sync.Mutex
-	last work.Facts
+	stop    context.CancelFunc
+	mu      sync.Mutex
+	last    work.Facts
+	closing sync.Once
 }
 
 const (
 	factsTime   = 100 * time.Millisecond
-	closingTime = time.Second // of the 3.7 s that a SIGTERM leaves, after the sender's own
+	closingTime = time.Second // of the 3.7 s that a SIGTERM leaves, beside the sender's own
 )
 
 // errNoWork says that the sender is not that far, or leaving.
@@ -165,7 +166,12 @@
 	return r.Configure(b.settings(f))
 }
 
+// close ends background work, once: with the first word that the sender is to leave, so that all is over when that has left.
 func (b *behind) close(log *slog.Logger) {
+	b.closing.Do(func() { b.end(log) })
+}
+
+func (b *behind) end(log *slog.Logger) {
 	b.stop()
 	if r := b.runner.Load(); r != nil {
 		if err := r.Close(closingTime); err != nil {
--- a/cmd/saffronyard/background_test.go
+++ b/cmd/saffronyard/background_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -43,9 +44,14 @@
 	}
 	c.Process.Kill() // it writes nothing as it leaves
 	c.Wait()
-	start(t, p, state, "-features", file)
+	c = start(t, p, state, "-features", file)
 	var out, errs bytes.Buffer
 	if code := askCommand("knowledge", []string{"-state", state, "0"}, os.Getenv, &out, &errs); code != 0 || !strings.Contains(out.String(), "earlier") {
 		t.Errorf("%d %s%s", code, &out, &errs)
 	}
+	from := time.Now()
+	c.Process.Signal(syscall.SIGTERM)
+	if err := c.Wait(); err != nil || time.Since(from) > 3700*time.Millisecond {
+		t.Errorf("it left after %v: %v", time.Since(from), err)
+	}
 }
--- a/cmd/saffronyard/main.go
+++ b/cmd/saffronyard/main.go
@@ -240,6 +240,7 @@
 			return err
 		}
 		defer background.close(log)
+		defer context.AfterFunc(ctx, func() { background.close(log) })()
 		again = append(again, func(*sender.Sender) error { return background.reload(file) })
 	}
 	running := make(chan struct{})
--- a/internal/rehearsal/day/zonefile.go
+++ b/internal/rehearsal/day/zonefile.go
@@ -11,7 +11,8 @@
 	"dockshift.example/dockshift/internal/rehearsal/script"
 )
 
-// zoneFile stands in for the operators' DNS: a zone file that says where receivers are, replaced whole with each change.
+// zoneFile stands in for the operators' DNS: a zone file that says where receivers are, replaced whole with each change. Each
+// receiver has two names, and each address is listed at both: a sender that took them for two endpoints would push it over.
 type zoneFile struct {
 	path   string
 	serial int
@@ -19,12 +20,17 @@
 
 const zoneName = "kit"
 
+// services are the names of a receiver below its own.
+var services = [...]string{"_hooks", "_notices"}
+
 // features is what has a sender follow the file.
 func (z *zoneFile) features(plan *script.Plan) string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "[dns]\n[[dns.zone]]\nname = %q\nfile = %q\n", zoneName, z.path)
 	for i, r := range plan.Receivers {
-		fmt.Fprintf(&b, "[[dns.member]]\ndestination = %d\nname = \"_r%d._tcp.%s\"\nsrv = true\nkind = %q\nzone = \"a\"\n", i, i, zoneName, r.Kind)
+		for _, service := range services {
+			fmt.Fprintf(&b, "[[dns.member]]\ndestination = %d\nname = \"%s._r%d.%s\"\nsrv = true\nkind = %q\nzone = \"a\"\n", i, service, i, zoneName, r.Kind)
+		}
 	}
 	return b.String()
 }
@@ -41,7 +47,9 @@
 			return err
 		}
 		name := "h-" + strings.ReplaceAll(host, ".", "-")
-		fmt.Fprintf(&b, "_r%d._tcp 1 IN SRV 0 1 %s %s\n", t.Cell, port, name)
+		for _, service := range services {
+			fmt.Fprintf(&b, "%s._r%d 1 IN SRV 0 1 %s %s\n", service, t.Cell, port, name)
+		}
 		if !slices.Contains(hosts, name) {
 			hosts = append(hosts, name)
 			fmt.Fprintf(&b, "%s 1 IN A %s\n", name, host)
--- a/internal/sender/loop.go
+++ b/internal/sender/loop.go
@@ -444,9 +444,7 @@
 		s.ends.release(sub.Ident)
 		return refuse("no room to keep the message")
 	}
-	if s.records != nil && sub.Key != "" {
-		s.records.handed = append(s.records.handed, [2]string{sub.Tenant, sub.Key})
-	}
+	s.records.handedIn(sub.Tenant, sub.Key)
 	return brain.Message{ID: s.hold(st, sub.answer), Class: sub.class, Tenant: sub.tenant,
 		Destination: brain.DestinationID(sub.Dest), Key: st.orderKey(), Deadline: sub.Deadline}
 }
--- a/internal/sender/recorder.go
+++ b/internal/sender/recorder.go
@@ -25,6 +25,7 @@
 	recordPart  = 4                      // a part of the journal's room is for ends that wait for the recorder
 	recordAgain = 200 * time.Millisecond // the pause before what failed is offered again, then doubled
 	recordPause = 10 * time.Second       // up to this
+	handedMost  = 20_000                 // keys of hand-ins that wait for a recorder that is slow or fails
 )
 
 // recorderBooks is the loop's side of a recorder. A nil one keeps nothing.
@@ -167,6 +168,18 @@
 	b.out, b.busy = nil, false
 }
 
+// handedIn notes a hand-in under a key. Where the recorder has failed for so long that there are too many, the oldest go: what is
+// kept under them stays, and if it goes again its receiver tells by the key that it has come before, as long as it does.
+func (b *recorderBooks) handedIn(member, key string) {
+	if b == nil || key == "" {
+		return
+	}
+	if len(b.handed) >= handedMost {
+		b.handed = b.handed[1:]
+	}
+	b.handed = append(b.handed, [2]string{member, key})
+}
+
 // entry is a message that has ended, for the recorder.
 func (s *Sender) entry(m *stored) undelivered.Entry {
 	e := undelivered.Entry{Message: m.ID, Member: m.Tenant, Class: m.Class, Destination: m.Dest, Key: m.Key, Order: m.Order, Body: m.Body,
