Rules changed in service are seen by each member's resends

Need: the note that something has changed was cleared by the first member's job that looked, so that others saw it up to 30 s late; that a rule may change by SIGHUP while the sender runs was built and not tried. Change: a count of changes, which each member's job compares with its own. Measured: a test changes a rule by SIGHUP, by a file that can't be read first, which changes nothing.

--- a/cmd/saffronyard/resend_test.go
+++ b/cmd/saffronyard/resend_test.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -250,3 +251,46 @@
 		}
 	}
 }
+
+// A rule that is changed by SIGHUP while the sender runs holds from then on; a file that can't be read changes nothing.
+func TestRulesChangeInService(t *testing.T) {
+	r := &effects{calls: map[string]int{}, done: map[string]int{}, keys: map[string]time.Time{}}
+	e := st.NewEndpoint(t, r.answer)
+	p := st.NewPlatform(t, e.Addr)
+	state := t.TempDir()
+	kept(t, filepath.Join(state, "undelivered"), 1)
+	file := filepath.Join(t.TempDir(), "features.toml")
+	write := func(text string) {
+		t.Helper()
+		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write(strings.Replace(resendFile, "most = 50", "most = 50\nby_hand = true", 1))
+	c := start(t, p, state, "-features", file)
+	looked := func() { // until the engine has looked at what is kept, twice
+		t.Helper()
+		for over := time.Now().Add(st.Wait); ; time.Sleep(20 * time.Millisecond) {
+			var out, errs bytes.Buffer
+			workCommand([]string{"list", "-state", state}, os.Getenv, &out, &errs)
+			if strings.Contains(out.String(), "\nresend ") {
+				return
+			}
+			if time.Now().After(over) {
+				t.Fatal(out.String(), errs.String())
+			}
+		}
+	}
+	looked()
+	write("[work]\nnonsense = 1\n")
+	c.Process.Signal(syscall.SIGHUP)
+	looked()
+	if len(e.Calls) > 0 {
+		t.Fatalf("%+v went, and the rule has it go by hand only", <-e.Calls)
+	}
+	write(resendFile)
+	c.Process.Signal(syscall.SIGHUP)
+	if c := e.Next(t); !strings.Contains("safe-refused-0 safe-timed-out-0 keyed-refused-0 unsafe-refused-0", c.ID) { // the first of those that may
+		t.Errorf("%s has gone", c.ID)
+	}
+}
--- a/internal/resend/resend.go
+++ b/internal/resend/resend.go
@@ -61,13 +61,14 @@
 	active     map[string]bool // members who have a job
 	asked      []string        // those for whom the last look made one
 	passed     map[string]passed
-	changed    bool // something was kept, or wanted by hand: what was passed over is looked at again
+	changes    int // something ended, was wanted by hand, or the rules are others: what was passed over is looked at again
 }
 
 // passed is how far a member's entries were looked at, none of which could go.
 type passed struct {
-	after undelivered.Key
-	at    time.Duration
+	after   undelivered.Key
+	at      time.Duration
+	changes int // as there had been then
 }
 
 // Ended is told of each message that went again, as it has ended.
@@ -77,14 +78,15 @@
 	if g := e.gates[x.Destination]; g != nil {
 		g.Ended(x.How == undelivered.Delivered)
 	}
-	e.changed = true
+	e.changes++
 }
 
 // SetRules changes the rules in service. What is on its way goes on; what has not gone yet goes by the new ones.
 func (e *Engine) SetRules(rules []undelivered.Rule) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.Rules, e.changed = rules, true
+	e.Rules = rules
+	e.changes++
 }
 
 func (e *Engine) rules() []undelivered.Rule {
@@ -174,10 +176,9 @@
 	now, wall, rules := e.Clock(), e.Wall(), e.rules()
 	e.mu.Lock()
 	from := e.passed[t.Owner]
-	if e.changed || now-from.at > againAfter {
-		from = passed{at: now}
+	if from.changes != e.changes || now-from.at > againAfter {
+		from = passed{at: now, changes: e.changes}
 	}
-	e.changed = false
 	e.mu.Unlock()
 
 	type chosen struct {
@@ -216,10 +217,10 @@
 		e.mu.Lock()
 		defer e.mu.Unlock()
 		if n == page {
-			e.passed[t.Owner] = passed{last, from.at}
+			e.passed[t.Owner] = passed{last, from.at, from.changes}
 			return run.Result{More: true}, nil
 		}
-		e.passed[t.Owner] = passed{at: now}
+		e.passed[t.Owner] = passed{at: now, changes: from.changes}
 		delete(e.active, t.Owner)
 		return run.Result{}, nil
 	}
@@ -322,7 +323,7 @@
 	}
 	n, err = s.Want(keys, want)
 	e.mu.Lock()
-	e.changed = true
+	e.changes++
 	e.mu.Unlock()
 	return n, err
 }
