After a restart no more jobs begin than there are workers; a lent job keeps its turn

Cause: as an earlier process's jobs were taken up all bounds were off, that on slices at once among them. A job that was lent a priority was put into its queue with a new number, which was then set back within the heap. Change: the bound on slices stays; a lent job is put in by its own number. The list of all ready jobs served a rule that is gone, and is gone.

--- a/internal/work/report.go
+++ b/internal/work/report.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"time"
 )
 
 // View is a job as operators see it.
@@ -131,13 +130,3 @@
 
 // Len is how many jobs are held, and how many slices run.
 func (s *Scheduler) Len() (jobs, slices int) { return len(s.jobs), s.running }
-
-// Waited is how long the job that has been ready for longest has been so.
-func (s *Scheduler) Waited() time.Duration {
-	if e := s.oldest.Front(); e != nil {
-		if j, ok := e.Value.(*job); ok {
-			return s.now - j.since
-		}
-	}
-	return 0
-}
--- a/internal/work/run/run.go
+++ b/internal/work/run/run.go
@@ -216,11 +216,11 @@
 			}
 		}
 	}
-	// What is held already is held, whatever the bounds are now.
+	// What is held already is held, whatever the bounds are now; but no more run than there are workers.
 	open := r.c.Settings
-	open.Limits = work.Limits{}
-	r.act(r.sched.Step(r.now(), r.c.Wall(), append([]work.Event{work.Configure{Settings: open}, work.Allow{Part: 0}}, events...)...))
-	r.act(r.sched.Step(r.now(), r.c.Wall(), work.Configure{Settings: r.c.Settings}, work.Allow{Part: 1}))
+	open.Limits = work.Limits{Running: r.c.Workers}
+	r.step(append([]work.Event{work.Configure{Settings: open}}, events...)...)
+	r.step(work.Configure{Settings: r.c.Settings})
 	return nil
 }
 
--- a/internal/work/run/run_test.go
+++ b/internal/work/run/run_test.go
@@ -501,6 +501,46 @@
 	}
 }
 
+// What an earlier process left begins no more at once than there are workers.
+func TestNoMoreThanWorkersAfterARestart(t *testing.T) {
+	c := config(filepath.Join(t.TempDir(), "work.db"))
+	st, err := store.Open(c.Path, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := st.Add(make10Records("slow"), "", time.Time{}); err != nil {
+		t.Fatal(err)
+	}
+	st.Close()
+	var now, most atomic.Int32
+	begun := make(chan struct{}, 10)
+	r, err := Start(c, []*Kind{{Name: "slow", Repeat: true, Slice: func(context.Context, Task) (Result, error) {
+		n := now.Add(1)
+		defer now.Add(-1)
+		for m := most.Load(); n > m && !most.CompareAndSwap(m, n); m = most.Load() {
+		}
+		begun <- struct{}{}
+		time.Sleep(2 * time.Millisecond)
+		return Result{}, nil
+	}}}, quiet())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer r.Close(wait)
+	settled(t, r)
+	if most.Load() > int32(c.Workers) || len(begun) != 10 {
+		t.Errorf("%d at once of %d, %d workers", most.Load(), len(begun), c.Workers)
+	}
+}
+
+func make10Records(kind string) []store.Record {
+	var out []store.Record
+	for range 10 {
+		out = append(out, store.Record{Kind: kind, Owner: "a"})
+	}
+	return out
+}
+
 // A slice that is called off as the process leaves may have been done: the next one does not do it again by itself.
 func TestCalledOffMayHaveBeenDone(t *testing.T) {
 	c := config(filepath.Join(t.TempDir(), "work.db"))
--- a/internal/work/scheduler.go
+++ b/internal/work/scheduler.go
@@ -117,7 +117,7 @@
 	slices  int
 	queue   *queue
 	at      int           // in its queue's or the delayed heap
-	place   *list.Element // among all that are ready, or wait for the same
+	place   *list.Element // among those that wait for the same
 }
 
 // queue is the ready jobs of one owner, kind and priority.
@@ -189,7 +189,7 @@
 	levels  [priorities]map[string]*level
 	kinds   map[string]*kind
 	owners  map[string]*owner
-	oldest  *list.List
+	waiting int // jobs that are ready
 	locks   map[string]*lock
 	breaks  map[string]*breaker
 	indebt  map[*owner]struct{}
@@ -207,7 +207,7 @@
 
 // New makes a scheduler without jobs. random gives numbers from 0 to under 1.
 func New(set Settings, random func() float64) *Scheduler {
-	s := &Scheduler{set: set, random: random, jobs: map[ID]*job{}, kinds: map[string]*kind{}, owners: map[string]*owner{}, oldest: list.New(),
+	s := &Scheduler{set: set, random: random, jobs: map[ID]*job{}, kinds: map[string]*kind{}, owners: map[string]*owner{},
 		locks: map[string]*lock{}, breaks: map[string]*breaker{}, indebt: map[*owner]struct{}{}, allow: 1, all: newBuckets(set.Rates, 0)}
 	s.delayed = ordered[*job]{less: func(a, b *job) bool { return a.until < b.until || a.until == b.until && a.ID < b.ID }, put: func(j *job, at int) { j.at = at }}
 	s.idle = ordered[*owner]{less: func(a, b *owner) bool { return a.virtual < b.virtual }, put: func(o *owner, at int) { o.rests = at }}
@@ -426,7 +426,6 @@
 	j.state = ready
 	s.seq++
 	j.seq, j.since = s.seq, s.now
-	j.place = s.oldest.PushBack(j)
 	s.enqueue(j)
 }
 
@@ -450,6 +449,7 @@
 		o.virtual = max(o.virtual, s.virtual)
 	}
 	o.active++
+	s.waiting++
 	j.queue = q
 	q.jobs.add(j)
 	if q.jobs.Len() == 1 {
@@ -487,9 +487,8 @@
 	q := j.queue
 	q.jobs.remove(j.at)
 	q.owner.active--
+	s.waiting--
 	j.queue = nil
-	s.oldest.Remove(j.place)
-	j.place = nil
 	if q.jobs.Len() > 0 {
 		return
 	}
@@ -717,11 +716,9 @@
 		return
 	}
 	if j.state == ready {
-		since, seq := j.since, j.seq
 		s.dequeue(j)
 		j.lent = p
-		s.ready(j)
-		j.since, j.seq = since, seq
+		s.enqueue(j) // in its turn: it has been ready since it was
 		return
 	}
 	j.lent = p
@@ -928,7 +925,7 @@
 			sooner(add(s.now, o.budget.when(1)))
 		}
 	}
-	if s.oldest.Len() == 0 || s.set.Limits.Running > 0 && s.running >= s.set.Limits.Running {
+	if s.waiting == 0 || s.set.Limits.Running > 0 && s.running >= s.set.Limits.Running {
 		return next
 	}
 	if !s.all.free() {
--- a/internal/work/scheduler_test.go
+++ b/internal/work/scheduler_test.go
@@ -260,6 +260,22 @@
 	}
 }
 
+// One that holds a lock and waits for its turn keeps its place when it is lent a priority, among those that have it.
+func TestLentJobKeepsItsTurn(t *testing.T) {
+	set := one(Settings{Kinds: map[string]Kind{"k": {}}})
+	r := newRig(t, set)
+	r.submit(Job{ID: 1, Kind: "k", Owner: "a", Priority: Low, Lock: "l"}).runs(1)
+	r.submit(Job{ID: 2, Kind: "k", Owner: "b", Priority: Urgent})
+	r.end(Ended{More: true})
+	r.runs(2) // 1 is ready, and holds its lock
+	for id := ID(10); id < 16; id++ {
+		r.submit(Job{ID: id, Kind: "k", Owner: "a", Priority: Normal})
+	}
+	r.submit(Job{ID: 3, Kind: "k", Owner: "c", Priority: Urgent, Lock: "l"})
+	r.end(Ended{}) // 3 finds the lock held, and lends its priority
+	r.runs(1)
+}
+
 func TestLockGoesOnWhenItsHolderIsParkedOrDropped(t *testing.T) {
 	for _, drop := range []bool{true, false} {
 		r := newRig(t, one(Settings{}))
