Both stores open and guard their bbolt file by one piece of code

Found in reading the change again: the store of background jobs had copies of how the store of undelivered messages opens its file and contains damage, and a weaker look for one that was cut short, which bbolt reads behind its end. Change: internal/boltfile has that once; reading jobs is guarded now, too. Measured: a file of jobs cut at 40 places is refused by name, or is whole; the other store's tests pass unchanged but for a name.

--- a/internal/undelivered/store.go
+++ b/internal/undelivered/store.go
@@ -9,10 +9,11 @@
 	"errors"
 	"fmt"
 	"os"
-	"runtime/debug"
 	"time"
 
 	bolt "go.etcd.io/bbolt"
+
+	"dockshift.example/dockshift/internal/boltfile"
 )
 
 // The store is one bbolt file. Buckets:
@@ -133,9 +134,6 @@
 // ErrNewer is that a file was written by a later version.
 var ErrNewer = errors.New("the file was written by a newer version")
 
-// lockTime is how long another process may hold the file.
-const lockTime = 2 * time.Second
-
 // Open opens a store's file, or makes it. A damaged one, one of a newer version, or one that another process holds is
 // an error, and is left as it is.
 func Open(path string, limits Limits) (*Store, error) { return open(path, limits, false) }
@@ -144,27 +142,13 @@
 func OpenCopy(path string) (*Store, error) { return open(path, Limits{}, true) }
 
 func open(path string, limits Limits, readOnly bool) (s *Store, err error) {
-	defer func() { // bbolt panics at some damage
-		if p := recover(); p != nil {
-			s, err = nil, fmt.Errorf("undelivered: %s is damaged: %v", path, p)
-		}
-	}()
 	if readOnly {
 		if _, err := os.Stat(path); err != nil {
 			return nil, fmt.Errorf("undelivered: %w", err)
 		}
 	}
-	if err := whole(path); err != nil {
-		return nil, fmt.Errorf("undelivered: %s is damaged: %w", path, err)
-	}
-	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true))
-	db, err := bolt.Open(path, 0o600, &bolt.Options{Timeout: lockTime, ReadOnly: readOnly, FreelistType: bolt.FreelistMapType, NoFreelistSync: true})
-	switch {
-	case errors.Is(err, bolt.ErrTimeout):
-		return nil, fmt.Errorf("undelivered: %s is held by another process: a sender that runs", path)
-	case errors.Is(err, bolt.ErrInvalid), errors.Is(err, bolt.ErrChecksum), errors.Is(err, bolt.ErrVersionMismatch):
-		return nil, fmt.Errorf("undelivered: %s is damaged, or no store: %w", path, err)
-	case err != nil:
+	db, err := boltfile.Open(path, readOnly)
+	if err != nil {
 		return nil, fmt.Errorf("undelivered: %w", err)
 	}
 	s = &Store{db: db, limits: limits}
@@ -186,7 +170,7 @@
 					return err
 				}
 			}
-			return tx.Bucket(bucketMeta).Put(keyVersion, number(version))
+			return tx.Bucket(bucketMeta).Put(keyVersion, boltfile.Number(version))
 		}
 		if err := checkVersion(tx); err != nil || tx.Bucket(bucketKeys) != nil {
 			return err
@@ -210,7 +194,7 @@
 	if meta == nil {
 		return errors.New("it is no store of undelivered messages")
 	}
-	switch v := value(meta.Get(keyVersion)); {
+	switch v := boltfile.Value(meta.Get(keyVersion)); {
 	case v > version:
 		return fmt.Errorf("%w: %d, and this one knows %d", ErrNewer, v, version)
 	case v != version:
@@ -227,71 +211,13 @@
 	return nil
 }
 
-// update and view run a transaction. bbolt maps its file: pages that are damaged make it panic, and a file that was cut
-// short under it is a fault of the machine's. Either is an error here, and the transaction is as if it had not been.
+// update and view run a transaction; damage is an error.
 func (s *Store) update(f func(*bolt.Tx) error) error {
-	return guarded(func() error { return s.db.Update(f) })
+	return boltfile.Guarded(func() error { return s.db.Update(f) })
 }
 
 func (s *Store) view(f func(*bolt.Tx) error) error {
-	return guarded(func() error { return s.db.View(f) })
-}
-
-func guarded(f func() error) (err error) {
-	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true))
-	defer func() {
-		if p := recover(); p != nil {
-			err = fmt.Errorf("the file is damaged: %v", p)
-		}
-	}()
-	return f()
-}
-
-// whole is whether a file has all the pages that it says it has: bbolt would read behind its end.
-func whole(path string) error {
-	f, err := os.Open(path)
-	if errors.Is(err, os.ErrNotExist) {
-		return nil
-	}
-	if err != nil {
-		return err
-	}
-	defer f.Close()
-	info, err := f.Stat()
-	if err != nil || info.Size() == 0 {
-		return err
-	}
-	// Each of the first two pages: 16 bytes of head, then magic, version, page size, flags (4 each), root (16), free
-	// list, page count, transaction, checksum (8 each), in the machine's order.
-	const magic = 0xED0CDAED
-	size := int64(os.Getpagesize())
-	most := int64(-1)
-	for i := range int64(2) {
-		b := make([]byte, 80)
-		if _, err := f.ReadAt(b, i*size); err != nil {
-			return fmt.Errorf("it is cut short: %d bytes", info.Size())
-		}
-		m := b[16:]
-		if binary.NativeEndian.Uint32(m) != magic {
-			continue // bbolt says what it thinks of that
-		}
-		if pages := int64(binary.NativeEndian.Uint64(m[40:])); pages >= 0 && pages < 1<<40 {
-			most = max(most, pages)
-		}
-	}
-	if most*size > info.Size() {
-		return fmt.Errorf("it is cut short: it says %d pages of %d bytes, and has %d bytes", most, size, info.Size())
-	}
-	return nil
-}
-
-func number(v int64) []byte { return binary.BigEndian.AppendUint64(nil, uint64(v)) }
-
-func value(b []byte) int64 {
-	if len(b) != 8 {
-		return 0
-	}
-	return int64(binary.BigEndian.Uint64(b))
+	return boltfile.Guarded(func() error { return s.db.View(f) })
 }
 
 // join makes an index's key.
@@ -371,7 +297,7 @@
 	}
 	if e.How == Delivered {
 		b := tx.Bucket(bucketMeta)
-		return b.Put(keyResent, number(value(b.Get(keyResent))+1))
+		return b.Put(keyResent, boltfile.Number(boltfile.Value(b.Get(keyResent))+1))
 	}
 	e.Began = was.First()
 	e.State = Kept
@@ -552,18 +478,18 @@
 // count adds to the totals.
 func count(tx *bolt.Tx, member string, n, size int64) error {
 	meta, totals := tx.Bucket(bucketMeta), tx.Bucket(bucketTotals)
-	if err := meta.Put(keyBytes, number(value(meta.Get(keyBytes))+size)); err != nil {
+	if err := meta.Put(keyBytes, boltfile.Number(boltfile.Value(meta.Get(keyBytes))+size)); err != nil {
 		return err
 	}
 	was := totals.Get([]byte(member))
 	entries, bytes := int64(0), int64(0)
 	if len(was) == 16 {
-		entries, bytes = value(was[:8]), value(was[8:])
+		entries, bytes = boltfile.Value(was[:8]), boltfile.Value(was[8:])
 	}
 	if entries+n <= 0 {
 		return totals.Delete([]byte(member))
 	}
-	return totals.Put([]byte(member), append(number(entries+n), number(bytes+size)...))
+	return totals.Put([]byte(member), append(boltfile.Number(entries+n), boltfile.Number(bytes+size)...))
 }
 
 // remove takes an entry out.
@@ -601,7 +527,7 @@
 
 func countDropped(tx *bolt.Tx, member string, reason Reason, n int64) error {
 	b, name := tx.Bucket(bucketDropped), join(member, string(reason))
-	return b.Put(name, number(value(b.Get(name))+n))
+	return b.Put(name, boltfile.Number(boltfile.Value(b.Get(name))+n))
 }
 
 // Missed counts messages that could not even be offered.
@@ -634,11 +560,11 @@
 			}
 		}
 	}
-	for s.limits.Bytes > 0 && value(tx.Bucket(bucketMeta).Get(keyBytes)) > s.limits.Bytes {
+	for s.limits.Bytes > 0 && boltfile.Value(tx.Bucket(bucketMeta).Get(keyBytes)) > s.limits.Bytes {
 		var member []byte
 		most := int64(-1)
 		err := tx.Bucket(bucketTotals).ForEach(func(k, v []byte) error {
-			if n := value(v[8:]); n > most {
+			if n := boltfile.Value(v[8:]); n > most {
 				member, most = bytes.Clone(k), n
 			}
 			return nil
@@ -846,8 +772,8 @@
 // Count counts by member and reason.
 func (s *Store) Count() (t Totals, err error) {
 	err = s.view(func(tx *bolt.Tx) error {
-		t.Bytes = value(tx.Bucket(bucketMeta).Get(keyBytes))
-		t.Resent = value(tx.Bucket(bucketMeta).Get(keyResent))
+		t.Bytes = boltfile.Value(tx.Bucket(bucketMeta).Get(keyBytes))
+		t.Resent = boltfile.Value(tx.Bucket(bucketMeta).Get(keyResent))
 		at := map[[2]string]int{}
 		add := func(member, reason string) *Count {
 			who := [2]string{member, reason}
@@ -879,7 +805,7 @@
 		return tx.Bucket(bucketDropped).ForEach(func(k, v []byte) error {
 			member, reason, err := split(k)
 			if err == nil {
-				add(member, reason).Dropped = value(v)
+				add(member, reason).Dropped = boltfile.Value(v)
 			}
 			return err
 		})
@@ -929,12 +855,12 @@
 				return fmt.Errorf("%s lists %d of %d entries", name, is, n)
 			}
 		}
-		if is := value(tx.Bucket(bucketMeta).Get(keyBytes)); is != size {
+		if is := boltfile.Value(tx.Bucket(bucketMeta).Get(keyBytes)); is != size {
 			return fmt.Errorf("the totals say %d bytes, there are %d", is, size)
 		}
 		return tx.Bucket(bucketTotals).ForEach(func(k, v []byte) error {
-			if want := members[string(k)]; value(v[:8]) != want[0] || value(v[8:]) != want[1] {
-				return fmt.Errorf("the totals of member %q are %d and %d, there are %v", k, value(v[:8]), value(v[8:]), want)
+			if want := members[string(k)]; boltfile.Value(v[:8]) != want[0] || boltfile.Value(v[8:]) != want[1] {
+				return fmt.Errorf("the totals of member %q are %d and %d, there are %v", k, boltfile.Value(v[:8]), boltfile.Value(v[8:]), want)
 			}
 			return nil
 		})
--- a/internal/undelivered/store_test.go
+++ b/internal/undelivered/store_test.go
@@ -13,6 +13,8 @@
 	"time"
 
 	bolt "go.etcd.io/bbolt"
+
+	"dockshift.example/dockshift/internal/boltfile"
 )
 
 func entry(n int, ended int64) Entry {
@@ -303,7 +305,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	db.Update(func(tx *bolt.Tx) error { return tx.Bucket(bucketMeta).Put(keyVersion, number(version+1)) })
+	db.Update(func(tx *bolt.Tx) error { return tx.Bucket(bucketMeta).Put(keyVersion, boltfile.Number(version+1)) })
 	db.Close()
 	if _, err := Open(newer, Limits{}); !errors.Is(err, ErrNewer) || !strings.Contains(err.Error(), newer) {
 		t.Errorf("%v", err)
--- a/internal/work/store/store.go
+++ b/internal/work/store/store.go
@@ -8,16 +8,14 @@
 package store
 
 import (
-	"encoding/binary"
 	"encoding/json"
 	"errors"
 	"fmt"
-	"os"
-	"runtime/debug"
 	"time"
 
 	bolt "go.etcd.io/bbolt"
 
+	"dockshift.example/dockshift/internal/boltfile"
 	"dockshift.example/dockshift/internal/work"
 )
 
@@ -51,10 +49,7 @@
 	keyBytes     = []byte("bytes")
 )
 
-const (
-	version  = 1
-	lockTime = 2 * time.Second
-)
+const version = 1
 
 // Errors that a caller tells apart.
 var (
@@ -71,18 +66,9 @@
 
 // Open opens the file, or makes it; most bounds the bytes of all jobs.
 func Open(path string, most int64) (s *Store, err error) {
-	defer func() { // bbolt panics at some damage
-		if p := recover(); p != nil {
-			s, err = nil, fmt.Errorf("work: %s is damaged: %v", path, p)
-		}
-	}()
-	if info, err := os.Stat(path); err == nil && info.Size() > 0 && info.Size() < int64(2*os.Getpagesize()) {
-		return nil, fmt.Errorf("work: %s is damaged: it has %d bytes", path, info.Size())
-	}
-	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true))
-	db, err := bolt.Open(path, 0o600, &bolt.Options{Timeout: lockTime, FreelistType: bolt.FreelistMapType, NoFreelistSync: true})
+	db, err := boltfile.Open(path, false)
 	if err != nil {
-		return nil, fmt.Errorf("work: %s: %w", path, err)
+		return nil, fmt.Errorf("work: %w", err)
 	}
 	s = &Store{db: db, most: most}
 	err = s.update(func(tx *bolt.Tx) error {
@@ -92,9 +78,9 @@
 			}
 		}
 		meta := tx.Bucket(bucketMeta)
-		switch v := value(meta.Get(keyVersion)); {
+		switch v := boltfile.Value(meta.Get(keyVersion)); {
 		case v == 0:
-			return meta.Put(keyVersion, number(version))
+			return meta.Put(keyVersion, boltfile.Number(version))
 		case v > version:
 			return fmt.Errorf("%w: %d, and this one knows %d", ErrNewer, v, version)
 		}
@@ -109,26 +95,18 @@
 // Close closes the file.
 func (s *Store) Close() error { return s.db.Close() }
 
-func (s *Store) update(f func(*bolt.Tx) error) (err error) {
-	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true))
-	defer func() {
-		if p := recover(); p != nil {
-			err = fmt.Errorf("work: the file is damaged: %v", p)
-		}
-	}()
-	if err := s.db.Update(f); err != nil {
+func (s *Store) update(f func(*bolt.Tx) error) error {
+	if err := boltfile.Guarded(func() error { return s.db.Update(f) }); err != nil {
 		return fmt.Errorf("work: %w", err)
 	}
 	return nil
 }
 
-func number(v int64) []byte { return binary.BigEndian.AppendUint64(nil, uint64(v)) }
-
-func value(b []byte) int64 {
-	if len(b) != 8 {
-		return 0
+func (s *Store) view(f func(*bolt.Tx) error) error {
+	if err := boltfile.Guarded(func() error { return s.db.View(f) }); err != nil {
+		return fmt.Errorf("work: %w", err)
 	}
-	return int64(binary.BigEndian.Uint64(b))
+	return nil
 }
 
 // put writes a record in place of what is there, and keeps count of bytes.
@@ -137,19 +115,19 @@
 	if err != nil {
 		return err
 	}
-	jobs, meta, key := tx.Bucket(bucketJobs), tx.Bucket(bucketMeta), number(int64(r.ID))
-	size := value(meta.Get(keyBytes)) + int64(len(raw)) - int64(len(jobs.Get(key)))
+	jobs, meta, key := tx.Bucket(bucketJobs), tx.Bucket(bucketMeta), boltfile.Number(int64(r.ID))
+	size := boltfile.Value(meta.Get(keyBytes)) + int64(len(raw)) - int64(len(jobs.Get(key)))
 	if more && s.most > 0 && size > s.most {
-		return fmt.Errorf("%w: they have %d of %d bytes", ErrFull, value(meta.Get(keyBytes)), s.most)
+		return fmt.Errorf("%w: they have %d of %d bytes", ErrFull, boltfile.Value(meta.Get(keyBytes)), s.most)
 	}
-	if err := meta.Put(keyBytes, number(size)); err != nil {
+	if err := meta.Put(keyBytes, boltfile.Number(size)); err != nil {
 		return err
 	}
 	return jobs.Put(key, raw)
 }
 
 func (s *Store) get(tx *bolt.Tx, id work.ID) (*Record, error) {
-	raw := tx.Bucket(bucketJobs).Get(number(int64(id)))
+	raw := tx.Bucket(bucketJobs).Get(boltfile.Number(int64(id)))
 	if raw == nil {
 		return nil, fmt.Errorf("%w: %d", ErrGone, id)
 	}
@@ -161,12 +139,12 @@
 }
 
 func (s *Store) remove(tx *bolt.Tx, id work.ID) error {
-	jobs, meta, key := tx.Bucket(bucketJobs), tx.Bucket(bucketMeta), number(int64(id))
+	jobs, meta, key := tx.Bucket(bucketJobs), tx.Bucket(bucketMeta), boltfile.Number(int64(id))
 	raw := jobs.Get(key)
 	if raw == nil {
 		return fmt.Errorf("%w: %d", ErrGone, id)
 	}
-	if err := meta.Put(keyBytes, number(value(meta.Get(keyBytes))-int64(len(raw)))); err != nil {
+	if err := meta.Put(keyBytes, boltfile.Number(boltfile.Value(meta.Get(keyBytes))-int64(len(raw)))); err != nil {
 		return err
 	}
 	return jobs.Delete(key)
@@ -175,7 +153,7 @@
 // add gives new records their numbers and writes them.
 func (s *Store) add(tx *bolt.Tx, records []Record) error {
 	meta := tx.Bucket(bucketMeta)
-	next := max(1, value(meta.Get(keyNext)))
+	next := max(1, boltfile.Value(meta.Get(keyNext)))
 	for i := range records {
 		records[i].ID = work.ID(next)
 		next++
@@ -183,7 +161,7 @@
 			return err
 		}
 	}
-	return meta.Put(keyNext, number(next))
+	return meta.Put(keyNext, boltfile.Number(next))
 }
 
 // Add keeps new jobs, all or none, and gives them their numbers. With the name of a schedule it notes that this ran, in the
@@ -196,14 +174,14 @@
 		if timer == "" {
 			return nil
 		}
-		return tx.Bucket(bucketTimers).Put([]byte(timer), number(ran.UnixNano()))
+		return tx.Bucket(bucketTimers).Put([]byte(timer), boltfile.Number(ran.UnixNano()))
 	})
 }
 
 // Ran is when a schedule ran last; zero if never.
 func (s *Store) Ran(timer string) (t time.Time, err error) {
-	err = s.db.View(func(tx *bolt.Tx) error {
-		if v := value(tx.Bucket(bucketTimers).Get([]byte(timer))); v != 0 {
+	err = s.view(func(tx *bolt.Tx) error {
+		if v := boltfile.Value(tx.Bucket(bucketTimers).Get([]byte(timer))); v != 0 {
 			t = time.Unix(0, v)
 		}
 		return nil
@@ -270,11 +248,11 @@
 
 // Load calls f with all jobs, by number.
 func (s *Store) Load(f func(Record) error) error {
-	return s.db.View(func(tx *bolt.Tx) error {
+	return s.view(func(tx *bolt.Tx) error {
 		return tx.Bucket(bucketJobs).ForEach(func(k, raw []byte) error {
 			var r Record
 			if err := json.Unmarshal(raw, &r); err != nil {
-				return fmt.Errorf("work: job %d: %w", value(k), err)
+				return fmt.Errorf("job %d: %w", boltfile.Value(k), err)
 			}
 			return f(r)
 		})
@@ -283,8 +261,8 @@
 
 // Bytes is what all jobs have.
 func (s *Store) Bytes() (n int64, err error) {
-	err = s.db.View(func(tx *bolt.Tx) error {
-		n = value(tx.Bucket(bucketMeta).Get(keyBytes))
+	err = s.view(func(tx *bolt.Tx) error {
+		n = boltfile.Value(tx.Bucket(bucketMeta).Get(keyBytes))
 		return nil
 	})
 	return n, err
--- /dev/null
+++ b/internal/work/store/store_test.go
@@ -0,0 +1,68 @@
+package store
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	bolt "go.etcd.io/bbolt"
+
+	"dockshift.example/dockshift/internal/boltfile"
+)
+
+// A file that is cut short anywhere, or was written by a newer version, is an error that names it; it ends nothing.
+func TestDamagedFile(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "work.db")
+	s, err := Open(path, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range 50 {
+		if err := s.Add([]Record{{Kind: "k", Owner: "o", State: make([]byte, 500)}}, "", time.Time{}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	s.Close()
+	whole, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	refused := 0
+	for n := 1; n < len(whole); n += 1 + len(whole)/40 {
+		if err := os.WriteFile(path, whole[:n], 0o600); err != nil {
+			t.Fatal(err)
+		}
+		s, err := Open(path, 0)
+		if err == nil { // what was cut off was not in use: all that was kept is there
+			jobs := 0
+			if err := s.Load(func(Record) error { jobs++; return nil }); err != nil || jobs != 50 {
+				t.Errorf("cut at %d of %d: opened, with %d jobs, %v", n, len(whole), jobs, err)
+			}
+			s.Close()
+		} else if !strings.Contains(err.Error(), path) {
+			t.Errorf("cut at %d of %d: %v", n, len(whole), err)
+		} else {
+			refused++
+		}
+	}
+	if refused < 20 {
+		t.Errorf("%d files that were cut short are refused", refused)
+	}
+	if err := os.WriteFile(path, whole, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	db, err := boltfile.Open(path, false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := db.Update(func(tx *bolt.Tx) error { return tx.Bucket(bucketMeta).Put(keyVersion, boltfile.Number(version+1)) }); err != nil {
+		t.Fatal(err)
+	}
+	db.Close()
+	if _, err := Open(path, 0); !errors.Is(err, ErrNewer) {
+		t.Error(err)
+	}
+}
