One way to ask a store page by page; the words of work's verbs stand once

Change: one of each. Behaviour as before, but that the words of a wrong verb are quoted. Measured: the tests of undelivered, membership, work and the command line pass.

--- a/internal/membership/merge_test.go
+++ b/internal/membership/merge_test.go
@@ -11,7 +11,7 @@
 // list is a merged list as one who gets its changes has it.
 type list map[string]Target
 
-func (l list) take(t testing.TB, changes []Target) {
+func (l list) take(t interface{ Fatalf(string, ...any) }, changes []Target) {
 	for _, c := range changes {
 		if c.State == Deleted {
 			if _, ok := l[c.ID]; !ok {
@@ -133,16 +133,7 @@
 					told[from][s.ID], spoke[from][s.Cell] = s, true
 				}
 			}
-			for _, c := range m.Apply(from, u) {
-				if c.State == Deleted {
-					if _, ok := l[c.ID]; !ok {
-						t.Fatalf("%s is deleted and was not there", c.ID)
-					}
-					delete(l, c.ID)
-				} else {
-					l[c.ID] = c
-				}
-			}
+			l.take(t, m.Apply(from, u))
 			// The model: what is said of each address, straight from the rules.
 			want := map[place]string{}
 			for dest := range uint32(2) {
--- a/internal/sender/inspect.go
+++ b/internal/sender/inspect.go
@@ -144,9 +144,9 @@
 		return
 	}
 	if r.Method == http.MethodPost {
-		verb := slices.Index([]string{"pause", "resume", "run", "drop"}, q.Get("do"))
+		verb := slices.Index(work.VerbNames(), q.Get("do"))
 		if verb < 0 {
-			http.Error(w, "there are pause, resume, run and drop", http.StatusBadRequest)
+			http.Error(w, fmt.Sprintf("there are %q", work.VerbNames()), http.StatusBadRequest)
 			return
 		}
 		err = c.WorkDo(work.Command{Verb: work.Verb(verb), ID: work.ID(id), Kind: q.Get("kind"), Owner: q.Get("owner")})
--- a/internal/undelivered/serve.go
+++ b/internal/undelivered/serve.go
@@ -259,54 +259,40 @@
 
 // List asks page by page.
 func (r *Remote) List(f Filter, do func(Key, Entry) bool) error {
-	for left := f.Most; ; {
-		page := f
-		if page.Most = pageMost; left > 0 {
-			page.Most = min(left, pageMost)
-		}
-		var all []Named
-		if err := r.ask(http.MethodGet, "/list", page.query(), &all); err != nil {
-			return err
-		}
-		for _, n := range all {
-			key, err := ParseKey(n.Name)
-			if err != nil {
-				return err
-			}
-			f.After = key
-			if !do(key, n.Entry) {
-				return nil
-			}
-		}
-		if left > 0 {
-			if left -= len(all); left <= 0 {
-				return nil
-			}
-		}
-		if len(all) < page.Most {
-			return nil
-		}
-	}
+	return pages(r, "/list", f, func(n Named) (string, func(Key) bool) {
+		return n.Name, func(k Key) bool { return do(k, n.Entry) }
+	})
 }
 
 // Plans asks page by page what would become of entries if they were to go again by hand.
 func (r *Remote) Plans(f Filter, do func(Plan)) error {
+	return pages(r, "/plans", f, func(p Plan) (string, func(Key) bool) {
+		return p.Name, func(Key) bool { do(p); return true }
+	})
+}
+
+// pages asks for what a filter chooses, page by page. each gives a line's name, and what is done with it; that says whether
+// to go on.
+func pages[T any](r *Remote, path string, f Filter, each func(T) (name string, do func(Key) bool)) error {
 	for left := f.Most; ; {
 		page := f
 		if page.Most = pageMost; left > 0 {
 			page.Most = min(left, pageMost)
 		}
-		var all []Plan
-		if err := r.ask(http.MethodGet, "/plans", page.query(), &all); err != nil {
+		var all []T
+		if err := r.ask(http.MethodGet, path, page.query(), &all); err != nil {
 			return err
 		}
-		for _, p := range all {
-			key, err := ParseKey(p.Name)
+		for _, one := range all {
+			name, do := each(one)
+			key, err := ParseKey(name)
 			if err != nil {
 				return err
 			}
 			f.After = key
-			do(p)
+			if !do(key) {
+				return nil
+			}
 		}
 		if left > 0 {
 			if left -= len(all); left <= 0 {
--- a/internal/work/scheduler.go
+++ b/internal/work/scheduler.go
@@ -57,6 +57,9 @@
 	Drop // it ends, and is gone
 )
 
+// VerbNames are the words for them.
+func VerbNames() []string { return []string{"pause", "resume", "run", "drop"} }
+
 // Action is what is to be done: one of Start, Refuse, Over, Park and Stop.
 type Action interface{ action() }
 
