--- a/internal/sender/lives_test.go
+++ b/internal/sender/lives_test.go
@@ -1,8 +1,12 @@
 package sender
 
 import (
+	"errors"
 	"testing"
 	"time"
+
+	st "dockshift.example/dockshift/internal/sendertest"
+	"dockshift.example/dockshift/internal/undelivered"
 )
 
 // A message's next life in the journal: its attempts of before are there for what is lawful, and do not count as made.
@@ -46,3 +50,43 @@
 		t.Error("it is not forgotten")
 	}
 }
+
+// What background work asks before the journal's messages are resumed: it does not stand for discovery's first word, so that
+// an endpoint which has drained gets nothing; and a message that it would have go again is not taken, or it would be
+// resumed beside.
+func TestQuestionsBeforeTheJournalIsResumed(t *testing.T) {
+	old, other := st.NewEndpoint(t, st.Status(200)), st.NewEndpoint(t, st.Status(200))
+	p := st.NewPlatform(t, old.Addr)
+	p.Change(st.Target("s-0", old.Addr, 0, "DRAINING"))
+	p.Change(st.Target("s-1", other.Addr, 0, "SERVING"))
+	again := make(chan error, 1)
+	runWith(t, p, func(c *Config) {
+		c.Background = true
+		c.Known = Targets{Version: 1, Full: true, Servers: []Target{{ID: "s-0", Addr: old.Addr, State: "SERVING", Zone: "a", Kind: "plain"}}}
+		j := openTest(t, c.State, 1<<20)
+		if _, err := j.take(record{ID: "m", Class: "keyed", Key: "k", Tenant: "acme", Deadline: newClock().now() + 15*time.Second}); err != nil {
+			t.Fatal(err)
+		}
+		if err := j.close(); err != nil {
+			t.Fatal(err)
+		}
+	}, func(s *Sender) {
+		go func() {
+			again <- s.Background().Again(t.Context(), undelivered.Entry{Message: "x", Member: "acme", Class: "unsafe", How: undelivered.GivenUp, Effect: undelivered.Unsafe}, 10*time.Second)
+		}()
+		for over := time.Now().Add(st.Wait); len(s.events) == 0; time.Sleep(time.Millisecond) {
+			if time.Now().After(over) {
+				t.Fatal("it is not asked")
+			}
+		}
+	})
+	if err := st.Receive(t, again); !errors.Is(err, ErrBusy) {
+		t.Errorf("a message goes again before the journal's are resumed: %v", err)
+	}
+	if c := other.Next(t); c.ID != "m" {
+		t.Errorf("the new endpoint got %s", c.ID)
+	}
+	if len(old.Calls) != 0 {
+		t.Errorf("the drained endpoint got %s", (<-old.Calls).ID)
+	}
+}
--- a/internal/sender/loop.go
+++ b/internal/sender/loop.go
@@ -287,8 +287,12 @@
 			if ev := s.take(e); ev != nil {
 				events = append(events, ev)
 			}
-			l, ok := e.(listEvent)
-			first = !ok || l.from == membership.Discovery // the names' word was in before
+			switch e := e.(type) { // others are heard, and do not stand for it; the names' word was in before
+			case listEvent:
+				first = e.from == membership.Discovery
+			case failedEvent:
+				first = true
+			}
 		case <-over:
 			first = true
 		}
--- a/internal/sender/resendpart.go
+++ b/internal/sender/resendpart.go
@@ -25,6 +25,7 @@
 	turnLate time.Duration // of the last question, from when it was asked
 	took     time.Duration // the last writing of the journal
 	writing  time.Time
+	open     bool // what the journal held has been resumed
 }
 
 // backgroundAsk is put to the loop; it answers in the same turn, and what it gives the module is told.
@@ -84,6 +85,11 @@
 	return events
 }
 
+func (p *backgroundPart) resumed(time.Duration) []brain.Event {
+	p.open = true
+	return nil
+}
+
 func (p *backgroundPart) beforeWrite() error {
 	p.writing = time.Now()
 	return nil
@@ -202,6 +208,8 @@
 	s := p.s
 	class, tenant := place(s.c.Classes, e.Class, -1), place(s.c.Tenants, e.Member, -1)
 	switch {
+	case !p.open: // what goes into the journal now would be resumed from it as well
+		return nil, ErrBusy
 	case s.quitting || s.server.closing.Load():
 		return nil, ErrBusy
 	case class < 0:
