A refusal for want of connections is no outage; it shows that idle ones are to go

At fault: pool.answer passed a full table on as any refusal, so judge counted two of them in a row as an outage (a sender of 300 has leastInRow=2), refused() paused the whole destination, and keepFor never learnt that the kind takes few connections. pick went on to the full endpoint, as one that never served counts as the quickest.

Change: AttemptEnd.Crowded, told by the network code for a refusal that ends a connection opened for it and carries neither a wait nor a report. The module takes it for what a failed connect is to idle connections, and for nothing else; the next try of that message prefers another endpoint.

-log LEVEL: debug has a line for each step of each message.

--- a/brain/api.go
+++ b/brain/api.go
@@ -126,6 +126,7 @@
 	Elapsed  time.Duration // since it was sent
 	Over     bool          // the message needs no further answer
 	Recalled bool          // with NotSent: it was recalled before anything was written, and counts as no attempt
+	Crowded  bool          // with Refused: the endpoint ended a connection opened for it, unheard: it takes no more of them
 	Wait     time.Duration // with Refused: told to send nothing for so long; 0 if nothing was told
 	Reported bool          // Left and Limit were reported
 	Left     float64       // share of the destination's allowance that is left
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -612,6 +612,9 @@
 			continue
 		}
 		cost := float64(e.calls+1) * max(e.recent, 0.02) / max(0.05, 1-e.fails)
+		if n := len(m.attempts); n > 0 && m.attempts[n-1].at == e && m.attempts[n-1].crowded {
+			cost *= 2 // there is hardly room yet
+		}
 		if e.Zone != b.s.Zone {
 			cost *= 1 + 10*b.s.CrossZonePrice
 		}
@@ -869,7 +872,7 @@
 func (b *Brain) judge(m *message, a *attempt, e AttemptEnd) {
 	r := a.route
 	bad := 0.0
-	if e.Outcome != Served && e.Outcome != Refused {
+	if e.Outcome != Served && e.Outcome != Refused || e.Crowded {
 		bad = 1
 	}
 	a.at.fails += healthPer * (bad - a.at.fails)
@@ -881,12 +884,17 @@
 		b.judgeServed(m, a, e)
 		return
 	}
-	r.bad++
-	switch {
-	case e.Outcome == ConnectFailed: // it may hold all the connections that it takes
+	if e.Outcome == ConnectFailed || e.Crowded { // it may hold all the connections that it takes
 		_, kind := b.keepFor(a.at)
 		*kind /= keepCut
 		b.crowd(a.at, b.s.IdleConnections)
+	}
+	if e.Crowded { // which says nothing of calls; nor is it to be found out any more how quick it is
+		a.crowded, a.at.recent = true, max(a.at.recent, r.recent)
+		return
+	}
+	r.bad++
+	switch {
 	case e.Outcome == Refused:
 		b.refused(r, a, e)
 	case e.Outcome == TimedOut && r.doubled > 0:
--- a/brain/fleet_test.go
+++ b/brain/fleet_test.go
@@ -291,3 +291,39 @@
 		}
 	}
 }
+
+// At 300 senders most refusals came from endpoints that held all the connections they take, most of them idle. Two of
+// these in a row were an outage to a sender with little traffic, which then hardly sent anything for ten seconds.
+func TestAFullTableOfConnectionsIsNoOutage(t *testing.T) {
+	s, _ := many(300)
+	r := newRig(t, s)
+	r.b = New(s, 7)
+	r.step(ListNews{Whole: true, Endpoints: []Endpoint{{ID: 1, Ready: true}, {ID: 2, Ready: true}, {ID: 3, Destination: 1, Ready: true}}})
+	r.serve(1, 0, 50*ms)
+	began := r.now
+	sends := r.step(r.message(1, 0, 0))
+	at := map[EndpointID]int{}
+	for i := range 4 {
+		for ; len(sends) == 0; r.now += 10 * ms {
+			if r.now-began > 10*time.Second {
+				t.Fatalf("the message waits after %d refusals, its destination in state %d", i, r.b.dests[0].shared.state)
+			}
+			sends = r.step(Alarm{})
+		}
+		at[sends[0].Endpoint]++
+		r.now += 50 * ms
+		end := r.end(sends[0], Refused)
+		end.Crowded = true
+		sends = r.step(end)
+	}
+	if at[1] != 2 || at[2] != 2 {
+		t.Errorf("calls by endpoint %v: one that took no connection is tried as often as the other", at)
+	}
+	if d := r.b.dests[0].shared; d.state != well || d.closedUntil > r.now {
+		t.Errorf("the destination is in state %d, closed for %v", d.state, d.closedUntil-r.now)
+	}
+	// What was seen at one endpoint holds for the kind.
+	if kept, _ := r.b.keepFor(r.b.endpoints[3]); kept > s.IdleConnections/100 {
+		t.Errorf("idle connections are still kept for %v", kept)
+	}
+}
--- a/brain/internal/reference/state.go
+++ b/brain/internal/reference/state.go
@@ -115,6 +115,7 @@
 
 	messages  []*message
 	takenBack bool
+	crowded   bool
 }
 
 type attempt struct {
--- a/brain/state.go
+++ b/brain/state.go
@@ -138,6 +138,7 @@
 	messages  []*message
 	takenBack bool
 	recalled  bool
+	crowded   bool // its endpoint had no room for a connection
 }
 
 type attempt struct {
--- a/cmd/saffronyard/main.go
+++ b/cmd/saffronyard/main.go
@@ -32,7 +32,8 @@
 const memoryPart = 0.6
 
 func main() {
-	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
+	var level slog.LevelVar
+	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: &level}))
 	if len(os.Args) > 1 && os.Args[1] == "check" {
 		os.Exit(check(os.Args[2:], os.Stdout, os.Stderr))
 	}
@@ -50,11 +51,12 @@
 	}
 	flags := flag.NewFlagSet("saffronyard", flag.ContinueOnError)
 	file := flags.String("features", "", "the operators' `file` of features; without it none is on")
+	flags.TextVar(&level, "log", &level, "the least `level` that is logged; debug has a line for each step of each message")
 	if err := flags.Parse(os.Args[1:]); err != nil {
 		os.Exit(2)
 	}
 	if flags.NArg() > 0 {
-		log.Error("saffronyard takes no arguments but -features FILE, check FILE, undelivered COMMAND, zone COMMAND, work COMMAND, peers and knowledge", "argument", flags.Arg(0))
+		log.Error("saffronyard takes no arguments but -features FILE, -log LEVEL, check FILE, undelivered COMMAND, zone COMMAND, work COMMAND, peers and knowledge", "argument", flags.Arg(0))
 		os.Exit(2)
 	}
 	if err := run(log, *file); err != nil {
--- a/internal/sender/endpoints_test.go
+++ b/internal/sender/endpoints_test.go
@@ -32,10 +32,15 @@
 		answer func(st.Call, net.Conn) bool
 		want   brain.AttemptEnd
 	}{
-		"delivered":   {st.Status(200, "X-Load: x0=0.4,x1=25,other=7"), brain.AttemptEnd{Outcome: brain.Served, Over: true, Reported: true, Left: 0.4, Limit: 25}},
-		"error":       {st.Status(500), brain.AttemptEnd{Outcome: brain.Errored}},
-		"wait":        {st.Status(429, "X-RateLimit-Wait-Ms: 250"), brain.AttemptEnd{Outcome: brain.Refused, Wait: 250 * time.Millisecond}},
-		"turned away": {st.Status(503), brain.AttemptEnd{Outcome: brain.Refused}},
+		"delivered":                 {st.Status(200, "X-Load: x0=0.4,x1=25,other=7"), brain.AttemptEnd{Outcome: brain.Served, Over: true, Reported: true, Left: 0.4, Limit: 25}},
+		"error":                     {st.Status(500), brain.AttemptEnd{Outcome: brain.Errored}},
+		"wait":                      {st.Status(429, "X-RateLimit-Wait-Ms: 250"), brain.AttemptEnd{Outcome: brain.Refused, Wait: 250 * time.Millisecond}},
+		"turned away":               {st.Status(503), brain.AttemptEnd{Outcome: brain.Refused}},
+		"takes no more connections": {st.Status(503, "Connection: close"), brain.AttemptEnd{Outcome: brain.Refused, Crowded: true}},
+		"above the limit, and leaves": {st.Status(503, "Connection: close", "X-Load: x0=0,x1=25"),
+			brain.AttemptEnd{Outcome: brain.Refused, Reported: true, Limit: 25}},
+		"told to wait, and leaves": {st.Status(429, "Connection: close", "X-RateLimit-Wait-Ms: 250"),
+			brain.AttemptEnd{Outcome: brain.Refused, Wait: 250 * time.Millisecond}},
 		"over slots":  {st.Status(503, "X-Over-Slots: 1"), brain.AttemptEnd{Outcome: brain.NotSent}},
 		"no attempts": {st.Status(504), brain.AttemptEnd{Outcome: brain.NotSent}},
 		"over":        {st.Status(410), brain.AttemptEnd{Outcome: brain.NotSent, Over: true}},
@@ -70,6 +75,23 @@
 	}
 }
 
+// A connection that has carried a call already had its place: a refusal that ends it is about calls.
+func TestRefusalThatEndsAKeptConnection(t *testing.T) {
+	n := 0
+	e := st.NewEndpoint(t, func(c st.Call, nc net.Conn) bool {
+		if n++; n == 1 {
+			return st.Status(200)(c, nc)
+		}
+		return st.Status(503, "Connection: close")(c, nc)
+	})
+	p, at := testPool(), &endpoint{addr: e.Addr}
+	for _, want := range []brain.AttemptEnd{{Outcome: brain.Served, Over: true}, {Outcome: brain.Refused}, {Outcome: brain.Refused, Crowded: true}} {
+		if got := callOnce(p, at, st.Wait, "body"); got != want {
+			t.Fatalf("got %+v, want %+v", got, want)
+		}
+	}
+}
+
 // Answers that are spoilt, or bring more than belongs to them, on a connection that stays open: a 200 in the
 // first line is true, any other spoilt one may have run, whatever it reads like; none holds its slot until
 // the time-out, and the connection is not used again.
--- a/internal/sender/loop.go
+++ b/internal/sender/loop.go
@@ -202,6 +202,7 @@
 	if s.records != nil {
 		go s.records.run(work, func(err error) { s.log.Warn("undelivered messages wait in the journal", "err", err) }, func() { s.post(work, keptEvent{}) })
 	}
+	s.log.Debug("settings", "limits", s.c.Limits, "settings", fmt.Sprintf("%+v", s.c.Settings))
 	s.resume(work)
 	l, err := listen()
 	if err != nil {
@@ -449,6 +450,7 @@
 		return refuse("no room to keep the message")
 	}
 	s.records.handedIn(sub.Tenant, sub.Key)
+	s.trace("taken on", sub.ID, slog.Uint64("dest", uint64(sub.Dest)), slog.String("tenant", sub.Tenant), slog.Duration("left", sub.Deadline-s.clock.now()))
 	return brain.Message{ID: s.hold(st, sub.answer), Class: sub.class, Tenant: sub.tenant,
 		Destination: brain.DestinationID(sub.Dest), Key: st.orderKey(), Deadline: sub.Deadline}
 }
@@ -459,6 +461,7 @@
 	e.Message, e.Attempt = m.number, e.attempt
 	e.Recalled = e.Outcome == brain.NotSent && m.calls.recalled(e.attempt)
 	m.calls.ended(e.attempt)
+	s.traceEnd(m, e)
 	if e.Outcome == brain.TimedOut {
 		// Where a machine vanished or was cut off, the connections from before say nothing either, and are
 		// reset when it is back: each would cost a further call its time-out. Those used since may stay.
@@ -658,6 +661,7 @@
 		return
 	}
 	taken := m.answer == nil
+	s.trace(how, m.ID, slog.Int("tries", m.made()), slog.Duration("hold", hold))
 	switch {
 	case how == givenUp:
 		s.ends.end(m, s.clock.now(), identity.Failed, 0)
@@ -715,6 +719,7 @@
 	}
 	attempt := m.sends
 	m.sends++
+	s.trace("call", m.ID, slog.Int("try", m.base+attempt), slog.Uint64("dest", uint64(m.Dest)), slog.String("endpoint", e.id), slog.Duration("timeout", a.Timeout))
 	call, cancel := context.WithTimeout(ctx, a.Timeout)
 	leave := &permit{until: time.Now().Add(s.repeatWithin(m, m.base+attempt, a.Timeout)), cancel: cancel}
 	m.calls = append(m.calls, outCall{attempt, leave})
