Connections are few: many senders keep idle ones short, and what waits uses one that stands

A served call on a new connection took 145 ms, on one that stood 45 ms; nearly all were new. One message by its id had its six tries within 5 s, all refused so, and was given up with 7 s left.

At fault: keepFor began at the whole 15 s of the settings, for each sender alone, so 300 of them filled the tables before any had seen a refusal; judge let every waiting message try by itself, and ended set each its own pause, so that the one connection that came up was closed with messages waiting beside it.

An endpoint that refused a connection gets no more at once than stood then, a little more with each call served, and one try at a time, after a pause of the sender's own drawing, by the message with the fewest tries; what waits goes on the connection that stands, one call after the other.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -53,6 +53,7 @@
 	askAgain    = time.Second            // pause before a failed request for the list is repeated
 	shareSpan   = 3 * time.Second        // span over which a tenant's rate is seen
 	shareBeyond = 1.5                    // a tenant's rate over its share from which it is beyond it
+	fewConns    = 8                      // connections that any endpoint takes from all senders together
 	keepCut     = 4                      // idle connections are kept so many times shorter where they harm
 	keepGrow    = 0.002                  // and longer again by this part of the full time, by call served
 	never       = time.Duration(math.MaxInt64)
@@ -484,7 +485,7 @@
 	closed := d.shared != nil && !b.open(d.shared)
 	for _, e := range d.endpoints {
 		full := b.batch(e) > 1 && e.sentAt == b.now && e.calls > 0 // further sends would join that call
-		if !full && (e.route == d.shared && !closed || e.route != d.shared && b.open(e.route)) {
+		if !full && b.fits(e) && (e.route == d.shared && !closed || e.route != d.shared && b.open(e.route)) {
 			b.usable = append(b.usable, e)
 		}
 	}
@@ -540,6 +541,9 @@
 // slowly would be cut off by each of them and never be seen to answer. In an outage a message that may be
 // repeated tries the destination, as one that may not is lost with the call.
 func (b *Brain) precedes(m *message, e *endpoint, x float64, than *message, thanX float64) bool {
+	if e.room > 0 && b.opens(e) && m.tries() != than.tries() { // it may be for nothing
+		return m.tries() < than.tries()
+	}
 	if e.route.state == out {
 		slow := time.Duration(slowBy * max(e.route.mean, e.route.recent) * float64(time.Second))
 		enough := b.now + max(probeFirst, slow)
@@ -556,13 +560,15 @@
 
 // keepFor is how long idle connections to e are kept, and to all of its kind. It is not known how many an
 // endpoint takes: that shows in connects that fail, and none is kept there then. What a sender with few calls
-// sees at one holds for the kind, as others see the same; one with many has seen for itself.
+// sees at one holds for the kind, as others see the same; one with many has seen for itself. Of the few that
+// an endpoint takes at the least each of many senders has a part only, and keeps its own for as much less.
 func (b *Brain) keepFor(e *endpoint) (kept time.Duration, kind *time.Duration) {
+	few := min(1, fewConns/float64(max(1, b.s.Senders)))
 	for len(b.keep) <= e.Kind {
-		b.keep = append(b.keep, b.s.IdleConnections)
+		b.keep = append(b.keep, time.Duration(few*float64(b.s.IdleConnections)))
 	}
 	kept, kind = b.s.IdleConnections, &b.keep[e.Kind]
-	if b.enough(e.route) < inRow/2 {
+	if b.enough(e.route) < inRow/2 || few < 1 {
 		kept = *kind
 	}
 	return max(0, kept-e.crowded), kind
@@ -578,13 +584,46 @@
 			e.idleNo = 0
 		case b.now >= until:
 			b.acts = append(b.acts, CloseIdle{e.ID})
-			e.idleAt, e.idleNo = 0, 0
+			e.idleAt, e.idleNo, e.conns = 0, 0, 0
 		case keep < b.s.IdleConnections:
 			b.wakeAt(until)
 		}
 	}
 }
 
+// fits: as far as connections go, a call may go to e now. One that has refused a connection takes no more of
+// them than stood then, and a little more with each call served; those are used for what waits, one call
+// after the other, before another is tried for.
+func (b *Brain) fits(e *endpoint) bool {
+	if e.room == 0 || !b.opens(e) {
+		return true
+	}
+	if float64(e.calls+1) > e.room {
+		return false
+	}
+	if b.now < e.fullUntil {
+		b.wakeAt(e.fullUntil)
+		return false
+	}
+	return true
+}
+
+// opens: a call to e now needs a new connection.
+func (b *Brain) opens(e *endpoint) bool {
+	return e.calls >= e.conns || e.calls == 0 && b.now >= e.idleAt+b.s.IdleConnections
+}
+
+// full books that e had no room for a connection. All senders are refused at once, and each comes again at a
+// time of its own.
+func (b *Brain) full(e *endpoint) {
+	e.room = max(1, float64(e.calls))
+	if b.now >= e.fullUntil {
+		e.fullPause = min(max(2*e.fullPause, pauseFirst), pauseMost)
+		e.fullUntil = b.now + e.fullPause/2 + time.Duration(b.draw(uint64(e.fullPause)))
+	}
+	e.recent = max(e.recent, e.route.recent) // one that was never called would be taken for the quickest
+}
+
 // ready: m may be sent now, as far as m itself goes.
 func (b *Brain) ready(m *message) bool {
 	if b.now < m.notBefore {
@@ -612,8 +651,8 @@
 			continue
 		}
 		cost := float64(e.calls+1) * max(e.recent, 0.02) / max(0.05, 1-e.fails)
-		if n := len(m.attempts); n > 0 && m.attempts[n-1].at == e && m.attempts[n-1].crowded {
-			cost *= 2 // there is hardly room yet
+		if e.room > 0 && b.opens(e) { // a connection may not be had there
+			cost *= 2
 		}
 		if e.Zone != b.s.Zone {
 			cost *= 1 + 10*b.s.CrossZonePrice
@@ -638,6 +677,7 @@
 	b.calls++
 	r.calls++
 	e.calls++
+	e.conns = max(e.conns, e.calls)
 	e.sentAt = b.now
 	if c.probe {
 		r.probes++
@@ -789,6 +829,9 @@
 			b.takenBack--
 		}
 		a.at.calls--
+		if e.Crowded || a.doubt || e.Outcome == ConnectFailed || e.Outcome == Cancelled {
+			a.at.conns--
+		}
 		if a.at.calls == 0 {
 			b.becomesIdle(a.at)
 		}
@@ -826,7 +869,7 @@
 		return
 	}
 	if m.out == 0 {
-		if e.Outcome != TimedOut {
+		if e.Outcome != TimedOut && !e.Crowded {
 			m.notBefore = b.now + retryPause<<min(len(m.attempts)-1, 4)
 		}
 		b.wait(m)
@@ -889,8 +932,8 @@
 		*kind /= keepCut
 		b.crowd(a.at, b.s.IdleConnections)
 	}
-	if e.Crowded { // which says nothing of calls; nor is it to be found out any more how quick it is
-		a.crowded, a.at.recent = true, max(a.at.recent, r.recent)
+	if e.Crowded { // which says nothing of calls
+		b.full(a.at)
 		return
 	}
 	r.bad++
@@ -921,6 +964,12 @@
 	_, kind := b.keepFor(a.at)
 	*kind = min(b.s.IdleConnections, *kind+more)
 	b.crowd(a.at, max(0, a.at.crowded-more))
+	if a.at.fullPause = 0; a.at.room > 0 {
+		a.at.room += paceStep
+	}
+	if a.at.crowded == 0 { // it is long since it was short of room
+		a.at.room = 0
+	}
 	// Quickly served after a try on a connection that had been idle was not: such are dropped unseen.
 	if n := len(m.attempts); n > 1 && m.attempts[n-2].idle > 0 && m.attempts[n-2].doubt && s < slowBy*r.mean {
 		*kind = min(*kind, m.attempts[n-2].idle/2)
--- a/brain/equal_test.go
+++ b/brain/equal_test.go
@@ -185,6 +185,8 @@
 	case 2: // refuses
 		if e.Outcome = brain.Refused; w.rng.IntN(3) == 0 {
 			e.Wait = time.Duration(w.rng.IntN(6000)) * ms
+		} else if w.rng.IntN(2) == 0 {
+			e.Crowded = true
 		}
 	case 3: // hangs
 		takes = time.Hour
--- a/brain/internal/reference/state.go
+++ b/brain/internal/reference/state.go
@@ -94,6 +94,10 @@
 	sentAt  time.Duration // last round with a call to it
 	crowded time.Duration // by so much its idle connections are kept shorter than its kind's
 	idleAt  time.Duration // since then there is no call to it, 0 if no connection may be open
+	conns   int           // connections to it that should stand, with a call or without
+	room    float64       // calls at once while it takes no more of them; 0: it was never short
+
+	fullUntil, fullPause time.Duration // no connection is opened until then; and the last such pause
 }
 
 type destination struct {
@@ -115,7 +119,6 @@
 
 	messages  []*message
 	takenBack bool
-	crowded   bool
 }
 
 type attempt struct {
--- a/brain/state.go
+++ b/brain/state.go
@@ -104,6 +104,10 @@
 	sentAt  time.Duration // last round with a call to it
 	crowded time.Duration // by so much its idle connections are kept shorter than its kind's
 	idleAt  time.Duration // since then there is no call to it, 0 if no connection may be open
+	conns   int           // connections to it that should stand, with a call or without
+	room    float64       // calls at once while it takes no more of them; 0: it was never short
+
+	fullUntil, fullPause time.Duration // no connection is opened until then; and the last such pause
 
 	idleNo               uint64 // in the order of becoming idle, 0 if nothing is to be closed
 	maybeIdle, inCrowded bool   // in the lists of those
@@ -138,7 +142,6 @@
 	messages  []*message
 	takenBack bool
 	recalled  bool
-	crowded   bool // its endpoint had no room for a connection
 }
 
 type attempt struct {
--- a/internal/sender/loop.go
+++ b/internal/sender/loop.go
@@ -374,6 +374,7 @@
 	case callEnd:
 		return s.callEnded(e)
 	case listEvent:
+		s.log.Debug("list", "version", e.Version, "full", e.Full, "lines", len(e.Servers))
 		news := s.news(e)
 		for _, p := range s.parts {
 			s.learnt = append(s.learnt, p.listed(s.clock.now())...)
