A watch of the list goes on from the version heard last; drains were heard too late

Ruled out: versions that differ between the old and the new address (they go on), a slow loop, refusals that cost discovery (it refuses within 50 ms). 26 calls ended 'line 28: context deadline exceeded': cut off by us at 2 s as they were answered.

At fault: follow() set the version to -1 after each failure, and so asked for the whole list, which costs discovery several times a change, just as it was short; answerTime was discovery's own 2 s; all pauses were one second long, so that who was refused together came again together.

Change: after a failure the watch goes on from the version heard last (a move still begins with the whole list, as does an office that answers changes of an older version); 3 s for an answer; the module draws the pause. Found by reading: a whole list of an older version took a drain back. membership.Told remembers for a minute what was told to drain or go.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -50,7 +50,7 @@
 	passedOver  = 2 * time.Second        // how long a message passed over is thought to wait
 	anyWorth    = 0.1                    // weight of the worth itself beside its loss by waiting
 	holdFull    = 0.95                   // share of the room for messages from which some are refused
-	askAgain    = time.Second            // pause before a failed request for the list is repeated
+	askAgain    = time.Second            // mean pause before a failed request for the list is repeated
 	shareSpan   = 3 * time.Second        // span over which a tenant's rate is seen
 	shareBeyond = 1.5                    // a tenant's rate over its share from which it is beyond it
 	fewConns    = 8                      // connections that any endpoint takes from all senders together
@@ -313,7 +313,7 @@
 			if !e.Failed {
 				b.news(e)
 			} else if b.s.AsksForList {
-				b.askAt = b.now + askAgain
+				b.askAt = b.now + askAgain/2 + time.Duration(b.draw(uint64(askAgain)))
 			}
 		}
 	}
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -28,4 +28,6 @@
 	Version int64    `json:"version"`
 	Full    bool     `json:"full"`
 	Servers []Target `json:"servers"`
+
+	Anew bool `json:"-"` // versions are another machine's from here on, and say nothing beside earlier ones
 }
--- a/internal/sender/discovery.go
+++ b/internal/sender/discovery.go
@@ -16,7 +16,7 @@
 
 const (
 	watchWait  = 20 * time.Second       // a watch call waits so long for news
-	answerTime = 2 * time.Second        // and an answer takes no longer than this besides
+	answerTime = 3 * time.Second        // and an answer takes no longer than this besides: discovery gives up at 2 s itself
 	noticeTime = 500 * time.Millisecond // notices are answered at once, or the connection says nothing any more
 	backOff    = 100 * time.Millisecond // first pause after a failure; doubles
 	backOffTop = 2 * time.Second
@@ -200,28 +200,34 @@
 	return err
 }
 
-// watch follows the list at one office from a version on, -1 for none, until a call fails; then it returns.
-// The next call goes out as soon as an answer is passed on: a gap would end the watch.
-func (o *office) watch(ctx context.Context, version int64, news func(Targets)) error {
+// watch follows the list at one office from a version on, -1 for none, until a call fails; then it returns the version
+// that was heard last. The next call goes out as soon as an answer is passed on: a gap would end the watch.
+func (o *office) watch(ctx context.Context, version int64, news func(Targets)) (int64, error) {
 	for {
 		t, err := o.list(ctx, version)
 		if err != nil {
-			return err
+			return version, err
+		}
+		if t.Version < version && !t.Full {
+			version = -1 // its numbers have begun anew, and these changes are not all that there are
+		} else {
+			version = t.Version
 		}
-		version = t.Version
 		news(t) // also what comes while discovery moves: it has been told
 		if o.left.Err() != nil {
-			return o.left.Err()
+			return version, o.left.Err()
 		}
 	}
 }
 
-// follow watches when the Brain asks for it. After a failure the list is asked for whole, as changes may
-// have been missed; the Brain decides when, and failures in a row are told to it ever later. A move is no
-// failure: the watch goes on at the new address at once, from the whole list, as versions are each office's
-// own and the old one may not have told all that it had to.
+// follow watches when the Brain asks for it. After a failure it goes on from the version that was heard last: the answer
+// has what came since, or the whole list if that is too old. To ask for the whole list would cost discovery, which is one
+// for all senders and has just failed, several times as much. The Brain decides when, and failures in a row are told to
+// it ever later. A move is no failure: the watch goes on at the new address at once, from the whole list, as versions are
+// each office's own and the old one may not have told all that it had to.
 func (d *discovery) follow(ctx context.Context, version int64, asked <-chan struct{}, news func(Targets), failed func(error)) {
 	failures := 0
+	var heard *office // that told the last list
 	for {
 		select {
 		case <-asked:
@@ -230,11 +236,15 @@
 		}
 		for {
 			o := d.office()
-			err := o.watch(ctx, version, func(t Targets) {
+			var err error
+			version, err = o.watch(ctx, version, func(t Targets) {
 				failures = 0
+				t.Anew, heard = heard != nil && heard != o, o
 				news(t)
 			})
-			version = -1
+			if o.left.Err() != nil {
+				version = -1
+			}
 			if failures++; o.left.Err() == nil && failures > 1 {
 				o.pause(ctx, failures-1)
 			}
--- a/internal/sender/sources.go
+++ b/internal/sender/sources.go
@@ -27,7 +27,8 @@
 
 // sources is what feeds the list. With discovery alone there is no merge, and its lines are the list's.
 type sources struct {
-	all   [2]Source // by membership.Source; nil: there is none
+	all   [2]Source        // by membership.Source; nil: there is none
+	told  *membership.Told // by discovery
 	merge *membership.Merge
 }
 
@@ -43,7 +44,7 @@
 }
 
 func newSources(s *Sender) sources {
-	all := sources{}
+	all := sources{told: membership.NewTold()}
 	all.all[membership.Discovery] = platformList{s}
 	if n := s.c.Names; n != nil {
 		all.all[membership.Names] = n.Source
@@ -78,6 +79,13 @@
 
 // news books news of a source and translates what that changes in the list for the Brain.
 func (s *Sender) news(e listEvent) brain.Event {
+	if e.from == membership.Discovery {
+		counts, older := s.sources.told.Apply(s.clock.now(), e.Targets)
+		if older > 0 {
+			s.log.Warn("discovery's list is older than what it has told", "version", e.Version, "endpoints that stay left", older)
+		}
+		e.Targets = counts
+	}
 	if s.sources.merge == nil {
 		return s.list.news(e.Targets, e.Full, s.c, s.pool)
 	}
