--- a/brain/internal/reference/brain.go
+++ b/brain/internal/reference/brain.go
@@ -307,7 +307,7 @@
 			if !e.Failed {
 				b.news(e)
 			} else if b.s.AsksForList {
-				b.askAt = b.now + askAgain/2 + time.Duration(b.draw(uint64(askAgain)))
+				b.askAt = b.now + b.around(askAgain)
 			}
 		}
 	}
@@ -617,7 +617,7 @@
 	e.room = max(1, float64(e.calls))
 	if b.now >= e.fullUntil {
 		e.fullPause = min(max(2*e.fullPause, pauseFirst), pauseMost)
-		e.fullUntil = b.now + e.fullPause/2 + time.Duration(b.draw(uint64(e.fullPause)))
+		e.fullUntil = b.now + b.around(e.fullPause)
 	}
 	e.recent = max(e.recent, e.route.recent) // one that was never called would be taken for the quickest
 }
--- a/brain/state.go
+++ b/brain/state.go
@@ -261,6 +261,9 @@
 	return (z ^ z>>31) % n
 }
 
+// around is a pause drawn from half of d to half as much again: who was refused together does not come together.
+func (b *Brain) around(d time.Duration) time.Duration { return d/2 + time.Duration(b.draw(uint64(d))) }
+
 func (b *Brain) destination(id DestinationID) *destination {
 	d := b.dests[id]
 	if d == nil {
--- a/internal/membership/told.go
+++ b/internal/membership/told.go
@@ -35,15 +35,18 @@
 			delete(t.left, id)
 		}
 	}
+	leave := func(id string) {
+		if l, left := t.left[id]; !left || u.Version >= l.version {
+			t.left[id] = leaving{u.Version, now}
+		}
+	}
 	listed := map[string]struct{}{}
 	for i, line := range u.Servers {
 		listed[line.ID] = struct{}{}
 		l, left := t.left[line.ID]
 		switch {
 		case line.State != Serving:
-			if !left || u.Version >= l.version {
-				t.left[line.ID] = leaving{u.Version, now}
-			}
+			leave(line.ID)
 		case left && u.Version < l.version:
 			if older++; older == 1 {
 				u.Servers = append([]Target(nil), u.Servers...) // it is the caller's
@@ -62,9 +65,7 @@
 		for id := range t.lines {
 			if _, ok := listed[id]; !ok {
 				delete(t.lines, id)
-				if l, left := t.left[id]; !left || u.Version >= l.version {
-					t.left[id] = leaving{u.Version, now}
-				}
+				leave(id)
 			}
 		}
 	}
--- a/internal/sender/endpoints.go
+++ b/internal/sender/endpoints.go
@@ -48,8 +48,7 @@
 	bounded
 	r     *bufio.Reader
 	addr  string
-	since time.Time // it has been idle
-	fresh bool      // it has carried no call yet
+	since time.Time // it has been idle; zero: it has carried no call yet
 }
 
 // pool opens, keeps and closes connections.
@@ -94,7 +93,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{bounded: bounded{nc, 0, errLongAnswer}, addr: addr, fresh: true}
+	c := &conn{bounded: bounded{nc, 0, errLongAnswer}, addr: addr}
 	c.r = bufio.NewReaderSize(c, maxLine)
 	return c, nil
 }
@@ -133,7 +132,7 @@
 		return
 	}
 	p.idle.Add(1)
-	c.since, c.fresh = time.Now(), false
+	c.since = time.Now()
 	if e.idle = append(e.idle, c); len(e.idle) == 1 {
 		p.mu.Lock()
 		p.holding[e] = struct{}{}
@@ -330,7 +329,7 @@
 		p.read(resp, end)
 		// An endpoint with no room for a connection answers the first call on it so, and ends it; one that has looked
 		// at the call tells how it stands.
-		end.Crowded = c.fresh && resp.Close && end.Outcome == brain.Refused && end.Wait == 0 && !end.Reported
+		end.Crowded = c.since.IsZero() && resp.Close && end.Outcome == brain.Refused && end.Wait == 0 && !end.Reported
 		gone := f.read(resp, end, time.Now())
 		// What stands behind an answer would be read as the next one.
 		return !resp.Close && c.r.Buffered() == 0, gone, nil
--- a/internal/sender/loop.go
+++ b/internal/sender/loop.go
@@ -202,7 +202,7 @@
 	if s.records != nil {
 		go s.records.run(work, func(err error) { s.log.Warn("undelivered messages wait in the journal", "err", err) }, func() { s.post(work, keptEvent{}) })
 	}
-	s.log.Debug("settings", "limits", s.c.Limits, "settings", fmt.Sprintf("%+v", s.c.Settings))
+	s.log.Debug("settings", "limits", s.c.Limits, "settings", s.c.Settings)
 	s.resume(work)
 	l, err := listen()
 	if err != nil {
--- a/internal/sender/trace.go
+++ b/internal/sender/trace.go
@@ -8,7 +8,7 @@
 )
 
 // trace writes a line on a step of one message, for operators who follow it by its id through the senders that had it.
-// Without the level debug it costs a comparison: nothing is formatted.
+// Without the level debug nothing is formatted.
 func (s *Sender) trace(step, id string, details ...slog.Attr) {
 	if !s.log.Enabled(context.Background(), slog.LevelDebug) {
 		return
@@ -18,23 +18,15 @@
 
 // traceEnd is the line on how a call ended.
 func (s *Sender) traceEnd(m *message, e callEnd) {
-	if !s.log.Enabled(context.Background(), slog.LevelDebug) {
-		return
+	outcome := "served"
+	if e.Outcome != brain.Served {
+		outcome = string(outcomeOf(e.Outcome))
 	}
 	at := ""
 	if end := s.list.byNumber[e.Endpoint]; end != nil {
 		at = end.id
 	}
 	s.trace("call ended", m.ID, slog.Uint64("dest", uint64(m.Dest)), slog.Int("try", m.base+e.attempt), slog.String("endpoint", at),
-		slog.String("outcome", outcomeName(e.Outcome)), slog.Duration("took", e.Elapsed), slog.Duration("wait", e.Wait),
-		slog.Float64("left", e.Left), slog.Float64("limit", e.Limit))
-}
-
-// outcomeName is an outcome in the words of the log.
-func outcomeName(o brain.Outcome) string {
-	names := [...]string{"served", "errored", "refused", "timed out", "connect failed", "broken", "cancelled", "not sent"}
-	if int(o) < len(names) {
-		return names[o]
-	}
-	return "unknown"
+		slog.String("outcome", outcome), slog.Duration("took", e.Elapsed), slog.Duration("wait", e.Wait),
+		slog.Bool("crowded", e.Crowded), slog.Float64("left", e.Left), slog.Float64("limit", e.Limit))
 }
