The list is asked for ever later after failures, and at the start at a time of each sender's own

From 15 to 35 s 150 to 330 calls a second ended "connect failed", as the endpoints had been replaced and nobody had heard where to; of 8,573 messages that were not delivered 4,434 had never been sent.

Cause: all 80 ask in their first moment, discovery takes about 15 calls a second and gives up after 2 s, and a call that it gives up is worked through all the same. Asking again after 0.5 to 1.5 s (brain.go, askAgain, after each failure the same) and a pause of 2 s at most beside (discovery.go, follow) 69 senders make 15 to 20 calls a second: as many as it takes, for ever.

Change: the pause doubles with each failure in a row, up to the eight seconds in which discovery takes a call of every sender (all_call_s of the site files, 2 to 8 s); among many senders the first request comes at a moment of its own in as long. follow pauses no more: the module decides when. A start does not wait for a list that is not asked for yet.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -50,7 +50,8 @@
 	passedOver  = 2 * time.Second        // how long a message passed over is thought to wait
 	anyWorth    = 0.1                    // weight of the worth itself beside its loss by waiting
 	holdFull    = 0.95                   // share of the room for messages from which some are refused
-	askAgain    = time.Second            // mean pause before a failed request for the list is repeated
+	askAgain    = time.Second            // mean pause before a failed request for the list; doubles up to
+	askRound    = 8 * time.Second        // the time in which discovery takes a call of every sender
 	shareSpan   = 3 * time.Second        // span over which a tenant's rate is seen
 	shareBeyond = 1.5                    // a tenant's rate over its share from which it is beyond it
 	fewConns    = 8                      // connections that any endpoint takes from all senders together
@@ -287,6 +288,9 @@
 	b.now, b.wake, b.acts = now, never, nil
 	if b.started == -never {
 		b.started = now
+		if b.s.AsksForList && b.s.Senders > fleetProbes { // many may have started at once
+			b.askAt = now + time.Duration(b.draw(uint64(askRound)))
+		}
 	}
 	if b.alarm <= now {
 		b.alarm = never
@@ -310,11 +314,7 @@
 				b.close(m)
 			}
 		case ListNews:
-			if !e.Failed {
-				b.news(e)
-			} else if b.s.AsksForList {
-				b.askAt = b.now + b.around(askAgain)
-			}
+			b.heard(e)
 		}
 	}
 	if b.askAt <= now {
@@ -337,6 +337,18 @@
 	return b.acts
 }
 
+// heard takes in news of the list, or asks for it again later. Discovery is one for all senders, and calls
+// that it can't answer in time cost it as much: if all ask again at once, none is answered.
+func (b *Brain) heard(n ListNews) {
+	if !n.Failed {
+		b.askPause = 0
+		b.news(n)
+	} else if b.s.AsksForList {
+		b.askPause = min(max(2*b.askPause, askAgain), askRound)
+		b.askAt = b.now + b.around(b.askPause)
+	}
+}
+
 // ---- Admission and ordering
 
 // lapses is when m, which waits, can no longer be served in time or not lawfully be sent.
@@ -687,10 +699,7 @@
 	r.tokens--
 	r.tried.add(b.now, arrivalSpan)
 	r.sentAt = b.now
-	if len(r.unanswered) == 0 {
-		b.busy(r)
-	}
-	r.unanswered = append(r.unanswered, c)
+	b.unansweredAt(r, c)
 	b.send(m, c)
 	for n := 1; n < b.batch(e) && !c.probe; n++ {
 		var next *message
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -512,6 +512,17 @@
 	if asks(2*time.Second, ListNews{Failed: true}) != 0 || asks(2*time.Second+askAgain) != 1 {
 		t.Fatal("a failed watch is asked for again")
 	}
+	now, pause := 10*time.Second, askAgain
+	for range 6 { // each failure in a row doubles the pause, up to a round
+		pause = min(2*pause, askRound)
+		if asks(now, ListNews{Failed: true}) != 0 || asks(now+pause/2-ms) != 0 || asks(now+pause/2+pause) != 1 {
+			t.Fatalf("after a pause of about %v the list is asked for once", pause)
+		}
+		now += 2 * pause
+	}
+	if asks(now, ListNews{}) != 0 || asks(now+1, ListNews{Failed: true}) != 0 || asks(now+1+2*askAgain) != 1 {
+		t.Fatal("once it was told, pauses begin anew")
+	}
 }
 
 // A random run with odd events: the same events give the same actions, and nothing is answered twice.
--- a/brain/due.go
+++ b/brain/due.go
@@ -325,8 +325,12 @@
 	return gone, never
 }
 
-// busy keeps the routes with an unanswered call, in the order in which they came to be.
-func (b *Brain) busy(r *route) {
+// unansweredAt books a call that goes out, and keeps the routes with such a call in the order in which they came to be.
+func (b *Brain) unansweredAt(r *route, c *call) {
+	r.unanswered = append(r.unanswered, c)
+	if len(r.unanswered) > 1 {
+		return
+	}
 	i := len(b.unanswered)
 	for i > 0 && b.unanswered[i-1].place > r.place {
 		i--
--- a/brain/internal/reference/brain.go
+++ b/brain/internal/reference/brain.go
@@ -49,7 +49,8 @@
 	passedOver  = 2 * time.Second        // how long a message passed over is thought to wait
 	anyWorth    = 0.1                    // weight of the worth itself beside its loss by waiting
 	holdFull    = 0.95                   // share of the room for messages from which some are refused
-	askAgain    = time.Second            // mean pause before a failed request for the list is repeated
+	askAgain    = time.Second            // mean pause before a failed request for the list; doubles up to
+	askRound    = 8 * time.Second        // the time in which discovery takes a call of every sender
 	shareSpan   = 3 * time.Second        // span over which a tenant's rate is seen
 	shareBeyond = 1.5                    // a tenant's rate over its share from which it is beyond it
 	fewConns    = 8                      // connections that any endpoint takes from all senders together
@@ -283,6 +284,9 @@
 	b.now, b.wake, b.acts = now, never, nil
 	if b.started == -never {
 		b.started = now
+		if b.s.AsksForList && b.s.Senders > fleetProbes { // many may have started at once
+			b.askAt = now + time.Duration(b.draw(uint64(askRound)))
+		}
 	}
 	if b.alarm <= now {
 		b.alarm = never
@@ -304,11 +308,7 @@
 				b.close(m)
 			}
 		case ListNews:
-			if !e.Failed {
-				b.news(e)
-			} else if b.s.AsksForList {
-				b.askAt = b.now + b.around(askAgain)
-			}
+			b.heard(e)
 		}
 	}
 	if b.askAt <= now {
@@ -327,6 +327,18 @@
 	return b.acts
 }
 
+// heard takes in news of the list, or asks for it again later. Discovery is one for all senders, and calls
+// that it can't answer in time cost it as much: if all ask again at once, none is answered.
+func (b *Brain) heard(n ListNews) {
+	if !n.Failed {
+		b.askPause = 0
+		b.news(n)
+	} else if b.s.AsksForList {
+		b.askPause = min(max(2*b.askPause, askAgain), askRound)
+		b.askAt = b.now + b.around(b.askPause)
+	}
+}
+
 // ---- Admission and ordering
 
 // mayRepeat: no attempt may have run, or a repeat sent now surely does no harm.
--- a/brain/internal/reference/state.go
+++ b/brain/internal/reference/state.go
@@ -174,6 +174,7 @@
 	tenants   []tenant
 	tenantsAt time.Duration
 	askAt     time.Duration
+	askPause  time.Duration   // the last one after a failed request for the list, 0 since one was answered
 	idle      []*endpoint     // perhaps with an idle connection
 	keep      []time.Duration // how long to keep those, by kind of destination
 	started   time.Duration   // first batch
--- a/brain/state.go
+++ b/brain/state.go
@@ -211,6 +211,7 @@
 	tenants   []tenant
 	tenantsAt time.Duration
 	askAt     time.Duration
+	askPause  time.Duration   // the last one after a failed request for the list, 0 since one was answered
 	part      float64         // of the tenants' shares that is ours
 	partKnown bool            // until the next message
 	idle      []*endpoint     // perhaps with an idle connection
--- a/internal/sender/discovery.go
+++ b/internal/sender/discovery.go
@@ -121,6 +121,7 @@
 	if err != nil {
 		return t, err
 	}
+	began := time.Now()
 	resp, err := o.client.Do(req)
 	if err != nil {
 		return t, err
@@ -128,7 +129,7 @@
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
 		io.Copy(io.Discard, io.LimitReader(resp.Body, maxBody))
-		return t, fmt.Errorf("discovery answers %s", resp.Status)
+		return t, fmt.Errorf("discovery answers %s after %v", resp.Status, time.Since(began).Round(time.Millisecond))
 	}
 	if t, err = readTargets(io.LimitReader(resp.Body, maxList)); err != nil {
 		return t, fmt.Errorf("discovery's list: %w", err)
@@ -222,11 +223,9 @@
 
 // follow watches when the Brain asks for it. After a failure it goes on from the version that was heard last: the answer
 // has what came since, or the whole list if that is too old. To ask for the whole list would cost discovery, which is one
-// for all senders and has just failed, several times as much. The Brain decides when, and failures in a row are told to
-// it ever later. A move is no failure: the watch goes on at the new address at once, from the whole list, as versions are
+// for all senders and has just failed, several times as much. The Brain decides when. A move is no failure: the watch goes on at the new address at once, from the whole list, as versions are
 // each office's own and the old one may not have told all that it had to.
 func (d *discovery) follow(ctx context.Context, version int64, asked <-chan struct{}, news func(Targets), failed func(error)) {
-	failures := 0
 	var heard *office // that told the last list
 	for {
 		select {
@@ -238,16 +237,12 @@
 			o := d.office()
 			var err error
 			version, err = o.watch(ctx, version, func(t Targets) {
-				failures = 0
 				t.Anew, heard = heard != nil && heard != o, o
 				news(t)
 			})
 			if o.left.Err() != nil {
 				version = -1
 			}
-			if failures++; o.left.Err() == nil && failures > 1 {
-				o.pause(ctx, failures-1)
-			}
 			if ctx.Err() != nil {
 				return
 			}
@@ -255,7 +250,6 @@
 				failed(err)
 				break
 			}
-			failures = 0
 		}
 	}
 }
--- a/internal/sender/loop.go
+++ b/internal/sender/loop.go
@@ -95,21 +95,22 @@
 	sources sources
 	server  *server
 
-	events   chan any
-	asked    chan struct{}
-	notices  chan []notice
-	owed     []notice // to be told
-	telling  bool     // a batch of them is out
-	messages map[brain.MessageID]*message
-	byID     map[string]*message
-	ends     *eventBooks    // nil where no events are taken in
-	records  *recorderBooks // nil without a recorder
-	parts    []participant  // features that take part in each turn
-	last     brain.MessageID
-	held     int // messages taken on that have not ended
-	out      int // calls out
-	alarm    *time.Timer
-	quitting bool // no more steps: what comes in is only written down
+	events    chan any
+	asked     chan struct{}
+	listAsked bool // discovery's list has been asked for
+	notices   chan []notice
+	owed      []notice // to be told
+	telling   bool     // a batch of them is out
+	messages  map[brain.MessageID]*message
+	byID      map[string]*message
+	ends      *eventBooks    // nil where no events are taken in
+	records   *recorderBooks // nil without a recorder
+	parts     []participant  // features that take part in each turn
+	last      brain.MessageID
+	held      int // messages taken on that have not ended
+	out       int // calls out
+	alarm     *time.Timer
+	quitting  bool // no more steps: what comes in is only written down
 
 	answers   []owedAnswer  // of messages that this step ends, to be given once that is written down
 	batches   []sendBatch   // calls that this step begins with several messages
@@ -282,7 +283,8 @@
 func (s *Sender) resume(ctx context.Context) {
 	s.step(ctx, s.listsAtStart())
 	var events []brain.Event
-	for first, over := false, time.After(firstList); !first; {
+	// Among many senders the module asks at a time of its own, which is not waited for.
+	for first, over := !s.listAsked, time.After(firstList); !first; {
 		select {
 		case e := <-s.events:
 			if ev := s.take(e); ev != nil {
@@ -590,6 +592,7 @@
 			case s.asked <- struct{}{}:
 			default:
 			}
+			s.listAsked = true
 		case brain.Log:
 			s.log.Info(a.Line)
 		}
