Many senders stay below a limit that refused calls use up, and take it for no outage

From 8 to 11 s all 25 to 40 calls a second there are refused with left=0, none served; from 16 to 21 s again. 110 senders' log lines call it 6 out: calls fail, are refused or go unanswered; one call at a time and while they warm up, from 22 to 33 s, they send 11 to 32 calls a second with left=0.5 to 0.9. Of 1,407 messages 321 were given up and 182 handed back there; receiver 4 alike.

Three things keep the fleet above it. refused() cut the pace to half of even() at the least, which among 80 senders is half a call a second for each: 40 for a limit of 32. The cut began at a pace that was never in use, a call a second, where a sender has 0.4. And judge() counted such refusals towards an outage, whose return is a ramp of 14 s.

Change: a refusal with less than three tenths of a told limit left is no sign of an outage. slower() cuts the pace from what was in use, by 0.7 for each second in which nothing was heard (four at most), down to half of the even part of the limit: all together at that leave it room. Answers that tell of less than a tenth left cut it as well, before calls are refused. Tests: 80 Brains at one limit that books refused calls, and refusals with and without the limit used up; both red before.

--- a/brain/internal/reference/brain.go
+++ b/brain/internal/reference/brain.go
@@ -44,8 +44,10 @@
 	besideOther = 0.3                    // part of the calls of the unaware that those add who saw failures
 	retryPause  = 150 * time.Millisecond // pause of one message after a failed attempt; doubles
 	paceStep    = 0.1                    // growth of the pace, in our even parts of the limit, by call served
-	paceCut     = 0.7                    // the pace after a refusal
+	paceCut     = 0.7                    // the pace after a refusal, or a second near the end of the limit
+	paceUnheard = 4                      // seconds without an answer that count in it at most
 	plenty      = 0.3                    // share of the allowance left from which the pace may grow
+	scarce      = 0.1                    // and below which it is cut
 	passedOver  = 2 * time.Second        // how long a message passed over is thought to wait
 	anyWorth    = 0.1                    // weight of the worth itself beside its loss by waiting
 	holdFull    = 0.95                   // share of the room for messages from which some are refused
@@ -171,11 +173,8 @@
 
 // silent: nothing was served since the oldest of n or more calls went out, long ago.
 func (b *Brain) silent(r *route, n int) bool {
-	if len(r.unanswered) < n {
-		return false
-	}
-	c := r.unanswered[0]
-	return r.lastServed <= c.sent && b.now-c.sent > r.patience()
+	return len(r.unanswered) >= n && r.lastServed <= r.unanswered[0].sent &&
+		b.now-r.unanswered[0].sent > r.patience()
 }
 
 // halve cuts the window, once for all calls that were out at the last cut.
@@ -823,6 +822,7 @@
 		a.booked = true
 		b.judge(m, a, e)
 	}
+	a.route.heardAt = b.now
 	b.learn(a, e)
 	switch e.Outcome {
 	case Refused, ConnectFailed, NotSent:
@@ -900,7 +900,9 @@
 		b.full(a.at)
 		return
 	}
-	r.bad++
+	if e.Outcome != Refused || !e.Reported || e.Limit == 0 || e.Left >= plenty { // else its limit is used up
+		r.bad++
+	}
 	switch {
 	case e.Outcome == Refused:
 		b.refused(r, a, e)
@@ -962,15 +964,24 @@
 			step *= 2 // no allowance to use up: the listed rate is a capacity
 		}
 		r.pace = min(r.limit, r.pace+step)
+	} else if r.limit > 0 && e.Left < scarce { // refusals may use it up, too
+		b.slower(r, 0)
 	}
 }
 
+// slower cuts the pace, below the rate in use, and the more the longer nothing was heard of the limit.
+// All together at half of their even parts leave it room to fill up.
+func (b *Brain) slower(r *route, least float64) {
+	part := r.limit / float64(max(1, b.s.Senders))
+	used := max(b.usual(r.tried), r.rateServed(), part)
+	cut := math.Pow(paceCut, max(least, min(paceUnheard, (b.now-r.heardAt).Seconds())))
+	r.pace = max(min(r.pace, used)*cut, part/2)
+}
+
 // refused closes the route for the told wait, or for a growing pause if none was told.
 func (b *Brain) refused(r *route, a *attempt, e AttemptEnd) {
 	b.halve(r, a.sent)
-	if r.limit > 0 {
-		r.pace = max(r.pace*paceCut, b.even(r.limit)/2)
-	}
+	b.slower(r, 1)
 	if e.Wait > 0 {
 		if e.Wait > b.s.OverloadFor && r.state != out {
 			b.goOut(r) // shut for longer than any limit is counted over: it comes back cold
--- a/brain/internal/reference/state.go
+++ b/brain/internal/reference/state.go
@@ -71,9 +71,10 @@
 	since       time.Duration // of the state
 	probes      int           // calls out that were sent during this outage
 	probedAt    time.Duration
-	limit       float64 // calls a second that all senders may send, 0 if unknown
-	pace        float64 // our part of it
-	tokens      float64 // calls that the pace allows now
+	limit       float64       // calls a second that all senders may send, 0 if unknown
+	pace        float64       // our part of it
+	heardAt     time.Duration // a call ended last
+	tokens      float64       // calls that the pace allows now
 	filled      time.Duration
 	logged      time.Duration
 }
--- /dev/null
+++ b/brain/limit_test.go
@@ -0,0 +1,141 @@
+package brain
+
+import (
+	"testing"
+	"time"
+)
+
+// usedUp is a destination that takes so many calls a second from all senders together, saves up what it can take in two
+// seconds, and books a call that it refuses like one that it serves: called more often than that all the time, it
+// serves nothing at all.
+type usedUp struct {
+	rate, saved float64
+	at          time.Duration
+}
+
+const usedUpSpan = 2 // seconds
+
+// left is the share of what it can save up that is left.
+func (l *usedUp) left(now time.Duration) float64 {
+	l.saved = min(usedUpSpan*l.rate, l.saved+l.rate*(now-l.at).Seconds())
+	l.at = now
+	return max(0, l.saved/(usedUpSpan*l.rate))
+}
+
+func (l *usedUp) call(now time.Duration) (served bool) {
+	l.left(now)
+	served = l.saved >= 1
+	l.saved = max(-usedUpSpan*l.rate, l.saved-1)
+	return served
+}
+
+// Eighty senders share a limit of 32 calls a second that refused calls use up. Each gets 0.37 messages a second for it, a
+// few of them several times that; for two seconds the fleet gets three times as many. The limit bears all but that. Each
+// sender by itself keeps to a call a second, and together they would send more than it bears for as long as any message
+// waits.
+func TestAFleetFindsBackBelowALimitThatRefusalsUseUp(t *testing.T) {
+	const senders, perSecond, limit = 80, 28.0, 32.0
+	const start, until, lag = time.Hour, 60 * time.Second, 300 * ms
+	s, list := many(senders)
+	s.MostHeld = 60
+	brains := make([]*Brain, senders)
+	for i := range brains {
+		brains[i] = New(s, uint64(i+1))
+		brains[i].Step(start, []Event{list})
+	}
+	type sent struct {
+		by  int
+		at  time.Duration
+		end AttemptEnd
+	}
+	var open []sent
+	l := &usedUp{rate: limit, saved: usedUpSpan * limit, at: start}
+	told := [8]float64{} // what was left, as it was told until now: late
+	id, due := MessageID(0), 0.0
+	tries := map[MessageID]int{}
+	taken, served, refused := 0, 0, 0
+	for now := start; now < start+until; now += 10 * ms {
+		rate := perSecond
+		if at := now - start; at >= 8*time.Second && at < 10*time.Second {
+			rate *= 3
+		}
+		if tick := int(now / (10 * ms)); tick%5 == 0 {
+			copy(told[1:], told[:])
+			told[0] = l.left(now)
+		}
+		events := make([][]Event, senders)
+		for due += rate / 100; due >= 1; due-- {
+			id++
+			i := int(id*37) % senders
+			if id%4 == 0 { // a quarter of all comes to four of them
+				i = int(id/4) % 4
+			}
+			events[i] = append(events[i], Message{ID: id, Destination: 0, Deadline: now + 12*time.Second})
+			if now >= start+30*time.Second {
+				taken++
+			}
+		}
+		var still []sent
+		for _, c := range open {
+			if now < c.at {
+				still = append(still, c)
+				continue
+			}
+			events[c.by] = append(events[c.by], c.end)
+		}
+		open = still
+		for i, b := range brains {
+			for _, a := range b.Step(now, append(events[i], Alarm{})) {
+				call, ok := a.(Send)
+				if !ok {
+					continue
+				}
+				end := AttemptEnd{Message: call.Message, Attempt: tries[call.Message], Endpoint: call.Endpoint, Outcome: Refused,
+					Elapsed: 60 * ms, Reported: true, Left: told[lag/(50*ms)], Limit: limit}
+				tries[call.Message]++
+				if l.call(now) {
+					end.Outcome, end.Over, end.Elapsed = Served, true, 150*ms
+				}
+				if now >= start+30*time.Second {
+					if end.Outcome == Served {
+						served++
+					} else {
+						refused++
+					}
+				}
+				open = append(open, sent{i, now + end.Elapsed, end})
+			}
+		}
+	}
+	t.Logf("from 30 s on: %d taken, %d served, %d refused", taken, served, refused)
+	if served < taken*9/10 {
+		t.Errorf("%d of %d messages are served 20 s after the surge", served, taken)
+	}
+	if refused > taken/10 {
+		t.Errorf("%d calls are refused for %d messages", refused, taken)
+	}
+}
+
+// Refusals at a limit that is used up tell nothing of an outage; those with plenty of it left do.
+func TestALimitThatIsUsedUpIsNoOutage(t *testing.T) {
+	for _, c := range []struct {
+		left float64
+		want state
+	}{{0, well}, {0.2, well}, {0.9, out}} {
+		r := fleetRig(t, 80)
+		for i := range 6 {
+			m := MessageID(i + 1)
+			r.now += 10 * time.Second
+			for _, a := range r.b.Step(r.now, []Event{Message{ID: m, Destination: 0, Deadline: r.now + 12*time.Second}}) {
+				if call, ok := a.(Send); ok {
+					r.b.Step(r.now+60*ms, []Event{AttemptEnd{Message: m, Endpoint: call.Endpoint, Outcome: Refused, Elapsed: 60 * ms,
+						Reported: true, Left: c.left, Limit: 32}})
+				}
+			}
+			r.b.Step(r.now+70*ms, []Event{Withdrawn{m}})
+		}
+		if got := r.b.dests[0].shared.state; got != c.want {
+			t.Errorf("with %v of the limit left the state is %d, want %d", c.left, got, c.want)
+		}
+	}
+}
