What discovery told outlasts the process: many senders restart without asking at once

Ruled out: asking at once only where messages are resumed (that is the herd); waiting for the list before anything is sent (seconds of service of the whole fleet).

A process begins with the newer of that and the configuration's, and asks for what came since. Tests: drains, ends and whole lists through a kill and a compaction, a list too long, every third byte of its record spoilt, and a sender of eighty that resumes a message beside an old configuration; red with the configuration's list alone, and with changes kept to a list that was never written. The test of a list too long found that half of one was taken for the whole.

--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -29,5 +29,6 @@
 	Full    bool     `json:"full"`
 	Servers []Target `json:"servers"`
 
-	Anew bool `json:"-"` // versions are another machine's from here on, and say nothing beside earlier ones
+	Anew  bool   `json:"-"` // versions are another machine's from here on, and say nothing beside earlier ones
+	Heard string `json:"-"` // address of the machine that told it, where the source has several; else empty
 }
--- a/internal/sender/discovery.go
+++ b/internal/sender/discovery.go
@@ -237,7 +237,7 @@
 			o := d.office()
 			var err error
 			version, err = o.watch(ctx, version, func(t Targets) {
-				t.Anew, heard = heard != nil && heard != o, o
+				t.Anew, t.Heard, heard = heard != nil && heard != o, o.addr, o
 				news(t)
 			})
 			if o.left.Err() != nil {
--- /dev/null
+++ b/internal/sender/heardlist_test.go
@@ -0,0 +1,154 @@
+package sender
+
+import (
+	"fmt"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"dockshift.example/dockshift/internal/membership"
+	st "dockshift.example/dockshift/internal/sendertest"
+)
+
+func servingList(ids ...string) (list []Target) {
+	for _, id := range ids {
+		list = append(list, Target{ID: id, Addr: "127.0.0.1:1", State: membership.Serving})
+	}
+	return list
+}
+
+// states is a list as id=state, in the order of ids.
+func states(list []Target) (all []string) {
+	for _, t := range list {
+		all = append(all, t.ID+"="+t.State)
+	}
+	slices.Sort(all)
+	return all
+}
+
+// What a process begins with after one that had heard news: the newer of both lists, at the same address.
+func TestTheListOutlastsTheProcess(t *testing.T) {
+	const here, there = "127.0.0.1:1", "127.0.0.1:2"
+	known := Targets{Version: 3, Servers: servingList("a", "b")}
+	for _, c := range []struct {
+		name    string
+		news    []membership.Update
+		from    string
+		want    []string
+		version int64
+	}{
+		{"nothing was heard", nil, here, []string{"a=SERVING", "b=SERVING"}, 3},
+		{"a drain, an end and a new one, after the configuration's list",
+			[]membership.Update{{Version: 5, Servers: append(servingList("c"), Target{ID: "a", State: membership.Draining}, Target{ID: "b", State: membership.Deleted})}},
+			here, []string{"a=DRAINING", "c=SERVING"}, 5},
+		{"a whole list that lacks one", []membership.Update{{Version: 5, Full: true, Servers: servingList("a", "b")}, {Version: 6, Full: true, Servers: servingList("b")}},
+			here, []string{"b=SERVING"}, 6},
+		{"an older one than the configuration's", []membership.Update{{Version: 2, Full: true, Servers: servingList("z")}}, here, []string{"a=SERVING", "b=SERVING"}, 3},
+		{"from another address", []membership.Update{{Version: 90, Full: true, Servers: append(servingList("b", "c"), Target{ID: "a", State: membership.Draining})}},
+			there, []string{"a=DRAINING", "b=SERVING"}, -1},
+	} {
+		dir := t.TempDir()
+		j := openTest(t, dir, 1<<20)
+		j.beginList(here, known, known.Version)
+		for _, u := range c.news {
+			j.keepList(here, u)
+		}
+		takeTest(t, j, "m")
+		for _, how := range []string{"as after a kill", "from a compacted file"} {
+			j = openTest(t, dir, 1<<20)
+			list, version := j.list.atStart(known, c.from)
+			if got := states(list.Servers); !slices.Equal(got, c.want) || version != c.version {
+				t.Errorf("%s, %s: %v after %d, want %v after %d", c.name, how, got, version, c.want, c.version)
+			}
+			if len(j.byID) != 1 {
+				t.Errorf("%s, %s: the journal holds %d messages", c.name, how, len(j.byID))
+			}
+		}
+	}
+	if !slices.Equal(states(known.Servers), []string{"a=SERVING", "b=SERVING"}) {
+		t.Error("the configuration's own list was changed")
+	}
+}
+
+// A list that is too long is not kept in part, takes nothing from the room for messages, and is kept again once it is
+// shorter.
+func TestAListTooLongIsNotKept(t *testing.T) {
+	j := openTest(t, t.TempDir(), 1<<20)
+	free := j.live
+	var many []Target
+	for i := range 2000 {
+		many = append(many, servingList(fmt.Sprintf("endpoint-%d", i))...)
+	}
+	j.keepList("x", membership.Update{Version: 1, Full: true, Servers: servingList("a")})
+	j.keepList("x", membership.Update{Version: 2, Full: true, Servers: many})
+	if j.list.record() != nil || j.live != free {
+		t.Errorf("%d lines are kept in %d bytes", len(j.list.lines), j.live-free)
+	}
+	j.keepList("x", membership.Update{Version: 3, Servers: servingList("b")}) // to a list that is not known
+	if list, _ := j.list.atStart(Targets{}, "x"); len(list.Servers) != 0 {
+		t.Errorf("half a list is kept: %v", list.Servers)
+	}
+	j.keepList("x", membership.Update{Version: 4, Full: true, Servers: servingList("a", "b")})
+	if list, version := j.list.atStart(Targets{}, "x"); len(list.Servers) != 2 || version != 4 {
+		t.Errorf("%d lines after %d", len(list.Servers), version)
+	}
+}
+
+// A record of the list that is spoilt costs that record and no message.
+func TestASpoiltListLosesNothing(t *testing.T) {
+	dir := t.TempDir()
+	j := openTest(t, dir, 1<<20)
+	takeTest(t, j, "m")
+	whole := j.size
+	j.keepList("x", membership.Update{Version: 1, Full: true, Servers: servingList("a")})
+	if err := j.flush(); err != nil {
+		t.Fatal(err)
+	}
+	raw, err := os.ReadFile(j.path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for n := whole; n < int64(len(raw))-1; n += 3 {
+		spoilt := slices.Clone(raw)
+		spoilt[n] ^= 1
+		if err := os.WriteFile(j.path, spoilt, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if k := openTest(t, dir, 1<<20); k.byID["m"] == nil || k.list.record() != nil {
+			t.Fatalf("byte %d spoilt: %d messages and the list %v", n, len(k.byID), k.list.record())
+		}
+	}
+}
+
+// Many senders restart, and each asks for the list at a time of its own: until then an endpoint that the earlier process
+// was told to leave gets nothing, whatever the configuration's older list says, and the messages of the journal go out.
+func TestADrainOutlastsTheProcessBeforeDiscoveryAnswers(t *testing.T) {
+	t.Parallel()
+	old, other := st.NewEndpoint(t, st.Status(200)), st.NewEndpoint(t, st.Status(200))
+	p := st.NewPlatform(t, old.Addr)
+	run(t, p, func(c *Config) {
+		c.Settings.Senders = 80
+		line := func(id, addr, state string) Target {
+			return Target{ID: id, Addr: addr, State: state, Zone: "a", Kind: "plain"}
+		}
+		c.Known = Targets{Version: 1, Full: true, Servers: []Target{line("s-0", old.Addr, "SERVING")}}
+		j := openTest(t, c.State, 1<<20)
+		j.keepList(c.Discovery, membership.Update{Version: 9, Full: true, Servers: []Target{line("s-0", old.Addr, "DRAINING"), line("s-1", other.Addr, "SERVING")}})
+		if _, err := j.take(record{ID: "m", Class: "keyed", Key: "k", Tenant: "acme", Deadline: newClock().now() + 15*time.Second}); err != nil {
+			t.Fatal(err)
+		}
+		if err := j.close(); err != nil {
+			t.Fatal(err)
+		}
+	})
+	if c := other.Next(t); c.ID != "m" {
+		t.Errorf("the new endpoint got %s", c.ID)
+	}
+	if len(old.Calls) != 0 {
+		t.Error("the drained endpoint got a call")
+	}
+	if q := st.Receive(t, p.Lists); q != "after=9&wait_ms=20000" {
+		t.Errorf("discovery is asked for %q", q)
+	}
+}
--- a/internal/sender/journal.go
+++ b/internal/sender/journal.go
@@ -41,7 +41,7 @@
 
 // record is one line. Times are the clock's: Unix nanoseconds.
 type record struct {
-	Op string `json:"op"` // take, send, end, over, told, kept, rates
+	Op string `json:"op"` // take, send, end, over, told, kept, rates, list
 	ID string `json:"id"`
 
 	// take: the message as its client handed it in; in a compacted file with what came of it so far
@@ -78,6 +78,7 @@
 	Out  string        `json:"out,omitempty"`
 
 	Rates map[uint32]float64 `json:"rates,omitempty"` // rates: by destination, as the module knows them
+	List  *heardList         `json:"list,omitempty"`  // list: what discovery has told, or what that changes
 }
 
 // try is an attempt of a message. One without an outcome may have run.
@@ -193,6 +194,7 @@
 	failed bool      // the last write failed: nothing more is written until a compaction succeeds
 	tried  time.Time // the last compaction
 	rates  map[uint32]float64
+	list   keptList
 	byID   map[string]*stored
 	order  []*stored // in the order taken, with some that have ended
 	ended  int       // of those
@@ -200,7 +202,8 @@
 
 // openJournal reads what an earlier process left and begins a compacted file.
 func openJournal(dir string, budget int64) (*journal, error) {
-	j := &journal{path: filepath.Join(dir, journalName), budget: budget, live: ratesRoom, byID: map[string]*stored{}}
+	j := &journal{path: filepath.Join(dir, journalName), budget: budget, live: ratesRoom + listHead, byID: map[string]*stored{}}
+	j.list.most = min(listMost, budget/16)
 	old, err := os.Open(j.path)
 	if err == nil {
 		err = j.replay(old)
@@ -234,6 +237,12 @@
 		switch m := j.byID[rec.ID]; {
 		case rec.Op == "rates":
 			j.rates = rec.Rates
+		case rec.Op == "list":
+			if rec.List != nil {
+				j.live -= j.list.size
+				j.list.apply(rec.List)
+				j.live += j.list.size
+			}
 		case rec.Op == "take":
 			if m != nil { // an id is used again only once its message is over
 				j.remove(m)
@@ -271,7 +280,7 @@
 	begin := len(b)
 	b = append(b, "00000000 "...)
 	text := len(b)
-	if r.Rates != nil {
+	if r.Rates != nil || r.List != nil {
 		raw, err := json.Marshal(r)
 		if err != nil {
 			return b[:begin], err
@@ -532,6 +541,14 @@
 			return err
 		}
 	}
+	if list := j.list.record(); list != nil {
+		n, err := encode(w, &record{Op: "list", List: list})
+		size += int64(n)
+		if err != nil {
+			f.Close()
+			return err
+		}
+	}
 	kept := j.held()
 	for _, m := range kept {
 		rec := m.record
--- a/internal/sender/loop.go
+++ b/internal/sender/loop.go
@@ -93,6 +93,8 @@
 	list    endpoints
 	disc    *discovery
 	sources sources
+	first   Targets // the list to begin with
+	askFrom int64   // the version after which discovery is asked first; -1: for the whole list
 	server  *server
 
 	events    chan any
@@ -162,6 +164,8 @@
 	if s.ends, err = openEvents(c, s.clock.now()); err != nil {
 		return nil, err
 	}
+	s.first, s.askFrom = j.list.atStart(c.Known, c.Discovery)
+	j.beginList(c.Discovery, s.first, s.askFrom)
 	s.sources = newSources(s)
 	s.records = newRecorder(c.Recorder, room)
 	if s.parts, err = s.takeParts(); err != nil {
--- a/internal/sender/sources.go
+++ b/internal/sender/sources.go
@@ -36,11 +36,7 @@
 type platformList struct{ s *Sender }
 
 func (p platformList) Follow(ctx context.Context, news func(membership.Update)) {
-	version := p.s.c.Known.Version
-	if len(p.s.c.Known.Servers) == 0 {
-		version = -1
-	}
-	p.s.disc.follow(ctx, version, p.s.asked, news, func(err error) { p.s.post(ctx, failedEvent{err}) })
+	p.s.disc.follow(ctx, p.s.askFrom, p.s.asked, news, func(err error) { p.s.post(ctx, failedEvent{err}) })
 }
 
 func newSources(s *Sender) sources {
@@ -68,9 +64,7 @@
 // listsAtStart is what the sources knew before the sender ran. The names' word is in before any message is resumed: an address
 // that an update removed before a restart gets nothing after it.
 func (s *Sender) listsAtStart() []brain.Event {
-	known := s.c.Known
-	known.Full = true
-	events := []brain.Event{s.news(listEvent{membership.Discovery, known})}
+	events := []brain.Event{s.news(listEvent{membership.Discovery, s.first})}
 	if n := s.c.Names; n != nil {
 		events = append(events, s.news(listEvent{membership.Names, n.First}))
 	}
@@ -85,6 +79,9 @@
 			s.log.Warn("discovery's list is older than what it has told", "version", e.Version, "endpoints that stay left", older)
 		}
 		e.Targets = counts
+		if e.Heard != "" {
+			s.journal.keepList(e.Heard, counts)
+		}
 	}
 	if s.sources.merge == nil {
 		return s.list.news(e.Targets, e.Full, s.c, s.pool)
