--- a/internal/sender/heardlist_test.go
+++ b/internal/sender/heardlist_test.go
@@ -1,9 +1,12 @@
 package sender
 
 import (
+	"bytes"
 	"fmt"
+	"log/slog"
 	"os"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -115,8 +118,37 @@
 		if err := os.WriteFile(j.path, spoilt, 0o600); err != nil {
 			t.Fatal(err)
 		}
-		if k := openTest(t, dir, 1<<20); k.byID["m"] == nil || k.list.record() != nil {
-			t.Fatalf("byte %d spoilt: %d messages and the list %v", n, len(k.byID), k.list.record())
+		if k := openTest(t, dir, 1<<20); k.byID["m"] == nil || k.list.record() != nil || k.spoilt != 1 {
+			t.Fatalf("byte %d spoilt: %d messages, the list %v, %d lines said to be spoilt", n, len(k.byID), k.list.record(), k.spoilt)
+		}
+	}
+}
+
+// A journal with a line that can't be read is named in one line of the log, with what is left of it; one torn by a kill is
+// as usual, and is not.
+func TestASpoiltJournalIsNamed(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		tail string
+		want int
+	}{{"spoilt", "00000000 {\"op\":\"take\"}\n", 1}, {"torn", "00000000 {\"op\":", 0}} {
+		s := &Config{State: t.TempDir(), Discovery: "127.0.0.1:1", Limits: Limits{Sockets: 256, DiskMB: 3}}
+		j := openTest(t, s.State, 1<<20)
+		takeTest(t, j, "m")
+		j.close()
+		f, err := os.OpenFile(j.path, os.O_APPEND|os.O_WRONLY, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.WriteString(c.tail)
+		f.Close()
+		var lines bytes.Buffer
+		sender, err := New(s, slog.New(slog.NewTextHandler(&lines, nil)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := strings.Count(lines.String(), "can't be read"); got != c.want || sender.journal.byID["m"] == nil {
+			t.Errorf("%s: %d lines name it, want %d:\n%s", c.name, got, c.want, lines.String())
 		}
 	}
 }
--- a/internal/sender/journal.go
+++ b/internal/sender/journal.go
@@ -195,6 +195,7 @@
 	tried  time.Time // the last compaction
 	rates  map[uint32]float64
 	list   keptList
+	spoilt int // lines that could not be read at the start; a last one without its end is a kill's, and not counted
 	byID   map[string]*stored
 	order  []*stored // in the order taken, with some that have ended
 	ended  int       // of those
@@ -232,6 +233,7 @@
 		}
 		var rec record
 		if !decode(line, &rec) {
+			j.spoilt++
 			continue
 		}
 		switch m := j.byID[rec.ID]; {
--- a/internal/sender/loop.go
+++ b/internal/sender/loop.go
@@ -161,6 +161,9 @@
 	if j.failed {
 		log.Warn("the journal can't be written: nothing is taken on until it can", "folder", c.State)
 	}
+	if j.spoilt > 0 {
+		log.Warn("the journal has lines that can't be read: all others count", "file", j.path, "lines", j.spoilt, "messages", len(j.byID))
+	}
 	if s.ends, err = openEvents(c, s.clock.now()); err != nil {
 		return nil, err
 	}
