A destination that is listed again keeps its routes apart

Cause: a destination without endpoints and messages is forgotten at once where its routes are apart, its endpoint only two minutes later. Now add() notes it, and newest() is as it was. Test: a destination with a route apart that leaves, is forgotten and comes back; red before.

--- a/brain/due.go
+++ b/brain/due.go
@@ -461,10 +461,10 @@
 }
 
 // newest is, for each tenant with a message of d that may be refused, the one that came to wait last, in that
-// order. Where routes are apart, or were before their endpoints left, messages differ by more, so all are looked at.
+// order. Where routes are apart messages differ by more, so all are looked at.
 func (d *destination) newest() []*message {
 	var list []*message
-	if d.apart || d.shared == nil {
+	if d.apart {
 		for m := d.first; m != nil; m = m.after {
 			if !m.mayRun {
 				list = append(list, m)
--- /dev/null
+++ b/brain/relist_test.go
@@ -0,0 +1,39 @@
+package brain
+
+import (
+	"testing"
+	"time"
+)
+
+// A destination whose endpoints are routes apart leaves the list, is forgotten, and is listed again while its endpoint is
+// still remembered: its routes are apart as before, and a lull that would fold one with a shared route does it no harm.
+func TestARouteApartThatIsListedAgainStaysApart(t *testing.T) {
+	s := settings()
+	s.FoldAfter = 5 * time.Minute
+	r := newRig(t, s)
+	r.b = New(s, 7)
+	line := Endpoint{ID: 1, Destination: 4, Kind: 1, Ready: true}
+	r.step(ListNews{Endpoints: []Endpoint{line}})
+	gone := line
+	gone.Ready = false
+	r.step(ListNews{Endpoints: []Endpoint{gone}})
+	r.now += time.Second
+	r.step(Alarm{})
+	if r.b.dests[4] != nil {
+		t.Fatal("a destination without endpoints and messages is remembered")
+	}
+	if r.b.endpoints[1] == nil {
+		t.Fatal("its endpoint is not")
+	}
+	r.step(ListNews{Endpoints: []Endpoint{line}})
+	if d := r.b.dests[4]; !d.apart || d.shared != nil {
+		t.Errorf("its routes are no longer apart")
+	}
+	for range 20 {
+		r.now += time.Minute
+		r.step(Alarm{})
+	}
+	if r.b.dests[4] == nil {
+		t.Error("it was folded")
+	}
+}
--- a/brain/state.go
+++ b/brain/state.go
@@ -315,6 +315,9 @@
 			e.route = d.shared
 		}
 	}
+	if d.shared == nil { // also of one that was forgotten while its endpoint was not
+		d.apart = true
+	}
 	e.Endpoint, e.listed = line, true
 	if b.s.RatedLimits && positive(line.Rating) {
 		b.learnLimit(e.route, line.Rating)
