The kept list is measured once a line; an update that is long is no list too long

Seen on reading: change() added the lines of an update to the size of the whole list, and did not take off those that they replace. A whole list of 546 lines, each changed, was given up as too long, and a restart began with the configuration's older one. It also measured each line by writing it out, apply() did so again, and of a list of any length at the start all lines were. Change: a line is measured when it is taken in; a list that gets too long is given up in one place, for records, the list at the start and news alike, and a whole one is measured no further than that. After a compaction, which writes the list, it is not written as a whole again.

--- a/internal/sender/heardlist.go
+++ b/internal/sender/heardlist.go
@@ -27,86 +27,76 @@
 type keptList struct {
 	from    string
 	version int64
-	lines   map[string]Target
-	size    int64 // of all lines as they are written
+	lines   map[string]keptLine // nil: none is kept
+	size    int64               // of all lines as they are written
 	most    int64
 
 	unwritten bool // the journal's file does not have it yet
 }
 
-func lineSize(t Target) int64 {
-	raw, _ := json.Marshal(t) // text and numbers only: a weight from a list is finite
-	return int64(len(raw)) + 1
+type keptLine struct {
+	Target
+	size int64
 }
 
-// apply takes in a record of the journal's.
+// apply takes in a record of the journal's, or one that is about to be. A list that gets too long is given up as a whole:
+// half a list would have endpoints gone that are not.
 func (l *keptList) apply(r *heardList) {
 	if r.Whole || l.lines == nil {
-		l.lines, l.size = map[string]Target{}, 0
+		l.lines, l.size = map[string]keptLine{}, 0
 	}
 	l.from, l.version = r.From, r.Version
-	if r.Version < 0 { // given up
-		l.lines = nil
-		return
-	}
 	for _, t := range r.Servers {
-		if old, ok := l.lines[t.ID]; ok {
-			l.size -= lineSize(old)
-			delete(l.lines, t.ID)
-		}
+		l.size -= l.lines[t.ID].size
+		delete(l.lines, t.ID)
 		if t.State != membership.Deleted {
-			l.lines[t.ID] = t
-			l.size += lineSize(t)
+			raw, _ := json.Marshal(t) // text and numbers only: a weight from a list is finite
+			l.lines[t.ID] = keptLine{t, int64(len(raw)) + 1}
+			l.size += int64(len(raw)) + 1
+		}
+		if r.Whole && l.size > l.most {
+			break // it only grows
 		}
 	}
+	if r.Version < 0 || l.size > l.most {
+		l.version, l.lines, l.size = -1, nil, 0
+	}
 }
 
 // begin takes a list that was not told but read at the start, so that changes to it can be kept. Nothing is written: until
 // there are some the next process reads it as well.
 func (l *keptList) begin(from string, known Targets) {
-	if l.from == from && l.version == known.Version && len(l.lines) > 0 {
-		return
-	}
-	l.unwritten = true
-	l.apply(&heardList{From: from, Version: known.Version, Whole: true, Servers: known.Servers})
-	if l.size > l.most {
-		l.lines, l.size = nil, 0
+	if l.from != from || l.version != known.Version || len(l.lines) == 0 {
+		l.apply(&heardList{From: from, Version: known.Version, Whole: true, Servers: known.Servers})
+		l.unwritten = true
 	}
 }
 
-// change is the record that brings the kept list to where news from an address does, nil if it is there already. One that
-// would be too long is given up as a whole: half a list would have endpoints gone that are not.
+// change is the record that brings the kept list to where news from an address does, nil if it is there already.
 func (l *keptList) change(from string, u membership.Update) *heardList {
-	r := &heardList{From: from, Version: u.Version, Whole: l.lines == nil || l.from != from || u.Anew}
-	if r.Whole && !u.Full {
-		return nil // changes alone, to a list that is not known
-	}
-	size, listed := int64(0), map[string]struct{}{}
-	if !r.Whole {
-		size = l.size
+	r := &heardList{From: from, Version: u.Version}
+	if l.lines == nil || l.from != from || u.Anew {
+		if !u.Full {
+			return nil // changes alone, to a list that is not known
+		}
+		r.Whole, r.Servers = true, u.Servers
+		return r
 	}
+	listed := map[string]struct{}{}
 	for _, t := range u.Servers {
 		listed[t.ID] = struct{}{}
-		old, ok := l.lines[t.ID]
-		if ok && old == t && !r.Whole {
-			continue
-		}
-		if size += lineSize(t); size > l.most {
-			break
+		if old, ok := l.lines[t.ID]; !ok || old.Target != t {
+			r.Servers = append(r.Servers, t)
 		}
-		r.Servers = append(r.Servers, t)
 	}
-	if size > l.most {
-		return &heardList{From: from, Version: -1, Whole: true}
-	}
-	if u.Full && !r.Whole {
+	if u.Full {
 		for id := range l.lines {
 			if _, ok := listed[id]; !ok {
 				r.Servers = append(r.Servers, Target{ID: id, State: membership.Deleted})
 			}
 		}
 	}
-	if !r.Whole && len(r.Servers) == 0 && l.version == u.Version {
+	if len(r.Servers) == 0 && l.version == u.Version {
 		return nil
 	}
 	return r
@@ -118,8 +108,8 @@
 		return nil
 	}
 	r := &heardList{From: l.from, Version: l.version, Whole: true}
-	for _, t := range l.lines {
-		r.Servers = append(r.Servers, t)
+	for _, line := range l.lines {
+		r.Servers = append(r.Servers, line.Target)
 	}
 	slices.SortFunc(r.Servers, func(a, b Target) int { return cmp.Compare(a.ID, b.ID) })
 	return r
@@ -136,7 +126,7 @@
 	}
 	kept := l.record()
 	switch {
-	case kept == nil || kept.Version < 0:
+	case kept == nil:
 	case kept.From == from:
 		if kept.Version > version {
 			return Targets{Version: kept.Version, Full: true, Servers: kept.Servers}, kept.Version
@@ -173,12 +163,16 @@
 	j.live -= j.list.size
 	j.list.apply(r)
 	j.live += j.list.size
-	if j.list.unwritten { // changes alone would be changes to nothing
-		if r = j.list.record(); r == nil {
-			return
-		}
-		j.list.unwritten = false
+	switch {
+	case j.list.lines == nil: // given up
+		r = &heardList{From: from, Version: -1, Whole: true}
+	case j.list.unwritten: // changes alone would be changes to nothing
+		r = j.list.record()
+	}
+	if r == nil { // nothing is left of it
+		return
 	}
+	j.list.unwritten = false
 	if _, err := encode(&j.buf, &record{Op: "list", List: r}); err != nil {
 		j.failed = true
 	}
--- a/internal/sender/journal.go
+++ b/internal/sender/journal.go
@@ -575,6 +575,7 @@
 		j.file.Close()
 	}
 	j.file, j.size, j.order = f, size, kept
+	j.list.unwritten = false
 	j.buf.Reset()
 	return nil
 }
