--- a/brain/brain.go
+++ b/brain/brain.go
@@ -225,7 +225,7 @@
 		share += (1 - share) * min(1, (b.now-r.since).Seconds()/b.s.Cold.Seconds())
 	}
 	unaware := besideOther / max(math.Expm1(r.before*(b.now-r.outAt).Seconds()), 1e-9)
-	few := fleetProbes / max(b.s.Cold.Seconds(), 1) / float64(max(1, b.s.Senders))
+	few := b.evenPart(fleetProbes / max(b.s.Cold.Seconds(), 1))
 	return max(few, r.before*max(max(1, b.s.FallMultiple)*share, unaware))
 }
 
@@ -261,7 +261,7 @@
 // goOut begins an outage. Before a second one the rate was held down by us, so the higher is kept.
 func (b *Brain) goOut(r *route) {
 	if r.state == well {
-		r.before = max(b.usual(r.done), r.limit/float64(max(1, b.s.Senders)), b.earlier(r))
+		r.before = max(b.usual(r.done), b.evenPart(r.limit), b.earlier(r))
 		if r.served > inRow { // enough of them to go by the last seconds
 			r.before = max(r.before, r.rateServed())
 		}
@@ -571,7 +571,7 @@
 // sees at one holds for the kind, as others see the same; one with many has seen for itself. Of the few that
 // an endpoint takes at the least each of many senders has a part only, and keeps its own for as much less.
 func (b *Brain) keepFor(e *endpoint) (kept time.Duration, kind *time.Duration) {
-	few := min(1, fewConns/float64(max(1, b.s.Senders)))
+	few := min(1, b.evenPart(fewConns))
 	for len(b.keep) <= e.Kind {
 		b.keep = append(b.keep, time.Duration(few*float64(b.s.IdleConnections)))
 	}
@@ -893,11 +893,14 @@
 	}
 }
 
+// evenPart is what falls to each sender of something that all of them share.
+func (b *Brain) evenPart(all float64) float64 { return all / float64(max(1, b.s.Senders)) }
+
 // even is our even part of a limit; among many senders, where that is far below one call and those who have
 // messages there are few at a time, up to a call in the time over which limits are counted.
 func (b *Brain) even(limit float64) float64 {
 	n := float64(max(1, b.s.Senders))
-	return min(limit, max(limit/n, min(1, n/fleetProbes)/pauseMost.Seconds()))
+	return min(limit, max(b.evenPart(limit), min(1, n/fleetProbes)/pauseMost.Seconds()))
 }
 
 // learnLimit takes a told limit; our pace starts at an even part of it.
@@ -935,7 +938,7 @@
 		b.full(a.at)
 		return
 	}
-	if e.Outcome != Refused || !e.Reported || e.Limit == 0 || e.Left >= plenty { // else its limit is used up
+	if e.Outcome != Refused || !e.Reported || !positive(e.Limit) || e.Left >= plenty { // else it is used up
 		r.bad++
 	}
 	switch {
@@ -1009,7 +1012,7 @@
 // slower cuts the pace, below the rate in use, and the more the longer nothing was heard of the limit.
 // All together at half of their even parts leave it room to fill up.
 func (b *Brain) slower(r *route, least float64) {
-	part := r.limit / float64(max(1, b.s.Senders))
+	part := b.evenPart(r.limit)
 	used := max(b.usual(r.tried), r.rateServed(), part)
 	cut := math.Pow(paceCut, max(least, min(paceUnheard, (b.now-r.heardAt).Seconds())))
 	r.pace = max(min(r.pace, used)*cut, part/2)
--- a/brain/fleet_test.go
+++ b/brain/fleet_test.go
@@ -27,6 +27,25 @@
 	return r
 }
 
+// sent is a call of one sender of many, and how it ends.
+type sent struct {
+	by  int
+	end AttemptEnd
+	at  time.Duration
+}
+
+// endedBy parts the calls that have ended by now from those that are still out.
+func endedBy(now time.Duration, calls []sent) (ended, open []sent) {
+	for _, c := range calls {
+		if now < c.at {
+			open = append(open, c)
+		} else {
+			ended = append(ended, c)
+		}
+	}
+	return ended, open
+}
+
 // Rule 4, at 200 senders: each saw a call or two fail, and together they pushed the destination over when
 // it returned. Those who saw failures may send what the destination then bears, or less than the others.
 func TestManySendersDoNotPushAReturningDestinationOver(t *testing.T) {
@@ -39,12 +58,7 @@
 		brains[i] = New(s, uint64(i+1))
 		brains[i].Step(start, []Event{list})
 	}
-	type sent struct {
-		by  int
-		end AttemptEnd
-		at  time.Duration
-	}
-	var open []sent
+	var ended, open []sent
 	var fromAware, fromOthers int
 	id := MessageID(0)
 	tries := map[MessageID]int{}
@@ -64,16 +78,11 @@
 				give(i*5, 0)
 			}
 		}
-		var still []sent
-		for _, c := range open {
-			if now < c.at {
-				still = append(still, c)
-				continue
-			}
+		ended, open = endedBy(now, open)
+		for _, c := range ended {
 			events[c.by] = append(events[c.by], c.end)
 			aware[c.by] = aware[c.by] || c.end.Outcome == ConnectFailed && now < start+outage
 		}
-		open = still
 		for i, b := range brains {
 			for _, a := range b.Step(now, append(events[i], Alarm{})) {
 				call, ok := a.(Send)
--- a/brain/internal/reference/brain.go
+++ b/brain/internal/reference/brain.go
@@ -900,7 +900,7 @@
 		b.full(a.at)
 		return
 	}
-	if e.Outcome != Refused || !e.Reported || e.Limit == 0 || e.Left >= plenty { // else its limit is used up
+	if e.Outcome != Refused || !e.Reported || !positive(e.Limit) || e.Left >= plenty { // else it is used up
 		r.bad++
 	}
 	switch {
--- a/brain/learn.go
+++ b/brain/learn.go
@@ -136,7 +136,7 @@
 		r.tokens = 1 // the first message tries it: if it has recovered meanwhile, it is avoided for no longer than that
 	}
 	if e.Health == Warming && r.state == well && e.For < b.s.Cold {
-		r.before = max(b.usual(r.done), r.limit/float64(max(1, b.s.Senders)), b.earlier(r), e.Rate)
+		r.before = max(b.usual(r.done), b.evenPart(r.limit), b.earlier(r), e.Rate)
 		r.state, r.since, r.outAt, r.window, r.tokens, r.filled = cold, b.now-e.For, b.now-e.For, 1, 1, b.now
 	}
 }
--- a/brain/limit_test.go
+++ b/brain/limit_test.go
@@ -1,6 +1,7 @@
 package brain
 
 import (
+	"math"
 	"testing"
 	"time"
 )
@@ -43,12 +44,7 @@
 		brains[i] = New(s, uint64(i+1))
 		brains[i].Step(start, []Event{list})
 	}
-	type sent struct {
-		by  int
-		at  time.Duration
-		end AttemptEnd
-	}
-	var open []sent
+	var ended, open []sent
 	l := &usedUp{rate: limit, saved: usedUpSpan * limit, at: start}
 	told := [8]float64{} // what was left, as it was told until now: late
 	id, due := MessageID(0), 0.0
@@ -75,15 +71,10 @@
 				taken++
 			}
 		}
-		var still []sent
-		for _, c := range open {
-			if now < c.at {
-				still = append(still, c)
-				continue
-			}
+		ended, open = endedBy(now, open)
+		for _, c := range ended {
 			events[c.by] = append(events[c.by], c.end)
 		}
-		open = still
 		for i, b := range brains {
 			for _, a := range b.Step(now, append(events[i], Alarm{})) {
 				call, ok := a.(Send)
@@ -103,7 +94,7 @@
 						refused++
 					}
 				}
-				open = append(open, sent{i, now + end.Elapsed, end})
+				open = append(open, sent{i, end, now + end.Elapsed})
 			}
 		}
 	}
@@ -139,3 +130,51 @@
 		}
 	}
 }
+
+// An answer that tells of hardly anything left cuts the pace before calls are refused: by how long nothing had been heard, as
+// a sender that calls seldom hears it seldom. One with something left does not, and none cuts it below half of an even part.
+func TestAnAnswerThatTellsOfScarcityCutsThePace(t *testing.T) {
+	const limit, even = 32.0, 32.0 / 80
+	for _, c := range []struct {
+		left   float64
+		gap    time.Duration
+		least  float64 // bounds of the pace after it, as a share of the one before
+		most   float64
+		lowest bool
+	}{{0.05, 3 * time.Second, 0, 0.5, false}, {0.05, 100 * ms, 0, 1, false}, {0.2, 3 * time.Second, 1, 1, false}, {0.05, time.Minute, 0, 0.5, true}} {
+		r := fleetRig(t, 80)
+		serve := func(n int, left float64) {
+			m := MessageID(n)
+			for _, a := range r.b.Step(r.now, []Event{Message{ID: m, Destination: 0, Deadline: r.now + 12*time.Second}}) {
+				if call, ok := a.(Send); ok {
+					r.b.Step(r.now, []Event{AttemptEnd{Message: m, Endpoint: call.Endpoint, Outcome: Served, Over: true, Elapsed: 40 * ms,
+						Reported: true, Left: left, Limit: limit}})
+					return
+				}
+			}
+			t.Fatalf("message %d is not sent", n)
+		}
+		serve(1, 0.2)
+		for n := 2; n < 6; n++ { // some are usual here
+			r.now += 2 * time.Second
+			serve(n, 0.2)
+		}
+		before := r.b.dests[0].shared.pace
+		r.now += c.gap
+		if c.gap < time.Second {
+			r.b.dests[0].shared.tokens = 1
+		}
+		serve(6, c.left)
+		after := r.b.dests[0].shared.pace
+		if after < c.least*before || after > c.most*before || after < even/2 {
+			t.Errorf("%v left after %v: the pace goes from %v to %v", c.left, c.gap, before, after)
+		}
+		for n := 7; c.lowest && n < 40; n++ {
+			r.now += 20 * time.Second
+			serve(n, 0)
+		}
+		if got := r.b.dests[0].shared.pace; c.lowest && math.Abs(got-even/2) > 1e-9 {
+			t.Errorf("the least pace is %v, half of an even part is %v", got, even/2)
+		}
+	}
+}
--- a/internal/sender/discovery.go
+++ b/internal/sender/discovery.go
@@ -233,22 +233,20 @@
 		case <-ctx.Done():
 			return
 		}
-		for {
+		for moved := true; moved; {
 			o := d.office()
 			var err error
 			version, err = o.watch(ctx, version, func(t Targets) {
 				t.Anew, t.Heard, heard = heard != nil && heard != o, o.addr, o
 				news(t)
 			})
-			if o.left.Err() != nil {
-				version = -1
-			}
 			if ctx.Err() != nil {
 				return
 			}
-			if o.left.Err() == nil {
+			if moved = o.left.Err() != nil; moved {
+				version = -1
+			} else {
 				failed(err)
-				break
 			}
 		}
 	}
--- a/internal/sender/heardlist_test.go
+++ b/internal/sender/heardlist_test.go
@@ -8,7 +8,6 @@
 	"slices"
 	"strings"
 	"testing"
-	"time"
 
 	"dockshift.example/dockshift/internal/membership"
 	st "dockshift.example/dockshift/internal/sendertest"
@@ -96,6 +95,16 @@
 	if list, version := j.list.atStart(Targets{}, "x"); len(list.Servers) != 2 || version != 4 {
 		t.Errorf("%d lines after %d", len(list.Servers), version)
 	}
+	most := many[:j.list.most*3/4/(j.list.size/2)]
+	for version := range int64(2) { // the same lines, all changed, are no longer than before
+		for i := range most {
+			most[i].State = []string{membership.Serving, membership.Draining}[version]
+		}
+		j.keepList("x", membership.Update{Version: 5 + version, Full: true, Servers: slices.Clone(most)})
+		if list, _ := j.list.atStart(Targets{}, "x"); len(list.Servers) != len(most) {
+			t.Errorf("%d of %d lines are kept", len(list.Servers), len(most))
+		}
+	}
 }
 
 // A record of the list that is spoilt costs that record and no message.
@@ -161,25 +170,13 @@
 	p := st.NewPlatform(t, old.Addr)
 	run(t, p, func(c *Config) {
 		c.Settings.Senders = 80
-		line := func(id, addr, state string) Target {
-			return Target{ID: id, Addr: addr, State: state, Zone: "a", Kind: "plain"}
-		}
-		c.Known = Targets{Version: 1, Full: true, Servers: []Target{line("s-0", old.Addr, "SERVING")}}
-		j := openTest(t, c.State, 1<<20)
-		j.keepList(c.Discovery, membership.Update{Version: 9, Full: true, Servers: []Target{line("s-0", old.Addr, "DRAINING"), line("s-1", other.Addr, "SERVING")}})
-		if _, err := j.take(record{ID: "m", Class: "keyed", Key: "k", Tenant: "acme", Deadline: newClock().now() + 15*time.Second}); err != nil {
-			t.Fatal(err)
-		}
-		if err := j.close(); err != nil {
-			t.Fatal(err)
-		}
+		leavesMessage(t, c, old, func(j *journal) {
+			drained, other := listedAt("s-0", old), listedAt("s-1", other)
+			drained.State = membership.Draining
+			j.keepList(c.Discovery, membership.Update{Version: 9, Full: true, Servers: []Target{drained, other}})
+		})
 	})
-	if c := other.Next(t); c.ID != "m" {
-		t.Errorf("the new endpoint got %s", c.ID)
-	}
-	if len(old.Calls) != 0 {
-		t.Error("the drained endpoint got a call")
-	}
+	goesTo(t, other, old)
 	if q := st.Receive(t, p.Lists); q != "after=9&wait_ms=20000" {
 		t.Errorf("discovery is asked for %q", q)
 	}
--- a/internal/sender/lives_test.go
+++ b/internal/sender/lives_test.go
@@ -62,14 +62,7 @@
 	again := make(chan error, 1)
 	runWith(t, p, func(c *Config) {
 		c.Background = true
-		c.Known = Targets{Version: 1, Full: true, Servers: []Target{{ID: "s-0", Addr: old.Addr, State: "SERVING", Zone: "a", Kind: "plain"}}}
-		j := openTest(t, c.State, 1<<20)
-		if _, err := j.take(record{ID: "m", Class: "keyed", Key: "k", Tenant: "acme", Deadline: newClock().now() + 15*time.Second}); err != nil {
-			t.Fatal(err)
-		}
-		if err := j.close(); err != nil {
-			t.Fatal(err)
-		}
+		leavesMessage(t, c, old, func(*journal) {})
 	}, func(s *Sender) {
 		go func() {
 			again <- s.Background().Again(t.Context(), undelivered.Entry{Message: "x", Member: "acme", Class: "unsafe", How: undelivered.GivenUp, Effect: undelivered.Unsafe}, 10*time.Second)
--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -17,6 +17,7 @@
 	"testing"
 	"time"
 
+	"dockshift.example/dockshift/internal/membership"
 	st "dockshift.example/dockshift/internal/sendertest"
 )
 
@@ -323,6 +324,37 @@
 	}
 }
 
+// listedAt is a line of the list for an endpoint that serves.
+func listedAt(id string, e *st.Endpoint) Target {
+	return Target{ID: id, Addr: e.Addr, State: membership.Serving, Zone: "a", Kind: "plain"}
+}
+
+// leavesMessage has an earlier process leave message m in the journal, beside what it wrote before, and a configuration
+// that lists the old endpoint.
+func leavesMessage(t *testing.T, c *Config, old *st.Endpoint, before func(*journal)) {
+	t.Helper()
+	c.Known = Targets{Version: 1, Full: true, Servers: []Target{listedAt("s-0", old)}}
+	j := openTest(t, c.State, 1<<20)
+	before(j)
+	if _, err := j.take(record{ID: "m", Class: "keyed", Key: "k", Tenant: "acme", Deadline: newClock().now() + 15*time.Second}); err != nil {
+		t.Fatal(err)
+	}
+	if err := j.close(); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// goesTo waits for message m at the new endpoint; the drained one has got nothing by then.
+func goesTo(t *testing.T, other, old *st.Endpoint) {
+	t.Helper()
+	if c := other.Next(t); c.ID != "m" {
+		t.Errorf("the new endpoint got %s", c.ID)
+	}
+	if len(old.Calls) != 0 {
+		t.Error("the drained endpoint got a call")
+	}
+}
+
 // The configuration's list may be older than what the earlier process was told: what it resumes does not go
 // to an endpoint that has drained since.
 func TestResumedMessageHeedsAnEarlierDrain(t *testing.T) {
@@ -332,21 +364,9 @@
 	p.Change(st.Target("s-0", old.Addr, 0, "DRAINING"))
 	p.Change(st.Target("s-1", other.Addr, 0, "SERVING"))
 	run(t, p, func(c *Config) {
-		c.Known = Targets{Version: 1, Full: true, Servers: []Target{{ID: "s-0", Addr: old.Addr, State: "SERVING", Zone: "a", Kind: "plain"}}}
-		j := openTest(t, c.State, 1<<20)
-		if _, err := j.take(record{ID: "m", Class: "keyed", Key: "k", Tenant: "acme", Deadline: newClock().now() + 15*time.Second}); err != nil {
-			t.Fatal(err)
-		}
-		if err := j.close(); err != nil {
-			t.Fatal(err)
-		}
+		leavesMessage(t, c, old, func(*journal) {})
 	})
-	if c := other.Next(t); c.ID != "m" {
-		t.Errorf("the new endpoint got %s", c.ID)
-	}
-	if len(old.Calls) != 0 {
-		t.Error("the drained endpoint got a call")
-	}
+	goesTo(t, other, old)
 }
 
 // A machine that was cut off leaves idle connections that say nothing any more: after a call there timed
