Faults between processes: directed links, pauses, old folders, in scripts and the event log

Need: nothing could be shown of how processes behave together when links between them fail; the kit's troubles strike receivers. internal/rehearsal/links: a proxy for each directed pair of senders on loopback; a direction is cut silently, refuses, is slow, trickles, freezes within a frame, is reset, heals. What is cut is held and comes late, as over TCP. Processes: SIGSTOP and SIGCONT, a copy of the folder that is kept and put back. Seen while writing it: a reset that closed connections one by one let the second end see a sound end; SIGSTOP takes a moment to strike all threads, so a pause waits for them.

--- a/cmd/rehearse/run.go
+++ b/cmd/rehearse/run.go
@@ -240,18 +240,11 @@
 		fmt.Fprintf(out, "  %-4s %-10s %-10s %4.1f%% of the traffic, %d endpoints, capacity %.1f/s, %s\n", r.Name, r.Kind, r.Member, r.Share*100, r.Endpoints, r.Spec.Capacity, limit)
 	}
 	for _, a := range p.Acts {
-		what := a.Do
-		if a.Do == "trouble" || a.Do == "end" {
-			what += " " + a.Trouble.Kind.String()
-		}
-		var who []string
+		who := a.Who()
 		for _, d := range a.Dests {
 			who = append(who, p.Receivers[d].Name)
 		}
-		if who == nil && (a.Do == "kill" || a.Do == "restart" || a.Do == "lose" || a.Do == "join") {
-			who = []string{fmt.Sprintf("n%d", a.Sender)}
-		}
-		fmt.Fprintf(out, "  %7.3f s  %-16s %s\n", a.At.Seconds(), what, strings.Join(who, " "))
+		fmt.Fprintf(out, "  %7.3f s  %-16s %s\n", a.At.Seconds(), a, strings.Join(who, " "))
 	}
 }
 
--- a/internal/rehearsal/day/day.go
+++ b/internal/rehearsal/day/day.go
@@ -13,13 +13,13 @@
 	"runtime"
 	"slices"
 	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"dockshift.example/dockshift/internal/rehearsal/eventlog"
 	"dockshift.example/dockshift/internal/rehearsal/fleet"
+	"dockshift.example/dockshift/internal/rehearsal/links"
 	"dockshift.example/dockshift/internal/rehearsal/platform"
 	"dockshift.example/dockshift/internal/rehearsal/receiver"
 	"dockshift.example/dockshift/internal/rehearsal/script"
@@ -63,7 +63,8 @@
 	opt     Options
 	log     *eventlog.Log
 	hosts   *hosts
-	first   string // host of sender n0
+	text    string // of the features, with places
+	links   *links.Net
 	book    *traffic.Book
 	clients *traffic.Clients
 	disc    *platform.Platform
@@ -111,9 +112,6 @@
 	return d.log.Events(), use, errors.Join(err, ctx.Err())
 }
 
-// firstHost stands in the features of a day for the host of sender n0, by which the others find it.
-const firstHost = "{n0}"
-
 // Open starts the stand-ins and the senders and returns when all are ready.
 func Open(ctx context.Context, plan *script.Plan, opt Options) (*Day, error) {
 	if err := os.MkdirAll(opt.Folder, 0o755); err != nil {
@@ -121,9 +119,8 @@
 	}
 	// The day's clock starts with its arrivals: what is set up before has its events at time 0 and after.
 	d := &Day{plan: plan, hosts: newHosts(), drains: map[string]int{}, delay: plan.Day.ListDelay.D(), ctx: ctx}
-	d.first = d.hosts.next()
 	zone := &zoneFile{path: filepath.Join(opt.Folder, "kit.zone")}
-	text := strings.ReplaceAll(plan.FeaturesText(), firstHost, d.first)
+	text := plan.FeaturesText()
 	if plan.Day.Names {
 		var err error
 		if zone.path, err = filepath.Abs(zone.path); err != nil {
@@ -131,18 +128,12 @@
 		}
 		text += "\n" + zone.features(plan)
 	}
-	if text != "" {
-		path, err := filepath.Abs(filepath.Join(opt.Folder, "features.toml"))
-		if err == nil {
-			err = os.WriteFile(path, []byte(text), 0o644)
-		}
-		if err != nil {
-			return nil, fmt.Errorf("rehearsal: %w", err)
-		}
-		opt.Command = append(slices.Clone(opt.Command), "-features", path)
-	}
+	d.text = text
 	d.opt = opt
 	d.log = eventlog.New(opt.Log, opt.Watch)
+	d.links = links.New(plan.Day.Seed, func(from, to, what string) {
+		d.log.Add(eventlog.Event{Kind: eventlog.Link, Sender: from, Endpoint: to, Note: what})
+	})
 	d.late = newLateness(d.log)
 	d.book = traffic.NewBook(d.log, mostAttempts, opt.Open)
 	d.disc = platform.New(d.log, d.hosts.next, d.book.Notice)
@@ -201,6 +192,9 @@
 		}()
 	}
 	wg.Wait()
+	if d.links != nil {
+		d.links.Close()
+	}
 	d.disc.Close()
 	for _, r := range receivers {
 		r.Close()
@@ -239,10 +233,10 @@
 
 // machine makes the next sender's machine.
 func (d *Day) machine(i int) (*fleet.Sender, error) {
-	name := "n" + strconv.Itoa(i)
-	host := d.first
-	if i > 0 {
-		host = d.hosts.next()
+	name, host := name(i), d.hosts.sender(i)
+	args, err := d.features(i)
+	if err != nil {
+		return nil, fmt.Errorf("sender %s: %w", name, err)
 	}
 	listen, err := fleet.FreeAddr(host)
 	if err != nil {
@@ -251,7 +245,7 @@
 	if _, err := d.disc.Open(name); err != nil {
 		return nil, err
 	}
-	s, err := fleet.New(name, listen, d.opt.Folder, d.opt.Command, d.log, func(run int, fresh bool) (map[string]any, error) {
+	s, err := fleet.New(name, listen, d.opt.Folder, slices.Concat(d.opt.Command, args), d.log, func(run int, fresh bool) (map[string]any, error) {
 		return d.config(i, d.disc.Addr(name), d.disc.Started(name, run, fresh), run)
 	})
 	if err != nil {
@@ -421,11 +415,33 @@
 			return
 		}
 		d.background(func() error { return s.Start(true) })
-	case "kill", "restart", "lose":
+	case "link":
+		for _, w := range a.Ways {
+			d.links.Set(name(w.From), name(w.To), a.Link)
+		}
+	case "reset":
+		for _, w := range a.Ways {
+			d.links.Reset(name(w.From), name(w.To))
+		}
+	case "pause":
+		d.senders[a.Sender].Pause()
+	case "resume":
+		d.senders[a.Sender].Resume()
+	case "keep":
+		d.background(d.senders[a.Sender].Keep)
+	case "kill", "restart", "lose", "old":
 		s := d.senders[a.Sender]
 		d.background(func() error {
 			pause := fleet.DownTime
 			switch a.Do {
+			case "old":
+				if err := s.Kill(false); err != nil {
+					return err
+				}
+				if err := s.Old(); err != nil {
+					return err
+				}
+				d.book.Lost(s.Name)
 			case "restart":
 				s.Term()
 			case "lose":
@@ -513,29 +529,6 @@
 	})
 }
 
-// hosts deals out loopback addresses, each once: a port that is closed and opened again is then taken by
-// nothing else. Days that run at the same time begin at different places.
-type hosts struct {
-	mu   sync.Mutex
-	last uint32
-}
-
-func newHosts() *hosts {
-	// 127.64.0.0 to 127.255.0.0, in blocks by the process and the moment.
-	block := (uint32(os.Getpid())*2654435761 ^ uint32(time.Now().UnixNano())) % (190 << 16)
-	return &hosts{last: 127<<24 | 64<<16 + block}
-}
-
-func (h *hosts) next() string {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.last++
-	if h.last&0xff == 0 || h.last&0xff == 0xff {
-		h.last += 2
-	}
-	return fmt.Sprintf("127.%d.%d.%d", 64+(h.last>>16&0xff)%190, h.last>>8&0xff, h.last&0xff)
-}
-
 // Folder makes a new folder for a day's files below the system's one for those.
 func Folder(name string) (string, error) {
 	dir, err := os.MkdirTemp("", "rehearsal-"+name+"-")
--- a/internal/rehearsal/day/day_test.go
+++ b/internal/rehearsal/day/day_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"path/filepath"
 	"strings"
 	"sync"
 	"syscall"
@@ -264,3 +265,71 @@
 		seen[a] = true
 	}
 }
+
+// Each sender's file names the others by links of its own; faults are in the log with their ends, and the folder that was
+// kept comes back.
+func TestLinksAndFolders(t *testing.T) {
+	t.Parallel()
+	p := makePlan(t, `
+[day]
+seconds = 3
+rate = 10
+senders = 2
+receivers = 2
+features = """
+mine = "{n0:7948}"
+other = "{n1:7948}"
+host = "{n1}"
+"""
+[[sender]]
+do = "keep"
+which = "n1"
+at = "300ms"
+[[link]]
+do = "cut"
+from = "n0"
+to = "n1"
+at = "500ms"
+for = "500ms"
+[[sender]]
+do = "old"
+which = "n1"
+at = "1s"
+`)
+	o := options(t)
+	events, _, err := Play(context.Background(), p, o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got []string
+	for _, e := range events {
+		switch e.Kind {
+		case eventlog.Link, eventlog.Folder, eventlog.Fault:
+			got = append(got, strings.TrimSpace(e.Sender+" "+e.Endpoint+" "+e.Note))
+		}
+	}
+	if want := "n1  kept, n0 n1 cut, n0 n1 heal, n1  old"; strings.Join(got, ", ") != want {
+		t.Errorf("%q", got)
+	}
+	files := map[string]string{}
+	for _, n := range []string{"n0", "n1"} {
+		raw, err := os.ReadFile(filepath.Join(o.Folder, "features-"+n+".toml"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		files[n] = string(raw)
+	}
+	line := func(n, key string) string {
+		_, rest, _ := strings.Cut(files[n], key+` = "`)
+		value, _, _ := strings.Cut(rest, `"`)
+		return value
+	}
+	if line("n0", "host") != line("n1", "host") || line("n1", "other") != line("n1", "host")+":7948" {
+		t.Errorf("%q", files)
+	}
+	for _, link := range []string{line("n0", "other"), line("n1", "mine")} {
+		if !strings.HasPrefix(link, "127.0.0.1:") { // where links listen; senders have hosts of their own
+			t.Errorf("%q is reached without a link", link)
+		}
+	}
+}
--- /dev/null
+++ b/internal/rehearsal/day/hosts.go
@@ -0,0 +1,92 @@
+package day
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// hosts deals out loopback addresses, each once: a port that is closed and opened again is then taken by
+// nothing else. Days that run at the same time begin at different places.
+type hosts struct {
+	mu      sync.Mutex
+	last    uint32
+	senders []string
+}
+
+func newHosts() *hosts {
+	// 127.64.0.0 to 127.255.0.0, in blocks by the process and the moment.
+	block := (uint32(os.Getpid())*2654435761 ^ uint32(time.Now().UnixNano())) % (190 << 16)
+	return &hosts{last: 127<<24 | 64<<16 + block}
+}
+
+func (h *hosts) next() string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.last++
+	if h.last&0xff == 0 || h.last&0xff == 0xff {
+		h.last += 2
+	}
+	return fmt.Sprintf("127.%d.%d.%d", 64+(h.last>>16&0xff)%190, h.last>>8&0xff, h.last&0xff)
+}
+
+// sender is the host of a sender, the same each time.
+func (h *hosts) sender(i int) string {
+	for {
+		h.mu.Lock()
+		if i < len(h.senders) {
+			defer h.mu.Unlock()
+			return h.senders[i]
+		}
+		h.mu.Unlock()
+		next := h.next()
+		h.mu.Lock()
+		h.senders = append(h.senders, next)
+		h.mu.Unlock()
+	}
+}
+
+// place stands in the features of a day for where a sender reaches another: {n1} for its host, {n1:7948} for a port of it by
+// the link between the two.
+var place = regexp.MustCompile(`\{n(\d+)(?::(\d+))?\}`)
+
+// features writes the operators' file of a sender; there is none if the day has no features.
+func (d *Day) features(i int) (args []string, err error) {
+	if d.text == "" {
+		return nil, nil
+	}
+	text := place.ReplaceAllStringFunc(d.text, func(match string) string {
+		parts := place.FindStringSubmatch(match)
+		to, _ := strconv.Atoi(parts[1])
+		host := d.hosts.sender(to)
+		if parts[2] == "" {
+			return host
+		}
+		addr := host + ":" + parts[2]
+		if to != i {
+			link, bad := d.links.Link(name(i), name(to), addr)
+			if bad != nil {
+				err = bad
+			}
+			addr = link
+		}
+		return addr
+	})
+	if err != nil {
+		return nil, err
+	}
+	path, err := filepath.Abs(filepath.Join(d.opt.Folder, "features-"+name(i)+".toml"))
+	if err == nil {
+		err = os.WriteFile(path, []byte(text), 0o644)
+	}
+	if err != nil {
+		return nil, fmt.Errorf("rehearsal: %w", err)
+	}
+	return []string{"-features", path}, nil
+}
+
+func name(sender int) string { return "n" + strconv.Itoa(sender) }
--- a/internal/rehearsal/eventlog/eventlog.go
+++ b/internal/rehearsal/eventlog/eventlog.go
@@ -23,6 +23,9 @@
 	Ready   Kind = "ready"   // Sender, Run: it answers its readiness check
 	Term    Kind = "term"    // Sender, Run: SIGTERM is about to be sent
 	Killed  Kind = "kill"    // Sender, Run: SIGKILL is about to be sent; Note "lost" if its folder goes too
+	Paused  Kind = "pause"   // Sender, Run, State on or off: SIGSTOP, SIGCONT is about to be sent
+	Folder  Kind = "folder"  // Sender, Note: "kept" a copy of its folder is taken, "old" its next process gets that copy
+	Link    Kind = "link"    // Sender (from), Endpoint (to), Note: the direction between the two is so from now on
 	Exit    Kind = "exit"    // Sender, Run, Status: it has ended; Note "crash" if nobody asked it to
 	HandIn  Kind = "handin"  // Sender, ID, Msg, Class, Tenant, Dest, DeadlineMS, Order, Try: stamped before it is written
 	Answer  Kind = "answer"  // Sender, ID, Status, RetryMS; Status 0: none came, and Note says why
--- /dev/null
+++ b/internal/rehearsal/fleet/fault.go
@@ -0,0 +1,101 @@
+package fleet
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	"dockshift.example/dockshift/internal/rehearsal/eventlog"
+)
+
+// Pause stops the process where it stands: its sockets stay open, and it knows nothing of the time that goes by. It returns
+// when all of its threads stand still.
+func (s *Sender) Pause() {
+	s.signal(syscall.SIGSTOP, eventlog.Event{Kind: eventlog.Paused, State: "on"})
+	s.still()
+}
+
+// still waits until each thread of the process is stopped: the signal alone takes a moment.
+func (s *Sender) still() {
+	pid := s.PID()
+	for end := time.Now().Add(2 * time.Second); pid != 0 && time.Now().Before(end); time.Sleep(time.Millisecond) {
+		threads, _ := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", pid))
+		running := 0
+		for _, path := range threads {
+			raw, _ := os.ReadFile(path)
+			// pid (name) state ...: proc_pid_stat(5); the name may hold anything.
+			if i := strings.LastIndexByte(string(raw), ')'); i < 0 || !strings.HasPrefix(string(raw[i+1:]), " T") {
+				running++
+			}
+		}
+		if running == 0 {
+			return
+		}
+	}
+}
+
+// Resume lets a paused process go on.
+func (s *Sender) Resume() {
+	s.signal(syscall.SIGCONT, eventlog.Event{Kind: eventlog.Paused, State: "off"})
+}
+
+// kept is where a copy of the lasting folder is.
+func (s *Sender) kept() string { return filepath.Join(s.folder, s.Name, "kept") }
+
+// Keep takes a copy of the lasting folder as it is, for Old. The process stands still meanwhile, so that the copy is of one
+// moment, as a snapshot of the disk would be.
+func (s *Sender) Keep() error {
+	s.log.Add(eventlog.Event{Kind: eventlog.Folder, Sender: s.Name, Note: "kept"})
+	if pid := s.PID(); pid != 0 {
+		syscall.Kill(pid, syscall.SIGSTOP)
+		s.still()
+		defer syscall.Kill(pid, syscall.SIGCONT)
+	}
+	return s.copy(s.state(), s.kept())
+}
+
+// Old puts the copy that Keep took in place of the folder; no process may run.
+func (s *Sender) Old() error {
+	if s.Running() {
+		return fmt.Errorf("sender %s runs: its folder can't be put back", s.Name)
+	}
+	if _, err := os.Stat(s.kept()); err != nil {
+		return fmt.Errorf("sender %s: no copy of its folder was kept: %w", s.Name, err)
+	}
+	s.log.Add(eventlog.Event{Kind: eventlog.Folder, Sender: s.Name, Note: "old"})
+	return s.copy(s.kept(), s.state())
+}
+
+// copy makes to the same as from; sockets are left out.
+func (s *Sender) copy(from, to string) error {
+	err := os.RemoveAll(to)
+	if err == nil {
+		err = filepath.Walk(from, func(path string, info os.FileInfo, err error) error {
+			if err != nil {
+				return err
+			}
+			rel, err := filepath.Rel(from, path)
+			if err != nil {
+				return err
+			}
+			switch to := filepath.Join(to, rel); {
+			case info.IsDir():
+				return os.MkdirAll(to, 0o755)
+			case info.Mode().IsRegular():
+				raw, err := os.ReadFile(path)
+				if err != nil {
+					return err
+				}
+				return os.WriteFile(to, raw, info.Mode().Perm())
+			}
+			return nil
+		})
+	}
+	if err != nil {
+		return fmt.Errorf("sender %s: its folder is copied: %w", s.Name, err)
+	}
+	return nil
+}
--- a/internal/rehearsal/fleet/fleet.go
+++ b/internal/rehearsal/fleet/fleet.go
@@ -193,7 +193,12 @@
 	if s.cmd == nil {
 		return nil
 	}
-	if sig != syscall.SIGHUP {
+	switch sig {
+	case syscall.SIGHUP:
+	case syscall.SIGSTOP, syscall.SIGCONT:
+		e.Sender, e.Run = s.Name, s.run
+		s.log.Add(e)
+	default:
 		s.asked, s.ready = true, false
 		if sig == syscall.SIGTERM {
 			s.termed = time.Now()
--- a/internal/rehearsal/fleet/fleet_test.go
+++ b/internal/rehearsal/fleet/fleet_test.go
@@ -196,3 +196,48 @@
 		t.Errorf("%v, %s", err, kinds(log))
 	}
 }
+
+// A copy of the folder is of the moment in which it was kept, and what came after is gone when it is put back; a paused
+// process is there, and says nothing until it goes on.
+func TestPauseAndOldFolder(t *testing.T) {
+	t.Parallel()
+	s, log := start(t, "sender")
+	if err := s.Old(); err == nil || !strings.Contains(err.Error(), "no copy") {
+		t.Errorf("without a copy: %v", err)
+	}
+	for _, step := range []func() error{func() error { return s.Start(true) }, s.Keep, func() error { return s.Kill(false) }, func() error { return s.Start(false) }} {
+		if err := step(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if n := starts(t, s); n != 2 {
+		t.Errorf("%d starts on the folder", n)
+	}
+	if err := s.Old(); err == nil || !strings.Contains(err.Error(), "runs") {
+		t.Errorf("under a process: %v", err)
+	}
+	s.Pause()
+	client := http.Client{Timeout: 200 * time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true}}
+	if resp, err := client.Get("http://" + s.Listen); err == nil {
+		resp.Body.Close()
+		t.Error("it answers while it is paused")
+	}
+	s.Resume()
+	client.Timeout = 20 * time.Second
+	resp, err := client.Get("http://" + s.Listen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	for _, step := range []func() error{func() error { return s.Kill(false) }, s.Old, func() error { return s.Start(false) }} {
+		if err := step(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if n := starts(t, s); n != 2 { // the copy's, and this one
+		t.Errorf("%d starts on the old folder", n)
+	}
+	if got := kinds(log); got != "start new, ready, folder kept, kill, exit, start, ready, pause, pause, kill, exit, folder old, start, ready" {
+		t.Error(got)
+	}
+}
--- /dev/null
+++ b/internal/rehearsal/links/links_test.go
@@ -0,0 +1,178 @@
+package links
+
+import (
+	"io"
+	"net"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+)
+
+const (
+	patience = 20 * time.Second
+	silence  = 100 * time.Millisecond // a word that has not come by then is held up; what is cut never comes, however long
+)
+
+// echo answers each byte with itself, at an address.
+func echo(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() { defer c.Close(); io.Copy(c, c) }()
+		}
+	}()
+	return l.Addr().String()
+}
+
+type notes struct {
+	sync.Mutex
+	all []string
+}
+
+func (n *notes) add(from, to, what string) {
+	n.Lock()
+	defer n.Unlock()
+	n.all = append(n.all, from+">"+to+" "+what)
+}
+
+func linked(t *testing.T) (*Net, string, *notes) {
+	t.Helper()
+	var told notes
+	n := New(1, told.add)
+	t.Cleanup(n.Close)
+	addr, err := n.Link("a", "b", echo(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return n, addr, &told
+}
+
+func dial(t *testing.T, addr string) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	return c
+}
+
+func say(t *testing.T, c net.Conn, text string) {
+	t.Helper()
+	if _, err := io.WriteString(c, text); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func hear(t *testing.T, c net.Conn, want string) {
+	t.Helper()
+	c.SetReadDeadline(time.Now().Add(patience))
+	b := make([]byte, len(want))
+	if n, err := io.ReadFull(c, b); err != nil || string(b) != want {
+		t.Fatalf("%q came, %q was wanted: %v", b[:n], want, err)
+	}
+}
+
+// quiet is that no byte comes while a condition lasts.
+func quiet(t *testing.T, c net.Conn) {
+	t.Helper()
+	c.SetReadDeadline(time.Now().Add(silence))
+	var b [1]byte
+	if n, err := c.Read(b[:]); n > 0 || err == io.EOF {
+		t.Fatalf("%d bytes came, %v", n, err)
+	}
+}
+
+// What is cut is held either way, and comes whole and in order when the way is healed.
+func TestHeldAndHealed(t *testing.T) {
+	for name, c := range map[string]struct {
+		from, to string
+		is       Condition
+		first    string // of "hello" comes all the same
+	}{
+		"silent, there":             {"a", "b", Condition{Cut: true}, ""},
+		"silent, back":              {"b", "a", Condition{Cut: true}, ""},
+		"frozen within, there":      {"a", "b", Condition{Freeze: 2}, "he"},
+		"frozen within, on its way": {"b", "a", Condition{Freeze: 3}, "hel"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			n, addr, _ := linked(t)
+			conn := dial(t, addr)
+			say(t, conn, "x")
+			hear(t, conn, "x")
+			n.Set(c.from, c.to, c.is)
+			say(t, conn, "hello")
+			hear(t, conn, c.first)
+			quiet(t, conn)
+			n.Heal()
+			hear(t, conn, "hello"[len(c.first):])
+		})
+	}
+}
+
+// A cut way swallows attempts to connect, a refusing one turns them away; what is up stays so. Both end with the heal.
+func TestNewConnections(t *testing.T) {
+	n, addr, told := linked(t)
+	old := dial(t, addr)
+	say(t, old, "x")
+	hear(t, old, "x")
+	n.Set("a", "b", Condition{Refuse: true})
+	if c, err := net.Dial("tcp", addr); err == nil {
+		c.Close()
+		t.Fatal("a connection came up")
+	}
+	say(t, old, "still")
+	hear(t, old, "still")
+	n.Set("a", "b", Condition{Cut: true})
+	fresh := dial(t, addr) // by the kernel, as far as the proxy
+	say(t, fresh, "late")
+	quiet(t, fresh)
+	n.Heal()
+	hear(t, fresh, "late")
+	n.Reset("a", "b")
+	old.SetReadDeadline(time.Now().Add(patience))
+	if _, err := old.Read(make([]byte, 1)); err == nil || err == io.EOF {
+		t.Errorf("after a reset: %v", err)
+	}
+	want := []string{"a>b refuse", "a>b cut", "a>b heal", "a>b reset"}
+	if !slices.Equal(told.all, want) {
+		t.Errorf("told %q", told.all)
+	}
+}
+
+// Delay and trickle keep the order and lose nothing; neither is quicker than it says.
+func TestSlow(t *testing.T) {
+	for name, c := range map[string]struct {
+		is    Condition
+		least time.Duration
+	}{
+		"delay":   {Condition{Delay: 60 * time.Millisecond, Jitter: 20 * time.Millisecond}, 60 * time.Millisecond},
+		"trickle": {Condition{Rate: 100}, 60 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			n, addr, _ := linked(t)
+			n.Set("a", "b", c.is)
+			conn := dial(t, addr)
+			from := time.Now()
+			for _, w := range []string{"one", "two", "three"} {
+				say(t, conn, w)
+			}
+			hear(t, conn, "onetwothree")
+			if got := time.Since(from); got < c.least {
+				t.Errorf("it came after %v", got)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/rehearsal/script/link.go
@@ -0,0 +1,190 @@
+package script
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"dockshift.example/dockshift/internal/rehearsal/links"
+)
+
+// Link is what happens to the links between senders: cut, refuse, slow, trickle, freeze, reset.
+type Link struct {
+	Do     string `toml:"do"`
+	At     Span   `toml:"at"`
+	For    Span   `toml:"for"`    // but for reset
+	From   string `toml:"from"`   // n0 and up, "all", or "one": drawn
+	To     string `toml:"to"`     // likewise; never From
+	Both   bool   `toml:"both"`   // the other direction too
+	Delay  Span   `toml:"delay"`  // slow
+	Jitter Span   `toml:"jitter"` // slow
+	Rate   int    `toml:"rate"`   // trickle: bytes a second; default 200
+	After  int    `toml:"after"`  // freeze: bytes that pass before; default 100
+
+	where string
+}
+
+func (l *Link) check() error {
+	set(&l.Rate, 200)
+	set(&l.After, 100)
+	switch l.Do {
+	case "cut", "refuse", "trickle", "freeze":
+	case "slow":
+		if l.Delay+l.Jitter <= 0 {
+			return fmt.Errorf("%s: slow needs delay or jitter", l.where)
+		}
+	case "reset":
+		if l.For != 0 {
+			return fmt.Errorf("%s: reset happens at a moment: it has no for", l.where)
+		}
+	default:
+		return fmt.Errorf("%s: do = %q; there are cut, refuse, slow, trickle, freeze, reset", l.where, l.Do)
+	}
+	if l.Do != "reset" && l.For == 0 {
+		return fmt.Errorf("%s: %s needs for", l.where, l.Do)
+	}
+	if l.From == "" || l.To == "" {
+		return fmt.Errorf("%s: %s needs from and to: \"n0\", \"all\" or \"one\"", l.where, l.Do)
+	}
+	if l.From == l.To && l.From != "all" && l.From != "one" {
+		return fmt.Errorf("%s: from and to are both %q: a sender has no link to itself", l.where, l.From)
+	}
+	if l.Rate < 1 || l.After < 1 {
+		return fmt.Errorf("%s: rate and after are over 0", l.where)
+	}
+	return nil
+}
+
+func (l *Link) condition() links.Condition {
+	switch l.Do {
+	case "cut":
+		return links.Condition{Cut: true}
+	case "refuse":
+		return links.Condition{Refuse: true}
+	case "trickle":
+		return links.Condition{Rate: l.Rate}
+	case "freeze":
+		return links.Condition{Freeze: l.After}
+	}
+	return links.Condition{Delay: l.Delay.D(), Jitter: l.Jitter.D()}
+}
+
+// Way is a direction between two senders.
+type Way struct{ From, To int }
+
+// ways resolves whom a link's fault strikes.
+func (p *Plan) ways(l Link, rng *rand.Rand) ([]Way, error) {
+	a, b := rng.IntN(p.Senders), rng.IntN(max(1, p.Senders-1)) // drawn in any case, so that another fault changes no later draw
+	if b >= a {
+		b++
+	}
+	end := func(name string, drawn int) ([]int, error) {
+		switch name {
+		case "all":
+			var all []int
+			for i := range p.Senders {
+				all = append(all, i)
+			}
+			return all, nil
+		case "one":
+			return []int{drawn}, nil
+		}
+		i, err := p.sender(name, l.where)
+		return []int{i}, err
+	}
+	from, err := end(l.From, a)
+	if err != nil {
+		return nil, err
+	}
+	to, err := end(l.To, b)
+	if err != nil {
+		return nil, err
+	}
+	var ways []Way
+	for _, f := range from {
+		for _, t := range to {
+			if f != t {
+				ways = append(ways, Way{f, t})
+				if l.Both {
+					ways = append(ways, Way{t, f})
+				}
+			}
+		}
+	}
+	if len(ways) == 0 {
+		return nil, fmt.Errorf("%s: no link lies between %q and %q", l.where, l.From, l.To)
+	}
+	return ways, nil
+}
+
+func (p *Plan) linkActs(all []Link, rng *rand.Rand) error {
+	for _, l := range all {
+		ways, err := p.ways(l, rng)
+		if err != nil {
+			return err
+		}
+		a := Act{At: l.At.D(), Do: "link", Ways: ways, Link: l.condition()}
+		if l.Do == "reset" {
+			a.Do = "reset"
+		}
+		p.Acts = append(p.Acts, a)
+		if l.Do != "reset" {
+			p.Acts = append(p.Acts, Act{At: l.At.D() + l.For.D(), Do: "link", Ways: ways})
+		}
+	}
+	return nil
+}
+
+// checkSender checks what happens to a process.
+func (c *Sender) check() error {
+	switch c.Do {
+	case "kill", "restart", "lose", "keep", "old", "pause":
+		if c.Which == "" {
+			return fmt.Errorf("%s: %s needs which = \"n0\" or \"all\"", c.where, c.Do)
+		}
+	case "join":
+		if c.Which != "" {
+			return fmt.Errorf("%s: a sender that joins has no name yet", c.where)
+		}
+	default:
+		return fmt.Errorf("%s: do = %q; there are kill, restart, lose, keep, old, pause, join", c.where, c.Do)
+	}
+	if (c.Do == "pause") != (c.For > 0) {
+		return fmt.Errorf("%s: pause needs for, and nothing else has it", c.where)
+	}
+	return nil
+}
+
+// String names an act and whom it strikes, for the plan as it is printed.
+func (a Act) String() string {
+	switch a.Do {
+	case "trouble", "end":
+		return a.Do + " " + a.Trouble.Kind.String()
+	case "link":
+		return a.Link.String()
+	}
+	return a.Do
+}
+
+// Who names the senders of an act; empty if it strikes none by name.
+func (a Act) Who() []string {
+	var who []string
+	for _, w := range a.Ways {
+		who = append(who, name(w.From)+">"+name(w.To))
+	}
+	switch a.Do {
+	case "kill", "restart", "lose", "join", "keep", "old", "pause", "resume":
+		who = append(who, name(a.Sender))
+	}
+	return who
+}
+
+func name(sender int) string { return "n" + strconv.Itoa(sender) }
+
+// pauseActs are a pause's begin and end.
+func pauseActs(a Act, span time.Duration) []Act {
+	end := a
+	end.At, end.Do = a.At+span, "resume"
+	return []Act{a, end}
+}
--- a/internal/rehearsal/script/plan.go
+++ b/internal/rehearsal/script/plan.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"dockshift.example/dockshift/internal/rehearsal/form"
+	"dockshift.example/dockshift/internal/rehearsal/links"
 	"dockshift.example/dockshift/internal/rehearsal/receiver"
 	"dockshift.example/dockshift/internal/rehearsal/trouble"
 )
@@ -54,13 +55,15 @@
 // Act is something that happens at a time.
 type Act struct {
 	At      time.Duration
-	Do      string // trouble, end, replace, down, up, late, punctual, move, kill, restart, lose, join
+	Do      string // trouble, end, replace, down, up, late, punctual, move, kill, restart, lose, join, keep, old, pause, resume, link, reset
 	Trouble trouble.Trouble
 	Number  int // of the trouble; its end carries the same
 	Dests   []int
 	Only    int
 	Sender  int
 	Delay   time.Duration
+	Ways    []Way           // link, reset
+	Link    links.Condition // as it is from now on
 }
 
 // Make draws the day. It fails, with file and line, if a happening names what the day has not.
@@ -411,6 +414,13 @@
 	joined := p.Senders
 	for _, c := range s.Senders {
 		a := Act{At: c.At.D(), Do: c.Do}
+		add := func() {
+			if c.Do == "pause" {
+				p.Acts = append(p.Acts, pauseActs(a, c.For.D())...)
+			} else {
+				p.Acts = append(p.Acts, a)
+			}
+		}
 		switch {
 		case c.Do == "join":
 			a.Sender = joined
@@ -419,7 +429,7 @@
 		case c.Which == "all":
 			for i := range p.Senders {
 				a.Sender = i
-				p.Acts = append(p.Acts, a)
+				add()
 				a.At += c.Each.D()
 			}
 		default:
@@ -428,9 +438,12 @@
 				return err
 			}
 			a.Sender = i
-			p.Acts = append(p.Acts, a)
+			add()
 		}
 	}
+	if err := p.linkActs(s.Links, rng); err != nil {
+		return err
+	}
 	slices.SortStableFunc(p.Acts, func(a, b Act) int { return cmp.Compare(a.At, b.At) })
 	return nil
 }
--- a/internal/rehearsal/script/script.go
+++ b/internal/rehearsal/script/script.go
@@ -32,6 +32,7 @@
 	Surges   []Surge   `toml:"surge"`
 	Sleeps   []Sleep   `toml:"sleep"`
 	Bursts   []Burst   `toml:"burst"`
+	Links    []Link    `toml:"link"`
 
 	Path string `toml:"-"`
 }
@@ -152,10 +153,12 @@
 	where string
 }
 
-// Sender is what happens to sender processes: kill, restart, lose, join.
+// Sender is what happens to sender processes: kill, restart, lose, join; pause for a time; keep a copy of its folder, and
+// old: kill it and start it with that copy.
 type Sender struct {
 	Do    string `toml:"do"`
 	At    Span   `toml:"at"`
+	For   Span   `toml:"for"`   // pause
 	Which string `toml:"which"` // n0 and up, or all; for join none
 	Each  Span   `toml:"each"`  // all: pause between them; default 0
 
@@ -300,17 +303,15 @@
 	for i := range s.Senders {
 		c := &s.Senders[i]
 		c.where = where("sender", i)
-		switch c.Do {
-		case "kill", "restart", "lose":
-			if c.Which == "" {
-				return fmt.Errorf("%s: %s needs which = \"n0\" or \"all\"", c.where, c.Do)
-			}
-		case "join":
-			if c.Which != "" {
-				return fmt.Errorf("%s: a sender that joins has no name yet", c.where)
-			}
-		default:
-			return fmt.Errorf("%s: do = %q; there are kill, restart, lose, join", c.where, c.Do)
+		if err := c.check(); err != nil {
+			return err
+		}
+	}
+	for i := range s.Links {
+		l := &s.Links[i]
+		l.where = where("link", i)
+		if err := l.check(); err != nil {
+			return err
 		}
 	}
 	for i := range s.Surges {
@@ -577,6 +578,7 @@
 		all.Senders = append(all.Senders[:len(all.Senders):len(all.Senders)], m.Senders...)
 		all.Sleeps = append(all.Sleeps[:len(all.Sleeps):len(all.Sleeps)], m.Sleeps...)
 		all.Bursts = append(all.Bursts[:len(all.Bursts):len(all.Bursts)], m.Bursts...)
+		all.Links = append(all.Links[:len(all.Links):len(all.Links)], m.Links...)
 		all.Surges = append(all.Surges[:len(all.Surges):len(all.Surges)], m.Surges...)
 		all.Path = strings.TrimSuffix(all.Path, ".toml") + "+" + m.Name()
 	}
--- a/internal/rehearsal/script/script_test.go
+++ b/internal/rehearsal/script/script_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"path/filepath"
 	"reflect"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -38,6 +39,14 @@
 		"headroom upside down":     {"[[kind]]\nname = \"a\"\nheadroom = [2.0, 1.0]\n", "x.toml:1: kind \"a\": headroom"},
 		"no such happening":        {"[[list]]\ndo = \"burn\"\n", "x.toml:1: do = \"burn\"; there are"},
 		"down without a length":    {"[[list]]\ndo = \"down\"\n", "x.toml:1: down needs for"},
+		"pause without a length":   {"[[sender]]\ndo = \"pause\"\nwhich = \"n0\"\n", "x.toml:1: pause needs for"},
+		"a kill that lasts":        {"[[sender]]\ndo = \"kill\"\nwhich = \"n0\"\nfor = \"1s\"\n", "x.toml:1: pause needs for, and nothing else"},
+		"no such fault of a link":  {"[[link]]\ndo = \"burn\"\nfrom = \"n0\"\nto = \"n1\"\n", "x.toml:1: do = \"burn\"; there are cut"},
+		"a cut without a length":   {"\n[[link]]\ndo = \"cut\"\nfrom = \"n0\"\nto = \"n1\"\n", "x.toml:2: cut needs for"},
+		"a cut from nowhere":       {"[[link]]\ndo = \"cut\"\nfor = \"1s\"\nto = \"n1\"\n", "x.toml:1: cut needs from and to"},
+		"a link to itself":         {"[[link]]\ndo = \"cut\"\nfor = \"1s\"\nfrom = \"n1\"\nto = \"n1\"\n", "x.toml:1: from and to are both"},
+		"slow by nothing":          {"[[link]]\ndo = \"slow\"\nfor = \"1s\"\nfrom = \"n0\"\nto = \"n1\"\n", "x.toml:1: slow needs delay or jitter"},
+		"a reset that lasts":       {"[[link]]\ndo = \"reset\"\nfor = \"1s\"\nfrom = \"n0\"\nto = \"n1\"\n", "x.toml:1: reset happens at a moment"},
 		"sender without a name":    {"[[sender]]\ndo = \"kill\"\n", "x.toml:1: kill needs which"},
 		"surge of two":             {"[[surge]]\nfor = \"1s\"\nmember = \"a\"\nsender = \"n0\"\n", "x.toml:1: a surge is"},
 		"a name that breaks lines": {"[[member]]\nname = \"a\\nb\"\nshare = 1.0\n", "x.toml:1: member name"},
@@ -57,6 +66,8 @@
 		"too many":         {"[day]\nreceivers = 2\n[[trouble]]\nwhat = \"hang\"\nfor = \"1s\"\nwho = {random = 3}\n", "x.toml:3: random = 3 of 2"},
 		"no such sender":   {"[day]\n[[sender]]\ndo = \"kill\"\nwhich = \"n7\"\n", "x.toml:2: no sender is called \"n7\"; there are n0 to n1"},
 		"no such member":   {"[day]\n[[surge]]\nfor = \"1s\"\nmember = \"nobody\"\n", "x.toml:2: no member is called"},
+		"link to no one":   {"[day]\n[[link]]\ndo = \"cut\"\nfor = \"1s\"\nfrom = \"n0\"\nto = \"n9\"\n", "x.toml:2: no sender is called \"n9\""},
+		"link of one":      {"[day]\nsenders = 1\n[[link]]\ndo = \"cut\"\nfor = \"1s\"\nfrom = \"all\"\nto = \"all\"\n", "x.toml:3: no link lies between"},
 		"surge of no one":  {"[day]\n[[surge]]\nfor = \"1s\"\nsender = \"x\"\n", "x.toml:2: no sender is called"},
 		"troubles, no day": {"[[trouble]]\nwhat = \"hang\"\nfor = \"1s\"\nwho = {random = 1}\n", "x.toml: no [day]"},
 	} {
@@ -337,3 +348,55 @@
 		}
 	})
 }
+
+// Faults of links and processes are acts of the plan with their ends, printed so that whom they strike can be told.
+func TestFaultsOfLinksAndProcesses(t *testing.T) {
+	s, err := Parse("x.toml", []byte(`
+[day]
+senders = 3
+[[link]]
+do = "cut"
+at = "1s"
+for = "2s"
+from = "n0"
+to = "all"
+[[link]]
+do = "freeze"
+after = 7
+at = "4s"
+for = "1s"
+from = "n1"
+to = "n2"
+both = true
+[[link]]
+do = "reset"
+at = "6s"
+from = "n2"
+to = "n0"
+[[sender]]
+do = "pause"
+which = "n1"
+at = "7s"
+for = "1s"
+[[sender]]
+do = "old"
+which = "n2"
+at = "9s"
+`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	p, err := s.Make()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got []string
+	for _, a := range p.Acts {
+		got = append(got, a.At.String()+" "+a.String()+" "+strings.Join(a.Who(), " "))
+	}
+	want := []string{"1s cut n0>n1 n0>n2", "3s heal n0>n1 n0>n2", "4s freeze after 7 B n1>n2 n2>n1", "5s heal n1>n2 n2>n1", "6s reset n2>n0",
+		"7s pause n1", "8s resume n1", "9s old n2"}
+	if !slices.Equal(got, want) {
+		t.Errorf("%q", got)
+	}
+}
