--- /dev/null
+++ b/internal/duty/schedule.go
@@ -0,0 +1,53 @@
+package duty
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+)
+
+// Schedule runs duties step by step in virtual time: which of those that have something to do is next is drawn by a seed, and
+// time moves on when none has. One seed gives the same run.
+type Schedule struct {
+	rng    *rand.Rand
+	now    time.Duration
+	duties []Turner
+}
+
+// NewSchedule makes one for these duties.
+func NewSchedule(seed uint64, duties ...Turner) *Schedule {
+	return &Schedule{rng: rand.New(rand.NewPCG(seed, 0)), duties: duties}
+}
+
+// Now is the virtual time.
+func (s *Schedule) Now() time.Duration { return s.now }
+
+// Run takes turns until done says so, and reports false if nothing was left to do before, or until.
+func (s *Schedule) Run(ctx context.Context, until time.Duration, done func() bool) (bool, error) {
+	for !done() {
+		order := s.rng.Perm(len(s.duties))
+		worked := false
+		for _, i := range order {
+			did, err := s.duties[i].turn(ctx, s.now)
+			if err != nil {
+				return false, err
+			}
+			if did {
+				worked = true
+				break
+			}
+		}
+		if worked {
+			continue
+		}
+		next := Never
+		for _, d := range s.duties {
+			next = min(next, d.next())
+		}
+		if next == Never || next > until {
+			return false, nil
+		}
+		s.now = max(s.now+1, next)
+	}
+	return true, nil
+}
