--- /dev/null
+++ b/internal/agreed/hello.go
@@ -0,0 +1,82 @@
+package agreed
+
+import (
+	"fmt"
+	"hash/fnv"
+)
+
+// A voter that starts does not know whether its folder is the newest: it may be yesterday's, put back by a person or a machine's
+// snapshot, and then the voter has forgotten votes it gave and entries it took on. With those a second leader of one term, or
+// the loss of what was committed, is possible. The folder can't tell; the others can. So before it takes part it says hello
+// to every other voter of its log, and goes by what they answer:
+//
+//   - They drop what its earlier process said and is still under way: no old promise counts from then on.
+//   - Its term becomes the highest of all that it hears, and its vote in it is spent: whatever it voted in any term up to that is
+//     not given twice.
+//   - A bar: it votes for nobody whose log ends before the furthest end that it heard, nor stands itself, until its own log has
+//     come there. An entry that it took on and forgot is held by one of the others if it was committed; so no leader
+//     without it gets this vote.
+//   - If one of them leads and knows it to hold more than it does, its folder is old for sure: it goes one term further, so
+//     that this leader steps down and the next one counts what is there anew. (The library takes a follower that lost
+//     entries for damage.)
+//
+// All others have to answer. While one can't, the voter waits outside, which costs one of the failures that the voters can bear;
+// an operator who knows that the folder is the newest vouches for it, once (saffronyard fleet vouch).
+
+// Heard is the answer of another voter.
+type Heard struct {
+	Term, LastTerm, Last uint64
+	Match                uint64 // up to which the asker is known to hold the log, by one who leads
+}
+
+// Folder is what the folder has.
+type Folder struct {
+	Term, Vote, LastTerm, Last uint64
+}
+
+// Start is with what a voter begins.
+type Start struct {
+	Term, Vote uint64 // in place of the folder's
+	BarTerm    uint64 // it votes for nobody whose log ends before this
+	Bar        uint64
+	Old        string // why the folder is known to be older than what it promised; "" if nothing shows that
+}
+
+// begin is what a voter takes from the answers of all others.
+func begin(id uint64, f Folder, all map[string]Heard) Start {
+	s := Start{Term: f.Term, Vote: f.Vote, BarTerm: f.LastTerm, Bar: f.Last}
+	for name, h := range all {
+		s.Term = max(s.Term, h.Term)
+		if h.LastTerm > s.BarTerm || h.LastTerm == s.BarTerm && h.Last > s.Bar {
+			s.BarTerm, s.Bar = h.LastTerm, h.Last
+		}
+		if h.Match > f.Last {
+			s.Old = fmt.Sprintf("%s leads, and had from it that it holds the log to %d; the folder ends at %d", name, h.Match, f.Last)
+		}
+	}
+	if len(all) == 0 { // it is alone, or somebody vouched
+		return s
+	}
+	if s.Old != "" {
+		s.Term++
+	}
+	if s.Term > f.Term || s.Vote == 0 && s.Term > 0 {
+		s.Vote = id
+	}
+	return s
+}
+
+// over reports whether a log that ends there reaches the bar.
+func (s Start) over(lastTerm, last uint64) bool {
+	return lastTerm > s.BarTerm || lastTerm == s.BarTerm && last >= s.Bar
+}
+
+// VoterID is the number of a voter in the log.
+func VoterID(name string) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(name))
+	if id := h.Sum64(); id != 0 {
+		return id
+	}
+	return 1
+}
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -78,7 +78,8 @@
 type Group struct {
 	Log   *slog.Logger
 	Clock func() time.Duration
-	Stall time.Duration // a turn that lasts longer is named in the log; 0: none is
+	Stall time.Duration                // a turn that lasts longer is named in the log; 0: none is
+	Ended func(name string, err error) // told, in the duty's goroutine, that one has ended by itself; may be nil
 
 	mu      sync.Mutex
 	running []*running
@@ -129,6 +130,9 @@
 			r.ended = err.Error()
 			r.mu.Unlock()
 			g.Log.Error("a duty has ended", "duty", t.name(), "err", err)
+			if g.Ended != nil {
+				g.Ended(t.name(), err)
+			}
 		}
 	}()
 }
--- /dev/null
+++ b/internal/fleet/copy.go
@@ -0,0 +1,206 @@
+package fleet
+
+import (
+	"context"
+	"path/filepath"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"dockshift.example/dockshift/internal/agreed"
+	"dockshift.example/dockshift/internal/duty"
+	pb "dockshift.example/dockshift/proto/saffronyard/fleet/v1"
+)
+
+// copyReport is what the copy has, as others read it.
+type copyReport struct {
+	index   uint64
+	members []*pb.Member
+	voters  []*pb.Voter
+	policy  *pb.PolicyState
+}
+
+// stepper is the Copy as a duty, that shows after each step what it has.
+type stepper struct {
+	*agreed.Copy
+	n *Node
+}
+
+// Step takes events in.
+func (s stepper) Step(now time.Duration, events []any) ([]any, time.Duration) {
+	actions, alarm := s.Copy.Step(now, events)
+	st := s.State()
+	s.n.mu.Lock()
+	if st.Index() != s.n.report.index {
+		s.n.report = copyReport{st.Index(), st.Members(), st.Voters(), proto.Clone(s.Policy().State()).(*pb.PolicyState)}
+	}
+	s.n.mu.Unlock()
+	return actions, alarm
+}
+
+func (n *Node) startCopy() {
+	c := agreed.NewCopy(n.c.Name, n.life, n.c.Classes, n.c.Tenants, n.c.Terms)
+	d := &duty.Duty[any, any]{Name: "copy", In: duty.NewRing[any]("copy", copyMost, duty.Wait, nil), Stepper: stepper{c, n}, Do: n.doCopy}
+	n.copy = d
+	n.group.Start(d, duty.EndDuty)
+}
+
+// doCopy carries out what the copy wants done. What takes time goes to a goroutine of its own, and comes back as an event.
+func (n *Node) doCopy(_ context.Context, a any) error {
+	switch a := a.(type) {
+	case agreed.Stage:
+		n.aside(func(ctx context.Context) {
+			raw, err := proto.Marshal(&pb.Change{Id: a.Change, Document: a.Document})
+			if err == nil {
+				err = n.c.Disk.Write(filepath.Join(n.c.Folder, stagedName), raw)
+			}
+			if err != nil {
+				n.log.Error("fleet: a change of the policy can't be staged: it is refused", "change", a.Change, "err", err)
+			}
+			n.copy.In.Put(ctx, agreed.Staged{Change: a.Change, Err: err})
+		})
+	case agreed.Question:
+		n.aside(func(ctx context.Context) {
+			a.Request.Cluster = n.c.Cluster
+			var r *pb.AskReply
+			err := n.through(ctx, func(ctx context.Context, client pb.FleetClient) error {
+				var err error
+				r, err = client.Ask(ctx, a.Request)
+				return err
+			})
+			if err != nil {
+				n.log.Debug("fleet: no lease", "err", err)
+				n.copy.In.Put(ctx, agreed.Unanswered{Asked: a.Asked})
+				return
+			}
+			n.copy.In.Put(ctx, agreed.Granted{Asked: a.Asked, Need: r.Need, Length: time.Duration(r.LengthUs) * time.Microsecond})
+		})
+	case agreed.Publish:
+		_, could := n.gate.View()
+		drained := n.gate.publish(a.View, a.Until, a.Drain)
+		if a.Drain {
+			n.aside(func(ctx context.Context) {
+				drained()
+				n.copy.In.Put(ctx, agreed.Drained{Index: a.View.Index})
+			})
+		}
+		if _, can := n.gate.View(); a.Drain || can != could {
+			n.changed()
+		}
+	case agreed.Lapsed:
+		n.log.Warn("fleet: cut off: no lease is left, and no call is begun")
+		n.changed()
+	case agreed.Join:
+		n.aside(func(ctx context.Context) {
+			ctx, cancel := context.WithTimeout(ctx, n.c.Terms.Length)
+			defer cancel()
+			if r, err := n.Submit(ctx, agreed.KindJoin, a.Command); err == nil && r.Refused != "" {
+				n.log.Error("fleet: this sender is no member", "why", r.Refused)
+			}
+		})
+	}
+	return nil
+}
+
+func (n *Node) changed() {
+	if n.c.Changed != nil {
+		n.c.Changed()
+	}
+}
+
+// aside runs what may wait.
+func (n *Node) aside(f func(context.Context)) {
+	n.work.Add(1)
+	go func() {
+		defer n.work.Done()
+		f(n.ctx)
+	}()
+}
+
+// followAll keeps the copy following some voter: this sender's own log if it has one, or else one that answers.
+func (n *Node) followAll() {
+	for n.ctx.Err() == nil {
+		if n.voter() != nil {
+			n.feed.follow(n.ctx, n.reached(), beats(), func(p *pb.Piece) bool {
+				return n.voter() != nil && (len(p.Entries)+len(p.Snapshot) == 0 || n.copy.In.Put(n.ctx, agreed.Told{Piece: p}) == nil)
+			})
+			continue
+		}
+		names := n.voterNames()
+		for _, name := range names {
+			if n.ctx.Err() != nil || n.voter() != nil {
+				break
+			}
+			err := n.follow(name)
+			n.log.Debug("fleet: follows no longer", "voter", name, "err", err)
+			n.mu.Lock()
+			if n.current == name {
+				n.current = ""
+			}
+			n.mu.Unlock()
+		}
+		select {
+		case <-n.ctx.Done():
+		case <-time.After(beatTime / 2):
+		}
+	}
+}
+
+func (n *Node) reached() uint64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.report.index
+}
+
+// follow hears the committed log from a voter until that is silent, or this sender becomes one itself.
+func (n *Node) follow(name string) error {
+	client, err := n.wires.to(n.address(name))
+	if err != nil {
+		return err
+	}
+	ctx, stop := context.WithCancel(n.ctx)
+	defer stop()
+	silent := time.AfterFunc(silentTime, stop)
+	defer silent.Stop()
+	from, err := client.Follow(ctx, &pb.FollowRequest{Cluster: n.c.Cluster, Name: n.c.Name, After: n.reached()})
+	if err != nil {
+		return err
+	}
+	for {
+		p, err := from.Recv()
+		if err != nil {
+			return err
+		}
+		silent.Reset(silentTime)
+		n.mu.Lock()
+		n.current = name
+		n.mu.Unlock()
+		if len(p.Entries)+len(p.Snapshot) > 0 {
+			if err := n.copy.In.Put(ctx, agreed.Told{Piece: p}); err != nil {
+				return err
+			}
+		}
+		if n.voter() != nil {
+			return nil
+		}
+		n.added()
+	}
+}
+
+// added begins a voter's part once the state says that this sender is one.
+func (n *Node) added() {
+	n.mu.Lock()
+	is := n.store == nil
+	if is {
+		is = false
+		for _, v := range n.report.voters {
+			is = is || v.Name == n.c.Name && !v.Gone
+		}
+	}
+	n.mu.Unlock()
+	if is {
+		if err := n.beginVoter(n.firstVoters()); err != nil {
+			n.log.Error("fleet: this sender can't be a voter", "err", err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/fleet/feed.go
@@ -0,0 +1,95 @@
+package fleet
+
+import (
+	"context"
+	"sync"
+
+	"dockshift.example/dockshift/internal/agreed"
+	pb "dockshift.example/dockshift/proto/saffronyard/fleet/v1"
+)
+
+const (
+	feedMost  = 20_000 // entries that a voter keeps for those that follow; one that is further behind is told a snapshot
+	pieceMost = 500    // entries in a piece
+	pieceRoom = 1 << 20
+)
+
+// feed is the committed log as those follow it that are no voters; the voter's own copy as well.
+type feed struct {
+	mu       sync.Mutex
+	base     uint64 // index that the snapshot is of, or the first entry is behind
+	snapshot []byte // nil: entries from 1 on are all there are
+	state    func() ([]byte, error)
+	entries  []*pb.Entry
+	changed  chan struct{} // closed with each change
+}
+
+func newFeed() *feed { return &feed{changed: make(chan struct{})} }
+
+// commit takes what is agreed now.
+func (f *feed) commit(c agreed.Commit) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if c.Snapshot != nil {
+		f.base, f.snapshot, f.entries = agreed.SnapshotIndex(c.Snapshot), c.Snapshot, nil
+	}
+	f.entries = append(f.entries, c.Entries...)
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+// cut lets go of what lies before a snapshot, once that is much.
+func (f *feed) cut(snapshot []byte) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.entries) < feedMost {
+		return
+	}
+	at := agreed.SnapshotIndex(snapshot)
+	if at <= f.base || at > f.base+uint64(len(f.entries)) {
+		return
+	}
+	f.entries = append([]*pb.Entry(nil), f.entries[at-f.base:]...)
+	f.base, f.snapshot = at, snapshot
+}
+
+// after gives what comes behind an index, up to a piece; and what is closed when there is more.
+func (f *feed) after(index uint64) (p *pb.Piece, changed chan struct{}) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p = &pb.Piece{Committed: f.base + uint64(len(f.entries))}
+	if index < f.base {
+		p.Snapshot, index = f.snapshot, f.base
+	}
+	size := len(p.Snapshot)
+	for i := index - f.base; i < uint64(len(f.entries)) && len(p.Entries) < pieceMost && size < pieceRoom; i++ {
+		p.Entries = append(p.Entries, f.entries[i])
+		size += len(f.entries[i].Command)
+	}
+	return p, f.changed
+}
+
+// follow passes pieces on from an index until ctx ends or told says no; beat is called when nothing came for a while.
+func (f *feed) follow(ctx context.Context, index uint64, beat func() <-chan struct{}, told func(*pb.Piece) bool) {
+	for {
+		p, changed := f.after(index)
+		if len(p.Snapshot) > 0 {
+			index = max(index, agreed.SnapshotIndex(p.Snapshot))
+		}
+		if n := len(p.Entries); n > 0 {
+			index = p.Entries[n-1].Index
+		}
+		if !told(p) {
+			return
+		}
+		if index < p.Committed {
+			continue
+		}
+		select {
+		case <-changed:
+		case <-beat():
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/fleet/gate.go
@@ -0,0 +1,102 @@
+// Package fleet is a sender's part in what the fleet agrees on: the voters' log on the disk, what senders say to each other, the
+// duties in which all that runs, and the gate that each call passes before its first byte.
+package fleet
+
+import (
+	"sync/atomic"
+	"time"
+
+	"dockshift.example/dockshift/internal/fleetpolicy"
+)
+
+// Gate is what calls pass before they are written, from any goroutine, without a lock. A call that has passed is inside until it
+// says that it is written: a view is not left behind while one that it let through waits.
+type Gate struct {
+	now   func() time.Duration
+	until atomic.Int64 // of the lease; counted with now
+	room  atomic.Pointer[room]
+}
+
+// room is those that were let through under a view.
+type room struct {
+	view    atomic.Pointer[fleetpolicy.View] // its index moves on while it stays the same to each call
+	inside  atomic.Int64
+	empty   chan struct{} // holds a word when it may be empty
+	closing atomic.Bool
+}
+
+// NewGate makes a gate that lets nothing through yet.
+func NewGate(now func() time.Duration) *Gate { return &Gate{now: now} }
+
+// Enter asks whether a call may be written now; leave is to be called when it is, and why says what stands against it.
+func (g *Gate) Enter(c fleetpolicy.Call) (leave func(), why string) {
+	for {
+		r := g.room.Load()
+		if r == nil {
+			return nil, "the fleet's policy is not known yet"
+		}
+		r.inside.Add(1)
+		if g.room.Load() != r { // replaced meanwhile: nobody may have seen us inside
+			r.left()
+			continue
+		}
+		v := r.view.Load()
+		ok, why := v.May(c)
+		if ok && !g.acts(v) {
+			ok, why = false, "this sender is cut off from the fleet"
+		}
+		if !ok {
+			r.left()
+			return nil, why
+		}
+		return r.left, ""
+	}
+}
+
+// acts reports whether the lease lasts, at this very moment; or whether the policy has senders go on without one.
+func (g *Gate) acts(v *fleetpolicy.View) bool {
+	until, now := time.Duration(g.until.Load()), g.now()
+	return until > 0 && now < until+v.Policy.GoesOn()
+}
+
+func (r *room) left() {
+	if r.inside.Add(-1) == 0 && r.closing.Load() {
+		select {
+		case r.empty <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// View is what calls go by, and whether they are begun at all.
+func (g *Gate) View() (v *fleetpolicy.View, acts bool) {
+	r := g.room.Load()
+	if r == nil {
+		return nil, false
+	}
+	v = r.view.Load()
+	return v, v.Unfit == nil && g.acts(v)
+}
+
+// publish is what calls go by from now on. With drain it returns what waits until those that were let through before are
+// written; that may last until the time-out of a call whose receiver takes nothing.
+func (g *Gate) publish(v *fleetpolicy.View, until time.Duration, drain bool) (drained func()) {
+	was := g.room.Load()
+	if was == nil || drain {
+		r := &room{empty: make(chan struct{}, 1)}
+		r.view.Store(v)
+		g.room.Store(r)
+	} else {
+		was.view.Store(v)
+	}
+	g.until.Store(int64(until)) // behind the view: a lease may need it
+	if was == nil || !drain {
+		return func() {}
+	}
+	return func() {
+		was.closing.Store(true)
+		for was.inside.Load() > 0 {
+			<-was.empty
+		}
+	}
+}
--- /dev/null
+++ b/internal/fleet/node.go
@@ -0,0 +1,585 @@
+package fleet
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.etcd.io/raft/v3/raftpb"
+	"golang.org/x/sys/unix"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/proto"
+
+	"dockshift.example/dockshift/internal/agreed"
+	"dockshift.example/dockshift/internal/agreed/lease"
+	"dockshift.example/dockshift/internal/duty"
+	"dockshift.example/dockshift/internal/fleetpolicy"
+	pb "dockshift.example/dockshift/proto/saffronyard/fleet/v1"
+)
+
+// Config is how a sender takes part.
+type Config struct {
+	Name    string
+	Cluster string
+	Listen  string  // host:port, a loopback one: what senders say to each other is not encrypted
+	Voters  []Voter // the first ones, the same in every sender's file, as this sender reaches them
+	Folder  string
+	Terms   lease.Terms
+
+	Classes, Tenants []string // of this sender's settings: what a policy may name
+
+	// Seams: what tests put in place of the machine's.
+	Now  func() time.Duration
+	Disk Disk
+
+	// Changed is told, in a goroutine of the fleet's, that calls go by another view, or that they may or may not be begun at all.
+	Changed func()
+}
+
+// Voter is one that keeps the log.
+type Voter struct{ Name, Address string }
+
+const logDuty = "log"
+
+const (
+	inboxMost  = 8192        // events that wait for the voter's log
+	copyMost   = 1024        // for the copy
+	stallTime  = time.Second // a step that takes longer is named
+	stopTime   = time.Second // duties end within it
+	helloPause = 100 * time.Millisecond
+	helloTime  = time.Second
+)
+
+// Now is the machine's time since it was started, the time in which it slept included: a lease goes on while a machine does
+// not. (CLOCK_MONOTONIC, which package time goes by, stands still then.)
+func Now() time.Duration {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+		panic(fmt.Sprintf("the machine's clock: %v", err)) // it has had one since Linux 2.6.39
+	}
+	return time.Duration(ts.Nano())
+}
+
+// Node is a sender's part in the fleet.
+type Node struct {
+	c    Config
+	log  *slog.Logger
+	life uint64
+	gate *Gate
+
+	ctx     context.Context
+	stop    context.CancelFunc
+	group   *duty.Group
+	server  *grpc.Server
+	wires   *wires
+	feed    *feed
+	lives   lives
+	follows atomic.Int64
+	work    sync.WaitGroup
+
+	mu      sync.Mutex
+	addr    string
+	core    *duty.Duty[any, any] // nil: this sender is no voter, or has not heard the others yet
+	folder  *agreed.Folder       // of a voter
+	store   *store
+	copy    *duty.Duty[any, any]
+	replies map[uint64]chan any
+	last    uint64 // reply
+	out     map[string]*outbox
+	status  agreed.Status
+	failed  string // why it is no voter any more
+	old     string // why the folder was found to be old
+	waits   string // for which voters this one waits before it takes part
+	report  copyReport
+	current string // voter that is followed
+	session uint64
+	number  uint64
+}
+
+// Start lets a sender take part. It returns at once; nothing may be begun until a lease is there.
+func Start(c Config, log *slog.Logger) (*Node, error) {
+	if c.Now == nil {
+		c.Now = Now
+	}
+	if c.Disk == nil {
+		c.Disk = realDisk{}
+	}
+	if err := os.MkdirAll(c.Folder, 0o700); err != nil {
+		return nil, fmt.Errorf("fleet: %w", err)
+	}
+	l, err := net.Listen("tcp", c.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("fleet: %w", err)
+	}
+	n := &Node{c: c, log: log, life: draw(), session: draw(), gate: NewGate(c.Now), wires: newWires(), feed: newFeed(), lives: lives{by: map[string]uint64{}},
+		replies: map[uint64]chan any{}, out: map[string]*outbox{}, addr: l.Addr().String()}
+	n.ctx, n.stop = context.WithCancel(context.Background())
+	n.group = &duty.Group{Log: log, Clock: c.Now, Stall: stallTime}
+	n.group.Ended = func(name string, err error) {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		if name == logDuty { // the copy goes on with another voter's word
+			n.core, n.folder, n.failed = nil, nil, err.Error()
+		}
+	}
+	n.server = grpc.NewServer(grpc.MaxRecvMsgSize(messageMost), grpc.MaxSendMsgSize(messageMost))
+	pb.RegisterFleetServer(n.server, &service{n: n})
+	n.startCopy()
+	if slices.ContainsFunc(c.Voters, func(v Voter) bool { return v.Name == c.Name }) || n.wasVoter() {
+		if err := n.beginVoter(n.firstVoters()); err != nil {
+			n.stop()
+			l.Close()
+			return nil, err
+		}
+	}
+	n.work.Add(1)
+	go func() {
+		defer n.work.Done()
+		n.server.Serve(l)
+	}()
+	n.work.Add(1)
+	go func() {
+		defer n.work.Done()
+		n.followAll()
+	}()
+	log.Info("fleet", "listen", n.addr, "cluster", c.Cluster, "voters", len(c.Voters), "lease", c.Terms.Length)
+	return n, nil
+}
+
+func draw() uint64 {
+	var b [8]byte
+	for {
+		rand.Read(b[:])
+		if v := binary.LittleEndian.Uint64(b[:]); v != 0 {
+			return v
+		}
+	}
+}
+
+// wasVoter is whether the folder is a voter's, that was added to the first ones.
+func (n *Node) wasVoter() bool {
+	_, err := os.Stat(filepath.Join(n.c.Folder, logName))
+	return err == nil
+}
+
+// firstVoters are those of the file: with them the log begins, also for one that is added later and goes through it from there.
+func (n *Node) firstVoters() *raftpb.ConfState {
+	conf := &raftpb.ConfState{}
+	for _, v := range n.c.Voters {
+		conf.Voters = append(conf.Voters, agreed.VoterID(v.Name))
+	}
+	slices.Sort(conf.Voters)
+	return conf
+}
+
+// beginVoter opens the folder and, as soon as all others have answered, takes part.
+func (n *Node) beginVoter(first *raftpb.ConfState) error {
+	s, err := openStore(n.c.Folder, n.c.Cluster, n.c.Name)
+	if err != nil {
+		return err
+	}
+	saved, err := s.load()
+	if err != nil {
+		s.close()
+		return err
+	}
+	if saved.Conf == nil {
+		saved.Conf = first
+	}
+	by, trusted, err := vouched(n.c.Folder)
+	if err != nil {
+		s.close()
+		return fmt.Errorf("fleet: %w", err)
+	}
+	f := saved.Folder()
+	n.mu.Lock()
+	n.store, n.folder = s, &f
+	n.mu.Unlock()
+	n.work.Add(1)
+	go func() {
+		defer n.work.Done()
+		var heard map[string]agreed.Heard
+		if trusted {
+			n.log.Warn("fleet: somebody vouches for the folder: the other voters' word is not waited for", "by", by)
+			n.work.Add(1)
+			go func() { // they hear of this process all the same, or would take its word for nobody's
+				defer n.work.Done()
+				n.hello(saved)
+			}()
+		} else if heard = n.hello(saved); heard == nil {
+			return
+		}
+		policy := fleetpolicy.NewMachine()
+		core, start, err := agreed.NewCore(n.c.Name, saved, heard, n.c.Terms, policy, raftLog{n.log})
+		if err != nil {
+			n.log.Error("fleet: this sender can't be a voter", "err", err)
+			return
+		}
+		if start.Old != "" {
+			n.log.Error("fleet: the folder is older than what it has promised; it votes for nobody until it has caught up", "why", start.Old)
+		}
+		d := &duty.Duty[any, any]{Name: logDuty, In: duty.NewRing[any](logDuty, inboxMost, duty.Wait, nil), Stepper: core, Do: n.doCore}
+		n.mu.Lock()
+		n.core, n.old = d, start.Old
+		n.mu.Unlock()
+		n.group.Start(d, duty.EndDuty)
+	}()
+	return nil
+}
+
+// hello asks all other voters that the folder names, until each has answered; nil if the node stops first.
+func (n *Node) hello(saved *agreed.Saved) map[string]agreed.Heard {
+	f, heard := saved.Folder(), map[string]agreed.Heard{}
+	conf := saved.Conf
+	if saved.Snapshot != nil {
+		conf = saved.Snapshot.GetMetadata().GetConfState()
+	}
+	for {
+		missing := ""
+		ids := n.others(conf)
+		var round sync.WaitGroup
+		var mu sync.Mutex
+		for _, id := range ids {
+			name := n.nameOf(id)
+			mu.Lock()
+			_, done := heard[name]
+			mu.Unlock()
+			if done {
+				continue
+			}
+			round.Add(1)
+			go func() {
+				defer round.Done()
+				ctx, cancel := context.WithTimeout(n.ctx, helloTime)
+				defer cancel()
+				client, err := n.wires.to(n.address(name))
+				var r *pb.HelloReply
+				if err == nil {
+					r, err = client.Hello(ctx, &pb.HelloRequest{Cluster: n.c.Cluster, Name: n.c.Name, Life: n.life, Id: agreed.VoterID(n.c.Name), Term: f.Term, Last: f.Last})
+				}
+				mu.Lock()
+				defer mu.Unlock()
+				if err != nil {
+					missing += " " + name
+					return
+				}
+				heard[name] = agreed.Heard{Term: r.Term, LastTerm: r.LastTerm, Last: r.Last, Match: r.Match}
+			}()
+		}
+		round.Wait()
+		n.mu.Lock()
+		n.waits = missing
+		n.mu.Unlock()
+		if missing == "" {
+			return heard
+		}
+		select {
+		case <-n.ctx.Done():
+			return nil
+		case <-time.After(helloPause):
+		}
+	}
+}
+
+// others are the other voters: those that the folder names and those that were added since, as far as the copy has come, but
+// for those that were removed.
+func (n *Node) others(conf *raftpb.ConfState) []uint64 {
+	ids := slices.Concat(conf.GetVoters(), conf.GetVotersOutgoing())
+	gone := []uint64{agreed.VoterID(n.c.Name)}
+	n.mu.Lock()
+	for _, v := range n.report.voters {
+		if v.Gone {
+			gone = append(gone, v.Id)
+		} else {
+			ids = append(ids, v.Id)
+		}
+	}
+	n.mu.Unlock()
+	slices.Sort(ids)
+	return slices.DeleteFunc(slices.Compact(ids), func(id uint64) bool { return slices.Contains(gone, id) })
+}
+
+// address is where a voter is reached: as the file says, or else as the one who added it did.
+func (n *Node) address(name string) string {
+	for _, v := range n.c.Voters {
+		if v.Name == name {
+			return v.Address
+		}
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, v := range n.report.voters {
+		if v.Name == name && !v.Gone {
+			return v.Address
+		}
+	}
+	return ""
+}
+
+func (n *Node) nameOf(id uint64) string {
+	for _, v := range n.c.Voters {
+		if agreed.VoterID(v.Name) == id {
+			return v.Name
+		}
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, v := range n.report.voters {
+		if v.Id == id {
+			return v.Name
+		}
+	}
+	return fmt.Sprintf("voter %x", id)
+}
+
+func (n *Node) voter() *duty.Duty[any, any] {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.core
+}
+
+// put hands an event that is answered to the voter's log.
+func (n *Node) put(ctx context.Context, make func(to uint64) any) (any, error) {
+	core := n.voter()
+	if core == nil {
+		return nil, status.Error(codes.Unavailable, "this sender is no voter, or has not begun")
+	}
+	answer := makeReply()
+	n.mu.Lock()
+	n.last++
+	to := n.last
+	n.replies[to] = answer
+	n.mu.Unlock()
+	defer func() {
+		n.mu.Lock()
+		delete(n.replies, to)
+		n.mu.Unlock()
+	}()
+	if err := core.In.Put(ctx, make(to)); err != nil {
+		return nil, err
+	}
+	select {
+	case v := <-answer:
+		if err, bad := v.(error); bad {
+			return nil, err
+		}
+		return v, nil
+	case <-ctx.Done():
+		return nil, status.FromContextError(ctx.Err()).Err()
+	case <-n.ctx.Done():
+		return nil, status.Error(codes.Unavailable, "this sender is leaving")
+	}
+}
+
+func makeReply() chan any { return make(chan any, 1) }
+
+// leader is the way to the one that leads, as this voter knows.
+func (n *Node) leader() (pb.FleetClient, error) {
+	n.mu.Lock()
+	id := n.status.Leader
+	n.mu.Unlock()
+	name := n.nameOf(id)
+	if id == 0 || name == n.c.Name {
+		return nil, status.Error(codes.Unavailable, "no voter is known to lead")
+	}
+	address := n.address(name)
+	if address == "" {
+		return nil, status.Errorf(codes.Unavailable, "no address of %s is known, which leads", name)
+	}
+	return n.wires.to(address)
+}
+
+// doCore carries out what the voter's log wants done.
+func (n *Node) doCore(_ context.Context, a any) error {
+	switch a := a.(type) {
+	case agreed.Save:
+		if err := n.store.save(a); err != nil {
+			return fmt.Errorf("fleet: the log can't be written, this voter takes part no longer: %w", err)
+		}
+		if a.Snapshot != nil {
+			n.feed.cut(a.Snapshot.Data)
+		}
+	case agreed.Send:
+		n.box(n.nameOf(a.Message.GetTo())).ring.Offer(a.Message)
+	case agreed.Answer:
+		n.mu.Lock()
+		c := n.replies[a.To]
+		delete(n.replies, a.To)
+		n.mu.Unlock()
+		if c != nil {
+			c <- a.What
+		}
+	case agreed.Commit:
+		n.feed.commit(a)
+	case agreed.Status:
+		n.mu.Lock()
+		was := n.status
+		n.status = a
+		n.mu.Unlock()
+		if was.Leads != a.Leads || was.Leader != a.Leader {
+			n.log.Info("fleet: the lead", "leads", a.Leads, "leader", n.nameOf(a.Leader), "term", a.Term)
+		}
+	}
+	return nil
+}
+
+// box is the way to a voter.
+func (n *Node) box(name string) *outbox {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	b := n.out[name]
+	if b == nil {
+		ctx, stop := context.WithCancel(n.ctx)
+		b = &outbox{duty.NewRing[*raftpb.Message]("to "+name, outboxMost, duty.DropOldest, nil), stop}
+		n.out[name] = b
+		n.work.Add(1)
+		go func() {
+			defer n.work.Done()
+			n.send(ctx, name, b.ring)
+		}()
+	}
+	return b
+}
+
+// Gate is what calls pass.
+func (n *Node) Gate() *Gate { return n.gate }
+
+// Address is where others reach this sender.
+func (n *Node) Address() string { return n.addr }
+
+// Submit hands a command in and waits for what became of it. Asked again after a lost answer it counts once.
+func (n *Node) Submit(ctx context.Context, kind uint32, body proto.Message) (*pb.SubmitReply, error) {
+	raw, err := proto.Marshal(body)
+	if err != nil {
+		return nil, err
+	}
+	c := &pb.Command{Kind: kind, Session: draw(), Sequence: 1, Body: raw}
+	if raw, err = proto.Marshal(c); err != nil {
+		return nil, err
+	}
+	for {
+		var r *pb.SubmitReply
+		err := n.through(ctx, func(ctx context.Context, client pb.FleetClient) error {
+			var err error
+			r, err = client.Submit(ctx, &pb.SubmitRequest{Cluster: n.c.Cluster, Command: raw})
+			return err
+		})
+		if err == nil {
+			return r, nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil, fmt.Errorf("whether it counts is not known: %w", errors.Join(err, ctx.Err()))
+		case <-n.ctx.Done():
+			return nil, errors.New("this sender is leaving")
+		case <-time.After(beatTime / 2):
+		}
+	}
+}
+
+// through asks some voter, one after another until one answers.
+func (n *Node) through(ctx context.Context, ask func(context.Context, pb.FleetClient) error) error {
+	err := errors.New("no voter is known")
+	for _, name := range n.voterNames() {
+		if ctx.Err() != nil {
+			return errors.Join(err, ctx.Err())
+		}
+		address := n.address(name)
+		if name == n.c.Name {
+			address = n.addr
+		}
+		client, bad := n.wires.to(address)
+		if bad != nil {
+			err = bad
+			continue
+		}
+		try, cancel := context.WithTimeout(ctx, n.patience())
+		err = ask(try, client)
+		cancel()
+		if err == nil {
+			return nil
+		}
+	}
+	return err
+}
+
+// patience is how long one voter is given: a question is asked of another before the next is due.
+func (n *Node) patience() time.Duration { return max(n.c.Terms.Length/6, 100*time.Millisecond) }
+
+// voterNames are the voters in the order in which they are asked: this one if it is, then the one that is followed, then all.
+func (n *Node) voterNames() []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var names []string
+	add := func(name string) {
+		if name != "" && !slices.Contains(names, name) {
+			names = append(names, name)
+		}
+	}
+	if n.core != nil {
+		add(n.c.Name)
+	}
+	add(n.current)
+	gone := map[string]bool{n.c.Name: true}
+	for _, v := range n.report.voters {
+		if v.Gone {
+			gone[v.Name] = true
+		}
+	}
+	for _, v := range n.c.Voters {
+		if !gone[v.Name] {
+			add(v.Name)
+		}
+	}
+	for _, v := range n.report.voters {
+		if !gone[v.Name] {
+			add(v.Name)
+		}
+	}
+	return names
+}
+
+// Close ends it: another voter is given the lead first, and leases lapse by themselves.
+func (n *Node) Close() error {
+	if core := n.voter(); core != nil {
+		core.In.Offer(agreed.HandOn{})
+		time.Sleep(2 * agreed.Tick)
+	}
+	n.stop()
+	n.server.Stop()
+	err := n.group.Stop(stopTime)
+	n.wires.close()
+	n.work.Wait()
+	if n.store != nil && err == nil {
+		err = n.store.close()
+	}
+	return err
+}
+
+// raftLog is the library's log: what it says goes to debug, and what it can't bear is a panic of the duty.
+type raftLog struct{ log *slog.Logger }
+
+func (l raftLog) Debug(v ...any)              { l.log.Debug("raft", "says", fmt.Sprint(v...)) }
+func (l raftLog) Debugf(f string, v ...any)   { l.log.Debug("raft", "says", fmt.Sprintf(f, v...)) }
+func (l raftLog) Info(v ...any)               { l.log.Debug("raft", "says", fmt.Sprint(v...)) }
+func (l raftLog) Infof(f string, v ...any)    { l.log.Debug("raft", "says", fmt.Sprintf(f, v...)) }
+func (l raftLog) Warning(v ...any)            { l.log.Debug("raft", "says", fmt.Sprint(v...)) }
+func (l raftLog) Warningf(f string, v ...any) { l.log.Debug("raft", "says", fmt.Sprintf(f, v...)) }
+func (l raftLog) Error(v ...any)              { l.log.Warn("raft", "says", fmt.Sprint(v...)) }
+func (l raftLog) Errorf(f string, v ...any)   { l.log.Warn("raft", "says", fmt.Sprintf(f, v...)) }
+func (l raftLog) Fatal(v ...any)              { panic(fmt.Sprint(v...)) }
+func (l raftLog) Fatalf(f string, v ...any)   { panic(fmt.Sprintf(f, v...)) }
+func (l raftLog) Panic(v ...any)              { panic(fmt.Sprint(v...)) }
+func (l raftLog) Panicf(f string, v ...any)   { panic(fmt.Sprintf(f, v...)) }
--- /dev/null
+++ b/internal/fleet/node_test.go
@@ -0,0 +1,511 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	bolt "go.etcd.io/bbolt"
+
+	"dockshift.example/dockshift/internal/agreed/lease"
+	"dockshift.example/dockshift/internal/boltfile"
+	"dockshift.example/dockshift/internal/fleetpolicy"
+	"dockshift.example/dockshift/internal/rehearsal/links"
+	pb "dockshift.example/dockshift/proto/saffronyard/fleet/v1"
+)
+
+const patience = 30 * time.Second
+
+// squad is a fleet in one process: its nodes reach each other by links.
+type squad struct {
+	t      *testing.T
+	net    *links.Net
+	voters int
+	terms  lease.Terms
+	hosts  []string
+	dirs   []string
+	nodes  []*Node
+	edit   func(i int, c *Config)
+}
+
+func newSquad(t *testing.T, voters, all int, edit func(int, *Config)) *squad {
+	t.Helper()
+	s := &squad{t: t, net: links.New(1, nil), voters: voters, terms: lease.Terms{Length: 1500 * time.Millisecond, Drift: lease.DefaultDrift}, nodes: make([]*Node, all), edit: edit}
+	for i := range all {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.hosts = append(s.hosts, l.Addr().String())
+		l.Close()
+		s.dirs = append(s.dirs, filepath.Join(t.TempDir(), name(i)))
+	}
+	t.Cleanup(func() {
+		for i := range s.nodes {
+			s.stop(i)
+		}
+		s.net.Close()
+	})
+	for i := range all {
+		s.start(i)
+	}
+	return s
+}
+
+func name(i int) string { return fmt.Sprintf("n%d", i) }
+
+func (s *squad) config(i int) Config {
+	c := Config{Name: name(i), Cluster: "test", Listen: s.hosts[i], Folder: s.dirs[i], Terms: s.terms, Classes: []string{"keyed"}, Tenants: []string{"acme"}}
+	for v := range s.voters {
+		addr := s.hosts[v]
+		if v != i {
+			var err error
+			if addr, err = s.net.Link(name(i), name(v), addr); err != nil {
+				s.t.Fatal(err)
+			}
+		}
+		c.Voters = append(c.Voters, Voter{name(v), addr})
+	}
+	if s.edit != nil {
+		s.edit(i, &c)
+	}
+	return c
+}
+
+func (s *squad) start(i int) {
+	s.t.Helper()
+	n, err := Start(s.config(i), slog.New(slog.NewTextHandler(testLog{s.t, name(i)}, &slog.HandlerOptions{Level: slog.LevelInfo})))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.nodes[i] = n
+}
+
+func (s *squad) stop(i int) {
+	if n := s.nodes[i]; n != nil {
+		s.nodes[i] = nil
+		if err := n.Close(); err != nil {
+			s.t.Error(name(i), err)
+		}
+	}
+}
+
+type testLog struct {
+	t    *testing.T
+	name string
+}
+
+var logs sync.Mutex
+
+func (l testLog) Write(b []byte) (int, error) {
+	logs.Lock()
+	defer logs.Unlock()
+	if os.Getenv("FLEET_LOG") != "" {
+		fmt.Fprintf(os.Stderr, "%s %s", l.name, b)
+	}
+	return len(b), nil
+}
+
+// until waits for something that should come.
+func until(t *testing.T, what string, is func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !is(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("it does not come: %s", what)
+		}
+	}
+}
+
+// acting waits until all that run may begin calls.
+func (s *squad) acting() {
+	s.t.Helper()
+	for i, n := range s.nodes {
+		if n != nil {
+			until(s.t, name(i)+" acts", func() bool { _, acts := n.gate.View(); return acts })
+		}
+	}
+}
+
+func (s *squad) leader() int {
+	s.t.Helper()
+	at := -1
+	until(s.t, "somebody leads", func() bool {
+		for i, n := range s.nodes {
+			if n != nil {
+				if r := n.Report(); r.Voter != nil && r.Voter.Leads {
+					at = i
+					return true
+				}
+			}
+		}
+		return false
+	})
+	return at
+}
+
+const closed7 = "[[route]]\ndestinations = [7]\nstate = \"closed\"\n"
+
+func (s *squad) propose(i int, base uint64, doc string) (uint64, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	return s.nodes[i].Propose(ctx, &pb.Propose{Base: base, Document: []byte(doc), By: "test", WaitUs: (10 * time.Second).Microseconds()})
+}
+
+func (s *squad) over(i int, change uint64) *pb.Past {
+	s.t.Helper()
+	var past *pb.Past
+	until(s.t, fmt.Sprintf("change %d is over at %s", change, name(i)), func() bool {
+		var over bool
+		past, over = s.nodes[i].Ended(change)
+		return over
+	})
+	return past
+}
+
+// A change takes hold at voters and followers; a second one while it is under way, one from an older version, and one that is
+// no document are refused; one that a sender can't follow is aborted everywhere.
+func TestChangeTakesHold(t *testing.T) {
+	t.Parallel()
+	s := newSquad(t, 3, 5, nil)
+	s.acting()
+	change, err := s.propose(4, 0, closed7)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i, n := range s.nodes {
+		if past := s.over(i, change); past.Version != 1 || past.Ended != "" {
+			t.Errorf("%s: %v", name(i), past)
+		}
+		if _, why := n.gate.Enter(fleetpolicy.Call{Destination: 7}); !strings.Contains(why, "closed") {
+			t.Errorf("%s: a call for a closed destination: %q", name(i), why)
+		}
+		leave, why := n.gate.Enter(fleetpolicy.Call{Destination: 8})
+		if why != "" {
+			t.Errorf("%s: a call that is not touched: %q", name(i), why)
+			continue
+		}
+		leave()
+	}
+	if _, err := s.propose(0, 0, ""); !errors.Is(err, ErrRefused) || !strings.Contains(err.Error(), "version 1 is in force") {
+		t.Errorf("from an older version: %v", err)
+	}
+	if _, err := s.propose(1, 1, "route = 7"); err == nil {
+		t.Error("no document at all is taken in")
+	}
+	change, err = s.propose(1, 1, closed7+"[[tenant]]\nname = \"nobody\"\nstate = \"suspended\"\n")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range s.nodes {
+		if past := s.over(i, change); past.Version != 0 || !strings.Contains(past.Ended, `"nobody" is not in this sender's settings`) {
+			t.Errorf("%s: %v", name(i), past)
+		}
+	}
+}
+
+// A sender that is cut off begins nothing once its lease has lapsed; a change does not wait longer for it than that, and it comes back
+// under the new version.
+func TestCutOff(t *testing.T) {
+	t.Parallel()
+	s := newSquad(t, 3, 4, nil)
+	s.acting()
+	for v := range 3 {
+		s.net.Both(name(3), name(v), links.Condition{Cut: true})
+	}
+	began := time.Now()
+	change, err := s.propose(0, 0, closed7)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.over(0, change)
+	if _, acts := s.nodes[3].gate.View(); acts {
+		t.Error("one that is cut off acts when a change has taken hold without it")
+	}
+	t.Logf("the change took %v, the lease lasts %v", time.Since(began), s.terms.Length)
+	s.net.Heal()
+	s.over(3, change)
+	s.acting()
+	if _, why := s.nodes[3].gate.Enter(fleetpolicy.Call{Destination: 7}); !strings.Contains(why, "closed") {
+		t.Errorf("back, it goes by %q", why)
+	}
+}
+
+// The one that leads dies in the middle; all die at once. What was committed stays, and the change ends everywhere alike.
+func TestLeaderDiesAndAllDie(t *testing.T) {
+	t.Parallel()
+	s := newSquad(t, 3, 4, nil)
+	s.acting()
+	lead := s.leader()
+	change, err := s.propose((lead+1)%3, 0, closed7)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.stop(lead)
+	s.over((lead+1)%3, change)
+	s.start(lead)
+	for i := range s.nodes {
+		if past := s.over(i, change); past.Version != 1 {
+			t.Errorf("%s: %v", name(i), past)
+		}
+	}
+	change, err = s.propose(3, 1, "# open again\n")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range s.nodes {
+		s.stop(i)
+	}
+	for i := range s.nodes {
+		s.start(i)
+	}
+	for i := range s.nodes {
+		if past := s.over(i, change); past.Version != 2 {
+			t.Errorf("%s: %v", name(i), past)
+		}
+	}
+	s.acting()
+}
+
+// clock is a machine's clock that a test can set ahead and let run wrong.
+type clock struct {
+	rate  float64
+	ahead atomic.Int64
+	start time.Duration
+}
+
+func (c *clock) now() time.Duration {
+	return c.start + time.Duration(c.rate*float64(Now()-c.start)) + time.Duration(c.ahead.Load())
+}
+
+// Clocks that run 1% wrong, and one that is an hour ahead, change nothing; and a disk that fails as a change is staged aborts it.
+func TestClocksAndDisk(t *testing.T) {
+	t.Parallel()
+	var failing atomic.Bool
+	start := Now()
+	s := newSquad(t, 3, 4, func(i int, c *Config) {
+		k := &clock{rate: 1 + 0.01*float64(i%3-1), start: start}
+		k.ahead.Store(int64(i) * int64(time.Hour))
+		c.Now = k.now
+		if i == 3 {
+			c.Disk = failingDisk{&failing}
+		}
+	})
+	s.acting()
+	failing.Store(true)
+	change, err := s.propose(0, 0, closed7)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if past := s.over(0, change); past.Version != 0 || !strings.Contains(past.Ended, "n3 refuses it: it can't be kept on the disk") {
+		t.Errorf("%v", past)
+	}
+	failing.Store(false)
+	if change, err = s.propose(0, 0, closed7); err != nil {
+		t.Fatal(err)
+	}
+	for i := range s.nodes {
+		if past := s.over(i, change); past.Version != 1 {
+			t.Errorf("%s: %v", name(i), past)
+		}
+	}
+}
+
+type failingDisk struct{ fails *atomic.Bool }
+
+func (d failingDisk) Write(path string, data []byte) error {
+	if d.fails.Load() {
+		return errors.New("input/output error")
+	}
+	return realDisk{}.Write(path, data)
+}
+
+// keep copies a folder; put it back with back.
+func (s *squad) keep(i int) (back func()) {
+	s.t.Helper()
+	kept := s.t.TempDir()
+	if err := os.CopyFS(filepath.Join(kept, "f"), os.DirFS(s.dirs[i])); err != nil {
+		s.t.Fatal(err)
+	}
+	return func() {
+		s.t.Helper()
+		if err := errors.Join(os.RemoveAll(s.dirs[i]), os.CopyFS(s.dirs[i], os.DirFS(filepath.Join(kept, "f")))); err != nil {
+			s.t.Fatal(err)
+		}
+	}
+}
+
+// cut cuts one off from all others, both ways.
+func (s *squad) cut(i int) {
+	for j := range s.nodes {
+		if j != i {
+			s.net.Both(name(i), name(j), links.Condition{Cut: true})
+		}
+	}
+}
+
+// A voter that comes back with an old folder, or an empty one, has forgotten what it promised. Together with one that never
+// heard of the change it makes a majority, and that must lead nowhere while the one that knows is cut off.
+func TestForgottenPromises(t *testing.T) {
+	t.Parallel()
+	for _, what := range []string{"old folder", "empty folder"} {
+		t.Run(what, func(t *testing.T) {
+			t.Parallel()
+			s := newSquad(t, 3, 3, nil)
+			s.acting()
+			s.stop(1)
+			back := s.keep(1)
+			s.start(1)
+			s.acting()
+			if s.leader() == 2 { // the one that is cut off must not be whom all wait for
+				s.stop(2)
+				until(t, "another leads", func() bool { return s.leader() != 2 })
+				s.start(2)
+				s.acting()
+			}
+			s.cut(2)
+			change, err := s.propose(0, 0, closed7)
+			if err != nil {
+				t.Fatal(err)
+			}
+			s.over(0, change)
+			s.over(1, change)
+			s.stop(1)
+			if what == "old folder" {
+				back()
+			} else if err := os.RemoveAll(s.dirs[1]); err != nil {
+				t.Fatal(err)
+			}
+			s.net.Both("n2", "n1", links.Condition{})
+			s.cut(0)
+			s.start(1)
+			// n1 and n2 are a majority, and know nothing of the change. As many elections as fit in three seconds lead to none.
+			for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+				for _, i := range []int{1, 2} {
+					if r := s.nodes[i].Report(); r.Voter != nil && r.Voter.Leads {
+						t.Fatalf("%s leads without the change: %+v", name(i), r.Voter)
+					}
+				}
+			}
+			if r := s.nodes[1].Report(); r.Voter.WaitsFor != " n0" {
+				t.Errorf("it waits for %q", r.Voter.WaitsFor)
+			}
+			s.net.Heal()
+			for i := range s.nodes {
+				if past := s.over(i, change); past.Version != 1 {
+					t.Errorf("%s: %v", name(i), past)
+				}
+			}
+			s.acting()
+		})
+	}
+}
+
+// Who vouches for a folder lets a voter take part without the others' word, once.
+func TestVouch(t *testing.T) {
+	t.Parallel()
+	s := newSquad(t, 3, 3, nil)
+	s.acting()
+	if err := Vouch(s.dirs[1], "test"); err == nil {
+		t.Error("a folder in use is vouched for")
+	}
+	s.stop(2)
+	s.stop(1)
+	s.start(1)
+	until(t, "n1 waits for n2", func() bool { r := s.nodes[1].Report(); return r.Voter.WaitsFor == " n2" })
+	s.stop(1)
+	if err := Vouch(s.dirs[1], "test"); err != nil {
+		t.Fatal(err)
+	}
+	s.start(1)
+	s.acting()
+	if _, err := os.Stat(filepath.Join(s.dirs[1], vouchedName)); !os.IsNotExist(err) {
+		t.Errorf("the word counts twice: %v", err)
+	}
+	if err := Vouch(t.TempDir(), "test"); err == nil {
+		t.Error("an empty folder is vouched for")
+	}
+}
+
+// A voter is replaced while a change is under way: one that followed takes the place of one that is gone for good.
+func TestVoterReplaced(t *testing.T) {
+	t.Parallel()
+	s := newSquad(t, 3, 4, nil)
+	s.acting()
+	lead := s.leader()
+	gone := (lead + 1) % 3
+	s.stop(gone)
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	change, err := s.propose(lead, 0, closed7)
+	if err != nil {
+		t.Fatal(err)
+	}
+	v := &pb.Voters{Add: []*pb.Voter{{Name: "n3", Address: s.hosts[3]}}, Remove: []string{name(gone)}, By: "test"}
+	if err := s.nodes[lead].ChangeVoters(ctx, v); err != nil {
+		t.Fatal(err)
+	}
+	for i := range s.nodes {
+		if i != gone {
+			if past := s.over(i, change); past.Version != 1 {
+				t.Errorf("%s: %v", name(i), past)
+			}
+		}
+	}
+	until(t, "n3 is a voter", func() bool { r := s.nodes[3].Report(); return r.Voter != nil && r.Voter.Applied > 0 })
+	if err := s.nodes[3].ChangeVoters(ctx, &pb.Voters{Add: []*pb.Voter{{Name: name(gone), Address: "127.0.0.1:1"}}}); !errors.Is(err, ErrRefused) || !strings.Contains(err.Error(), "a name of its own") {
+		t.Errorf("one that was removed comes back: %v", err)
+	}
+	if err := s.nodes[3].ChangeVoters(ctx, &pb.Voters{Remove: []string{"nobody"}}); !errors.Is(err, ErrRefused) {
+		t.Errorf("nobody is removed: %v", err)
+	}
+	// The new one counts: with the leader alone it makes a majority.
+	s.stop(3 - gone - lead)
+	if change, err = s.propose(3, 1, "# open again\n"); err != nil {
+		t.Fatal(err)
+	}
+	if past := s.over(3, change); past.Version != 2 {
+		t.Errorf("%v", past)
+	}
+}
+
+// A file of a newer program, of another sender or of another cluster is refused with clear words, and left as it is.
+func TestFolderOfOthers(t *testing.T) {
+	dir := t.TempDir()
+	open := func(cluster, name string) error {
+		s, err := openStore(dir, cluster, name)
+		if err == nil {
+			err = s.close()
+		}
+		return err
+	}
+	if err := open("a", "n0"); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct{ cluster, name, says string }{{"a", "n1", `name "n0", not of "n1"`}, {"b", "n0", `cluster "a", not of "b"`}} {
+		if err := open(c.cluster, c.name); err == nil || !strings.Contains(err.Error(), c.says) {
+			t.Errorf("%v", err)
+		}
+	}
+	s, err := openStore(dir, "a", "n0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := s.update(func(tx *bolt.Tx) error {
+		return tx.Bucket(metaBucket).Put([]byte(formatRecord), boltfile.Number(storeFormat+1))
+	}); err != nil {
+		t.Fatal(err)
+	}
+	s.close()
+	if err := open("a", "n0"); !errors.Is(err, ErrNewer) {
+		t.Errorf("%v", err)
+	}
+}
--- /dev/null
+++ b/internal/fleet/store.go
@@ -0,0 +1,264 @@
+package fleet
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+
+	bolt "go.etcd.io/bbolt"
+	"go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
+
+	"dockshift.example/dockshift/internal/agreed"
+	"dockshift.example/dockshift/internal/boltfile"
+)
+
+// The voter's file, log.db in the folder: two buckets. "log" has the entries by index (eight octets, the highest first), each a
+// raftpb.Entry. "meta" has "format", "cluster" and "name", whose file it is; "hard", raft's term, vote and commit; "conf", the
+// voters; "snapshot", a raftpb.Snapshot; and "base", index and term (eight octets each) of the last entry that was cut off.
+// A Save is one transaction, synced: all of it is there after a crash, or nothing.
+const (
+	logName      = "log.db"
+	stagedName   = "staged"
+	vouchedName  = "vouched"
+	storeFormat  = 1
+	formatRecord = "format"
+)
+
+var (
+	logBucket  = []byte("log")
+	metaBucket = []byte("meta")
+)
+
+// ErrNewer is that a file was written by a newer program; it is left as it is.
+var ErrNewer = errors.New("it was written by a newer program")
+
+type store struct {
+	db   *bolt.DB
+	path string
+}
+
+// openStore opens or makes the file of a voter.
+func openStore(folder, cluster, name string) (*store, error) {
+	path := filepath.Join(folder, logName)
+	db, err := boltfile.Open(path, false)
+	if err != nil {
+		return nil, fmt.Errorf("fleet: %w", err)
+	}
+	s := &store{db, path}
+	err = s.update(func(tx *bolt.Tx) error {
+		if _, err := tx.CreateBucketIfNotExists(logBucket); err != nil {
+			return err
+		}
+		meta, err := tx.CreateBucketIfNotExists(metaBucket)
+		if err != nil {
+			return err
+		}
+		if raw := meta.Get([]byte(formatRecord)); raw != nil {
+			if f := boltfile.Value(raw); f > storeFormat {
+				return fmt.Errorf("format %d, this program knows %d: %w", f, storeFormat, ErrNewer)
+			}
+			for key, want := range map[string]string{"cluster": cluster, "name": name} {
+				if got := string(meta.Get([]byte(key))); got != want {
+					return fmt.Errorf("it is the file of %s %q, not of %q", key, got, want)
+				}
+			}
+			return nil
+		}
+		return errors.Join(meta.Put([]byte(formatRecord), boltfile.Number(storeFormat)), meta.Put([]byte("cluster"), []byte(cluster)), meta.Put([]byte("name"), []byte(name)))
+	})
+	if err != nil {
+		db.Close()
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *store) update(f func(*bolt.Tx) error) error {
+	if err := boltfile.Guarded(func() error { return s.db.Update(f) }); err != nil {
+		return fmt.Errorf("%s: %w", s.path, err)
+	}
+	return nil
+}
+
+// load reads what the folder has.
+func (s *store) load() (*agreed.Saved, error) {
+	saved := &agreed.Saved{Hard: &raftpb.HardState{}}
+	err := boltfile.Guarded(func() error {
+		return s.db.View(func(tx *bolt.Tx) error {
+			meta := tx.Bucket(metaBucket)
+			if raw := meta.Get([]byte("hard")); raw != nil {
+				if err := proto.Unmarshal(raw, saved.Hard); err != nil {
+					return fmt.Errorf("term and vote: %w", err)
+				}
+			}
+			if raw := meta.Get([]byte("conf")); raw != nil {
+				saved.Conf = &raftpb.ConfState{}
+				if err := proto.Unmarshal(raw, saved.Conf); err != nil {
+					return fmt.Errorf("voters: %w", err)
+				}
+			}
+			if raw := meta.Get([]byte("snapshot")); raw != nil {
+				saved.Snapshot = &raftpb.Snapshot{}
+				if err := proto.Unmarshal(raw, saved.Snapshot); err != nil {
+					return fmt.Errorf("snapshot: %w", err)
+				}
+			}
+			if raw := meta.Get([]byte("base")); len(raw) == 16 {
+				saved.Base, saved.BaseTerm = binary.BigEndian.Uint64(raw), binary.BigEndian.Uint64(raw[8:])
+			}
+			next := saved.Base + 1
+			return tx.Bucket(logBucket).ForEach(func(k, v []byte) error {
+				e := &raftpb.Entry{}
+				if err := proto.Unmarshal(v, e); err != nil || binary.BigEndian.Uint64(k) != next || e.GetIndex() != next {
+					return fmt.Errorf("entry %d can't be read, or is missing: %v", next, err)
+				}
+				next++
+				saved.Entries = append(saved.Entries, e)
+				return nil
+			})
+		})
+	})
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", s.path, err)
+	}
+	return saved, nil
+}
+
+// save carries a Save out; it is on the disk when this returns.
+func (s *store) save(a agreed.Save) error {
+	return s.update(func(tx *bolt.Tx) error {
+		meta, log := tx.Bucket(metaBucket), tx.Bucket(logBucket)
+		put := func(key string, m proto.Message) error {
+			raw, err := proto.Marshal(m)
+			if err != nil {
+				return err
+			}
+			return meta.Put([]byte(key), raw)
+		}
+		if a.Hard != nil {
+			if err := put("hard", a.Hard); err != nil {
+				return err
+			}
+		}
+		if a.Conf != nil {
+			if err := put("conf", a.Conf); err != nil {
+				return err
+			}
+		}
+		if a.Snapshot != nil {
+			if err := put("snapshot", a.Snapshot); err != nil {
+				return err
+			}
+		}
+		if a.Cut > 0 {
+			if err := cut(meta, log, a); err != nil {
+				return err
+			}
+		}
+		if len(a.Entries) == 0 {
+			return nil
+		}
+		// What stands from here on was of a leader that has lost it.
+		c, from := log.Cursor(), boltfile.Number(int64(a.Entries[0].GetIndex()))
+		for k, _ := c.Seek(from); k != nil; k, _ = c.Seek(from) {
+			if err := c.Delete(); err != nil {
+				return err
+			}
+		}
+		for _, e := range a.Entries {
+			raw, err := proto.Marshal(e)
+			if err != nil {
+				return err
+			}
+			if err := log.Put(boltfile.Number(int64(e.GetIndex())), raw); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+}
+
+func cut(meta, log *bolt.Bucket, a agreed.Save) error {
+	term := a.Snapshot.GetMetadata().GetTerm()
+	if raw := log.Get(boltfile.Number(int64(a.Cut))); raw != nil && !a.Whole {
+		e := &raftpb.Entry{}
+		if err := proto.Unmarshal(raw, e); err != nil {
+			return err
+		}
+		term = e.GetTerm()
+	}
+	if err := meta.Put([]byte("base"), binary.BigEndian.AppendUint64(binary.BigEndian.AppendUint64(nil, a.Cut), term)); err != nil {
+		return err
+	}
+	c := log.Cursor()
+	for k, _ := c.First(); k != nil && (a.Whole || binary.BigEndian.Uint64(k) <= a.Cut); k, _ = c.First() {
+		if err := c.Delete(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *store) close() error { return s.db.Close() }
+
+// Disk is what a proposal is staged on; tests have one that fails.
+type Disk interface {
+	// Write writes a file whole or not at all, and it is there for good when this returns.
+	Write(path string, data []byte) error
+}
+
+type realDisk struct{}
+
+func (realDisk) Write(path string, data []byte) error {
+	f, err := os.CreateTemp(filepath.Dir(path), filepath.Base(path)+".new-")
+	if err != nil {
+		return err
+	}
+	defer os.Remove(f.Name())
+	if _, err = f.Write(data); err == nil {
+		err = f.Sync()
+	}
+	if err = errors.Join(err, f.Close()); err != nil {
+		return err
+	}
+	if err := os.Rename(f.Name(), path); err != nil {
+		return err
+	}
+	dir, err := os.Open(filepath.Dir(path))
+	if err != nil {
+		return err
+	}
+	return errors.Join(dir.Sync(), dir.Close())
+}
+
+// Vouch notes that the folder of a sender that does not run is the newest: its next process does not wait for the other
+// voters' word. It counts once.
+func Vouch(folder, by string) error {
+	if _, err := os.Stat(filepath.Join(folder, logName)); err != nil {
+		return fmt.Errorf("no voter's folder: %w", err)
+	}
+	s, err := boltfile.Open(filepath.Join(folder, logName), true)
+	if err != nil {
+		return err
+	}
+	if err := s.Close(); err != nil {
+		return err
+	}
+	return realDisk{}.Write(filepath.Join(folder, vouchedName), []byte(by))
+}
+
+// vouched takes an operator's word, once.
+func vouched(folder string) (by string, ok bool, err error) {
+	path := filepath.Join(folder, vouchedName)
+	raw, err := os.ReadFile(path)
+	if errors.Is(err, os.ErrNotExist) {
+		return "", false, nil
+	}
+	if err == nil {
+		err = os.Remove(path)
+	}
+	return string(raw), err == nil, err
+}
--- /dev/null
+++ b/internal/fleetpolicy/coordinator.go
@@ -0,0 +1,136 @@
+package fleetpolicy
+
+import (
+	"fmt"
+	"maps"
+	"time"
+
+	"dockshift.example/dockshift/internal/agreed/lease"
+	pb "dockshift.example/dockshift/proto/saffronyard/fleet/v1"
+)
+
+// Coordinator drives the open change at the voter that leads: what each sender has told of it, and which step comes next. What
+// it decides is a command like any other: it counts when the log has it, and only if the change is then where the
+// coordinator took it to be. A new leader begins a new one; senders tell it again.
+//
+// A change is staged while every sender that holds a lease checks it and keeps it on its disk; frozen while no call that it
+// touches is begun anywhere; then it is committed, and each sender goes on as soon as it hears so. It is frozen, and committed,
+// only when each that holds a lease has staged it, and committed only when no lease is left below the freeze.
+type Coordinator struct {
+	change  uint64
+	since   time.Duration // this leader knows of the change
+	staged  map[lease.Who]bool
+	refused map[string]string // by name, why
+	sent    sentStep
+}
+
+type sentStep struct {
+	change uint64
+	step   string
+	at     time.Duration
+}
+
+// again is after how long a step that the log does not show is proposed again: it may have been lost with a change of leader.
+const again = time.Second
+
+// Waiting is one that a change waits for.
+type Waiting struct {
+	Name string        `json:"name"` // empty: those to whom an earlier leader may have granted a lease
+	Left time.Duration `json:"left"` // until its lease has lapsed
+	For  string        `json:"for"`
+}
+
+// Told takes what a sender tells of a change.
+func (c *Coordinator) Told(w lease.Who, change uint64, refused string) {
+	c.begin(change)
+	if change != c.change {
+		return
+	}
+	if refused != "" {
+		c.refused[w.Name] = refused
+		return
+	}
+	c.staged[w] = true
+}
+
+// Clone is a coordinator with the same state, for those who explore what can become of it.
+func (c *Coordinator) Clone() *Coordinator {
+	d := *c
+	d.staged, d.refused = maps.Clone(c.staged), maps.Clone(c.refused)
+	return &d
+}
+
+// begin takes notice of a change; older ones are over.
+func (c *Coordinator) begin(change uint64) {
+	if change > c.change {
+		*c = Coordinator{change: change, since: -1, staged: map[lease.Who]bool{}, refused: map[string]string{}, sent: c.sent}
+	}
+}
+
+// Step gives the next command; nil while there is none. waits says for whom.
+func (c *Coordinator) Step(now time.Duration, s *pb.PolicyState, g *lease.Granter) (next *pb.Policy, waits []Waiting) {
+	o := s.GetOpen()
+	if o == nil {
+		return nil, nil
+	}
+	if c.begin(o.Id); c.change != o.Id {
+		return nil, nil // told of a later one: the state here is behind
+	}
+	if c.since < 0 {
+		c.since = now
+	}
+	step := func(name string, p *pb.Policy) *pb.Policy {
+		if c.sent.change == o.Id && c.sent.step == name && now-c.sent.at < again {
+			return nil
+		}
+		c.sent = sentStep{o.Id, name, now}
+		return p
+	}
+	abort := func(why string) *pb.Policy {
+		return step("abort", &pb.Policy{What: &pb.Policy_Abort{Abort: &pb.Step{Change: o.Id, Why: why}}})
+	}
+	for _, name := range sorted(c.refused) {
+		return abort(fmt.Sprintf("%s refuses it: %s", name, c.refused[name])), nil
+	}
+	if o.Frozen != 0 {
+		for _, h := range g.Below(o.Frozen, now) {
+			waits = append(waits, Waiting{h.Name, h.Left, "to hold up what the change touches"})
+		}
+	} else if g.Quiet(now) {
+		for _, h := range g.Below(0, now) {
+			waits = append(waits, Waiting{h.Name, h.Left, "to stage it"})
+		}
+	}
+	for _, h := range g.Holders(now) { // also once it is frozen: one may have come meanwhile
+		if !c.staged[h.Who] {
+			waits = append(waits, Waiting{h.Name, h.Left, "to stage it"})
+		}
+	}
+	if o.Frozen != 0 {
+		if len(waits) > 0 {
+			return nil, waits
+		}
+		return step("commit", &pb.Policy{What: &pb.Policy_Commit{Commit: &pb.Step{Change: o.Id}}}), nil
+	}
+	if len(waits) == 0 {
+		return step("freeze", &pb.Policy{What: &pb.Policy_Freeze{Freeze: &pb.Step{Change: o.Id}}}), nil
+	}
+	if wait := time.Duration(o.WaitUs) * time.Microsecond; now-c.since >= wait {
+		return abort(fmt.Sprintf("it was not staged everywhere within %v; missing: %s", wait, names(waits))), waits
+	}
+	return nil, waits
+}
+
+func names(all []Waiting) string {
+	text := ""
+	for i, w := range all[:min(len(all), 10)] {
+		if i > 0 {
+			text += ", "
+		}
+		if w.Name == "" {
+			w.Name = "holders of an earlier leader's leases"
+		}
+		text += w.Name
+	}
+	return text
+}
--- /dev/null
+++ b/internal/fleetpolicy/document.go
@@ -0,0 +1,283 @@
+// Package fleetpolicy is what operators change in service for the whole fleet, and how a change takes hold everywhere or
+// nowhere. It is free of I/O and of clocks: the document, what it says of a call, how two versions differ, the state that the
+// fleet agrees on, and what the one who leads does next.
+package fleetpolicy
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"dockshift.example/dockshift/internal/tomlfile"
+)
+
+// Document is a policy as operators write it. What it does not name is as the platform has it.
+type Document struct {
+	// CutOff is what a sender does that has no lease: "hold" (the default) begins no call; "go-on" goes on under the version
+	// that it had, for GoOnFor at most. The latter gives up that no call is begun under a version that others have left.
+	CutOff  string        `toml:"cut_off,omitempty"`
+	GoOnFor tomlfile.Span `toml:"go_on_for,omitempty"`
+
+	Routes  []Route  `toml:"route,omitempty"`
+	Tenants []Tenant `toml:"tenant,omitempty"`
+	Classes []Class  `toml:"class,omitempty"`
+}
+
+// Route says where the messages for some destinations go.
+type Route struct {
+	Destinations []uint32 `toml:"destinations"`
+	State        string   `toml:"state"`        // "closed": nowhere, they are handed back; "moved": to another destination
+	To           *uint32  `toml:"to,omitempty"` // of moved
+	Why          string   `toml:"why,omitempty"`
+}
+
+// Tenant is one whose messages are not sent.
+type Tenant struct {
+	Name  string `toml:"name"`
+	State string `toml:"state"` // "suspended"
+	Why   string `toml:"why,omitempty"`
+}
+
+// Class bounds a class of message.
+type Class struct {
+	Name         string        `toml:"name"`
+	DeadlineMost tomlfile.Span `toml:"deadline_most"` // a message is given up no later than this after it was handed in
+}
+
+// Bounds of a document. A larger one would not fit a step of the log.
+const (
+	documentMost     = 1 << 20 // bytes
+	destinationsMost = 100_000 // named, in all
+	textMost         = 500     // bytes of a reason
+	goOnMost         = 24 * time.Hour
+)
+
+// Policy is a document that was checked, as calls are judged by it.
+type Policy struct {
+	document  *Document
+	routes    map[uint32]rule
+	suspended map[string]bool
+	classes   map[string]time.Duration
+}
+
+type rule struct {
+	closed bool
+	to     uint32 // if not closed
+}
+
+// None is the policy before the first document: all goes as the platform has it.
+func None() *Policy { return &Policy{document: &Document{CutOff: hold}} }
+
+const (
+	hold = "hold"
+	goOn = "go-on"
+)
+
+// Parse reads a document and checks it as a whole; name is for its errors.
+func Parse(name string, raw []byte) (*Policy, error) {
+	if len(raw) > documentMost {
+		return nil, fmt.Errorf("%s: %d bytes; %d are the most", name, len(raw), documentMost)
+	}
+	d := &Document{}
+	if err := tomlfile.Decode(name, raw, d); err != nil {
+		return nil, err
+	}
+	p := &Policy{document: d, routes: map[uint32]rule{}, suspended: map[string]bool{}, classes: map[string]time.Duration{}}
+	bad := func(format string, args ...any) error {
+		return fmt.Errorf("%s: "+format, append([]any{name}, args...)...)
+	}
+	switch d.CutOff {
+	case "":
+		d.CutOff = hold
+	case hold, goOn:
+	default:
+		return nil, bad("cut_off = %q; there are %q and %q", d.CutOff, hold, goOn)
+	}
+	if (d.CutOff == goOn) != (d.GoOnFor > 0) || d.GoOnFor.D() > goOnMost {
+		return nil, bad("go_on_for = %v: it goes with cut_off = %q, and is %v at most", d.GoOnFor.D(), goOn, goOnMost)
+	}
+	for i, r := range d.Routes {
+		at := fmt.Sprintf("route %d", i+1)
+		switch {
+		case len(r.Destinations) == 0:
+			return nil, bad("%s names no destinations", at)
+		case len(r.Why) > textMost:
+			return nil, bad("%s: why has %d bytes; %d are the most", at, len(r.Why), textMost)
+		case r.State != "closed" && r.State != "moved":
+			return nil, bad("%s: state = %q; there are \"closed\" and \"moved\"", at, r.State)
+		case (r.State == "moved") != (r.To != nil):
+			return nil, bad("%s: to goes with state = \"moved\", and is needed there", at)
+		}
+		for _, dest := range r.Destinations {
+			if _, twice := p.routes[dest]; twice {
+				return nil, bad("%s: destination %d is named twice", at, dest)
+			}
+			is := rule{closed: r.State == "closed"}
+			if r.To != nil {
+				is.to = *r.To
+			}
+			p.routes[dest] = is
+		}
+	}
+	if len(p.routes) > destinationsMost {
+		return nil, bad("%d destinations are named; %d are the most", len(p.routes), destinationsMost)
+	}
+	for i, r := range d.Routes {
+		if r.To == nil {
+			continue
+		}
+		if _, again := p.routes[*r.To]; again {
+			return nil, bad("route %d: destination %d, to which it moves, has a route of its own: a message moves once", i+1, *r.To)
+		}
+	}
+	for i, t := range d.Tenants {
+		switch {
+		case t.Name == "" || len(t.Name) > textMost || len(t.Why) > textMost:
+			return nil, bad("tenant %d: name and why have %d bytes at most, the name not none", i+1, textMost)
+		case t.State != "suspended":
+			return nil, bad("tenant %q: state = %q; there is \"suspended\"", t.Name, t.State)
+		case p.suspended[t.Name]:
+			return nil, bad("tenant %q is named twice", t.Name)
+		}
+		p.suspended[t.Name] = true
+	}
+	for _, c := range d.Classes {
+		if _, twice := p.classes[c.Name]; twice || c.Name == "" {
+			return nil, bad("class %q is named twice, or not at all", c.Name)
+		}
+		if c.DeadlineMost <= 0 {
+			return nil, bad("class %q: deadline_most = %v is not over 0", c.Name, c.DeadlineMost.D())
+		}
+		p.classes[c.Name] = c.DeadlineMost.D()
+	}
+	return p, nil
+}
+
+// Fits says what is wrong with the policy at a sender whose settings have these classes and tenants: a sender that can't do
+// what it says refuses it, and then it takes hold nowhere.
+func (p *Policy) Fits(classes, tenants []string) error {
+	for _, name := range sorted(p.classes) {
+		if !slices.Contains(classes, name) {
+			return fmt.Errorf("class %q is not in this sender's settings, which have %s", name, quoted(classes))
+		}
+	}
+	for _, name := range sorted(p.suspended) {
+		if !slices.Contains(tenants, name) {
+			return fmt.Errorf("tenant %q is not in this sender's settings, which have %s", name, quoted(tenants))
+		}
+	}
+	return nil
+}
+
+func quoted(names []string) string {
+	if len(names) == 0 {
+		return "none"
+	}
+	var all []string
+	for _, n := range names[:min(len(names), 20)] {
+		all = append(all, fmt.Sprintf("%q", n))
+	}
+	return strings.Join(all, ", ")
+}
+
+func sorted[K cmp.Ordered, V any](m map[K]V) []K {
+	keys := make([]K, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+// Call is what a policy judges: a message and where it goes.
+type Call struct {
+	Destination uint32
+	Tenant      string
+}
+
+// Open reports whether calls for a destination are begun at all.
+func (p *Policy) Open(destination uint32) bool {
+	_, ruled := p.routes[destination]
+	return !ruled
+}
+
+// May reports whether a call is begun; why is for who is told.
+func (p *Policy) May(c Call) (ok bool, why string) {
+	if r, ruled := p.routes[c.Destination]; ruled {
+		if r.closed {
+			return false, "the fleet's policy has closed its destination"
+		}
+		return false, fmt.Sprintf("the fleet's policy has moved its destination to %d", r.to)
+	}
+	if p.suspended[c.Tenant] {
+		return false, "the fleet's policy has suspended its tenant"
+	}
+	return true, ""
+}
+
+// Moved is where a message for a destination goes that is handed in now.
+func (p *Policy) Moved(destination uint32) uint32 {
+	if r, ruled := p.routes[destination]; ruled && !r.closed {
+		return r.to
+	}
+	return destination
+}
+
+// DeadlineMost is the bound of a class; 0 if it has none.
+func (p *Policy) DeadlineMost(class string) time.Duration { return p.classes[class] }
+
+// GoesOn is for how long a sender without a lease goes on; 0: it holds.
+func (p *Policy) GoesOn() time.Duration {
+	if p.document.CutOff == goOn {
+		return p.document.GoOnFor.D()
+	}
+	return 0
+}
+
+// Touched is what differs between two policies: the calls that a switch from the one to the other holds up.
+type Touched struct {
+	destinations map[uint32]struct{}
+	tenants      map[string]struct{}
+}
+
+// Touches is what a switch between two policies touches.
+func Touches(a, b *Policy) *Touched {
+	t := &Touched{map[uint32]struct{}{}, map[string]struct{}{}}
+	differ(t.destinations, a.routes, b.routes)
+	differ(t.tenants, a.suspended, b.suspended)
+	return t
+}
+
+func differ[K, V comparable](into map[K]struct{}, a, b map[K]V) {
+	for k, v := range a {
+		if w, ok := b[k]; !ok || v != w {
+			into[k] = struct{}{}
+		}
+	}
+	for k := range b {
+		if _, ok := a[k]; !ok {
+			into[k] = struct{}{}
+		}
+	}
+}
+
+// Call reports whether a call is touched.
+func (t *Touched) Call(c Call) bool {
+	if t == nil {
+		return false
+	}
+	_, dest := t.destinations[c.Destination]
+	_, tenant := t.tenants[c.Tenant]
+	return dest || tenant
+}
+
+// Destination reports whether all calls for a destination are touched.
+func (t *Touched) Destination(d uint32) bool {
+	if t == nil {
+		return false
+	}
+	_, is := t.destinations[d]
+	return is
+}
--- /dev/null
+++ b/internal/fleetpolicy/machine.go
@@ -0,0 +1,184 @@
+package fleetpolicy
+
+import (
+	"fmt"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	pb "dockshift.example/dockshift/proto/saffronyard/fleet/v1"
+)
+
+const (
+	pastMost      = 100     // changes that are remembered
+	pastDocuments = 4 << 20 // bytes of their documents: those of the oldest go first, the one in force never
+
+	// WaitMost is how long a proposal may wait to be staged.
+	WaitMost = 10 * time.Minute
+)
+
+// Machine is the policy as the fleet agrees on it. The same commands in the same order make the same state everywhere.
+type Machine struct {
+	state *pb.PolicyState
+
+	// Made from the state, kept as parsing costs.
+	policy, next *Policy
+}
+
+// NewMachine makes the state before the first command.
+func NewMachine() *Machine { return &Machine{state: &pb.PolicyState{}, policy: None()} }
+
+// State is what is agreed; it is read only, and holds until the next command.
+func (m *Machine) State() *pb.PolicyState { return m.state }
+
+// Apply carries out a command at its index of the log. refused says why it changed nothing; err is that this program can't read
+// it, and must not go on as if it had.
+func (m *Machine) Apply(index uint64, body []byte) (result []byte, refused string, err error) {
+	c := &pb.Policy{}
+	if err := proto.Unmarshal(body, c); err != nil {
+		return nil, "", fmt.Errorf("a command on the policy can't be read: %w", err)
+	}
+	s := m.state
+	switch w := c.GetWhat().(type) {
+	case *pb.Policy_Propose:
+		p := w.Propose
+		if s.Open != nil {
+			return nil, fmt.Sprintf("change %d, proposed by %s, is under way", s.Open.GetId(), s.Open.GetBy()), nil
+		}
+		if p.GetBase() != s.GetVersion() {
+			return nil, fmt.Sprintf("it was made from version %d; version %d is in force", p.GetBase(), s.GetVersion()), nil
+		}
+		if wait := time.Duration(p.GetWaitUs()) * time.Microsecond; wait <= 0 || wait > WaitMost {
+			return nil, fmt.Sprintf("it waits %v to be staged; up to %v is possible", wait, WaitMost), nil
+		}
+		next, err := Parse("document", p.GetDocument())
+		if err != nil {
+			return nil, err.Error(), nil
+		}
+		m.next = next
+		s.Open = &pb.Change{Id: index, Base: p.GetBase(), Document: p.GetDocument(), By: p.GetBy(), Why: p.GetWhy(), WaitUs: p.GetWaitUs(), BackTo: p.GetBackTo()}
+		return nil, "", nil
+	case *pb.Policy_Freeze:
+		if refused := m.names(w.Freeze); refused != "" {
+			return nil, refused, nil
+		}
+		if s.Open.Frozen != 0 {
+			return nil, fmt.Sprintf("change %d is frozen already", s.Open.Id), nil
+		}
+		s.Open.Frozen = index
+		return nil, "", nil
+	case *pb.Policy_Commit:
+		if refused := m.names(w.Commit); refused != "" {
+			return nil, refused, nil
+		}
+		if s.Open.Frozen == 0 {
+			return nil, fmt.Sprintf("change %d is not frozen", s.Open.Id), nil
+		}
+		open := s.Open
+		s.Version, s.Document, s.Since = s.Version+1, open.Document, index
+		m.policy = m.next
+		m.over(&pb.Past{Id: open.Id, Version: s.Version, By: open.By, Why: open.Why, At: index, Document: open.Document})
+		return nil, "", nil
+	case *pb.Policy_Abort:
+		if refused := m.names(w.Abort); refused != "" {
+			return nil, refused, nil
+		}
+		open := s.Open
+		m.over(&pb.Past{Id: open.Id, By: open.By, Why: open.Why, Ended: w.Abort.GetWhy(), At: index})
+		return nil, "", nil
+	}
+	return nil, "", fmt.Errorf("a command on the policy is of a sort that this program does not know")
+}
+
+// names says why a step does not belong to the change that is open.
+func (m *Machine) names(s *pb.Step) string {
+	if m.state.Open == nil {
+		return fmt.Sprintf("change %d is over", s.GetChange())
+	}
+	if m.state.Open.Id != s.GetChange() {
+		return fmt.Sprintf("change %d is over; change %d is under way", s.GetChange(), m.state.Open.Id)
+	}
+	return ""
+}
+
+// over ends the open change.
+func (m *Machine) over(p *pb.Past) {
+	s := m.state
+	s.Open, m.next = nil, nil
+	s.Past = append(s.Past, p)
+	if n := len(s.Past) - pastMost; n > 0 {
+		s.Past = append(s.Past[:0:0], s.Past[n:]...)
+	}
+	room := pastDocuments
+	for i := len(s.Past) - 1; i >= 0; i-- {
+		if room -= len(s.Past[i].Document); room < 0 && s.Past[i].Version != s.Version {
+			s.Past[i].Document = nil
+		}
+	}
+}
+
+// Snapshot is the whole state.
+func (m *Machine) Snapshot() ([]byte, error) {
+	return proto.MarshalOptions{Deterministic: true}.Marshal(m.state)
+}
+
+// Restore puts the state in place of what is held.
+func (m *Machine) Restore(raw []byte) error {
+	s := &pb.PolicyState{}
+	if err := proto.Unmarshal(raw, s); err != nil {
+		return fmt.Errorf("the policy's state can't be read: %w", err)
+	}
+	policy, next := None(), (*Policy)(nil)
+	var err error
+	if s.Version > 0 {
+		if policy, err = Parse("document in force", s.Document); err != nil {
+			return err
+		}
+	}
+	if s.Open != nil {
+		if next, err = Parse("document proposed", s.Open.Document); err != nil {
+			return err
+		}
+	}
+	m.state, m.policy, m.next = s, policy, next
+	return nil
+}
+
+// Policy is what is in force.
+func (m *Machine) Policy() *Policy { return m.policy }
+
+// Next is the policy that the open change would put in force; nil if none is open.
+func (m *Machine) Next() *Policy { return m.next }
+
+// View is what a sender goes by at one index of the log. It does not change.
+type View struct {
+	Index   uint64
+	Version uint64
+	Policy  *Policy
+	Change  uint64   // open; 0: none
+	Frozen  *Touched // what that holds up; nil: nothing
+	Unfit   error    // the policy can't be followed here: nothing is begun
+}
+
+// View is the state as a sender with these classes and tenants goes by it.
+func (m *Machine) View(index uint64, classes, tenants []string) *View {
+	v := &View{Index: index, Version: m.state.Version, Policy: m.policy, Unfit: m.policy.Fits(classes, tenants)}
+	if o := m.state.Open; o != nil {
+		v.Change = o.Id
+		if o.Frozen != 0 {
+			v.Frozen = Touches(m.policy, m.next)
+		}
+	}
+	return v
+}
+
+// May reports whether a call is begun under the view; why is for who is told.
+func (v *View) May(c Call) (ok bool, why string) {
+	if v.Unfit != nil {
+		return false, "the fleet's policy can't be followed here"
+	}
+	if v.Frozen.Call(c) {
+		return false, "a change of the fleet's policy is about to take hold"
+	}
+	return v.Policy.May(c)
+}
--- /dev/null
+++ b/internal/fleetpolicy/model_test.go
@@ -0,0 +1,595 @@
+package fleetpolicy
+
+import (
+	"fmt"
+	"hash/maphash"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"dockshift.example/dockshift/internal/agreed/lease"
+	pb "dockshift.example/dockshift/proto/saffronyard/fleet/v1"
+)
+
+// The model plays leases and changes with the code that ships (Holder, Granter, Coordinator, Machine, View) against every order
+// of what can happen, breadth first, so that a fault is found by a shortest trace. The log is one list that only the voter that
+// leads adds to, which is what raft gives; all else is free: messages are late, lost or repeated, senders stand still for as
+// long as they like, crash and come back, a leader that was replaced goes on answering as if it led. A leader has applied what it added: it grants at the index that a
+// linearizable read gives, which is never less.
+
+const tick = time.Second
+
+var modelTerms = lease.Terms{Length: 2 * tick}
+
+// fault is what a wrong program does.
+type fault string
+
+const (
+	none                fault = ""
+	countsFromAnswer    fault = "the lease is counted from the answer"
+	stagedNotSynced     fault = "staged is told before it is on the disk"
+	noWaitForLapse      fault = "committed without waiting for a lapse"
+	oldLeadersWord      fault = "an old leader's word is taken"
+	noQuietTime         fault = "a new leader takes nobody for a holder"
+	needIgnored         fault = "a lease counts before its state has come"
+	actsAhead           fault = "acts is told for what has come and is not applied"
+	freezeSkipped       fault = "committed as soon as it is staged"
+	frozenIgnored       fault = "a frozen call is begun"
+	leaseOutlivesLife   fault = "a new process goes by the lease of the former one"
+	checkedAtTick       fault = "the lease is looked at when the sender wakes, not when it writes"
+	floorOfLatestLease  fault = "a renewal makes the fence forget the earlier lease"
+	granterCountsAsAsks fault = "the granter counts from before it granted"
+)
+
+// world is one state.
+type world struct {
+	now       int
+	log       []string // steps: p, f, c, a
+	leader    leading
+	old       *leading // replaced, and unaware of it
+	elections int
+	crashes   int
+	senders   [3]modelSender
+	repeats   int    // questions that were heard twice
+	acted     uint64 // the newest version that anybody could act under
+}
+
+type leading struct {
+	granter *lease.Granter
+	coord   *Coordinator
+	applied int
+}
+
+type modelSender struct {
+	life    uint64
+	applied int    // of the log
+	staged  uint64 // change on the disk
+	told    uint64 // change told as staged
+	holder  *lease.Holder
+	woke    int // when it last did anything
+	ask     *askMsg
+	grant   *grantMsg
+}
+
+type askMsg struct {
+	life   uint64
+	asked  time.Duration
+	acts   int
+	staged uint64
+	heard  bool
+}
+
+type grantMsg struct {
+	life  uint64
+	asked time.Duration
+	need  uint64
+}
+
+type model struct {
+	fault   fault
+	senders int
+	ticks   int
+	changes int
+	crashes int
+	elects  int
+	repeats int
+	wait    int                 // ticks until a change that is not staged is aborted; 0: a minute
+	states  map[string]*Machine // by log
+	names   [3]string
+}
+
+// machine is the state that a log makes; made once for each.
+func (m *model) machine(log []string) *Machine {
+	key := strings.Join(log, "")
+	if got := m.states[key]; got != nil {
+		return got
+	}
+	ma := NewMachine()
+	for i, step := range log {
+		index, c := uint64(i+1), &pb.Policy{}
+		o := ma.state.Open
+		switch step {
+		case "p":
+			doc := []byte("[[route]]\ndestinations = [7]\nstate = \"closed\"\n")
+			if ma.state.Version%2 == 1 { // and back: each version differs for the same call
+				doc = []byte("# open again\n")
+			}
+			c.What = &pb.Policy_Propose{Propose: &pb.Propose{Base: ma.state.Version, Document: doc, WaitUs: m.waitUS()}}
+		case "f":
+			c.What = &pb.Policy_Freeze{Freeze: &pb.Step{Change: o.Id}}
+		case "c":
+			c.What = &pb.Policy_Commit{Commit: &pb.Step{Change: o.Id}}
+		case "a":
+			c.What = &pb.Policy_Abort{Abort: &pb.Step{Change: o.Id}}
+		}
+		body, err := proto.Marshal(c)
+		if err != nil {
+			panic(err)
+		}
+		if _, refused, err := ma.Apply(index, body); err != nil || refused != "" {
+			panic(fmt.Sprint(key, i, refused, err))
+		}
+	}
+	m.states[key] = ma
+	return ma
+}
+
+func (m *model) waitUS() int64 {
+	if m.wait == 0 {
+		return time.Minute.Microseconds()
+	}
+	return (time.Duration(m.wait) * tick).Microseconds()
+}
+
+func (w *world) clone() *world {
+	c := *w
+	c.leader = w.leader.clone()
+	if w.old != nil {
+		o := w.old.clone()
+		c.old = &o
+	}
+	for i := range c.senders {
+		if h := c.senders[i].holder; h != nil {
+			c.senders[i].holder = h.Clone()
+		}
+	}
+	return &c
+}
+
+func (l leading) clone() leading {
+	return leading{l.granter.Clone(), l.coord.Clone(), l.applied}
+}
+
+var seed = maphash.MakeSeed()
+
+// key tells states apart, as they matter from now on. Senders have no names to the promise: those that swap places make the
+// same state.
+func (m *model) key(w *world) [2]uint64 {
+	now := w.clock()
+	b := append(make([]byte, 0, 256), byte(w.now), byte(w.elections), byte(w.crashes), byte(w.repeats), byte(w.acted))
+	for _, step := range w.log {
+		b = append(b, step...)
+	}
+	c := w.leader.coord
+	b = append(w.leader.granter.AppendState(append(b, ';'), now, ""), byte(w.leader.applied), byte(c.change), byte(c.sent.change), byte(c.sent.at/tick))
+	b = append(b, c.sent.step...)
+	var each []string
+	for i := range m.senders {
+		s, name := &w.senders[i], m.names[i]
+		var open []time.Duration
+		if s.ask != nil {
+			open = append(open, s.ask.asked)
+		}
+		if s.grant != nil {
+			open = append(open, s.grant.asked)
+		}
+		e := s.holder.AppendState([]byte{byte(s.life), byte(s.applied), byte(s.staged), byte(s.told)}, now, open...)
+		if m.fault == checkedAtTick {
+			e = append(e, byte(s.woke))
+		}
+		if a := s.ask; a != nil && (!a.heard || w.repeats < m.repeats) {
+			e = append(e, 'a', byte(a.life), byte(a.asked/tick), byte(a.acts), byte(a.staged))
+			if a.heard {
+				e = append(e, 'h')
+			}
+		}
+		if g := s.grant; g != nil && now-g.asked < modelTerms.Length {
+			e = append(e, 'g', byte(g.life), byte(g.asked/tick), byte(g.need))
+		}
+		e = w.leader.granter.AppendState(append(e, 'l'), now, name)
+		for life := range s.life + 1 {
+			if c.staged[lease.Who{Name: name, Life: life}] {
+				e = append(e, 's', byte(life))
+			}
+		}
+		if w.old != nil && m.fault == oldLeadersWord {
+			e = w.old.granter.AppendState(append(e, 'o', byte(w.old.applied)), now, name)
+		}
+		each = append(each, string(e))
+	}
+	slices.Sort(each)
+	for _, e := range each {
+		b = append(append(b, '|'), e...)
+	}
+	return [2]uint64{maphash.Bytes(seed, b), maphash.Bytes(seed, append(b, '#'))}
+}
+
+func (w *world) clock() time.Duration { return time.Duration(w.now+1) * tick }
+
+// may is whether a sender may begin the call that all changes touch, and under which version.
+func (m *model) may(w *world, i int) (uint64, bool) {
+	s := &w.senders[i]
+	now := w.clock()
+	if m.fault == checkedAtTick {
+		now = time.Duration(s.woke+1) * tick
+	}
+	applied := uint64(s.applied)
+	if m.fault == needIgnored {
+		applied = 1 << 60
+	}
+	if s.holder == nil || s.holder.Until(applied) <= now {
+		return 0, false
+	}
+	v := m.machine(w.log[:s.applied]).View(uint64(s.applied), nil, nil)
+	if v.Frozen.Call(Call{Destination: 7}) && m.fault != frozenIgnored {
+		return 0, false
+	}
+	return v.Version, true
+}
+
+// broken says which promise a state breaks; "" for none.
+func (m *model) broken(w *world) string {
+	newest := w.acted
+	for i := range m.senders {
+		if v, may := m.may(w, i); may {
+			newest = max(newest, v)
+		}
+	}
+	for i := range m.senders {
+		if v, may := m.may(w, i); may && v < newest {
+			return fmt.Sprintf("%s may act under version %d, and version %d was acted under", m.names[i], v, newest)
+		}
+	}
+	w.acted = newest
+	return ""
+}
+
+// next is all that can happen, each with what it is called.
+func (m *model) next(w *world, visit func(what string, n *world, broken string)) {
+	do := func(what string, change func(n *world) (broken string)) {
+		n := w.clone()
+		broken := change(n)
+		if broken == "-" { // it changes nothing
+			return
+		}
+		if broken == "" {
+			broken = m.broken(n)
+		}
+		visit(what, n, broken)
+	}
+	if w.now < m.ticks {
+		do("a second goes by", func(n *world) string { n.now++; return "" })
+	}
+	if n := strings.Count(strings.Join(w.log, ""), "p"); n < m.changes && m.machine(w.log).State().Open == nil {
+		do(fmt.Sprintf("change %d is proposed", n+1), func(n *world) string {
+			n.log = append(slices.Clone(n.log), "p")
+			n.leader.applied = len(n.log)
+			return ""
+		})
+	}
+	if w.elections < m.elects {
+		do("another voter leads", func(n *world) string {
+			n.elections++
+			old := n.leader
+			n.old = &old
+			n.leader = leading{lease.NewGranter(modelTerms, n.clock()), &Coordinator{}, len(n.log)}
+			if m.fault == noQuietTime {
+				n.leader.granter = lease.NewGranter(lease.Terms{}, -1)
+				n.leader.granter = withTerms(n.leader.granter)
+			}
+			return ""
+		})
+	}
+	do("the leader decides", func(n *world) string { return m.decide(n) })
+	for i := range m.senders {
+		m.sender(w, i, do)
+	}
+}
+
+// withTerms is a granter that has no quiet time before it.
+func withTerms(*lease.Granter) *lease.Granter { return lease.NewGranter(modelTerms, -10*tick) }
+
+func (m *model) decide(n *world) string {
+	l := &n.leader
+	st := m.machine(n.log[:l.applied]).State()
+	granter := l.granter
+	if m.fault == noWaitForLapse {
+		granter = withTerms(nil)
+	}
+	cmd, _ := l.coord.Step(n.clock(), st, granter)
+	step := ""
+	switch cmd.GetWhat().(type) {
+	case *pb.Policy_Freeze:
+		step = "f"
+	case *pb.Policy_Commit:
+		step = "c"
+	case *pb.Policy_Abort:
+		step = "a"
+	default:
+		return "-"
+	}
+	n.log = append(slices.Clone(n.log), step)
+	l.applied = len(n.log)
+	if step == "f" && m.fault == freezeSkipped {
+		n.log = append(n.log, "c")
+		l.applied++
+	}
+	if step == "c" {
+		for i := range m.senders {
+			if t := &n.senders[i]; t.holder.Until(uint64(t.applied)) > n.clock() && t.staged != st.Open.Id {
+				return fmt.Sprintf("%s holds a lease and has not staged the change", m.names[i])
+			}
+		}
+	}
+	return ""
+}
+
+// closed is whether all changes are over.
+func (m *model) closed(w *world) bool {
+	st := m.machine(w.log).State()
+	return st.Open == nil && len(st.Past) == m.changes
+}
+
+func (m *model) sender(w *world, i int, do func(string, func(*world) string)) {
+	s, name := &w.senders[i], m.names[i]
+	if s.applied < len(w.log) {
+		do(name+" applies an entry", func(n *world) string {
+			t := &n.senders[i]
+			t.applied++
+			t.woke = n.now
+			if o := m.machine(n.log[:t.applied]).State().Open; o != nil && m.fault != stagedNotSynced {
+				t.staged, t.told = o.Id, o.Id
+			}
+			return ""
+		})
+	}
+	state := m.machine(w.log[:s.applied]).State()
+	if o := state.Open; o != nil && s.staged < o.Id && m.fault == stagedNotSynced {
+		do(name+" stages the change", func(n *world) string {
+			n.senders[i].staged, n.senders[i].told = o.Id, o.Id
+			n.senders[i].woke = n.now
+			return ""
+		})
+		if s.told < o.Id {
+			do(name+" tells that it has staged", func(n *world) string { n.senders[i].told = o.Id; return "" })
+		}
+	}
+	acts := s.applied
+	if m.fault == actsAhead {
+		acts = len(w.log)
+	}
+	if m.fault == none && m.closed(w) {
+		// Nothing comes behind the log any more. What is granted from now on counts only for one that has all of it.
+	} else if s.ask == nil || s.ask.life != s.life || s.ask.acts != acts || s.ask.staged != s.told || s.ask.asked < w.clock() {
+		do(name+" asks", func(n *world) string {
+			t := &n.senders[i]
+			t.ask = &askMsg{t.life, t.holder.Ask(n.clock()), acts, t.told, false}
+			t.woke = n.now
+			return ""
+		})
+	}
+	if s.ask != nil && (!s.ask.heard || w.repeats < m.repeats) && !(m.fault == none && m.closed(w)) {
+		do("the leader hears "+name, func(n *world) string { return m.hear(n, &n.leader, i, true) })
+		if w.old != nil {
+			do("the old leader hears "+name, func(n *world) string { return m.hear(n, n.old, i, m.fault == oldLeadersWord) })
+		}
+	}
+	if g := s.grant; g != nil && g.life == s.life {
+		do(name+" is granted", func(n *world) string {
+			t := &n.senders[i]
+			asked := g.asked
+			if m.fault == countsFromAnswer {
+				asked = t.holder.Ask(n.clock())
+			}
+			t.holder.Granted(asked, g.need, modelTerms.Length, n.clock())
+			t.grant = nil // again it would say nothing: the question is answered
+			t.woke = n.now
+			return ""
+		})
+	}
+	if w.crashes < m.crashes {
+		for _, old := range []bool{false, true} {
+			what := " crashes and comes back"
+			if old {
+				if s.applied == 0 && s.staged == 0 {
+					continue // the same folder
+				}
+				what += " with an old folder"
+			}
+			do(name+what, func(n *world) string {
+				n.crashes++
+				t := &n.senders[i]
+				holder := lease.NewHolder(modelTerms)
+				if m.fault == leaseOutlivesLife {
+					holder = t.holder
+				}
+				if old {
+					t.applied, t.staged = 0, 0
+				}
+				*t = modelSender{life: t.life + 1, applied: t.applied, staged: t.staged, told: t.staged, holder: holder, woke: n.now, ask: t.ask, grant: t.grant}
+				return ""
+			})
+		}
+	}
+}
+
+// hear is a question that reaches one who leads, or believes so; confirmed is whether a majority says that it does.
+func (m *model) hear(n *world, l *leading, i int, confirmed bool) string {
+	s := &n.senders[i]
+	if s.ask.heard {
+		n.repeats++
+	}
+	ask := *s.ask
+	ask.heard = true
+	s.ask = &ask
+	who := lease.Who{Name: m.names[i], Life: s.ask.life}
+	l.granter.Asked(who, uint64(s.ask.acts))
+	if s.ask.staged > 0 {
+		l.coord.Told(who, s.ask.staged, "")
+	}
+	if !confirmed {
+		return ""
+	}
+	at := n.clock()
+	if m.fault == granterCountsAsAsks {
+		at = s.ask.asked - tick
+	}
+	if m.fault == floorOfLatestLease {
+		l.granter.Asked(who, uint64(l.applied))
+	}
+	s.grant = &grantMsg{s.ask.life, s.ask.asked, l.granter.Grant(who, uint64(l.applied), at)}
+	return ""
+}
+
+// explore walks all states breadth first and gives the first trace that breaks a promise.
+func (m *model) explore(most int) (states int, trace []string, why string) {
+	first := m.first()
+	type from struct {
+		parent [2]uint64
+		what   string
+	}
+	seen := map[[2]uint64]from{m.key(first): {}}
+	layer := []*world{first}
+	for len(layer) > 0 && len(seen) < most {
+		var below []*world
+		for _, w := range layer {
+			parent := m.key(w)
+			m.next(w, func(what string, n *world, broken string) {
+				if why != "" {
+					return
+				}
+				k := m.key(n)
+				if _, ok := seen[k]; ok && broken == "" {
+					return
+				}
+				seen[k] = from{parent, what}
+				if broken != "" {
+					why = broken
+					for f := (from{parent, what}); f.what != ""; f = seen[f.parent] {
+						trace = append(trace, f.what)
+					}
+					slices.Reverse(trace)
+					return
+				}
+				below = append(below, n)
+			})
+			if why != "" {
+				return len(seen), trace, why
+			}
+		}
+		layer = below
+	}
+	return len(seen), nil, ""
+}
+
+// walk visits all states, depth first, as that needs the least memory, and stops at most of them.
+func (m *model) walk(most int) (states int, trace []string, why string) {
+	seen := map[[2]uint64]struct{}{}
+	first := m.first()
+	seen[m.key(first)] = struct{}{}
+	var deeper func(w *world)
+	deeper = func(w *world) {
+		m.next(w, func(what string, n *world, broken string) {
+			if why != "" || len(seen) >= most {
+				return
+			}
+			k := m.key(n)
+			if _, ok := seen[k]; ok && broken == "" {
+				return
+			}
+			seen[k] = struct{}{}
+			trace = append(trace, what)
+			if why = broken; why == "" {
+				deeper(n)
+			}
+			if why == "" {
+				trace = trace[:len(trace)-1]
+			}
+		})
+	}
+	deeper(first)
+	return len(seen), trace, why
+}
+
+func (m *model) first() *world {
+	m.states = map[string]*Machine{}
+	m.names = [3]string{"a", "b", "c"}
+	w := &world{leader: leading{lease.NewGranter(modelTerms, -10*tick), &Coordinator{}, 0}}
+	for i := range m.senders {
+		w.senders[i] = modelSender{life: 1, holder: lease.NewHolder(modelTerms)}
+	}
+	return w
+}
+
+// No order of events breaks the promise: all states of small fleets to the bounds named. SAFFRONYARD_MODEL=large walks larger
+// ones, for some minutes (docs/design/agreed.md has their counts).
+func TestModelHolds(t *testing.T) {
+	small := map[string]*model{
+		"two senders":              {senders: 2, ticks: 3, changes: 1},
+		"two senders, a deadline":  {senders: 2, ticks: 2, changes: 1, wait: 1},
+		"two senders, new leaders": {senders: 2, ticks: 2, changes: 1, elects: 1},
+	}
+	large := map[string]*model{
+		"two senders, two changes":                   {senders: 2, ticks: 3, changes: 2},
+		"two senders, a crash, a repeat":             {senders: 2, ticks: 3, changes: 1, crashes: 1, repeats: 1},
+		"two senders, a crash, a new leader":         {senders: 2, ticks: 2, changes: 1, crashes: 1, elects: 1},
+		"two senders, two changes, a new leader":     {senders: 2, ticks: 2, changes: 2, elects: 1},
+		"two senders, two changes, some not in time": {senders: 2, ticks: 2, changes: 2, wait: 1},
+		"three senders":                              {senders: 3, ticks: 2, changes: 1},
+	}
+	most := 2_000_000
+	if os.Getenv("SAFFRONYARD_MODEL") == "large" {
+		small, most = large, 60_000_000
+	}
+	for name, m := range small {
+		t.Run(name, func(t *testing.T) {
+			if most < 10_000_000 {
+				t.Parallel()
+			}
+			states, trace, why := m.walk(most)
+			if why != "" {
+				t.Fatalf("%s, after\n  %s", why, strings.Join(trace, "\n  "))
+			}
+			if states >= most {
+				t.Errorf("more than %d states: they were not all seen", most)
+			}
+			t.Logf("%d states", states)
+		})
+	}
+}
+
+// Each wrong program is found, by a shortest trace.
+func TestModelFindsFaults(t *testing.T) {
+	for _, f := range []fault{countsFromAnswer, stagedNotSynced, noWaitForLapse, oldLeadersWord, noQuietTime, needIgnored, actsAhead, freezeSkipped,
+		frozenIgnored, leaseOutlivesLife, checkedAtTick, floorOfLatestLease, granterCountsAsAsks} {
+		t.Run(string(f), func(t *testing.T) {
+			t.Parallel()
+			m := &model{fault: f, senders: 2, ticks: 2, changes: 1}
+			switch f {
+			case oldLeadersWord, noQuietTime:
+				m.elects = 1
+			case leaseOutlivesLife, stagedNotSynced:
+				m.crashes = 1
+			}
+			states, trace, why := m.explore(3_000_000)
+			if why == "" {
+				t.Fatalf("not found in %d states", states)
+			}
+			t.Logf("%d states, %d steps: %s\n  %s", states, len(trace), why, strings.Join(trace, "\n  "))
+		})
+	}
+}
