--- a/cmd/rehearse/main.go
+++ b/cmd/rehearse/main.go
@@ -23,6 +23,7 @@
   rehearse up                           one sender and a few receivers, kept running to try things by hand
   rehearse compare [DAY.toml ...]       a day in plain, in each form of CloudEvents, and mixed: does it differ?
   rehearse teach [DAY.toml]             a day with a sender that joins, cold and taught by its peers, over several seeds
+  rehearse fleet                        changes of the fleet's policy while links, processes and folders fail, over many seeds
   rehearse selftest                     wrong senders, one for each rule: each must be found out
   rehearse cost [LISTED/BUSY/HELD ...]  what a message costs the sender's process, beside a plain proxy
   rehearse measure                      how much the kit itself can send, serve and judge on this machine
@@ -47,7 +48,7 @@
 		return judge.ExitScript
 	}
 	run, ok := map[string]func(context.Context, []string, io.Writer, io.Writer) (int, error){
-		"run": runDays, "list": listScripts, "judge": judgeLog, "report": reportLog, "up": up, "selftest": selftest, "measure": measure, "cost": costs, "compare": compare, "teach": teach,
+		"run": runDays, "list": listScripts, "judge": judgeLog, "report": reportLog, "up": up, "selftest": selftest, "measure": measure, "cost": costs, "compare": compare, "teach": teach, "fleet": fleetDays,
 		wrongCommand: wrongSender, proxyCommand: plainProxy,
 	}[args[0]]
 	if !ok {
--- a/cmd/saffronyard/ask.go
+++ b/cmd/saffronyard/ask.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"flag"
@@ -15,6 +16,7 @@
 	"text/tabwriter"
 	"time"
 
+	"dockshift.example/dockshift/internal/fleet"
 	"dockshift.example/dockshift/internal/sender"
 )
 
@@ -64,18 +66,26 @@
 
 // askSocket asks a sender that runs by its socket.
 func askSocket(method, socket, path string) ([]byte, error) {
+	return askSocketAs(method, socket, path, "", nil)
+}
+
+// askSocketAs does so in somebody's name, with a body.
+func askSocketAs(method, socket, path, by string, body []byte) ([]byte, error) {
 	client := http.Client{Timeout: askTimeout, Transport: &http.Transport{DisableKeepAlives: true,
 		DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
 			var d net.Dialer
 			return d.DialContext(ctx, "unix", socket)
 		}}}
-	req, err := http.NewRequest(method, "http://sender"+path, nil)
+	req, err := http.NewRequest(method, "http://sender"+path, bytes.NewReader(body))
 	if err != nil {
 		return nil, err
 	}
+	if by != "" {
+		req.Header.Set(fleet.ByHeader, by)
+	}
 	resp, err := client.Do(req)
 	if err != nil {
-		return nil, fmt.Errorf("no sender answers (it runs with [peers], [knowledge], [dns] or [work] in its file?): %w", err)
+		return nil, fmt.Errorf("no sender answers (it runs with [peers], [knowledge], [dns], [fleet] or [work] in its file?): %w", err)
 	}
 	defer resp.Body.Close()
 	raw, err := io.ReadAll(resp.Body)
--- a/cmd/saffronyard/main.go
+++ b/cmd/saffronyard/main.go
@@ -21,6 +21,7 @@
 
 	"dockshift.example/dockshift/internal/cloudevents"
 	"dockshift.example/dockshift/internal/features"
+	"dockshift.example/dockshift/internal/fleet"
 	"dockshift.example/dockshift/internal/nameserver"
 	"dockshift.example/dockshift/internal/peers"
 	"dockshift.example/dockshift/internal/sender"
@@ -46,6 +47,9 @@
 	if len(os.Args) > 1 && os.Args[1] == "zone" {
 		os.Exit(zoneCommand(os.Args[2:], os.Getenv, os.Stdin, os.Stdout, os.Stderr))
 	}
+	if len(os.Args) > 1 && (os.Args[1] == "fleet" || os.Args[1] == "policy") {
+		os.Exit(fleetCommand(os.Args[1:], os.Getenv, os.Stdout, os.Stderr))
+	}
 	if len(os.Args) > 1 && (os.Args[1] == "peers" || os.Args[1] == "knowledge") {
 		os.Exit(askCommand(os.Args[1], os.Args[2:], os.Getenv, os.Stdout, os.Stderr))
 	}
@@ -56,7 +60,7 @@
 		os.Exit(2)
 	}
 	if flags.NArg() > 0 {
-		log.Error("saffronyard takes no arguments but -features FILE, -log LEVEL, check FILE, undelivered COMMAND, zone COMMAND, work COMMAND, peers and knowledge", "argument", flags.Arg(0))
+		log.Error("saffronyard takes no arguments but -features FILE, -log LEVEL, check FILE, undelivered COMMAND, zone COMMAND, work COMMAND, fleet COMMAND, policy COMMAND, peers and knowledge", "argument", flags.Arg(0))
 		os.Exit(2)
 	}
 	if err := run(log, *file); err != nil {
@@ -208,6 +212,18 @@
 			c.Work = background.report
 			c.WorkDo = background.command
 		}
+		if f.Fleet != nil {
+			node, err := startFleet(f.Fleet, c, log)
+			if err != nil {
+				return err
+			}
+			defer func() {
+				if err := node.Close(); err != nil {
+					log.Error("fleet", "err", err)
+				}
+			}()
+			c.Fleet = node
+		}
 		if d := f.DNS; d != nil {
 			names, err := startNames(d, c, log)
 			if err != nil {
@@ -251,6 +267,29 @@
 	return s.Run(ctx, func() (net.Listener, error) { return net.Listen("tcp", c.Listen) })
 }
 
+// fleetSeams is what tests put in place of the machine's clock and disk; the program itself puts nothing there.
+var fleetSeams func(*fleet.Config)
+
+// startFleet lets this sender take part in what all senders agree on.
+func startFleet(f *features.Fleet, c *sender.Config, log *slog.Logger) (*fleet.Node, error) {
+	host, _, err := net.SplitHostPort(c.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("fleet: where clients connect: %w", err)
+	}
+	fc := f.Config(c.Name, host)
+	if fc.Folder == "" {
+		fc.Folder = filepath.Join(c.State, "fleet")
+	}
+	fc.Classes, fc.Tenants = c.Classes, c.Tenants
+	if err := fc.Check(); err != nil {
+		return nil, err
+	}
+	if fleetSeams != nil {
+		fleetSeams(&fc)
+	}
+	return fleet.Start(fc, log)
+}
+
 // startNames holds zones and follows members' names through them.
 func startNames(d *features.DNS, c *sender.Config, log *slog.Logger) (*nameserver.Service, error) {
 	nc, err := d.Config(filepath.Join(c.State, "zones"))
--- a/internal/agreed/core.go
+++ b/internal/agreed/core.go
@@ -126,7 +126,8 @@
 	state   *State
 	policy  *fleetpolicy.Machine
 	conf    *raftpb.ConfState
-	cut     uint64 // entries up to here are in no memory any more
+	hard    *raftpb.HardState // as of now; its commit may be ahead of the disk's
+	cut     uint64            // entries up to here are in no memory any more
 	tick    time.Duration
 	waiting map[[2]uint64]uint64 // who waits for a command, by session and sequence
 
@@ -183,6 +184,7 @@
 	if err != nil {
 		return nil, c.start, fmt.Errorf("raft: %w", err)
 	}
+	c.hard = hard
 	c.do(Save{Hard: hard}) // the vote that is spent stands on the disk before the first word
 	if applied > 0 {
 		raw, err := c.state.Snapshot()
@@ -353,6 +355,10 @@
 		c.do(Answer{e.To, ErrNotLeading})
 		return
 	}
+	if done, ok := c.state.Done(e.Command.Session, e.Command.Sequence); ok { // its answer was lost
+		c.do(Answer{e.To, &pb.SubmitReply{Index: done.Index, Result: done.Result, Refused: done.Refused}})
+		return
+	}
 	v := &pb.Voters{}
 	if err := proto.Unmarshal(e.Command.Body, v); err != nil {
 		c.do(Answer{e.To, err})
@@ -421,12 +427,13 @@
 		}
 		if !raft.IsEmptyHardState(rd.HardState) || len(rd.Entries) > 0 {
 			must(c.mem.Append(rd.Entries))
-			s := Save{Entries: rd.Entries}
 			if !raft.IsEmptyHardState(rd.HardState) {
 				must(c.mem.SetHardState(rd.HardState))
-				s.Hard = rd.HardState
+				c.hard = rd.HardState
+			}
+			if rd.MustSync { // that more is committed is no promise: it goes along with the next one that is
+				c.do(Save{Hard: c.hard, Entries: rd.Entries})
 			}
-			c.do(s)
 		}
 		for _, m := range rd.Messages {
 			c.do(Send{m})
@@ -486,7 +493,7 @@
 	c.conf = s.GetMetadata().GetConfState()
 	must(c.mem.ApplySnapshot(s))
 	c.cut = s.GetMetadata().GetIndex()
-	c.do(Save{Snapshot: s, Cut: c.cut, Whole: true})
+	c.do(Save{Hard: c.hard, Snapshot: s, Cut: c.cut, Whole: true})
 	c.do(Commit{Snapshot: s.Data})
 }
 
@@ -537,7 +544,7 @@
 	must(err)
 	c.cut = applied - snapshotKeep
 	must(c.mem.Compact(c.cut))
-	c.do(Save{Snapshot: snap, Cut: c.cut})
+	c.do(Save{Hard: c.hard, Snapshot: snap, Cut: c.cut})
 }
 
 func binaryID(n uint64) []byte {
--- a/internal/agreed/state.go
+++ b/internal/agreed/state.go
@@ -136,6 +136,16 @@
 	return done, nil
 }
 
+// Done is what became of a session's last command, if it is that one.
+func (s *State) Done(session, sequence uint64) (Done, bool) {
+	for _, o := range s.sessions {
+		if o.Id == session && o.Sequence == sequence {
+			return Done{Index: o.Index, Session: session, Sequence: sequence, Result: o.Result, Refused: o.Refused}, true
+		}
+	}
+	return Done{}, false
+}
+
 func (s *State) join(body []byte) (refused string, err error) {
 	j := &pb.Join{}
 	if err := proto.Unmarshal(body, j); err != nil {
--- a/internal/features/features.go
+++ b/internal/features/features.go
@@ -27,6 +27,7 @@
 	Peers       *Peers       `toml:"peers"`
 	DNS         *DNS         `toml:"dns"`
 	Work        *Work        `toml:"work"`
+	Fleet       *Fleet       `toml:"fleet"`
 }
 
 // Peers is how this sender takes part among the others of its deployment.
@@ -230,6 +231,11 @@
 			}
 		}
 	}
+	if f.Fleet != nil {
+		if err := f.Fleet.check(c); err != nil {
+			return nil, err
+		}
+	}
 	if f.DNS != nil {
 		if err := f.DNS.check(c); err != nil {
 			return nil, err
@@ -490,6 +496,9 @@
 			lines = append(lines, fmt.Sprintf("undelivered: rule %s: sent again %s, at %v of the receiver's pace, %d times at most, then %s", r.Name, when, r.Share, r.Most, r.Then))
 		}
 	}
+	if f.Fleet != nil {
+		lines = append(lines, f.Fleet.lines()...)
+	}
 	if f.Work != nil {
 		lines = append(lines, f.Work.lines()...)
 	}
--- a/internal/fleet/copy.go
+++ b/internal/fleet/copy.go
@@ -103,8 +103,11 @@
 }
 
 func (n *Node) changed() {
-	if n.c.Changed != nil {
-		n.c.Changed()
+	n.mu.Lock()
+	told := n.told
+	n.mu.Unlock()
+	if told != nil {
+		told()
 	}
 }
 
--- /dev/null
+++ b/internal/fleet/http.go
@@ -0,0 +1,93 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"dockshift.example/dockshift/internal/fleetpolicy"
+	pb "dockshift.example/dockshift/proto/saffronyard/fleet/v1"
+)
+
+const (
+	commandTime  = 4 * time.Second // for a command to be in the log
+	documentRoom = 2 << 20
+	// ByHeader names who gives a command, as the operating system says on the command's side.
+	ByHeader = "X-By"
+)
+
+// Register adds what the command line asks: GET /fleet, and POST /policy/propose, /policy/abort, /fleet/gone, /fleet/voters. Who
+// reaches the sender's socket may ask all of it.
+func (n *Node) Register(mux *http.ServeMux) {
+	mux.HandleFunc("GET /fleet", func(w http.ResponseWriter, _ *http.Request) { json.NewEncoder(w).Encode(n.Report()) })
+	post := func(path string, do func(ctx context.Context, r *http.Request, by string) (any, error)) {
+		mux.HandleFunc("POST "+path, func(w http.ResponseWriter, r *http.Request) {
+			ctx, cancel := context.WithTimeout(r.Context(), commandTime)
+			defer cancel()
+			by := r.Header.Get(ByHeader)
+			if by == "" {
+				by = "somebody at " + n.c.Name
+			}
+			v, err := do(ctx, r, by)
+			switch {
+			case errors.Is(err, ErrRefused):
+				http.Error(w, err.Error(), http.StatusConflict)
+			case errors.Is(err, context.DeadlineExceeded):
+				http.Error(w, err.Error(), http.StatusGatewayTimeout)
+			case err != nil:
+				http.Error(w, err.Error(), http.StatusBadRequest)
+			default:
+				json.NewEncoder(w).Encode(v)
+			}
+		})
+	}
+	post("/policy/propose", func(ctx context.Context, r *http.Request, by string) (any, error) {
+		q := r.URL.Query()
+		base, err := strconv.ParseUint(q.Get("base"), 10, 64)
+		if err != nil {
+			return nil, fmt.Errorf("base %q is no version", q.Get("base"))
+		}
+		back, _ := strconv.ParseUint(q.Get("back"), 10, 64)
+		wait, err := time.ParseDuration(q.Get("wait"))
+		if err != nil || wait <= 0 || wait > fleetpolicy.WaitMost {
+			return nil, fmt.Errorf("wait %q is no time up to %v", q.Get("wait"), fleetpolicy.WaitMost)
+		}
+		doc, err := io.ReadAll(io.LimitReader(r.Body, documentRoom))
+		if err != nil {
+			return nil, err
+		}
+		change, err := n.Propose(ctx, &pb.Propose{Base: base, Document: doc, By: by, Why: q.Get("why"), WaitUs: wait.Microseconds(), BackTo: back})
+		return map[string]uint64{"change": change}, err
+	})
+	post("/policy/abort", func(ctx context.Context, r *http.Request, by string) (any, error) {
+		change, err := strconv.ParseUint(r.URL.Query().Get("change"), 10, 64)
+		if err != nil {
+			return nil, fmt.Errorf("change %q is no number", r.URL.Query().Get("change"))
+		}
+		why := fmt.Sprintf("%s aborted it: %s", by, r.URL.Query().Get("why"))
+		return struct{}{}, n.Abort(ctx, change, why)
+	})
+	post("/fleet/gone", func(ctx context.Context, r *http.Request, by string) (any, error) {
+		q := r.URL.Query()
+		return struct{}{}, n.Leave(ctx, &pb.Leave{Name: q.Get("name"), By: by, Why: q.Get("why")})
+	})
+	post("/fleet/voters", func(ctx context.Context, r *http.Request, by string) (any, error) {
+		q := r.URL.Query()
+		v := &pb.Voters{Remove: q["remove"], By: by}
+		for i, name := range q["add"] {
+			if i >= len(q["address"]) {
+				return nil, fmt.Errorf("no address of %s", name)
+			}
+			if err := loopback(q["address"][i]); err != nil {
+				return nil, fmt.Errorf("address %q: %w", q["address"][i], err)
+			}
+			v.Add = append(v.Add, &pb.Voter{Name: name, Address: q["address"][i]})
+		}
+		return struct{}{}, n.ChangeVoters(ctx, v)
+	})
+}
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -43,9 +43,6 @@
 	// Seams: what tests put in place of the machine's.
 	Now  func() time.Duration
 	Disk Disk
-
-	// Changed is told, in a goroutine of the fleet's, that calls go by another view, or that they may or may not be begun at all.
-	Changed func()
 }
 
 // Voter is one that keeps the log.
@@ -104,8 +101,7 @@
 	waits   string // for which voters this one waits before it takes part
 	report  copyReport
 	current string // voter that is followed
-	session uint64
-	number  uint64
+	told    func() // that calls go by another view, or may or may not be begun at all
 }
 
 // Start lets a sender take part. It returns at once; nothing may be begun until a lease is there.
@@ -123,7 +119,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("fleet: %w", err)
 	}
-	n := &Node{c: c, log: log, life: draw(), session: draw(), gate: NewGate(c.Now), wires: newWires(), feed: newFeed(), lives: lives{by: map[string]uint64{}},
+	n := &Node{c: c, log: log, life: draw(), gate: NewGate(c.Now), wires: newWires(), feed: newFeed(), lives: lives{by: map[string]uint64{}},
 		replies: map[uint64]chan any{}, out: map[string]*outbox{}, addr: l.Addr().String()}
 	n.ctx, n.stop = context.WithCancel(context.Background())
 	n.group = &duty.Group{Log: log, Clock: c.Now, Stall: stallTime}
@@ -453,8 +449,18 @@
 	return b
 }
 
-// Gate is what calls pass.
-func (n *Node) Gate() *Gate { return n.gate }
+// Enter asks at the moment of writing whether a call may be begun.
+func (n *Node) Enter(c fleetpolicy.Call) (leave func(), why string) { return n.gate.Enter(c) }
+
+// View is what calls go by, and whether any is begun at all; nil while nothing is known.
+func (n *Node) View() (v *fleetpolicy.View, acts bool) { return n.gate.View() }
+
+// OnChange has f called, in a goroutine of the fleet's, when either is another.
+func (n *Node) OnChange(f func()) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.told = f
+}
 
 // Address is where others reach this sender.
 func (n *Node) Address() string { return n.addr }
--- a/internal/fleetpolicy/model_test.go
+++ b/internal/fleetpolicy/model_test.go
@@ -48,7 +48,7 @@
 // world is one state.
 type world struct {
 	now       int
-	log       []string // steps: p, f, c, a
+	log       string // steps: p, f, c, a
 	leader    leading
 	old       *leading // replaced, and unaware of it
 	elections int
@@ -97,19 +97,25 @@
 	crashes int
 	elects  int
 	repeats int
-	wait    int                 // ticks until a change that is not staged is aborted; 0: a minute
-	states  map[string]*Machine // by log
+	wait    int                    // ticks until a change that is not staged is aborted; 0: a minute
+	states  map[string]*modelState // by log
 	names   [3]string
 }
 
+// modelState is the state that a log makes, and what a sender goes by that has come so far.
+type modelState struct {
+	*Machine
+	view   *View
+	frozen bool // the call that all changes touch
+}
+
 // machine is the state that a log makes; made once for each.
-func (m *model) machine(log []string) *Machine {
-	key := strings.Join(log, "")
-	if got := m.states[key]; got != nil {
+func (m *model) machine(log string) *modelState {
+	if got := m.states[log]; got != nil {
 		return got
 	}
 	ma := NewMachine()
-	for i, step := range log {
+	for i, step := range strings.Split(log, "") {
 		index, c := uint64(i+1), &pb.Policy{}
 		o := ma.state.Open
 		switch step {
@@ -131,11 +137,13 @@
 			panic(err)
 		}
 		if _, refused, err := ma.Apply(index, body); err != nil || refused != "" {
-			panic(fmt.Sprint(key, i, refused, err))
+			panic(fmt.Sprint(log, i, refused, err))
 		}
 	}
-	m.states[key] = ma
-	return ma
+	st := &modelState{Machine: ma, view: ma.View(uint64(len(log)), nil, nil)}
+	st.frozen = st.view.Frozen.Call(Call{Destination: 7})
+	m.states[log] = st
+	return st
 }
 
 func (m *model) waitUS() int64 {
@@ -145,18 +153,9 @@
 	return (time.Duration(m.wait) * tick).Microseconds()
 }
 
+// clone is a copy that shares what it does not change: who changes a leader's or a holder's state copies that first.
 func (w *world) clone() *world {
 	c := *w
-	c.leader = w.leader.clone()
-	if w.old != nil {
-		o := w.old.clone()
-		c.old = &o
-	}
-	for i := range c.senders {
-		if h := c.senders[i].holder; h != nil {
-			c.senders[i].holder = h.Clone()
-		}
-	}
 	return &c
 }
 
@@ -171,9 +170,7 @@
 func (m *model) key(w *world) [2]uint64 {
 	now := w.clock()
 	b := append(make([]byte, 0, 256), byte(w.now), byte(w.elections), byte(w.crashes), byte(w.repeats), byte(w.acted))
-	for _, step := range w.log {
-		b = append(b, step...)
-	}
+	b = append(b, w.log...)
 	c := w.leader.coord
 	b = append(w.leader.granter.AppendState(append(b, ';'), now, ""), byte(w.leader.applied), byte(c.change), byte(c.sent.change), byte(c.sent.at/tick))
 	b = append(b, c.sent.step...)
@@ -234,11 +231,11 @@
 	if s.holder == nil || s.holder.Until(applied) <= now {
 		return 0, false
 	}
-	v := m.machine(w.log[:s.applied]).View(uint64(s.applied), nil, nil)
-	if v.Frozen.Call(Call{Destination: 7}) && m.fault != frozenIgnored {
+	st := m.machine(w.log[:s.applied])
+	if st.frozen && m.fault != frozenIgnored {
 		return 0, false
 	}
-	return v.Version, true
+	return st.view.Version, true
 }
 
 // broken says which promise a state breaks; "" for none.
@@ -274,9 +271,9 @@
 	if w.now < m.ticks {
 		do("a second goes by", func(n *world) string { n.now++; return "" })
 	}
-	if n := strings.Count(strings.Join(w.log, ""), "p"); n < m.changes && m.machine(w.log).State().Open == nil {
+	if n := strings.Count(w.log, "p"); n < m.changes && m.machine(w.log).State().Open == nil {
 		do(fmt.Sprintf("change %d is proposed", n+1), func(n *world) string {
-			n.log = append(slices.Clone(n.log), "p")
+			n.log += "p"
 			n.leader.applied = len(n.log)
 			return ""
 		})
@@ -294,7 +291,7 @@
 			return ""
 		})
 	}
-	do("the leader decides", func(n *world) string { return m.decide(n) })
+	do("the leader decides", func(n *world) string { n.leader = n.leader.clone(); return m.decide(n) })
 	for i := range m.senders {
 		m.sender(w, i, do)
 	}
@@ -322,10 +319,10 @@
 	default:
 		return "-"
 	}
-	n.log = append(slices.Clone(n.log), step)
+	n.log += step
 	l.applied = len(n.log)
 	if step == "f" && m.fault == freezeSkipped {
-		n.log = append(n.log, "c")
+		n.log += "c"
 		l.applied++
 	}
 	if step == "c" {
@@ -377,21 +374,27 @@
 	} else if s.ask == nil || s.ask.life != s.life || s.ask.acts != acts || s.ask.staged != s.told || s.ask.asked < w.clock() {
 		do(name+" asks", func(n *world) string {
 			t := &n.senders[i]
+			t.holder = t.holder.Clone()
 			t.ask = &askMsg{t.life, t.holder.Ask(n.clock()), acts, t.told, false}
 			t.woke = n.now
 			return ""
 		})
 	}
 	if s.ask != nil && (!s.ask.heard || w.repeats < m.repeats) && !(m.fault == none && m.closed(w)) {
-		do("the leader hears "+name, func(n *world) string { return m.hear(n, &n.leader, i, true) })
+		do("the leader hears "+name, func(n *world) string { n.leader = n.leader.clone(); return m.hear(n, &n.leader, i, true) })
 		if w.old != nil {
-			do("the old leader hears "+name, func(n *world) string { return m.hear(n, n.old, i, m.fault == oldLeadersWord) })
+			do("the old leader hears "+name, func(n *world) string {
+				old := n.old.clone()
+				n.old = &old
+				return m.hear(n, n.old, i, m.fault == oldLeadersWord)
+			})
 		}
 	}
 	if g := s.grant; g != nil && g.life == s.life {
 		do(name+" is granted", func(n *world) string {
 			t := &n.senders[i]
 			asked := g.asked
+			t.holder = t.holder.Clone()
 			if m.fault == countsFromAnswer {
 				asked = t.holder.Ask(n.clock())
 			}
@@ -526,7 +529,7 @@
 }
 
 func (m *model) first() *world {
-	m.states = map[string]*Machine{}
+	m.states = map[string]*modelState{}
 	m.names = [3]string{"a", "b", "c"}
 	w := &world{leader: leading{lease.NewGranter(modelTerms, -10*tick), &Coordinator{}, 0}}
 	for i := range m.senders {
--- a/internal/peers/node.go
+++ b/internal/peers/node.go
@@ -276,7 +276,7 @@
 		return
 	}
 	var told meta
-	if err := json.Unmarshal(m.Meta, &told); err != nil || loopback(told.Exchange) != nil {
+	if err := json.Unmarshal(m.Meta, &told); err != nil || Loopback(told.Exchange) != nil {
 		told.Exchange = "" // it is there, and tells nothing that can be followed
 	}
 	if told.Leaves {
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -48,7 +48,7 @@
 		return fmt.Errorf("peers: cluster %q is empty or over 128 bytes", c.Cluster)
 	}
 	for _, a := range [][2]string{{"listen", c.Listen}, {"exchange", c.Exchange}} {
-		if err := loopback(a[1]); err != nil {
+		if err := Loopback(a[1]); err != nil {
 			return fmt.Errorf("peers: %s = %q: %w", a[0], a[1], err)
 		}
 	}
@@ -73,7 +73,8 @@
 	return addr
 }
 
-func loopback(addr string) error {
+// Loopback says why an address is none that senders may talk at without TLS.
+func Loopback(addr string) error {
 	a, err := netip.ParseAddrPort(addr)
 	if err != nil {
 		return fmt.Errorf("host:port with a numeric address is wanted: %w", err)
--- a/internal/rehearsal/day/day.go
+++ b/internal/rehearsal/day/day.go
@@ -46,7 +46,8 @@
 	Folder  string    // for the senders' files; made anew
 	Log     io.Writer // of events, may be nil
 	Watch   func(eventlog.Event)
-	Open    bool // messages that nobody of the kit handed in are taken as they come
+	During  func(ctx context.Context, d *Day) // runs beside the day, if not nil; the day waits for its end
+	Open    bool                              // messages that nobody of the kit handed in are taken as they come
 }
 
 // Usage is what a day took of the machine.
@@ -91,7 +92,16 @@
 		d.act()
 		close(over)
 	}()
+	var beside sync.WaitGroup
+	if opt.During != nil {
+		beside.Add(1)
+		go func() {
+			defer beside.Done()
+			opt.During(ctx, d)
+		}()
+	}
 	d.clients.Run(ctx)
+	beside.Wait()
 	select {
 	case <-over:
 	case <-ctx.Done():
@@ -202,6 +212,27 @@
 	return d.log.Flush()
 }
 
+// Now is the day's time, as its log has it.
+func (d *Day) Now() time.Duration { return d.log.Now() }
+
+// Sender is one of the senders' machines.
+func (d *Day) Sender(i int) *fleet.Sender {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.senders[i]
+}
+
+// Heal lets all links be sound and all processes run, whatever the plan has done to them.
+func (d *Day) Heal() {
+	d.links.Heal()
+	d.mu.Lock()
+	senders := slices.Clone(d.senders)
+	d.mu.Unlock()
+	for _, s := range senders {
+		s.Resume()
+	}
+}
+
 // Places names what runs and where, a line each.
 func (d *Day) Places() []string {
 	var lines []string
--- a/internal/rehearsal/fleet/fleet.go
+++ b/internal/rehearsal/fleet/fleet.go
@@ -67,6 +67,9 @@
 	return nil
 }
 
+// State is the folder that outlasts its processes.
+func (s *Sender) State() string { return s.state() }
+
 func (s *Sender) state() string { return filepath.Join(s.folder, s.Name, "state") }
 
 // Log is the file with what the sender's processes wrote.
--- a/internal/sender/config.go
+++ b/internal/sender/config.go
@@ -65,6 +65,7 @@
 	Background bool                                  // work behind the messages asks of the sender: see Sender.Background
 	Work       func(filter work.Filter) (any, error) // what the command line is told of it, and what it wants done
 	WorkDo     func(work.Command) error
+	Fleet      Fleet      // what senders agree on; nil: nothing
 	Names      *Names     // names say where endpoints are, beside discovery; nil: discovery alone does
 	Knowledge  *Knowledge // what is known of receivers outlasts the process; nil: only their usual rates do
 }
--- a/internal/sender/endpoints.go
+++ b/internal/sender/endpoints.go
@@ -33,6 +33,7 @@
 	line   brain.Endpoint // as the Brain was last told
 	listed uint64         // the last list that named it
 
+	serves bool          // as the list says, whatever the fleet's policy makes of it
 	form   *form         // of calls there; written by the loop, under mu, and read by it without
 	gone   bool          // it wants no more, until the list says that it is not serving
 	asking chan struct{} // room for the one that asks whether calls are wanted
@@ -236,7 +237,7 @@
 		}
 		return end, false
 	}
-	m := use(tickets, time.Now())
+	m, written := use(tickets, time.Now())
 	if len(m) == 0 {
 		p.put(e, c)
 		end.Outcome = brain.NotSent
@@ -244,7 +245,9 @@
 	}
 	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
-	if _, err = c.Write(f.appendCall(make([]byte, 0, 512+len(m[0].Body)), m, c.addr, timeout)); err != nil {
+	_, err = c.Write(f.appendCall(make([]byte, 0, 512+len(m[0].Body)), m, c.addr, timeout))
+	written()
+	if err != nil {
 		c.Close()
 		return end, false
 	}
@@ -452,6 +455,7 @@
 	last     brain.EndpointID
 	lists    uint64              // how many have come
 	cells    map[uint32]struct{} // destinations that a list has ever named; no more than there are numbers
+	closed   func(uint32) bool   // what the fleet's policy closes, or holds up; nil where there is none
 }
 
 func newEndpoints() endpoints {
@@ -520,6 +524,26 @@
 	return brain.ListNews{Endpoints: []brain.Endpoint{e.line}}, changed
 }
 
+// shut reports whether the fleet has nothing sent to a destination.
+func (l *endpoints) shut(destination uint32) bool { return l.closed != nil && l.closed(destination) }
+
+// closings translates for the Brain what the fleet has closed and opened since: to it an endpoint drains, or is back.
+func (l *endpoints) closings() brain.ListNews {
+	var changed []*endpoint
+	for _, e := range l.byID {
+		if ready := e.serves && !e.gone && !l.shut(uint32(e.line.Destination)); ready != e.line.Ready {
+			e.line.Ready = ready
+			changed = append(changed, e)
+		}
+	}
+	slices.SortFunc(changed, func(x, y *endpoint) int { return cmp.Compare(x.number, y.number) })
+	var news brain.ListNews
+	for _, e := range changed {
+		news.Endpoints = append(news.Endpoints, e.line)
+	}
+	return news
+}
+
 // line books a line of the list and translates it for the Brain; changed is whether that has to hear of it.
 func (l *endpoints) line(t Target, c *Config, p *pool) (line brain.Endpoint, changed bool) {
 	e := l.byID[t.ID]
@@ -537,7 +561,8 @@
 	if t.State != "SERVING" {
 		e.gone = false
 	}
-	ready := t.State == "SERVING" && !e.gone
+	e.serves = t.State == "SERVING"
+	ready := e.serves && !e.gone && !l.shut(t.Cell)
 	e.mu.Lock()
 	e.form = p.forms.of(t.Cell, t.Kind)
 	if t.Addr != "" {
--- /dev/null
+++ b/internal/sender/fleetpart.go
@@ -0,0 +1,188 @@
+package sender
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"time"
+
+	"dockshift.example/dockshift/brain"
+	"dockshift.example/dockshift/internal/fleetpolicy"
+)
+
+// Fleet is what senders agree on, as far as it concerns messages and calls. Nothing of it waits.
+type Fleet interface {
+	// Enter asks at the moment of writing whether a call may be begun; leave is called when it is written.
+	Enter(fleetpolicy.Call) (leave func(), why string)
+	// View is what calls go by; acts is whether any is begun at all. It is nil while nothing is known.
+	View() (v *fleetpolicy.View, acts bool)
+	// OnChange has f called, from any goroutine, when either is another.
+	OnChange(f func())
+	// Register adds what the command line asks of it.
+	Register(*http.ServeMux)
+}
+
+// fleetPart is the fleet's policy as a participant: to the module what is closed drains, and what can't go is handed back.
+type fleetPart struct {
+	noPart
+	s *Sender
+}
+
+// fleetEvent is that the policy is another, or that this sender may begin calls, or may not any more.
+type fleetEvent struct{}
+
+func (fleetEvent) partEvent() {}
+
+func newFleetPart(s *Sender) *fleetPart {
+	news := make(chan struct{}, 1) // one word is enough, however often it changes
+	s.fleetNews = func() {
+		select {
+		case news <- struct{}{}:
+		default:
+		}
+	}
+	s.c.Fleet.OnChange(s.fleetNews)
+	s.fleetNews() // it may have changed before
+	ctx, stop := context.WithCancel(context.Background())
+	s.fleetStop = stop
+	go func() {
+		for {
+			select {
+			case <-news:
+				s.post(ctx, fleetEvent{})
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	return &fleetPart{s: s}
+}
+
+func (p *fleetPart) leaving() error {
+	p.s.fleetStop()
+	return nil
+}
+
+// take tells the module what is closed now, and hands back what can't go.
+func (p *fleetPart) take(e any, _ time.Duration) []brain.Event {
+	if _, ok := e.(fleetEvent); !ok {
+		return nil
+	}
+	s := p.s
+	var events []brain.Event
+	if news := s.list.closings(); len(news.Endpoints) > 0 {
+		events = append(events, news)
+	}
+	held := make([]*message, 0, len(s.messages))
+	for _, m := range s.messages {
+		held = append(held, m)
+	}
+	slices.SortFunc(held, func(a, b *message) int { return cmp.Compare(a.number, b.number) })
+	for _, m := range held {
+		if m.ended || len(m.calls) > 0 {
+			continue // what is out ends as it does, and is looked at again then by the module
+		}
+		why, suspended := s.standsAgainst(m.stored.record)
+		if why == "" {
+			continue
+		}
+		_, mayRun := m.firstRun()
+		switch {
+		case !mayRun:
+			s.close(m.number, handedBack, http.StatusServiceUnavailable, s.c.Settings.MaxHoldOff)
+		case suspended: // another attempt won't come, and whether it ran nobody knows
+			s.close(m.number, givenUp, http.StatusInternalServerError, 0)
+		default: // it waits for its destination, to its deadline
+			continue
+		}
+		events = append(events, brain.Withdrawn{Message: m.number})
+	}
+	return events
+}
+
+// callOf is what the policy judges of a message.
+func callOf(r record) fleetpolicy.Call {
+	return fleetpolicy.Call{Destination: r.Dest, Tenant: r.Tenant}
+}
+
+// standsAgainst says why a message can't go for longer than a change takes to take hold; "" if nothing stands against it.
+func (s *Sender) standsAgainst(r record) (why string, suspended bool) {
+	v, acts := s.c.Fleet.View()
+	if !acts {
+		return "this sender is cut off from the fleet", false
+	}
+	if ok, why := v.Policy.May(callOf(r)); !ok {
+		return why, v.Policy.Open(r.Dest)
+	}
+	return "", false
+}
+
+// shutByFleet reports whether nothing is sent to a destination just now.
+func (s *Sender) shutByFleet(destination uint32) bool {
+	v, acts := s.c.Fleet.View()
+	return !acts || !v.Policy.Open(destination) || v.Frozen.Destination(destination)
+}
+
+// byPolicy applies the policy to a message that is handed in: it may go to another destination, or be given up sooner. why is
+// why it is turned away; its client may come again, as it was not sent.
+func (s *Sender) byPolicy(r *record) (why string) {
+	if s.c.Fleet == nil {
+		return ""
+	}
+	v, acts := s.c.Fleet.View()
+	if !acts {
+		return "this sender is cut off from the fleet"
+	}
+	if to := v.Policy.Moved(r.Dest); to != r.Dest {
+		if _, known := s.list.cells[to]; !known {
+			return fmt.Sprintf("the fleet's policy has moved its destination to %d, which no list names", to)
+		}
+		r.Dest = to
+	}
+	if ok, why := v.Policy.May(callOf(*r)); !ok {
+		return why
+	}
+	if most := v.Policy.DeadlineMost(r.Class); most > 0 {
+		r.Deadline = min(r.Deadline, s.clock.now()+most)
+	}
+	return ""
+}
+
+// enter is what a call asks of the fleet before its first byte; nil where there is none.
+func (s *Sender) enter(m *message) func() (func(), bool) {
+	if s.c.Fleet == nil {
+		return nil
+	}
+	c := callOf(m.stored.record) // the loop may drop the message meanwhile
+	return func() (func(), bool) {
+		leave, why := s.c.Fleet.Enter(c)
+		return leave, why == ""
+	}
+}
+
+// HeldBy is how many messages of a tenant for a destination are held.
+type HeldBy struct {
+	Destination uint32 `json:"destination"`
+	Tenant      string `json:"tenant"`
+	Messages    int    `json:"messages"`
+}
+
+// heldBy counts what is held, as far as a policy tells messages apart.
+func (s *Sender) heldBy() []HeldBy {
+	counts := map[fleetpolicy.Call]int{}
+	for _, m := range s.messages {
+		if !m.ended {
+			counts[callOf(m.stored.record)]++
+		}
+	}
+	all := make([]HeldBy, 0, len(counts))
+	for c, n := range counts {
+		all = append(all, HeldBy{c.Destination, c.Tenant, n})
+	}
+	slices.SortFunc(all, func(a, b HeldBy) int {
+		return cmp.Or(cmp.Compare(a.Destination, b.Destination), cmp.Compare(a.Tenant, b.Tenant))
+	})
+	return all
+}
--- a/internal/sender/inspect.go
+++ b/internal/sender/inspect.go
@@ -97,6 +97,12 @@
 		}
 		http.Error(w, "no names are followed: the operators' file has no [dns]", http.StatusNotFound)
 	})
+	if s.c.Fleet != nil {
+		s.c.Fleet.Register(mux)
+		mux.HandleFunc("GET /held", i.handle(func(*http.Request) (func(*Sender, time.Duration) any, error) {
+			return func(s *Sender, _ time.Duration) any { return s.heldBy() }, nil
+		}))
+	}
 	mux.HandleFunc("GET /work", i.work)
 	mux.HandleFunc("POST /work", i.work)
 	i.server = &http.Server{Handler: mux, ReadHeaderTimeout: askTime}
--- a/internal/sender/loop.go
+++ b/internal/sender/loop.go
@@ -76,6 +76,11 @@
 	return slices.ContainsFunc(c, func(o outCall) bool { return o.attempt == attempt && o.recalled })
 }
 
+// against reports whether the fleet was against one as it was about to be written.
+func (c calls) against(attempt int) bool {
+	return slices.ContainsFunc(c, func(o outCall) bool { return o.attempt == attempt && o.permit.against.Load() })
+}
+
 // ended takes one out and lets go of what it holds.
 func (c *calls) ended(attempt int) {
 	c.cancel(attempt)
@@ -122,6 +127,8 @@
 	withdrawn []brain.Event // of messages that could not be written down, for the next step
 
 	grace, leaveAfter time.Duration
+	fleetStop         context.CancelFunc // ends the words of the fleet
+	fleetNews         func()             // has the fleet's policy looked at again; it never waits
 }
 
 // owedAnswer is an answer to a client that waits.
@@ -170,6 +177,9 @@
 	s.first, s.askFrom = j.list.atStart(c.Known, c.Discovery)
 	j.beginList(c.Discovery, s.first, s.askFrom)
 	s.sources = newSources(s)
+	if c.Fleet != nil {
+		s.list.closed = s.shutByFleet
+	}
 	s.records = newRecorder(c.Recorder, room)
 	if s.parts, err = s.takeParts(); err != nil {
 		return nil, err
@@ -445,6 +455,9 @@
 		}
 		return nil
 	}
+	if why := s.byPolicy(&sub.record); why != "" {
+		return refuse(why)
+	}
 	if most := s.c.Settings.MostHeld; most > 0 && s.held >= most {
 		return refuse("all room for messages is taken")
 	}
@@ -469,7 +482,10 @@
 	m := e.message
 	s.out--
 	e.Message, e.Attempt = m.number, e.attempt
-	e.Recalled = e.Outcome == brain.NotSent && m.calls.recalled(e.attempt)
+	e.Recalled = e.Outcome == brain.NotSent && (m.calls.recalled(e.attempt) || m.calls.against(e.attempt))
+	if m.calls.against(e.attempt) { // it would be sent again and again if the policy stands against it for good
+		s.fleetNews()
+	}
 	m.calls.ended(e.attempt)
 	s.traceEnd(m, e)
 	if e.Outcome == brain.TimedOut {
@@ -732,7 +748,7 @@
 	m.sends++
 	s.trace("call", m.ID, slog.Int("try", m.base+attempt), slog.Uint64("dest", uint64(m.Dest)), slog.String("endpoint", e.id), slog.Duration("timeout", a.Timeout))
 	call, cancel := context.WithTimeout(ctx, a.Timeout)
-	leave := &permit{until: time.Now().Add(s.repeatWithin(m, m.base+attempt, a.Timeout)), cancel: cancel}
+	leave := &permit{until: time.Now().Add(s.repeatWithin(m, m.base+attempt, a.Timeout)), cancel: cancel, enter: s.enter(m)}
 	m.calls = append(m.calls, outCall{attempt, leave})
 	s.out++
 	one := sending{m, attempt, call, a.Timeout, leave}
--- a/internal/sender/participant.go
+++ b/internal/sender/participant.go
@@ -76,10 +76,13 @@
 		}
 		parts = append(parts, p)
 	}
+	if s.c.Fleet != nil {
+		parts = append(parts, newFleetPart(s))
+	}
 	if s.c.Background {
 		parts = append(parts, &backgroundPart{s: s})
 	}
-	if s.c.Knowledge != nil || s.c.Peers != nil || s.c.Names != nil || s.c.Background {
+	if s.c.Knowledge != nil || s.c.Peers != nil || s.c.Names != nil || s.c.Background || s.c.Fleet != nil {
 		i, err := newInspection(s)
 		if err != nil { // without it the sender goes on, and the command line gets no answer
 			s.log.Error("what is known can't be asked for", "err", err)
--- a/internal/sender/permit.go
+++ b/internal/sender/permit.go
@@ -17,6 +17,11 @@
 	cancel context.CancelFunc // ends the call
 
 	recalled bool // by the module's word; the loop's
+
+	// enter is what the fleet says of the call at this very moment; nil where senders agree on nothing. leave is to be called
+	// when the message is written.
+	enter   func() (leave func(), ok bool)
+	against atomic.Bool // it said no
 }
 
 const (
@@ -25,13 +30,27 @@
 	takenBack        // it will not be
 )
 
-// use asks for the leave, at the moment of writing. Once it is given the message counts as written.
-func (p *permit) use(now time.Time) bool {
-	if now.Before(p.until) {
-		return p.state.CompareAndSwap(granted, used)
+// use asks for the leave, at the moment of writing. Once it is given the message counts as written, and written is to be
+// called when it is.
+func (p *permit) use(now time.Time) (written func(), ok bool) {
+	written = func() {}
+	if !now.Before(p.until) {
+		p.state.CompareAndSwap(granted, takenBack)
+		return nil, false
+	}
+	if p.enter != nil {
+		if written, ok = p.enter(); !ok {
+			if p.state.CompareAndSwap(granted, takenBack) {
+				p.against.Store(true)
+			}
+			return nil, false
+		}
 	}
-	p.state.CompareAndSwap(granted, takenBack)
-	return false
+	if !p.state.CompareAndSwap(granted, used) {
+		written()
+		return nil, false
+	}
+	return written, true
 }
 
 // takeBack takes the leave back and ends the call, which is never made then. It reports false, and changes nothing, if
@@ -53,15 +72,20 @@
 	*permit
 }
 
-// use asks for the leave of each ticket and gives the messages that may be written now.
-func use(tickets []ticket, now time.Time) []record {
-	may := make([]record, 0, len(tickets))
+// use asks for the leave of each ticket and gives the messages that may be written now; written is to be called when they are.
+func use(tickets []ticket, now time.Time) (may []record, written func()) {
+	may = make([]record, 0, len(tickets))
+	all := make([]func(), 0, len(tickets))
 	for _, t := range tickets {
-		if t.permit.use(now) {
-			may = append(may, t.record)
+		if w, ok := t.permit.use(now); ok {
+			may, all = append(may, t.record), append(all, w)
+		}
+	}
+	return may, func() {
+		for _, w := range all {
+			w()
 		}
 	}
-	return may
 }
 
 // unneeded reports whether no ticket's leave is left: there is nothing to connect for.
