--- /dev/null
+++ b/internal/fleetpolicy/document_test.go
@@ -0,0 +1,224 @@
+package fleetpolicy
+
+import (
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	pb "dockshift.example/dockshift/proto/saffronyard/fleet/v1"
+)
+
+func parse(t *testing.T, text string) *Policy {
+	t.Helper()
+	p, err := Parse("p.toml", []byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
+const closed7 = "[[route]]\ndestinations = [7]\nstate = \"closed\"\n"
+
+// What is wrong with a document is said with its name, and the line or the rule.
+func TestDocumentErrors(t *testing.T) {
+	for text, says := range map[string]string{
+		"x = 1":                 `p.toml:1: unknown key "x"`,
+		"cut_off = \"perhaps\"": `cut_off = "perhaps"; there are "hold" and "go-on"`,
+		"cut_off = \"go-on\"":   "go_on_for = 0s: it goes with",
+		"go_on_for = \"1m\"":    "go_on_for = 1m0s: it goes with",
+		"cut_off = \"go-on\"\ngo_on_for = \"25h\"":                           "is 24h0m0s at most",
+		"[[route]]\nstate = \"closed\"":                                      "route 1 names no destinations",
+		"[[route]]\ndestinations = [1]":                                      `route 1: state = ""`,
+		"[[route]]\ndestinations = [1]\nstate = \"moved\"":                   "to goes with state",
+		closed7 + "to = 8":                                                   "to goes with state",
+		closed7 + closed7:                                                    "route 2: destination 7 is named twice",
+		closed7 + "[[route]]\ndestinations = [6]\nstate = \"moved\"\nto = 7": "destination 7, to which it moves, has a route of its own",
+		"[[tenant]]\nname = \"a\"":                                           `tenant "a": state = ""`,
+		"[[tenant]]\nstate = \"suspended\"":                                  "tenant 1: name",
+		"[[tenant]]\nname = \"a\"\nstate = \"suspended\"\n[[tenant]]\nname = \"a\"\nstate = \"suspended\"": `tenant "a" is named twice`,
+		"[[class]]\nname = \"a\"":                           `class "a": deadline_most = 0s`,
+		"[[class]]\nname = \"a\"\ndeadline_most = \"soon\"": "p.toml:3:",
+		strings.Repeat("#", documentMost+1):                 "are the most",
+	} {
+		if _, err := Parse("p.toml", []byte(text)); err == nil || !strings.Contains(err.Error(), says) {
+			t.Errorf("%.60q: %v, want %q", text, err, says)
+		}
+	}
+}
+
+// What a policy says of calls, and which of them a switch touches.
+func TestCallsAndSwitches(t *testing.T) {
+	was := parse(t, "cut_off = \"go-on\"\ngo_on_for = \"1m\"\n[[route]]\ndestinations = [1, 2, 3, 7]\nstate = \"closed\"\n[[tenant]]\nname = \"acme\"\nstate = \"suspended\"\n[[class]]\nname = \"keyed\"\ndeadline_most = \"5s\"\n")
+	is := parse(t, "[[route]]\ndestinations = [2]\nstate = \"closed\"\n[[route]]\ndestinations = [7]\nstate = \"moved\"\nto = 9\n[[tenant]]\nname = \"other\"\nstate = \"suspended\"\n")
+	for _, c := range []struct {
+		call             Call
+		was, is, touched bool
+	}{
+		{Call{1, "a"}, false, true, true}, {Call{2, "a"}, false, false, false}, {Call{7, "a"}, false, false, true}, {Call{9, "a"}, true, true, false},
+		{Call{9, "acme"}, false, true, true}, {Call{9, "other"}, true, false, true},
+	} {
+		before, _ := was.May(c.call)
+		after, _ := is.May(c.call)
+		if touched := Touches(was, is).Call(c.call); before != c.was || after != c.is || touched != c.touched {
+			t.Errorf("%+v: before %v, after %v, touched %v", c.call, before, after, touched)
+		}
+	}
+	if is.Moved(7) != 9 || is.Moved(2) != 2 || was.GoesOn() != time.Minute || is.GoesOn() != 0 || was.DeadlineMost("keyed") != 5*time.Second || is.DeadlineMost("keyed") != 0 {
+		t.Error("what a policy says beside calls")
+	}
+	want := []string{"a sender that is cut off: goes on for 1m0s -> begins no call", "destination 1, 3: closed -> open", "destination 7: closed -> moved to 9",
+		`tenant "acme": suspended -> served`, `tenant "other": served -> suspended`, `class "keyed", deadline at most: 5s -> its own (messages that are handed in from then on)`}
+	if got := Diff(was, is); !slices.Equal(got, want) {
+		t.Errorf("%q", got)
+	}
+	if got := Diff(is, is); got != nil {
+		t.Errorf("from itself: %q", got)
+	}
+	total, by := Touches(was, is).Affects(map[Call]int{{1, "a"}: 2, {3, "a"}: 5, {9, "a"}: 9, {9, "acme"}: 1})
+	if total != 8 || !slices.Equal(by, []Count{{3, 5}, {1, 2}, {9, 1}}) {
+		t.Errorf("%d, %v", total, by)
+	}
+	if err := was.Fits([]string{"keyed"}, []string{"acme"}); err != nil {
+		t.Error(err)
+	}
+	if err := was.Fits([]string{"safe"}, []string{"acme"}); err == nil || !strings.Contains(err.Error(), `class "keyed" is not in this sender's settings, which have "safe"`) {
+		t.Errorf("%v", err)
+	}
+}
+
+// A document of 5,000 destinations is read, compared and asked without going through it.
+func TestLargeDocument(t *testing.T) {
+	var b strings.Builder
+	b.WriteString("[[route]]\nstate = \"closed\"\ndestinations = [")
+	for d := range 5000 {
+		if d > 0 {
+			b.WriteString(", ")
+		}
+		b.WriteString(strconv.Itoa(10_000 + d))
+	}
+	b.WriteString("]\n")
+	p := parse(t, b.String())
+	if len(p.routes) != 5000 || len(Diff(None(), p)) != 1 {
+		t.Errorf("%d routes, %d lines", len(p.routes), len(Diff(None(), p)))
+	}
+	if allocs := testing.AllocsPerRun(100, func() { p.May(Call{Destination: 3}) }); allocs > 0 {
+		t.Errorf("a call costs %v allocations", allocs)
+	}
+}
+
+func step(t *testing.T, m *Machine, index uint64, p *pb.Policy) string {
+	t.Helper()
+	raw, err := proto.Marshal(p)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, refused, err := m.Apply(index, raw)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return refused
+}
+
+// The rules of the change, a step each: what fits is done, what does not changes nothing and says why.
+func TestMachine(t *testing.T) {
+	propose := func(base uint64, doc string, wait int64) *pb.Policy {
+		return &pb.Policy{What: &pb.Policy_Propose{Propose: &pb.Propose{Base: base, Document: []byte(doc), By: "ann", WaitUs: wait}}}
+	}
+	freeze := func(c uint64) *pb.Policy { return &pb.Policy{What: &pb.Policy_Freeze{Freeze: &pb.Step{Change: c}}} }
+	commit := func(c uint64) *pb.Policy { return &pb.Policy{What: &pb.Policy_Commit{Commit: &pb.Step{Change: c}}} }
+	abort := func(c uint64) *pb.Policy {
+		return &pb.Policy{What: &pb.Policy_Abort{Abort: &pb.Step{Change: c, Why: "no"}}}
+	}
+	m := NewMachine()
+	for i, c := range []struct {
+		do      *pb.Policy
+		says    string
+		version uint64
+		frozen  bool // destination 7 is held up
+		open    bool // and calls for it are begun
+	}{
+		{freeze(1), "change 1 is over", 0, false, true},
+		{propose(1, "", 1e6), "made from version 1; version 0 is in force", 0, false, true},
+		{propose(0, "x = 1", 1e6), "unknown key", 0, false, true},
+		{propose(0, closed7, 0), "it waits 0s", 0, false, true},
+		{propose(0, closed7, 1e6), "", 0, false, true}, // change 5
+		{propose(0, "", 1e6), "change 5, proposed by ann, is under way", 0, false, true},
+		{commit(5), "change 5 is not frozen", 0, false, true},
+		{freeze(4), "change 4 is over; change 5 is under way", 0, false, true},
+		{freeze(5), "", 0, true, false},
+		{freeze(5), "frozen already", 0, true, false},
+		{commit(5), "", 1, false, false},
+		{abort(5), "change 5 is over", 1, false, false},
+		{propose(1, "# open", 1e6), "", 1, false, false}, // change 13
+		{freeze(13), "", 1, true, false},
+		{abort(13), "", 1, false, false},
+		{propose(1, "# open", 1e6), "", 1, false, false}, // change 16
+		{freeze(16), "", 1, true, false},
+		{commit(16), "", 2, false, true},
+	} {
+		index := uint64(i + 1)
+		if refused := step(t, m, index, c.do); (refused == "") != (c.says == "") || !strings.Contains(refused, c.says) {
+			t.Fatalf("step %d: %q, want %q", index, refused, c.says)
+		}
+		again := NewMachine()
+		snap, err := m.Snapshot()
+		if err == nil {
+			err = again.Restore(snap)
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		for name, m := range map[string]*Machine{"it": m, "its snapshot": again} {
+			v := m.View(index, nil, nil)
+			may, _ := v.May(Call{Destination: 7})
+			if v.Version != c.version || v.Frozen.Destination(7) != c.frozen || may != c.open {
+				t.Errorf("step %d: %s: version %d, frozen %v, open %v", index, name, v.Version, v.Frozen.Destination(7), may)
+			}
+			if other, _ := v.May(Call{Destination: 8}); !other {
+				t.Errorf("step %d: %s: a call that no change touches is held up", index, name)
+			}
+		}
+	}
+	if past := m.State().Past; len(past) != 3 || past[1].Ended != "no" || string(past[0].Document) != closed7 {
+		t.Errorf("%v", past)
+	}
+	if _, _, err := m.Apply(19, []byte{0xff}); err == nil {
+		t.Error("a command that can't be read is taken")
+	}
+	if _, _, err := m.Apply(19, nil); err == nil {
+		t.Error("a command of no sort is taken")
+	}
+}
+
+// What is remembered of changes is bounded, by number and by bytes; the version in force stays.
+func TestPastIsBounded(t *testing.T) {
+	m, index := NewMachine(), uint64(0)
+	doc := "# " + strings.Repeat("x", documentMost-100) + "\n"
+	for v := range uint64(pastMost + 20) {
+		text := doc
+		if v > 10 {
+			text = "# small\n"
+		}
+		index += 3
+		for i, p := range []*pb.Policy{{What: &pb.Policy_Propose{Propose: &pb.Propose{Base: v, Document: []byte(text), WaitUs: 1}}},
+			{What: &pb.Policy_Freeze{Freeze: &pb.Step{Change: index}}}, {What: &pb.Policy_Commit{Commit: &pb.Step{Change: index}}}} {
+			if refused := step(t, m, index+uint64(i), p); refused != "" {
+				t.Fatal(refused)
+			}
+		}
+		size := 0
+		for _, p := range m.State().Past {
+			size += len(p.Document)
+		}
+		if last := m.State().Past[len(m.State().Past)-1]; size > pastDocuments || len(last.Document) == 0 {
+			t.Fatalf("version %d: %d bytes are kept", v+1, size)
+		}
+	}
+	if n := len(m.State().Past); n != pastMost {
+		t.Errorf("%d changes are remembered", n)
+	}
+}
--- /dev/null
+++ b/internal/sender/fleetpart_test.go
@@ -0,0 +1,187 @@
+package sender
+
+import (
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"dockshift.example/dockshift/internal/fleetpolicy"
+	st "dockshift.example/dockshift/internal/sendertest"
+)
+
+// toldFleet is a fleet that says what a test has it say.
+type toldFleet struct {
+	mu     sync.Mutex
+	view   *fleetpolicy.View
+	acts   bool
+	change func()
+	asked  chan fleetpolicy.Call // calls that ask at their permit
+}
+
+func (f *toldFleet) Enter(c fleetpolicy.Call) (func(), string) {
+	v, acts := f.View()
+	select {
+	case f.asked <- c:
+	default:
+	}
+	if !acts {
+		return nil, "cut off"
+	}
+	if ok, why := v.May(c); !ok {
+		return nil, why
+	}
+	return func() {}, ""
+}
+
+func (f *toldFleet) View() (*fleetpolicy.View, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.view, f.acts
+}
+
+func (f *toldFleet) OnChange(change func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.change = change
+}
+
+func (f *toldFleet) Register(*http.ServeMux) {}
+
+// say is the fleet's word from now on.
+func (f *toldFleet) say(t *testing.T, acts bool, document string) {
+	t.Helper()
+	p, err := fleetpolicy.Parse("p.toml", []byte(document))
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.mu.Lock()
+	f.view, f.acts = &fleetpolicy.View{Policy: p}, acts
+	change := f.change
+	f.mu.Unlock()
+	if change != nil {
+		change()
+	}
+}
+
+const closes1 = "[[route]]\ndestinations = [1]\nstate = \"closed\"\n"
+
+// What is handed in, and what is held, under each word of the fleet: closed, moved, suspended, bounded, cut off.
+func TestFleetsWord(t *testing.T) {
+	t.Parallel()
+	zero, one := st.NewEndpoint(t, st.Status(200)), st.NewEndpoint(t, st.Status(200))
+	p := st.NewPlatform(t, zero.Addr, one.Addr)
+	f := &toldFleet{asked: make(chan fleetpolicy.Call, 100)}
+	f.say(t, true, "")
+	addr := run(t, p, func(c *Config) { c.Fleet = f })
+	refused := func(id string, dest int, says string) {
+		t.Helper()
+		resp, body := st.Do(t, st.Message(t, addr, id, "keyed", dest, 10*time.Second, "x"))
+		if resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get("Retry-After") == "" || !strings.Contains(body, says) {
+			t.Errorf("%s is answered %s %q", id, resp.Status, body)
+		}
+	}
+	st.HandIn(t, addr, "open", "keyed", 1, 10*time.Second)
+	if c := one.Next(t); c.ID != "open" {
+		t.Errorf("%+v", c)
+	}
+	if c := st.Receive(t, f.asked); c != (fleetpolicy.Call{Destination: 1, Tenant: "acme"}) {
+		t.Errorf("the permit asks for %+v", c)
+	}
+	f.say(t, true, closes1)
+	refused("closed", 1, "closed its destination")
+	f.say(t, true, "[[route]]\ndestinations = [1]\nstate = \"moved\"\nto = 0\n")
+	st.HandIn(t, addr, "moved", "keyed", 1, 10*time.Second)
+	if c := zero.Next(t); c.ID != "moved" {
+		t.Errorf("%+v", c)
+	}
+	f.say(t, true, "[[route]]\ndestinations = [1]\nstate = \"moved\"\nto = 77\n")
+	refused("astray", 1, "77, which no list names")
+	f.say(t, true, "[[tenant]]\nname = \"acme\"\nstate = \"suspended\"\n")
+	refused("suspended", 0, "suspended its tenant")
+	f.say(t, false, "")
+	refused("cut off", 0, "cut off from the fleet")
+	f.say(t, true, "")
+	until(t, func() bool {
+		resp, _ := st.Do(t, st.Message(t, addr, "back", "keyed", 1, 10*time.Second, "x"))
+		return resp.StatusCode == http.StatusAccepted
+	})
+	if c := one.Next(t); c.ID != "back" {
+		t.Errorf("%+v", c)
+	}
+}
+
+// What was told to wait has not run: whatever word stands against it, it is handed back at once.
+func TestHandedBackByWord(t *testing.T) {
+	t.Parallel()
+	for name, say := range map[string]func(f *toldFleet){
+		"closed":    func(f *toldFleet) { f.say(t, true, "[[route]]\ndestinations = [0]\nstate = \"closed\"\n") },
+		"moved":     func(f *toldFleet) { f.say(t, true, "[[route]]\ndestinations = [0]\nstate = \"moved\"\nto = 1\n") },
+		"suspended": func(f *toldFleet) { f.say(t, true, "[[tenant]]\nname = \"acme\"\nstate = \"suspended\"\n") },
+		"cut off":   func(f *toldFleet) { f.say(t, false, "") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			e := st.NewEndpoint(t, st.Status(429, "X-RateLimit-Wait-Ms: 14000"))
+			p := st.NewPlatform(t, e.Addr, e.Addr)
+			f := &toldFleet{asked: make(chan fleetpolicy.Call, 1000)}
+			f.say(t, true, "")
+			addr := run(t, p, func(c *Config) { c.Fleet = f })
+			st.HandIn(t, addr, "waits", "unsafe", 0, 15*time.Second)
+			e.Next(t)
+			say(f)
+			if n := st.Receive(t, p.Notices); n.Message != "waits" || n.Outcome != handedBack {
+				t.Errorf("%+v", n)
+			}
+		})
+	}
+}
+
+// What may have run before its destination is closed, or the sender is cut off, waits and is sent again once it may be; of a
+// suspended tenant it ends as given up.
+func TestHeldWhenWordChanges(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct {
+		acts     bool
+		document string
+		mayRun   string // the end of one that may have run; "": it waits
+	}{
+		"closed":    {true, "[[route]]\ndestinations = [0]\nstate = \"closed\"\n", ""},
+		"cut off":   {false, "", ""},
+		"suspended": {true, "[[tenant]]\nname = \"acme\"\nstate = \"suspended\"\n", givenUp},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var mu sync.Mutex
+			answer := st.Reset
+			e := st.NewEndpoint(t, func(call st.Call, conn net.Conn) bool {
+				mu.Lock()
+				a := answer
+				mu.Unlock()
+				return a(call, conn)
+			})
+			p := st.NewPlatform(t, e.Addr)
+			f := &toldFleet{asked: make(chan fleetpolicy.Call, 1000)}
+			f.say(t, true, "")
+			addr := run(t, p, func(c *Config) { c.Fleet = f })
+			st.HandIn(t, addr, "ran", "keyed", 0, 15*time.Second)
+			e.Next(t) // its outcome is a reset: it may have run
+			f.say(t, c.acts, c.document)
+			if c.mayRun != "" {
+				if n := st.Receive(t, p.Notices); n.Message != "ran" || n.Outcome != c.mayRun {
+					t.Errorf("%+v, want %s", n, c.mayRun)
+				}
+			}
+			mu.Lock()
+			answer = st.Status(200)
+			mu.Unlock()
+			f.say(t, true, "")
+			if c.mayRun == "" {
+				for call := e.Next(t); call.ID != "ran"; call = e.Next(t) {
+				}
+			}
+		})
+	}
+}
