A message whose call ends while a word against it comes is looked at again

Seen in a test: one that was told to wait while its destination was closed was passed over, as its call was still out, and ended as given up at its deadline in place of being handed back. A call that ends looks at the fleet's word now. Tests hand in by a client of their own: a test server that closes breaks what is under way on the default one.

--- a/internal/sender/fleetpart.go
+++ b/internal/sender/fleetpart.go
@@ -102,6 +102,17 @@
 	return events
 }
 
+// lookAgain has a message looked at whose call has ended while a word against it came: it was passed over then, and would be
+// sent again and again if the fleet was against it as it was about to be written.
+func (s *Sender) lookAgain(m *message, e callEnd) {
+	if s.c.Fleet == nil || m.ended || e.Outcome == brain.Served || e.Over {
+		return
+	}
+	if why, _ := s.standsAgainst(m.stored.record); why != "" {
+		s.fleetNews()
+	}
+}
+
 // callOf is what the policy judges of a message.
 func callOf(r record) fleetpolicy.Call {
 	return fleetpolicy.Call{Destination: r.Dest, Tenant: r.Tenant}
--- a/internal/sender/loop.go
+++ b/internal/sender/loop.go
@@ -483,9 +483,7 @@
 	s.out--
 	e.Message, e.Attempt = m.number, e.attempt
 	e.Recalled = e.Outcome == brain.NotSent && (m.calls.recalled(e.attempt) || m.calls.against(e.attempt))
-	if m.calls.against(e.attempt) { // it would be sent again and again if the policy stands against it for good
-		s.fleetNews()
-	}
+	s.lookAgain(m, e)
 	m.calls.ended(e.attempt)
 	s.traceEnd(m, e)
 	if e.Outcome == brain.TimedOut {
--- a/internal/sendertest/platform.go
+++ b/internal/sendertest/platform.go
@@ -295,10 +295,13 @@
 	return r
 }
 
+// client is not the default one: each httptest server that closes breaks what is under way on that.
+var client = &http.Client{Transport: &http.Transport{}}
+
 // Do hands a request in and returns the answer, its body read.
 func Do(t testing.TB, r *http.Request) (*http.Response, string) {
 	t.Helper()
-	resp, err := http.DefaultClient.Do(r)
+	resp, err := client.Do(r)
 	if err != nil {
 		t.Fatal(err)
 	}
