--- /dev/null
+++ b/internal/sender/ends.go
@@ -0,0 +1,132 @@
+package sender
+
+import (
+	"log/slog"
+	"time"
+
+	"dockshift.example/dockshift/brain"
+	"dockshift.example/dockshift/internal/identity"
+)
+
+func (s *Sender) callEnded(e callEnd) brain.Event {
+	m := e.message
+	s.out--
+	e.Message, e.Attempt = m.number, e.attempt
+	e.Recalled = e.Outcome == brain.NotSent && (m.calls.recalled(e.attempt) || m.calls.against(e.attempt))
+	s.lookAgain(m, e)
+	m.calls.ended(e.attempt)
+	s.traceEnd(m, e)
+	if e.Outcome == brain.TimedOut {
+		// Where a machine vanished or was cut off, the connections from before say nothing either, and are
+		// reset when it is back: each would cost a further call its time-out. Those used since may stay.
+		s.pool.closeIdle(s.list.byNumber[e.Endpoint], e.Elapsed)
+	}
+	if e.gone {
+		at := s.list.byNumber[e.Endpoint]
+		if news, changed := s.list.retire(at, s.pool); changed {
+			s.log.Info("an endpoint wants no more calls", "endpoint", at.id)
+			s.withdrawn = append(s.withdrawn, news) // with this call's end, or the next would go there
+		}
+	}
+	if !m.ended {
+		switch {
+		case e.Outcome == brain.Served:
+			s.ends.end(m, s.clock.now(), identity.Delivered, 0)
+			s.end(m, s.overAs(m, delivered))
+		case e.Over:
+			s.ends.end(m, s.clock.now(), identity.Failed, 0)
+			s.end(m, s.overAs(m, answered))
+		default:
+			never := e.Outcome == brain.Refused || e.Outcome == brain.ConnectFailed || e.Outcome == brain.NotSent
+			rec := record{Op: "end", Try: m.base + e.attempt, Never: never, Recalled: e.Recalled}
+			if s.records != nil {
+				rec.Out = string(outcomeOf(e.Outcome))
+			}
+			s.journal.note(m.stored, rec)
+		}
+	}
+	s.forget(m)
+	return e.AttemptEnd
+}
+
+// overAs is the end of a message that is not given up: of one that went again the recorder hears that, too.
+func (s *Sender) overAs(m *message, how string) record {
+	rec := record{How: how}
+	if m.Life > 0 && s.wants(m, how) {
+		rec.Keep, rec.At = true, s.clock.now()
+	}
+	return rec
+}
+
+// end writes down that a message is over. A client that still waits hears it from the caller.
+func (s *Sender) end(m *message, rec record) {
+	rec.Op = "over"
+	s.journal.note(m.stored, rec)
+	m.ended = true
+	s.held--
+}
+
+func (s *Sender) forget(m *message) {
+	if m.ended && len(m.calls) == 0 {
+		delete(s.messages, m.number)
+		if s.byID[m.ID] == m {
+			delete(s.byID, m.ID)
+		}
+	}
+}
+
+// close ends a message as the Brain has it: in the answer to its client, or where that has been told
+// that the message is taken on, by a notice; either way at once.
+func (s *Sender) close(id brain.MessageID, how string, status int, hold time.Duration) {
+	m := s.messages[id]
+	if m == nil || m.ended {
+		return
+	}
+	taken := m.answer == nil
+	s.trace(how, m.ID, slog.Int("tries", m.made()), slog.Duration("hold", hold))
+	switch {
+	case how == givenUp:
+		s.ends.end(m, s.clock.now(), identity.Failed, 0)
+	case taken:
+		s.ends.end(m, s.clock.now(), identity.HandedBack, hold)
+	default: // refused in its answer: it was never taken on
+		s.ends.dropped(m)
+	}
+	if !taken { // it hears once this is written down
+		for _, to := range append(m.also, m.answer) {
+			s.answers = append(s.answers, owedAnswer{to, answerLine{status: status, retry: hold, text: how}})
+		}
+		m.answer, m.also = nil, nil
+		rec := record{How: answered}
+		if how == givenUp && s.wants(m, answered) { // refused in its answer it was never taken on, and is its client's
+			rec.Keep, rec.At = true, s.clock.now()
+		}
+		s.end(m, rec)
+	} else {
+		rec := record{How: how, RetryMS: hold.Milliseconds(), Told: m.Life > 0} // of one that went again nobody waits to hear
+		if s.wants(m, how) {
+			rec.Keep, rec.At = true, s.clock.now()
+		}
+		s.end(m, rec)
+		if m.Life == 0 {
+			s.owed = append(s.owed, m.notice())
+		}
+	}
+	s.forget(m)
+}
+
+func (m *stored) notice() notice {
+	n := notice{Message: m.ID, Outcome: m.how}
+	if m.how == handedBack && m.retry > 0 {
+		n.RetryMS = &m.retry
+	}
+	return n
+}
+
+// tell passes on the notices owed, one batch at a time.
+func (s *Sender) tell() {
+	if !s.telling && len(s.owed) > 0 {
+		s.telling = true
+		s.notices <- s.owed[:min(len(s.owed), noticeMost)]
+	}
+}
--- /dev/null
+++ b/internal/sender/send.go
@@ -0,0 +1,57 @@
+package sender
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"dockshift.example/dockshift/brain"
+)
+
+// send starts one call. One that could not be written down is not made: after a kill nobody would know
+// that the message may have run.
+func (s *Sender) send(ctx context.Context, a brain.Send, written bool) {
+	m, e := s.messages[a.Message], s.list.byNumber[a.Endpoint]
+	if m == nil || e == nil {
+		s.log.Error("the module names what is not there", "message", a.Message, "endpoint", a.Endpoint)
+		return
+	}
+	attempt := m.sends
+	m.sends++
+	s.trace("call", m.ID, slog.Int("try", m.base+attempt), slog.Uint64("dest", uint64(m.Dest)), slog.String("endpoint", e.id), slog.Duration("timeout", a.Timeout))
+	call, cancel := context.WithTimeout(ctx, a.Timeout)
+	leave := &permit{until: time.Now().Add(s.repeatWithin(m, m.base+attempt, a.Timeout)), cancel: cancel, enter: s.enter(m)}
+	m.calls = append(m.calls, outCall{attempt, leave})
+	s.out++
+	one := sending{m, attempt, call, a.Timeout, leave}
+	if e.form.Form == formBatched {
+		s.gather(e, one)
+		return
+	}
+	began, rec := time.Now(), []ticket{{m.record, leave}} // a copy: the loop may drop the body meanwhile
+	go func() {
+		end, gone := brain.AttemptEnd{Endpoint: e.number, Outcome: brain.NotSent}, false
+		if written {
+			end, gone = s.pool.call(call, e, rec, a.Timeout)
+		}
+		end.Elapsed = time.Since(began)
+		s.post(ctx, callEnd{m, attempt, end, gone})
+	}()
+}
+
+// keyMargin is how long before its key is forgotten a repeat is written at the latest: it has to get there.
+const keyMargin = 50 * time.Millisecond
+
+// repeatWithin is how long the n-th attempt of a message may take to be written. The module judges a repeat as of
+// now; a connection may come up much later, when the key of an attempt that may have run is remembered no more.
+func (s *Sender) repeatWithin(m *message, n int, timeout time.Duration) time.Duration {
+	class := place(s.c.Classes, m.Class, -1)
+	if class < 0 || s.c.Settings.Classes[class].Effect != brain.Keyed {
+		return timeout
+	}
+	first, may := m.firstBefore(n)
+	if !may {
+		return timeout
+	}
+	return min(timeout, first.At+s.c.Settings.Classes[class].KeyWindow-keyMargin-s.clock.now())
+}
