All commands stand under one cobra tree; the log can be JSON

The older ones read their own flags as before, with the same texts and exit codes (shown beside each other over their words); fleet and policy take one dash or two. -log-format json writes an object a line.

--- /dev/null
+++ b/cmd/saffronyard/command_test.go
@@ -0,0 +1,61 @@
+package main
+
+import (
+	"bytes"
+	"io"
+	"os"
+	"strings"
+	"testing"
+)
+
+// The commands that were there before cobra say and exit as they did, whatever their words.
+func TestOlderCommands(t *testing.T) {
+	getenv := func(string) string { return "" }
+	for _, words := range [][]string{{"check"}, {"check", "-event"}, {"check", "/no/such/file"}, {"check", "../../deploy/saffronyard.toml"}, {"zone"}, {"zone", "burn"},
+		{"zone", "check", "/no/such/file"}, {"work", "list"}, {"work", "-h"}, {"undelivered", "list", "-state", "/no/such"}, {"peers", "-state", "/no/such"},
+		{"knowledge", "seven"}, {"knowledge", "-json", "-state", t.TempDir(), "7"}} {
+		var out, errs, o, e bytes.Buffer
+		got := command(words, getenv, strings.NewReader(""), &out, &errs)
+		want := -1
+		for _, older := range olders {
+			if older.use == words[0] {
+				want = older.run(words[1:], getenv, strings.NewReader(""), &o, &e)
+			}
+		}
+		if got != want || out.String() != o.String() || errs.String() != e.String() {
+			t.Errorf("%q: exit %d, %q %q; it was %d, %q %q", words, got, out.String(), errs.String(), want, o.String(), e.String())
+		}
+	}
+	if isCommand("burn") || isCommand("-features") || !isCommand("policy") {
+		t.Error("which words are commands")
+	}
+	var out bytes.Buffer
+	if code := command([]string{"help"}, getenv, nil, &out, io.Discard); code != 0 || !strings.Contains(out.String(), "undelivered") || !strings.Contains(out.String(), "policy") {
+		t.Errorf("exit %d, %s", code, out.String())
+	}
+}
+
+// The log is text, or an object a line; any other form is refused.
+func TestLogForms(t *testing.T) {
+	stderr := os.Stderr
+	defer func() { os.Stderr = stderr }()
+	for form, want := range map[string]string{"text": `msg=here n=7`, "json": `"msg":"here","n":7}`} {
+		r, w, err := os.Pipe()
+		if err != nil {
+			t.Fatal(err)
+		}
+		os.Stderr = w
+		log, err := logger(form, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		log.Info("here", "n", 7)
+		w.Close()
+		if raw, _ := io.ReadAll(r); !strings.Contains(string(raw), want) {
+			t.Errorf("%s: %s", form, raw)
+		}
+	}
+	if _, err := logger("xml", nil); err == nil {
+		t.Error("the log is written in XML")
+	}
+}
--- a/cmd/saffronyard/fleet.go
+++ b/cmd/saffronyard/fleet.go
@@ -28,31 +28,6 @@
 // errUsage marks what is wrong with the words of a command.
 type errUsage struct{ error }
 
-// fleetCommand is 'saffronyard fleet ...' and 'saffronyard policy ...'. 2 is for words that mean nothing, 1 for what failed or was
-// refused.
-func fleetCommand(args []string, getenv func(string) string, out, errs io.Writer) int {
-	root := &cobra.Command{Use: "saffronyard", SilenceUsage: true, SilenceErrors: true, CompletionOptions: cobra.CompletionOptions{DisableDefaultCmd: true}}
-	root.SetOut(out)
-	root.SetErr(errs)
-	root.SetArgs(args)
-	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return errUsage{err} })
-	at := &atSender{}
-	root.PersistentFlags().StringVar(&at.state, "state", getenv("EDGE_STATE"), "the sender's state `folder`; default $EDGE_STATE")
-	root.PersistentFlags().BoolVar(&at.json, "json", false, "JSON in place of text")
-	root.AddCommand(at.fleet(), at.policy())
-	err := root.Execute()
-	var usage errUsage
-	switch {
-	case err == nil:
-		return 0
-	case errors.As(err, &usage):
-		fmt.Fprintln(errs, err)
-		return 2
-	}
-	fmt.Fprintf(errs, "%s: %v\n", args[0], err)
-	return 1
-}
-
 // exactly wants so many arguments, and says which.
 func exactly(names ...string) cobra.PositionalArgs {
 	return func(c *cobra.Command, args []string) error {
--- a/cmd/saffronyard/fleet_test.go
+++ b/cmd/saffronyard/fleet_test.go
@@ -98,7 +98,7 @@
 	s := start(t, p, state, "-features", features)
 	run := func(args ...string) (code int, out, errs string) {
 		var o, e bytes.Buffer
-		code = fleetCommand(append(args, "--state", state), os.Getenv, &o, &e)
+		code = command(append(args, "-state", state), os.Getenv, nil, &o, &e)
 		return code, o.String(), e.String()
 	}
 	for end := time.Now().Add(st.Wait); ; time.Sleep(10 * time.Millisecond) {
--- a/cmd/saffronyard/main.go
+++ b/cmd/saffronyard/main.go
@@ -16,6 +16,7 @@
 	"path/filepath"
 	"runtime"
 	"runtime/debug"
+	"strings"
 	"syscall"
 	"time"
 
@@ -33,34 +34,24 @@
 const memoryPart = 0.6
 
 func main() {
-	var level slog.LevelVar
-	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: &level}))
-	if len(os.Args) > 1 && os.Args[1] == "check" {
-		os.Exit(check(os.Args[2:], os.Stdout, os.Stderr))
-	}
-	if len(os.Args) > 1 && os.Args[1] == "undelivered" {
-		os.Exit(undeliveredCommand(os.Args[2:], os.Getenv, os.Stdout, os.Stderr))
-	}
-	if len(os.Args) > 1 && os.Args[1] == "work" {
-		os.Exit(workCommand(os.Args[2:], os.Getenv, os.Stdout, os.Stderr))
-	}
-	if len(os.Args) > 1 && os.Args[1] == "zone" {
-		os.Exit(zoneCommand(os.Args[2:], os.Getenv, os.Stdin, os.Stdout, os.Stderr))
-	}
-	if len(os.Args) > 1 && (os.Args[1] == "fleet" || os.Args[1] == "policy") {
-		os.Exit(fleetCommand(os.Args[1:], os.Getenv, os.Stdout, os.Stderr))
-	}
-	if len(os.Args) > 1 && (os.Args[1] == "peers" || os.Args[1] == "knowledge") {
-		os.Exit(askCommand(os.Args[1], os.Args[2:], os.Getenv, os.Stdout, os.Stderr))
+	if len(os.Args) > 1 && isCommand(os.Args[1]) {
+		os.Exit(command(os.Args[1:], os.Getenv, os.Stdin, os.Stdout, os.Stderr))
 	}
+	var level slog.LevelVar
 	flags := flag.NewFlagSet("saffronyard", flag.ContinueOnError)
 	file := flags.String("features", "", "the operators' `file` of features; without it none is on")
+	form := flags.String("log-format", "text", "how the log is written: text, or json, an object a line")
 	flags.TextVar(&level, "log", &level, "the least `level` that is logged; debug has a line for each step of each message")
 	if err := flags.Parse(os.Args[1:]); err != nil {
 		os.Exit(2)
 	}
+	log, err := logger(*form, &level)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(2)
+	}
 	if flags.NArg() > 0 {
-		log.Error("saffronyard takes no arguments but -features FILE, -log LEVEL, check FILE, undelivered COMMAND, zone COMMAND, work COMMAND, fleet COMMAND, policy COMMAND, peers and knowledge", "argument", flags.Arg(0))
+		log.Error("saffronyard takes no arguments but -features FILE, -log LEVEL, -log-format FORMAT, and the commands: "+strings.Join(commandNames(), ", "), "argument", flags.Arg(0))
 		os.Exit(2)
 	}
 	if err := run(log, *file); err != nil {
@@ -69,6 +60,18 @@
 	}
 }
 
+// logger writes the log in a form.
+func logger(form string, level slog.Leveler) (*slog.Logger, error) {
+	o := &slog.HandlerOptions{Level: level}
+	switch form {
+	case "text":
+		return slog.New(slog.NewTextHandler(os.Stderr, o)), nil
+	case "json":
+		return slog.New(slog.NewJSONHandler(os.Stderr, o)), nil
+	}
+	return nil, fmt.Errorf("-log-format %q: there are text and json", form)
+}
+
 // check says what a file would turn on, or what is wrong with it; and for an event, in a file in the JSON format, which
 // rule fits and what it makes of it. 1 is for an event that would be turned away.
 func check(args []string, out, errs io.Writer) int {
