--- a/cmd/saffronyard/main.go
+++ b/cmd/saffronyard/main.go
@@ -20,6 +20,7 @@
 	"syscall"
 	"time"
 
+	"dockshift.example/dockshift/internal/calls"
 	"dockshift.example/dockshift/internal/cloudevents"
 	"dockshift.example/dockshift/internal/features"
 	"dockshift.example/dockshift/internal/fleet"
@@ -137,9 +138,9 @@
 		c.Knowledge = &sender.Knowledge{Every: k.Every.D(), Bytes: k.Bytes}
 	}
 	if d := f.Delivery; d != nil {
-		c.Delivery = &sender.Delivery{Source: d.Source, Type: d.Type}
+		c.Delivery = &calls.Delivery{Source: d.Source, Type: d.Type}
 		for _, t := range d.To {
-			c.Delivery.To = append(c.Delivery.To, sender.To(t))
+			c.Delivery.To = append(c.Delivery.To, calls.To(t))
 		}
 	}
 	if p := f.Peers; p != nil {
--- /dev/null
+++ b/internal/calls/answer.go
@@ -0,0 +1,188 @@
+package calls
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"dockshift.example/dockshift/brain"
+)
+
+// told adds the rate that an endpoint allows to a call's end, which has no figures of its own: the module decides
+// what it makes of that.
+func (e *Endpoint) told(f *form, end *brain.AttemptEnd) {
+	if !f.Validate || end.Reported {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.rate > 0 {
+		end.Reported, end.Left, end.Limit = true, 1, e.rate
+	}
+}
+
+const (
+	maxBody    = 64 << 10               // bytes of an answer that are read so that the connection serves again
+	maxLine    = 4 << 10                // bytes of a status line, and of what is read at once
+	maxAnswer  = 128 << 10              // bytes of an answer: head, interim answers and body
+	maxInterim = 16                     // interim answers ahead of one
+	restTime   = 200 * time.Millisecond // what follows an answer's first byte comes within this
+	maxWait    = time.Minute            // no endpoint is told to be left alone for longer
+	maxRate    = 1e6                    // calls a second that a destination may take
+)
+
+var (
+	errLongAnswer = errors.New("the answer is too long")
+	errSpoilt     = errors.New("the answer can't be read")
+)
+
+// answer reads the answer to a call and says how the call ended, and whether the connection is of further
+// use. A 200 in the first line is true whatever follows. Any other status holds only if the answer is sound
+// as a whole: a spoilt one, which comes from an endpoint that has run the call, may read as a refusal, and
+// says nothing but that the call may have run. Once it has begun, the rest gets restTime: a body that keeps
+// coming, or a head without end, must not hold the slot and the outcome until the time-out.
+func (p *Pool) answer(ctx context.Context, c *conn, f *form, end *brain.AttemptEnd) (reusable, gone bool, err error) {
+	c.Left = maxAnswer
+	for range maxInterim {
+		status, err := c.status(ctx)
+		if err != nil {
+			return false, false, err
+		}
+		served := f.delivers(status)
+		if served {
+			end.Outcome, end.Over = brain.Served, true
+		}
+		resp, err := http.ReadResponse(c.r, &http.Request{Method: http.MethodPost})
+		if err != nil || status == http.StatusSwitchingProtocols { // the latter nobody asked for
+			return false, false, spoilt(served)
+		}
+		if status < 200 {
+			continue
+		}
+		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxBody+1))
+		if err != nil || n > maxBody {
+			return false, false, spoilt(served)
+		}
+		p.read(resp, end)
+		// An endpoint with no room for a connection answers the first call on it so, and ends it; one that has looked
+		// at the call tells how it stands.
+		end.Crowded = c.since.IsZero() && resp.Close && end.Outcome == brain.Refused && end.Wait == 0 && !end.Reported
+		gone := f.read(resp, end, time.Now())
+		// What stands behind an answer would be read as the next one.
+		return !resp.Close && c.r.Buffered() == 0, gone, nil
+	}
+	return false, false, errSpoilt
+}
+
+// spoilt is what becomes of an answer that goes wrong behind its status line.
+func spoilt(served bool) error {
+	if served {
+		return nil
+	}
+	return errSpoilt
+}
+
+// status waits for an answer and looks at its first line, which is left to be read. From its first byte on
+// the rest of the answer has restTime. What can't become a status line is not waited for: behind noise the
+// connection may stay open and silent.
+func (c *conn) status(ctx context.Context) (int, error) {
+	deadline, _ := ctx.Deadline()
+	c.SetReadDeadline(deadline)
+	if err := ctx.Err(); err != nil {
+		return 0, err // its end may have set the deadline just before we did
+	}
+	if _, err := c.r.Peek(1); err != nil {
+		return 0, err
+	}
+	c.SetReadDeadline(time.Now().Add(restTime))
+	for {
+		line, _ := c.r.Peek(c.r.Buffered())
+		i := bytes.IndexByte(line, '\n')
+		if i >= 0 {
+			line = line[:i]
+		}
+		status, ok := parseStatus(line)
+		const begin = "HTTP/1."
+		n := min(len(line), len(begin))
+		switch {
+		case i >= 0 && ok:
+			return status, nil
+		case i >= 0 || len(line) >= maxLine || string(line[:n]) != begin[:n]:
+			return 0, errSpoilt
+		}
+		if _, err := c.r.Peek(len(line) + 1); err != nil {
+			var waited net.Error
+			switch {
+			case ok:
+				return status, nil // cut off behind the status
+			case errors.As(err, &waited) && waited.Timeout():
+				return 0, errSpoilt
+			}
+			return 0, err
+		}
+	}
+}
+
+// parseStatus reads the status of a first line. The parser proper takes 2000 and 0200 for 200.
+func parseStatus(line []byte) (int, bool) {
+	rest, ok := bytes.CutPrefix(line, []byte("HTTP/1."))
+	if !ok || len(rest) < 5 || rest[0] != '0' && rest[0] != '1' || rest[1] != ' ' {
+		return 0, false
+	}
+	code, more := rest[2:5], rest[5:]
+	if len(more) > 0 && more[0] != ' ' && more[0] != '\r' {
+		return 0, false
+	}
+	n, err := strconv.ParseUint(string(code), 10, 16)
+	return int(n), err == nil && n >= 100
+}
+
+// read translates an answer. Figures that no sound endpoint sends count as not told.
+func (p *Pool) read(resp *http.Response, end *brain.AttemptEnd) {
+	switch resp.StatusCode {
+	case http.StatusOK:
+		end.Outcome, end.Over = brain.Served, true
+	case http.StatusTooManyRequests:
+		end.Outcome = brain.Refused
+		if ms, err := strconv.ParseFloat(resp.Header.Get("X-RateLimit-Wait-Ms"), 64); err == nil && ms > 0 && ms <= float64(maxWait.Milliseconds()) {
+			end.Wait = time.Duration(ms * float64(time.Millisecond))
+		}
+	case http.StatusServiceUnavailable:
+		end.Outcome = brain.Refused
+		if resp.Header.Get("X-Over-Slots") == "1" {
+			end.Outcome = brain.NotSent
+		}
+	case http.StatusGatewayTimeout:
+		end.Outcome = brain.NotSent
+	case http.StatusGone:
+		end.Outcome, end.Over = brain.NotSent, true
+	default:
+		end.Outcome = brain.Errored
+	}
+	end.Left, end.Limit, end.Reported = p.load(resp.Header.Get("X-Load"))
+}
+
+// load reads a load report. One with a figure that can't be is no report: the others are as doubtful.
+func (p *Pool) load(text string) (left, limit float64, ok bool) {
+	report := map[string]float64{}
+	for _, part := range strings.Split(text, ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		if !slices.Contains(p.fields, name) {
+			continue
+		}
+		v, err := strconv.ParseFloat(value, 64)
+		if err != nil || !(v >= 0 && v <= maxRate) { // neither NaN nor infinite, too
+			return 0, 0, false
+		}
+		report[name] = v
+	}
+	left, ok = report["x0"]
+	return min(left, 1), report["x1"], ok
+}
--- a/internal/sender/delivery.go
+++ b/internal/calls/forms.go
@@ -1,4 +1,4 @@
-package sender
+package calls
 
 import (
 	"context"
@@ -37,10 +37,10 @@
 
 // The forms that messages go out in.
 const (
-	formPlain      = "plain"
-	formBinary     = "binary"
-	formStructured = "structured"
-	formBatched    = "batched"
+	Plain      = "plain"
+	Binary     = "binary"
+	Structured = "structured"
+	Batched    = "batched"
 )
 
 const hookPath = "/hook"
@@ -71,7 +71,7 @@
 		if path == "" {
 			path = hookPath
 		}
-		f.all = append(f.all, &form{To: to, path: path, plain: to.Form == formPlain, d: d})
+		f.all = append(f.all, &form{To: to, path: path, plain: to.Form == Plain, d: d})
 	}
 	return f
 }
@@ -102,7 +102,7 @@
 
 // event is a message as an event. What came in as one leaves as it came, with each attribute and extension; one that
 // came plain gets stated ones, the same on every attempt.
-func (f *form) event(m *record) *cloudevents.Event {
+func (f *form) event(m *Message) *cloudevents.Event {
 	if m.Event != nil {
 		e := *m.Event
 		e.Data = m.Body
@@ -123,14 +123,14 @@
 }
 
 // appendCall renders a call in the form that its endpoint has.
-func (f *form) appendCall(b []byte, ms []record, addr string, timeout time.Duration) []byte {
+func (f *form) appendCall(b []byte, ms []Message, addr string, timeout time.Duration) []byte {
 	m := &ms[0]
 	if f.plain && m.Event == nil {
 		return appendRequest(b, m, addr, timeout)
 	}
 	b = append(append(append(b, "POST "...), f.path...), " HTTP/1.1\r\nHost: "...)
 	b = append(append(b, addr...), "\r\nUser-Agent: saffronyard\r\n"...)
-	if f.Form != formBatched {
+	if f.Form != Batched {
 		b = append(append(append(b, "X-Request-Id: "...), m.ID...), "\r\n"...)
 		if m.Key != "" {
 			b = append(append(append(b, "Idempotency-Key: "...), m.Key...), "\r\n"...)
@@ -142,10 +142,10 @@
 	}
 	var body []byte
 	switch f.Form {
-	case formStructured:
+	case Structured:
 		b = append(append(append(b, "Content-Type: "...), cloudevents.ContentType(cloudevents.StructuredMode)...), "\r\n"...)
 		body = f.event(m).AppendJSON(make([]byte, 0, 512+len(m.Body)*4/3))
-	case formBatched:
+	case Batched:
 		b = append(append(append(b, "Content-Type: "...), cloudevents.ContentType(cloudevents.BatchedMode)...), "\r\n"...)
 		events := make([]*cloudevents.Event, len(ms))
 		for i := range ms {
@@ -217,7 +217,7 @@
 // allowed asks an endpoint, before its first call, whether it wants calls from our origin and how many (web hooks,
 // section 4). One call at a time asks; the others wait for what it hears. An error is that none may be made: nothing
 // of the message has been written.
-func (p *pool) allowed(ctx context.Context, e *endpoint, f *form, until time.Time) error {
+func (p *Pool) allowed(ctx context.Context, e *Endpoint, f *form, until time.Time) error {
 	if !f.Validate {
 		return nil
 	}
@@ -261,7 +261,7 @@
 	if _, err := c.Write(b); err != nil {
 		return fmt.Errorf("validation: %w", err)
 	}
-	c.left = maxAnswer
+	c.Left = maxAnswer
 	resp, err := http.ReadResponse(c.r, &http.Request{Method: http.MethodOptions})
 	if err != nil {
 		return fmt.Errorf("validation: %w", err)
--- /dev/null
+++ b/internal/calls/permit_test.go
@@ -0,0 +1,99 @@
+package calls
+
+import (
+	"context"
+	"syscall"
+	"testing"
+	"time"
+
+	"dockshift.example/dockshift/brain"
+	st "dockshift.example/dockshift/internal/sendertest"
+)
+
+// tickets is one message that may be written within a time.
+func tickets(m Message, within time.Duration) []Ticket {
+	return []Ticket{{m, &Permit{Until: time.Now().Add(within), Cancel: func() {}}}}
+}
+
+// A permit that is taken back while the connection comes up: nothing is written, and the connection serves the next
+// call.
+func TestPermitTakenBack(t *testing.T) {
+	t.Parallel()
+	e := st.NewEndpoint(t, st.Status(200))
+	p := NewPool(Config{ConnectTimeout: st.Wait})
+	p.most, p.keep = 10, st.Wait
+	at := &Endpoint{addr: e.Addr}
+	ctx, cancel := context.WithTimeout(context.Background(), st.Wait)
+	defer cancel()
+	late := tickets(Message{ID: "late"}, st.Wait)
+	p.Dialer.Control = func(string, string, syscall.RawConn) error {
+		if !late[0].TakeBack() {
+			t.Error("it was used before its connection stood")
+		}
+		return nil
+	}
+	if end, _ := p.Call(ctx, at, late, st.Wait); end.Outcome != brain.NotSent || p.idle.Load() != 1 {
+		t.Errorf("%+v, %d idle", end, p.idle.Load())
+	}
+	p.Dialer.Control = nil
+	fine := tickets(Message{ID: "fine"}, st.Wait)
+	if end, _ := p.Call(ctx, at, fine, st.Wait); end.Outcome != brain.Served {
+		t.Errorf("%+v", end)
+	}
+	if fine[0].TakeBack() {
+		t.Error("a leave that was used was taken back")
+	}
+	if c := e.Next(t); c.ID != "fine" || c.Conn != 1 || len(e.Calls) > 0 {
+		t.Errorf("the endpoint got %s on connection %d", c.ID, c.Conn)
+	}
+}
+
+// Of a call with several messages those are written whose leave is left.
+func TestPermitsOfABatch(t *testing.T) {
+	t.Parallel()
+	e := st.NewEndpoint(t, st.Status(200))
+	p := testPool()
+	at := &Endpoint{addr: e.Addr, form: formOf(Batched)}
+	all := append(tickets(Message{ID: "one"}, st.Wait), tickets(Message{ID: "two"}, st.Wait)...)
+	all = append(all, tickets(Message{ID: "three"}, -time.Second)...)
+	all[0].TakeBack()
+	ctx, cancel := context.WithTimeout(context.Background(), st.Wait)
+	defer cancel()
+	if end, _ := p.Call(ctx, at, all, st.Wait); end.Outcome != brain.Served {
+		t.Errorf("%+v", end)
+	}
+	c := e.Next(t)
+	if ids := st.BatchIDs(t, c); len(ids) != 1 || ids[0] != "two" || !all[2].Gone() {
+		t.Errorf("%v went out", ids)
+	}
+}
+
+// What is not written in its time is not sent, and a connection that came up too late is kept for the next call.
+func TestCallWithin(t *testing.T) {
+	t.Parallel()
+	e := st.NewEndpoint(t, st.Status(200))
+	p := NewPool(Config{ConnectTimeout: st.Wait})
+	p.most, p.keep = 10, st.Wait
+	at := &Endpoint{addr: e.Addr}
+	call := func(within time.Duration) brain.AttemptEnd {
+		ctx, cancel := context.WithTimeout(context.Background(), st.Wait)
+		defer cancel()
+		end, _ := p.Call(ctx, at, tickets(Message{ID: "id"}, within), st.Wait)
+		return end
+	}
+	if end := call(0); end.Outcome != brain.NotSent {
+		t.Errorf("with no time at all: %+v", end)
+	}
+	if end := call(st.Wait); end.Outcome != brain.Served {
+		t.Errorf("with time: %+v", end)
+	}
+	if end := call(-time.Second); end.Outcome != brain.NotSent || p.idle.Load() != 1 {
+		t.Errorf("with its time over: %+v, %d idle", end, p.idle.Load())
+	}
+	if end := call(st.Wait); end.Outcome != brain.Served {
+		t.Errorf("on the connection that was kept: %+v", end)
+	}
+	if len(e.Calls) != 2 || e.Next(t).Conn != 1 || e.Next(t).Conn != 1 {
+		t.Error("the calls did not go on one connection")
+	}
+}
--- a/internal/sender/endpoints_test.go
+++ b/internal/calls/pool_test.go
@@ -1,10 +1,8 @@
-package sender
+package calls
 
 import (
 	"context"
-	"fmt"
 	"io"
-	"log/slog"
 	"net"
 	"strings"
 	"syscall"
@@ -12,18 +10,18 @@
 	"time"
 
 	"dockshift.example/dockshift/brain"
+	"dockshift.example/dockshift/internal/membership"
 	st "dockshift.example/dockshift/internal/sendertest"
 )
 
-func testPool() *pool {
-	return newPool(&Config{ConnectTimeout: time.Second, Limits: Limits{Sockets: 64}, Fields: []string{"x0", "x1"},
-		Settings: brain.Settings{IdleConnections: 15 * time.Second}})
+func testPool() *Pool {
+	return NewPool(Config{ConnectTimeout: time.Second, Most: 20, Fields: []string{"x0", "x1"}, Idle: 15 * time.Second})
 }
 
-func callOnce(p *pool, e *endpoint, timeout time.Duration, body string) brain.AttemptEnd {
+func callOnce(p *Pool, e *Endpoint, timeout time.Duration, body string) brain.AttemptEnd {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	end, _ := p.call(ctx, e, tickets(record{ID: "id", Key: "key", Body: []byte(body)}, timeout), timeout)
+	end, _ := p.Call(ctx, e, tickets(Message{ID: "id", Key: "key", Body: []byte(body)}, timeout), timeout)
 	return end
 }
 
@@ -62,7 +60,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			e := st.NewEndpoint(t, c.answer)
-			got := callOnce(testPool(), &endpoint{addr: e.Addr}, st.Wait, "body")
+			got := callOnce(testPool(), &Endpoint{addr: e.Addr}, st.Wait, "body")
 			if got != c.want {
 				t.Errorf("got %+v, want %+v", got, c.want)
 			}
@@ -84,7 +82,7 @@
 		}
 		return st.Status(503, "Connection: close")(c, nc)
 	})
-	p, at := testPool(), &endpoint{addr: e.Addr}
+	p, at := testPool(), &Endpoint{addr: e.Addr}
 	for _, want := range []brain.AttemptEnd{{Outcome: brain.Served, Over: true}, {Outcome: brain.Refused}, {Outcome: brain.Refused, Crowded: true}} {
 		if got := callOnce(p, at, st.Wait, "body"); got != want {
 			t.Fatalf("got %+v, want %+v", got, want)
@@ -150,7 +148,7 @@
 				}
 				return st.Silent(call, nc)
 			})
-			p, at := testPool(), &endpoint{addr: e.Addr}
+			p, at := testPool(), &Endpoint{addr: e.Addr}
 			began := time.Now()
 			if got := callOnce(p, at, st.Wait, "x"); got != c.want {
 				t.Errorf("got %+v, want %+v", got, c.want)
@@ -199,7 +197,7 @@
 			code = 429
 		}
 		e := st.NewEndpoint(t, st.Status(code, line))
-		if got := callOnce(testPool(), &endpoint{addr: e.Addr}, st.Wait, ""); got != want {
+		if got := callOnce(testPool(), &Endpoint{addr: e.Addr}, st.Wait, ""); got != want {
 			t.Errorf("%s: got %+v, want %+v", line, got, want)
 		}
 	}
@@ -217,7 +215,7 @@
 			}
 			return st.Reset(c, nc)
 		})
-		p, at := testPool(), &endpoint{addr: e.Addr}
+		p, at := testPool(), &Endpoint{addr: e.Addr}
 		if got := callOnce(p, at, st.Wait, body); got.Outcome != brain.Served {
 			t.Fatalf("first call: %+v", got)
 		}
@@ -251,7 +249,7 @@
 		c.Close()
 	}()
 	// Far more than the sockets' buffers hold, so that the write is under way when the reset comes.
-	got := callOnce(testPool(), &endpoint{addr: l.Addr().String()}, st.Wait, strings.Repeat("x", 64<<20))
+	got := callOnce(testPool(), &Endpoint{addr: l.Addr().String()}, st.Wait, strings.Repeat("x", 64<<20))
 	if got.Outcome != brain.ConnectFailed {
 		t.Errorf("got %+v", got)
 	}
@@ -263,23 +261,11 @@
 	for err, want := range map[error]brain.Outcome{syscall.EMFILE: brain.NotSent, syscall.ENFILE: brain.NotSent,
 		syscall.ENOBUFS: brain.NotSent, syscall.ECONNREFUSED: brain.ConnectFailed} {
 		p := testPool()
-		p.dialer.Control = func(string, string, syscall.RawConn) error { return err }
-		if got := callOnce(p, &endpoint{addr: "127.0.0.1:9"}, st.Wait, ""); got.Outcome != want {
+		p.Dialer.Control = func(string, string, syscall.RawConn) error { return err }
+		if got := callOnce(p, &Endpoint{addr: "127.0.0.1:9"}, st.Wait, ""); got.Outcome != want {
 			t.Errorf("%v: %+v", err, got)
 		}
 	}
-	for sockets, want := range map[int]int{1024: 100, 256: 100, 128: 48, 16: 6} {
-		c, err := ParseConfig([]byte(fmt.Sprintf(`{"limits":{"sockets":%d},"settings":{"familyInfo":{"callsOut":100}}}`, sockets)))
-		if err != nil {
-			t.Fatal(err)
-		}
-		if got := c.Settings.Slots; got != want {
-			t.Errorf("%d descriptors: %d slots, want %d", sockets, got, want)
-		}
-		if all := newServer(c, newClock(), slog.Default(), nil).most + int(newPool(c).most) + c.Settings.Slots; all >= sockets {
-			t.Errorf("%d descriptors: %d given out, none left for files", sockets, all)
-		}
-	}
 }
 
 func TestNobodyListens(t *testing.T) {
@@ -288,7 +274,7 @@
 		t.Fatal(err)
 	}
 	l.Close()
-	if got := callOnce(testPool(), &endpoint{addr: l.Addr().String()}, st.Wait, ""); got.Outcome != brain.ConnectFailed {
+	if got := callOnce(testPool(), &Endpoint{addr: l.Addr().String()}, st.Wait, ""); got.Outcome != brain.ConnectFailed {
 		t.Errorf("got %+v", got)
 	}
 }
@@ -301,7 +287,7 @@
 		closed <- struct{}{}
 		return false
 	})
-	p, at := testPool(), &endpoint{addr: e.Addr}
+	p, at := testPool(), &Endpoint{addr: e.Addr}
 	if got := callOnce(p, at, 30*time.Millisecond, ""); got.Outcome != brain.TimedOut {
 		t.Errorf("time-out: %+v", got)
 	}
@@ -309,7 +295,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan brain.AttemptEnd, 1)
 	go func() {
-		end, _ := p.call(ctx, at, tickets(record{ID: "id"}, st.Wait), st.Wait)
+		end, _ := p.Call(ctx, at, tickets(Message{ID: "id"}, st.Wait), st.Wait)
 		ended <- end
 	}()
 	e.Next(t)
@@ -331,14 +317,14 @@
 		close(closed)
 		return c.Conn != 1
 	})
-	p, at := testPool(), &endpoint{addr: e.Addr}
+	p, at := testPool(), &Endpoint{addr: e.Addr}
 	if got := callOnce(p, at, st.Wait, ""); got.Outcome != brain.Served {
 		t.Fatalf("first call: %+v", got)
 	}
 	st.Receive(t, closed)
 	for end := time.Now().Add(st.Wait); ; time.Sleep(time.Millisecond) { // until the close has come here
 		at.mu.Lock()
-		gone := len(at.idle) == 0 || !quiet(at.idle[0].Conn)
+		gone := len(at.idle) == 0 || !Quiet(at.idle[0].Conn)
 		at.mu.Unlock()
 		if gone {
 			break
@@ -355,7 +341,7 @@
 
 func TestConnectionsAreKeptAndClosed(t *testing.T) {
 	e := st.NewEndpoint(t, st.Status(200))
-	p, at := testPool(), &endpoint{addr: e.Addr}
+	p, at := testPool(), &Endpoint{addr: e.Addr}
 	on := func() int {
 		t.Helper()
 		if got := callOnce(p, at, st.Wait, "x"); got.Outcome != brain.Served {
@@ -366,11 +352,11 @@
 	if a, b := on(), on(); a != 1 || b != 1 {
 		t.Errorf("connections %d and %d", a, b)
 	}
-	p.closeIdle(at, time.Hour)
+	p.CloseIdle(at, time.Hour)
 	if n := on(); n != 1 {
 		t.Errorf("a young idle connection was closed")
 	}
-	p.closeIdle(at, 0)
+	p.CloseIdle(at, 0)
 	if n := on(); n != 2 {
 		t.Errorf("connection %d after the idle ones were closed", n)
 	}
@@ -379,7 +365,7 @@
 		t.Errorf("connection %d after the idle one was too old", n)
 	}
 	p.most = 0
-	p.closeIdle(at, 0)
+	p.CloseIdle(at, 0)
 	if on(); len(at.idle) != 0 || p.idle.Load() != 0 {
 		t.Errorf("%d idle connections where none may be kept, counted %d", len(at.idle), p.idle.Load())
 	}
@@ -389,10 +375,10 @@
 // nothing is kept, its connections are closed at once, also those that were in use then, and what comes in
 // its place starts with none.
 func TestEndpointsThatGo(t *testing.T) {
-	for name, gone := range map[string]Targets{
-		"deleted":                   {Servers: []Target{{ID: "old", State: "DELETED"}}},
+	for name, gone := range map[string]membership.Update{
+		"deleted":                   {Servers: []membership.Target{{ID: "old", State: "DELETED"}}},
 		"not in the whole list":     {Full: true},
-		"deleted in the whole list": {Full: true, Servers: []Target{{ID: "old", State: "DELETED"}}},
+		"deleted in the whole list": {Full: true, Servers: []membership.Target{{ID: "old", State: "DELETED"}}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			hold, closed := make(chan struct{}), make(chan int, 2)
@@ -407,10 +393,10 @@
 				}
 				return c.Conn > 2
 			})
-			c, p, list := &Config{}, testPool(), newEndpoints()
-			news := func(t Targets) { list.news(t, t.Full, c, p) }
-			news(Targets{Full: true, Servers: []Target{{ID: "old", Addr: e.Addr, State: "SERVING"}}})
-			old := list.byID["old"]
+			c, p, list := Names{}, testPool(), NewList()
+			news := func(t membership.Update) { list.News(t, t.Full, c, p) }
+			news(membership.Update{Full: true, Servers: []membership.Target{{ID: "old", Addr: e.Addr, State: "SERVING"}}})
+			old := list.ByID["old"]
 			if got := callOnce(p, old, st.Wait, "x"); got.Outcome != brain.Served || len(old.idle) != 1 {
 				t.Fatalf("%+v, %d idle", got, len(old.idle))
 			}
@@ -431,11 +417,11 @@
 				t.Errorf("the call that was out: %+v", got)
 			}
 			st.Receive(t, closed)
-			if len(list.byID)+len(list.byNumber) > 0 || p.idle.Load() != 0 {
-				t.Errorf("%d endpoints, %d idle connections", len(list.byID), p.idle.Load())
+			if len(list.ByID)+len(list.ByNumber) > 0 || p.idle.Load() != 0 {
+				t.Errorf("%d endpoints, %d idle connections", len(list.ByID), p.idle.Load())
 			}
-			news(Targets{Servers: []Target{{ID: "new", Addr: e.Addr, State: "SERVING"}}})
-			if at := list.byID["new"]; at.number == old.number {
+			news(membership.Update{Servers: []membership.Target{{ID: "new", Addr: e.Addr, State: "SERVING"}}})
+			if at := list.ByID["new"]; at.Number == old.Number {
 				t.Error("its number is given again")
 			} else if callOnce(p, at, st.Wait, "x"); e.Next(t).Conn != 3 {
 				t.Error("the new endpoint got an old connection")
--- a/internal/sender/batch.go
+++ b/internal/sender/batch.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"dockshift.example/dockshift/brain"
+	"dockshift.example/dockshift/internal/calls"
 )
 
 // Several messages travel in one call where an endpoint's form says so. The module decides each of them by itself, as
@@ -17,12 +18,12 @@
 	attempt int
 	ctx     context.Context // ends with its time-out, or as it is called off
 	timeout time.Duration
-	leave   *permit
+	leave   *calls.Permit
 }
 
 // sendBatch is what goes to one endpoint in one call.
 type sendBatch struct {
-	to    *endpoint
+	to    *calls.Endpoint
 	all   []sending
 	bytes int
 }
@@ -31,11 +32,11 @@
 const batchHead = 512
 
 // gather puts a Send with others to the same endpoint, as far as they fit in one call.
-func (s *Sender) gather(e *endpoint, one sending) {
+func (s *Sender) gather(e *calls.Endpoint, one sending, events, bytes int) {
 	size := batchHead + len(one.m.Body)*4/3
 	for i := range s.batches {
 		b := &s.batches[i]
-		if b.to == e && len(b.all) < e.form.BatchEvents && b.bytes+size <= e.form.BatchBytes {
+		if b.to == e && len(b.all) < events && b.bytes+size <= bytes {
 			b.all, b.bytes = append(b.all, one), b.bytes+size
 			return
 		}
@@ -60,10 +61,10 @@
 
 func (s *Sender) sendBatch(ctx context.Context, b sendBatch, written bool) {
 	began := time.Now()
-	recs := make([]ticket, len(b.all))
+	recs := make([]calls.Ticket, len(b.all))
 	timeout, longest := b.all[0].timeout, b.all[0].timeout
 	for i, one := range b.all {
-		recs[i] = ticket{one.m.record, one.leave}
+		recs[i] = calls.Ticket{Message: one.m.message(), Permit: one.leave}
 		timeout, longest = min(timeout, one.timeout), max(longest, one.timeout)
 	}
 	// The call lasts as long as one of its messages waits for it.
@@ -71,9 +72,9 @@
 	done := make(chan struct{})
 	var how batchEnd
 	go func() {
-		how.end = brain.AttemptEnd{Endpoint: b.to.number, Outcome: brain.NotSent}
+		how.end = brain.AttemptEnd{Endpoint: b.to.Number, Outcome: brain.NotSent}
 		if written {
-			how.end, how.gone = s.pool.call(shared, b.to, recs, timeout)
+			how.end, how.gone = s.pool.Call(shared, b.to, recs, timeout)
 		}
 		close(done)
 	}()
@@ -90,7 +91,7 @@
 				case <-done:
 					end.AttemptEnd, end.gone = how.end, how.gone
 				default:
-					end.AttemptEnd = brain.AttemptEnd{Endpoint: b.to.number, Outcome: brain.Cancelled}
+					end.AttemptEnd = brain.AttemptEnd{Endpoint: b.to.Number, Outcome: brain.Cancelled}
 					if one.ctx.Err() == context.DeadlineExceeded {
 						end.Outcome = brain.TimedOut
 					}
@@ -98,10 +99,10 @@
 			}
 			// A message whose leave is gone was not written with the others, and one whose time is over before
 			// the connection is up will not be: neither's end is the call's.
-			if one.leave.gone() {
-				end.AttemptEnd = brain.AttemptEnd{Endpoint: b.to.number, Outcome: brain.NotSent}
-			} else if one.ctx.Err() != nil && one.leave.takeBack() {
-				end.AttemptEnd = brain.AttemptEnd{Endpoint: b.to.number, Outcome: brain.ConnectFailed}
+			if one.leave.Gone() {
+				end.AttemptEnd = brain.AttemptEnd{Endpoint: b.to.Number, Outcome: brain.NotSent}
+			} else if one.ctx.Err() != nil && one.leave.TakeBack() {
+				end.AttemptEnd = brain.AttemptEnd{Endpoint: b.to.Number, Outcome: brain.ConnectFailed}
 			}
 			end.Elapsed = time.Since(began)
 			s.post(ctx, end)
--- a/internal/sender/cluster_test.go
+++ b/internal/sender/cluster_test.go
@@ -77,7 +77,7 @@
 	list := brain.ListNews{Whole: true}
 	for r := range c.receivers {
 		list.Endpoints = append(list.Endpoints, brain.Endpoint{ID: brain.EndpointID(r + 1), Destination: brain.DestinationID(r), Ready: true})
-		s.list.cells[uint32(r)] = struct{}{}
+		s.list.Cells[uint32(r)] = struct{}{}
 	}
 	settings := s.c.Settings
 	settings.Senders, settings.Slots, settings.MostHeld = c.senders, 50, 100000
--- a/internal/sender/config.go
+++ b/internal/sender/config.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"dockshift.example/dockshift/brain"
+	"dockshift.example/dockshift/internal/calls"
 	"dockshift.example/dockshift/internal/peers"
 	"dockshift.example/dockshift/internal/settings"
 	"dockshift.example/dockshift/internal/work"
@@ -57,9 +58,9 @@
 	ConnectTimeout                 time.Duration
 
 	// What the operators' file turns on.
-	Events   *Events   // CloudEvents are taken in; nil: they are not
-	Recorder Recorder  // messages that are not delivered are kept; nil: they are not
-	Delivery *Delivery // in which form messages go out; nil: all as in the platform's protocol
+	Events   *Events         // CloudEvents are taken in; nil: they are not
+	Recorder Recorder        // messages that are not delivered are kept; nil: they are not
+	Delivery *calls.Delivery // in which form messages go out; nil: all as in the platform's protocol
 
 	Peers      *peers.Config                         // other senders, who tell what they know; nil: none
 	Background bool                                  // work behind the messages asks of the sender: see Sender.Background
@@ -170,6 +171,12 @@
 	return c, nil
 }
 
+// names are those by which endpoints are listed.
+func (c *Config) names() calls.Names { return calls.Names{Zones: c.Zones, Kinds: c.Kinds} }
+
+// idleCalls is how many connections to endpoints may be idle: the descriptors are few.
+func (c *Config) idleCalls() int { return c.Limits.calls() - c.Settings.Slots }
+
 // place is the place of a name in a list of the settings, or def if it is not there.
 func place(list []string, name string, def int) int {
 	if i := slices.Index(list, name); i >= 0 {
--- /dev/null
+++ b/internal/sender/descriptors_test.go
@@ -0,0 +1,23 @@
+package sender
+
+import (
+	"fmt"
+	"log/slog"
+	"testing"
+)
+
+// Of the descriptors that a machine allows, clients, calls and idle connections together leave some for files.
+func TestDescriptors(t *testing.T) {
+	for sockets, want := range map[int]int{1024: 100, 256: 100, 128: 48, 16: 6} {
+		c, err := ParseConfig([]byte(fmt.Sprintf(`{"limits":{"sockets":%d},"settings":{"familyInfo":{"callsOut":100}}}`, sockets)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := c.Settings.Slots; got != want {
+			t.Errorf("%d descriptors: %d slots, want %d", sockets, got, want)
+		}
+		if all := newServer(c, newClock(), slog.Default(), nil).most + c.idleCalls() + c.Settings.Slots; all >= sockets {
+			t.Errorf("%d descriptors: %d given out, none left for files", sockets, all)
+		}
+	}
+}
--- a/internal/sender/ends.go
+++ b/internal/sender/ends.go
@@ -19,12 +19,12 @@
 	if e.Outcome == brain.TimedOut {
 		// Where a machine vanished or was cut off, the connections from before say nothing either, and are
 		// reset when it is back: each would cost a further call its time-out. Those used since may stay.
-		s.pool.closeIdle(s.list.byNumber[e.Endpoint], e.Elapsed)
+		s.pool.CloseIdle(s.list.ByNumber[e.Endpoint], e.Elapsed)
 	}
 	if e.gone {
-		at := s.list.byNumber[e.Endpoint]
-		if news, changed := s.list.retire(at, s.pool); changed {
-			s.log.Info("an endpoint wants no more calls", "endpoint", at.id)
+		at := s.list.ByNumber[e.Endpoint]
+		if news, changed := s.list.Retire(at, s.pool); changed {
+			s.log.Info("an endpoint wants no more calls", "endpoint", at.ID)
 			s.withdrawn = append(s.withdrawn, news) // with this call's end, or the next would go there
 		}
 	}
@@ -130,3 +130,11 @@
 		s.notices <- s.owed[:min(len(s.owed), noticeMost)]
 	}
 }
+
+// callEnd is how a call ended.
+type callEnd struct {
+	message *message
+	attempt int
+	brain.AttemptEnd
+	gone bool // the endpoint wants no more calls
+}
--- a/internal/sender/fleetpart.go
+++ b/internal/sender/fleetpart.go
@@ -72,7 +72,7 @@
 	}
 	s := p.s
 	var events []brain.Event
-	if news := s.list.closings(s.c); len(news.Endpoints) > 0 {
+	if news := s.list.Closings(s.c.names()); len(news.Endpoints) > 0 {
 		events = append(events, news)
 	}
 	events = append(events, p.limits()...)
@@ -112,7 +112,7 @@
 		return nil
 	}
 	for _, d := range v.Policy.Limits() {
-		if _, known := p.s.list.cells[d]; known {
+		if _, known := p.s.list.Cells[d]; known {
 			events = append(events, brain.Learnt{Destination: brain.DestinationID(d), Limit: v.Policy.Limit(d)})
 		}
 	}
@@ -172,7 +172,7 @@
 		return "this sender is cut off from the fleet"
 	}
 	if to := v.Policy.Moved(r.Dest); to != r.Dest {
-		if _, known := s.list.cells[to]; !known {
+		if _, known := s.list.Cells[to]; !known {
 			return fmt.Sprintf("the fleet's policy has moved its destination to %d, which no list names", to)
 		}
 		r.Dest = to
--- a/internal/sender/fleetpart_test.go
+++ b/internal/sender/fleetpart_test.go
@@ -196,17 +196,17 @@
 	line := func(dest uint32) Target {
 		return Target{ID: "e", Addr: "127.0.0.1:1", Cell: dest, State: "SERVING", Kind: "plain"}
 	}
-	if got := s.list.news(Targets{Servers: []Target{line(1)}}, false, s.c, s.pool).Endpoints; len(got) != 1 || got[0].Kind != 1 || !got[0].Ready {
+	if got := s.list.News(Targets{Servers: []Target{line(1)}}, false, s.c.names(), s.pool).Endpoints; len(got) != 1 || got[0].Kind != 1 || !got[0].Ready {
 		t.Errorf("%+v", got)
 	}
 	if got := p.listed(0); len(got) != 1 || got[0].(brain.Learnt).Destination != 1 || got[0].(brain.Learnt).Limit != 2.5 {
 		t.Errorf("%+v", got)
 	}
 	f.say(t, true, closes1)
-	if got := s.list.closings(s.c).Endpoints; len(got) != 1 || got[0].Kind != 0 || got[0].Ready {
+	if got := s.list.Closings(s.c.names()).Endpoints; len(got) != 1 || got[0].Kind != 0 || got[0].Ready {
 		t.Errorf("%+v", got)
 	}
-	if got := s.list.closings(s.c).Endpoints; len(got) != 0 {
+	if got := s.list.Closings(s.c.names()).Endpoints; len(got) != 0 {
 		t.Errorf("told twice: %+v", got)
 	}
 }
--- a/internal/sender/handin.go
+++ b/internal/sender/handin.go
@@ -35,7 +35,7 @@
 		return nil
 	}
 	// A destination without endpoints just now may get some; one that no list has ever named does not exist.
-	if _, known := s.list.cells[sub.Dest]; !known && len(s.list.cells) > 0 {
+	if _, known := s.list.Cells[sub.Dest]; !known && len(s.list.Cells) > 0 {
 		if sub.Ident != nil {
 			sub.answer <- answerLine{status: http.StatusUnprocessableEntity, text: fmt.Sprintf("destination %d does not exist", sub.Dest)}
 		} else {
--- a/internal/sender/loop.go
+++ b/internal/sender/loop.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"dockshift.example/dockshift/brain"
+	"dockshift.example/dockshift/internal/calls"
 	"dockshift.example/dockshift/internal/knowledge"
 	"dockshift.example/dockshift/internal/membership"
 )
@@ -36,8 +37,8 @@
 	clock   clock
 	brain   *brain.Brain
 	journal *journal
-	pool    *pool
-	list    endpoints
+	pool    *calls.Pool
+	list    calls.List
 	disc    *discovery
 	sources sources
 	first   Targets // the list to begin with
@@ -103,8 +104,8 @@
 		return nil, err
 	}
 	c.Settings.TellsNews = c.Peers != nil
-	s := &Sender{c: c, log: log, clock: newClock(), brain: brain.New(c.Settings, c.Seed), journal: j, pool: newPool(c),
-		list: newEndpoints(), disc: newDiscovery(c.Discovery), events: make(chan any, eventRoom),
+	s := &Sender{c: c, log: log, clock: newClock(), brain: brain.New(c.Settings, c.Seed), journal: j, pool: calls.NewPool(calls.Config{ConnectTimeout: c.ConnectTimeout, Idle: c.Settings.IdleConnections, Most: c.idleCalls(), Fields: c.Fields, Delivery: c.Delivery}),
+		list: calls.NewList(), disc: newDiscovery(c.Discovery), events: make(chan any, eventRoom),
 		asked: make(chan struct{}, 1), notices: make(chan []notice, 1), messages: map[brain.MessageID]*message{},
 		byID: map[string]*message{}, alarm: time.NewTimer(time.Hour), grace: graceTime, leaveAfter: leaveTime}
 	if j.failed {
@@ -120,7 +121,7 @@
 	j.beginList(c.Discovery, s.first, s.askFrom)
 	s.sources = newSources(s)
 	if c.Fleet != nil {
-		s.list.closed, s.list.kind = s.shutByFleet, s.kindByFleet
+		s.list.Closed, s.list.Kind = s.shutByFleet, s.kindByFleet
 	}
 	s.records = newRecorder(c.Recorder, room)
 	if s.parts, err = s.takeParts(); err != nil {
@@ -185,10 +186,10 @@
 		case <-s.alarm.C:
 			s.turn(work, brain.Alarm{})
 		case <-idle.C:
-			s.pool.closeOld()
+			s.pool.CloseOld()
 			looks++ // all rates are walked, so the less often the more there are
 			// Once it is quitting nothing is served as usual.
-			if !s.quitting && looks%(1+len(s.list.byID)/ratesAtOnce) == 0 {
+			if !s.quitting && looks%(1+len(s.list.ByID)/ratesAtOnce) == 0 {
 				s.journal.keepRates(s.brain.Rates()) // what fails here fails again with the next message
 				now := s.clock.now()
 				for _, p := range s.parts {
@@ -388,8 +389,8 @@
 	for _, a := range actions {
 		switch a := a.(type) {
 		case brain.Send:
-			if m, e := s.messages[a.Message], s.list.byNumber[a.Endpoint]; m != nil && e != nil {
-				s.journal.note(m.stored, record{Op: "send", Sent: &try{At: now, Endpoint: e.id[:min(len(e.id), maxName)], Zone: e.zone}})
+			if m, e := s.messages[a.Message], s.list.ByNumber[a.Endpoint]; m != nil && e != nil {
+				s.journal.note(m.stored, record{Op: "send", Sent: &try{At: now, Endpoint: e.ID[:min(len(e.ID), maxName)], Zone: e.Zone}})
 			}
 		case brain.Refuse:
 			s.close(a.Message, handedBack, http.StatusServiceUnavailable, a.HoldOff)
@@ -422,7 +423,7 @@
 				m.calls.cancel(a.Attempt)
 			}
 		case brain.CloseIdle:
-			s.pool.closeIdle(s.list.byNumber[a.Endpoint], 0)
+			s.pool.CloseIdle(s.list.ByNumber[a.Endpoint], 0)
 		case brain.SetAlarm: // each is earlier than the one set before
 			s.alarm.Reset(max(0, a.At-s.clock.now()))
 		case brain.WatchList:
--- a/internal/sender/message.go
+++ b/internal/sender/message.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"dockshift.example/dockshift/brain"
+	"dockshift.example/dockshift/internal/calls"
 )
 
 // message is one that the Brain holds.
@@ -14,50 +15,56 @@
 	sends  int               // and by this one
 	answer chan answerLine   // its client still waits; nil once answered
 	also   []chan answerLine // and others, that handed in the same event meanwhile
-	calls  calls             // out
+	calls  outCalls          // out
 	ended  bool
 }
 
-// calls is those of a message that are out, by the Brain's number of the attempt: one as a rule.
-type calls []outCall
+// outCalls is those of a message that are out, by the Brain's number of the attempt: one as a rule.
+type outCalls []outCall
 
 type outCall struct {
 	attempt int
-	*permit
+	*calls.Permit
+	recalled bool // by the module's word
 }
 
 // cancel calls one off, if it is out.
-func (c calls) cancel(attempt int) {
+func (c outCalls) cancel(attempt int) {
 	for _, o := range c {
 		if o.attempt == attempt {
-			o.cancel()
+			o.Cancel()
 		}
 	}
 }
 
 // recall takes back the leave to write one, if it is out and nothing is written yet.
-func (c calls) recall(attempt int) bool {
-	for _, o := range c {
-		if o.attempt == attempt {
-			o.recalled = o.takeBack()
-			return o.recalled
+func (c outCalls) recall(attempt int) bool {
+	for i := range c {
+		if c[i].attempt == attempt {
+			c[i].recalled = c[i].TakeBack()
+			return c[i].recalled
 		}
 	}
 	return false
 }
 
 // recalled reports whether one that ended as not sent did so as it was recalled.
-func (c calls) recalled(attempt int) bool {
+func (c outCalls) recalled(attempt int) bool {
 	return slices.ContainsFunc(c, func(o outCall) bool { return o.attempt == attempt && o.recalled })
 }
 
 // against reports whether the fleet was against one as it was about to be written.
-func (c calls) against(attempt int) bool {
-	return slices.ContainsFunc(c, func(o outCall) bool { return o.attempt == attempt && o.permit.against.Load() })
+func (c outCalls) against(attempt int) bool {
+	return slices.ContainsFunc(c, func(o outCall) bool { return o.attempt == attempt && o.Against() })
 }
 
 // ended takes one out and lets go of what it holds.
-func (c *calls) ended(attempt int) {
+func (c *outCalls) ended(attempt int) {
 	c.cancel(attempt)
 	*c = slices.DeleteFunc(*c, func(o outCall) bool { return o.attempt == attempt })
 }
+
+// message is what a call carries of it.
+func (m *message) message() calls.Message {
+	return calls.Message{ID: m.ID, Key: m.Key, Class: m.Class, Tenant: m.Tenant, Body: m.Body, Event: m.Event}
+}
--- a/internal/sender/names_test.go
+++ b/internal/sender/names_test.go
@@ -242,15 +242,15 @@
 	n.at(e.Addr, e.Addr)
 	s := newTest(t, st.NewPlatform(t, e.Addr), n.names(membership.Both))
 	s.step(t.Context(), s.listsAtStart())
-	if len(s.list.byID) != 1 {
-		t.Fatalf("it is %d endpoints", len(s.list.byID))
+	if len(s.list.ByID) != 1 {
+		t.Fatalf("it is %d endpoints", len(s.list.ByID))
 	}
-	number0 := s.list.byID["s-0"].number
+	number0 := s.list.ByID["s-0"].Number
 	news := func(from membership.Source, u membership.Update) {
 		s.step(t.Context(), []brainEvent{s.news(listEvent{from, u})})
 	}
 	news(membership.Discovery, membership.Update{Full: true}) // discovery drops it
-	if got := s.list.byID["s-0"]; got == nil || got.number != number0 || !got.line.Ready {
+	if got := s.list.ByID["s-0"]; got == nil || got.Number != number0 || !got.Line.Ready {
 		t.Fatalf("%+v", got)
 	}
 	follower := membership.NewFollower(n.c.Members, n.c.Spans)
@@ -259,20 +259,20 @@
 	}
 	follower.Step(0, []membership.Heard{{Member: 0, Answer: one(e.Addr)}, {Member: 1, Answer: one(e.Addr)}})
 	news(membership.Names, membership.Update{Servers: follower.Step(time.Second, []membership.Heard{{Member: 0, Answer: one(other.Addr)}})})
-	if got := s.list.byID["s-0"]; !got.line.Ready || len(s.list.byID) != 2 {
+	if got := s.list.ByID["s-0"]; !got.Line.Ready || len(s.list.ByID) != 2 {
 		t.Error("one of two names dropped it, and it does not serve")
 	}
 	news(membership.Names, membership.Update{Servers: follower.Step(2*time.Second, []membership.Heard{{Member: 1, Answer: one(other.Addr)}})})
-	if got := s.list.byID["s-0"]; got == nil || got.line.Ready {
+	if got := s.list.ByID["s-0"]; got == nil || got.Line.Ready {
 		t.Error("both names dropped it, and it serves, or is forgotten")
 	}
 	news(membership.Names, membership.Update{Servers: follower.Step(3*time.Second, []membership.Heard{{Member: 1, Answer: one(e.Addr)}})})
-	if got := s.list.byID["s-0"]; got.number != number0 || !got.line.Ready {
+	if got := s.list.ByID["s-0"]; got.Number != number0 || !got.Line.Ready {
 		t.Error("it came back, and is another")
 	}
 	news(membership.Names, membership.Update{Servers: follower.Step(4*time.Second, []membership.Heard{{Member: 1, Answer: one(other.Addr)}})})
 	news(membership.Names, membership.Update{Servers: follower.Step(time.Hour, nil)})
-	if s.list.byID["s-0"] != nil {
+	if s.list.ByID["s-0"] != nil {
 		t.Error("it is not forgotten")
 	}
 }
--- a/internal/sender/past.go
+++ b/internal/sender/past.go
@@ -86,7 +86,7 @@
 func (p *past) tell(now time.Duration) []brain.Event {
 	var events []brain.Event
 	for subject := range p.left {
-		e, listed := p.s.list.learnt(subject)
+		e, listed := p.s.learntOf(subject)
 		if !listed {
 			continue
 		}
@@ -98,18 +98,18 @@
 	return events
 }
 
-// learnt begins what is learnt of one that the list names; false if it does not.
-func (l *endpoints) learnt(s knowledge.Subject) (e brain.Learnt, listed bool) {
-	e.Destination = brain.DestinationID(s.Destination)
-	if s.Endpoint == "" {
-		_, listed = l.cells[s.Destination]
+// learntOf begins what is learnt of one that the list names; false if it does not.
+func (s *Sender) learntOf(of knowledge.Subject) (e brain.Learnt, listed bool) {
+	e.Destination = brain.DestinationID(of.Destination)
+	if of.Endpoint == "" {
+		_, listed = s.list.Cells[of.Destination]
 		return e, listed
 	}
-	at := l.byID[s.Endpoint]
-	if at == nil || at.line.Destination != e.Destination {
+	at := s.list.ByID[of.Endpoint]
+	if at == nil || at.Line.Destination != e.Destination {
 		return e, false
 	}
-	e.Endpoint = at.number
+	e.Endpoint = at.Number
 	return e, true
 }
 
@@ -162,21 +162,21 @@
 	if s.knownAt == now && s.knownAll != nil { // several features ask in one look
 		return s.knownAll
 	}
-	s.knownAt, s.knownAll = now, s.list.facts(s.brain.Known(), now)
+	s.knownAt, s.knownAll = now, s.factsOf(s.brain.Known(), now)
 	return s.knownAll
 }
 
-// facts puts what the module knows of some routes into facts of one's own.
-func (l *endpoints) facts(known []brain.Learnt, now time.Duration) []knowledge.Fact {
+// factsOf puts what the module knows of some routes into facts of one's own.
+func (s *Sender) factsOf(known []brain.Learnt, now time.Duration) []knowledge.Fact {
 	var all []knowledge.Fact
 	for _, k := range known {
 		id := ""
 		if k.Endpoint != 0 {
-			e := l.byNumber[k.Endpoint]
+			e := s.list.ByNumber[k.Endpoint]
 			if e == nil {
 				continue
 			}
-			id = e.id
+			id = e.ID
 		}
 		all = append(all, facts(k, id, now)...)
 	}
--- a/internal/sender/peers_test.go
+++ b/internal/sender/peers_test.go
@@ -173,12 +173,12 @@
 	if got := p.take(heardEvent{[]knowledge.Fact{fact(3, ""), fact(4, "e4"), own}}, now); len(got) != 0 {
 		t.Errorf("of those that no list names the module is told %+v", got)
 	}
-	s.list.news(Targets{Servers: []Target{{ID: "e3", Addr: "127.0.0.1:1", Cell: 3, State: "SERVING"}}}, false, s.c, s.pool)
+	s.list.News(Targets{Servers: []Target{{ID: "e3", Addr: "127.0.0.1:1", Cell: 3, State: "SERVING"}}}, false, s.c.names(), s.pool)
 	got := p.listed(now)
 	if len(got) != 1 || got[0].(brain.Learnt).Destination != 3 || got[0].(brain.Learnt).Health != brain.OutOfService || got[0].(brain.Learnt).Own {
 		t.Errorf("%+v", got)
 	}
-	s.list.news(Targets{Servers: []Target{{ID: "e4", Addr: "127.0.0.1:1", Cell: 9, State: "SERVING"}}}, false, s.c, s.pool)
+	s.list.News(Targets{Servers: []Target{{ID: "e4", Addr: "127.0.0.1:1", Cell: 9, State: "SERVING"}}}, false, s.c.names(), s.pool)
 	if got := p.listed(now); len(got) != 0 {
 		t.Errorf("of an endpoint that serves another receiver the module is told %+v", got)
 	}
--- a/internal/sender/peerspart.go
+++ b/internal/sender/peerspart.go
@@ -82,7 +82,7 @@
 func (p *peersPart) tell(some map[knowledge.Subject]struct{}, now time.Duration) []brain.Event {
 	var events []brain.Event
 	for subject := range some {
-		e, listed := p.s.list.learnt(subject)
+		e, listed := p.s.learntOf(subject)
 		if !listed {
 			if len(p.later) < maxSubjects {
 				p.later[subject] = struct{}{}
@@ -107,7 +107,7 @@
 // afterWrite tells at once what matters most to others: an outage, a return, a wait.
 func (p *peersPart) afterWrite(context.Context) {
 	if news := p.s.brain.News(); len(news) > 0 {
-		p.node.TellNews(p.s.list.facts(news, p.s.clock.now()))
+		p.node.TellNews(p.s.factsOf(news, p.s.clock.now()))
 	}
 }
 
--- a/internal/sender/permit_test.go
+++ b/internal/sender/permit_test.go
@@ -9,15 +9,9 @@
 	"testing"
 	"time"
 
-	"dockshift.example/dockshift/brain"
 	st "dockshift.example/dockshift/internal/sendertest"
 )
 
-// tickets is one message that may be written within a time.
-func tickets(m record, within time.Duration) []ticket {
-	return []ticket{{m, &permit{until: time.Now().Add(within), cancel: func() {}}}}
-}
-
 // lateDials has connects of a sender hang, while they are held, until their call is called off or for so long: what a
 // test does in between has been heard long before.
 type lateDials struct {
@@ -29,7 +23,7 @@
 
 func (d *lateDials) of(s *Sender) {
 	d.begun = make(chan struct{}, 1000)
-	s.pool.dialer.ControlContext = func(ctx context.Context, _, _ string, _ syscall.RawConn) error {
+	s.pool.Dialer.ControlContext = func(ctx context.Context, _, _ string, _ syscall.RawConn) error {
 		if !d.held.Load() {
 			return nil
 		}
@@ -156,56 +150,3 @@
 		t.Error(c.ID)
 	}
 }
-
-// A permit that is taken back while the connection comes up: nothing is written, and the connection serves the next
-// call.
-func TestPermitTakenBack(t *testing.T) {
-	t.Parallel()
-	e := st.NewEndpoint(t, st.Status(200))
-	p := newPool(&Config{ConnectTimeout: st.Wait, Limits: Limits{Sockets: 64}})
-	p.most, p.keep = 10, st.Wait
-	at := &endpoint{addr: e.Addr}
-	ctx, cancel := context.WithTimeout(context.Background(), st.Wait)
-	defer cancel()
-	late := tickets(record{ID: "late"}, st.Wait)
-	p.dialer.Control = func(string, string, syscall.RawConn) error {
-		if !late[0].takeBack() {
-			t.Error("it was used before its connection stood")
-		}
-		return nil
-	}
-	if end, _ := p.call(ctx, at, late, st.Wait); end.Outcome != brain.NotSent || p.idle.Load() != 1 {
-		t.Errorf("%+v, %d idle", end, p.idle.Load())
-	}
-	p.dialer.Control = nil
-	fine := tickets(record{ID: "fine"}, st.Wait)
-	if end, _ := p.call(ctx, at, fine, st.Wait); end.Outcome != brain.Served {
-		t.Errorf("%+v", end)
-	}
-	if fine[0].takeBack() {
-		t.Error("a leave that was used was taken back")
-	}
-	if c := e.Next(t); c.ID != "fine" || c.Conn != 1 || len(e.Calls) > 0 {
-		t.Errorf("the endpoint got %s on connection %d", c.ID, c.Conn)
-	}
-}
-
-// Of a call with several messages those are written whose leave is left.
-func TestPermitsOfABatch(t *testing.T) {
-	t.Parallel()
-	e := st.NewEndpoint(t, st.Status(200))
-	p := testPool()
-	at := &endpoint{addr: e.Addr, form: formOf(formBatched)}
-	all := append(tickets(record{ID: "one"}, st.Wait), tickets(record{ID: "two"}, st.Wait)...)
-	all = append(all, tickets(record{ID: "three"}, -time.Second)...)
-	all[0].takeBack()
-	ctx, cancel := context.WithTimeout(context.Background(), st.Wait)
-	defer cancel()
-	if end, _ := p.call(ctx, at, all, st.Wait); end.Outcome != brain.Served {
-		t.Errorf("%+v", end)
-	}
-	c := e.Next(t)
-	if ids := batchIDs(t, c); len(ids) != 1 || ids[0] != "two" || !all[2].gone() {
-		t.Errorf("%v went out", ids)
-	}
-}
--- a/internal/sender/repeat_test.go
+++ b/internal/sender/repeat_test.go
@@ -1,13 +1,11 @@
 package sender
 
 import (
-	"context"
 	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
-	"dockshift.example/dockshift/brain"
 	st "dockshift.example/dockshift/internal/sendertest"
 )
 
@@ -25,7 +23,7 @@
 			c.Settings.Classes[i].KeyWindow = window
 		}
 	}, func(s *Sender) {
-		s.pool.dialer.Control = func(string, string, syscall.RawConn) error {
+		s.pool.Dialer.Control = func(string, string, syscall.RawConn) error {
 			if dials.Add(1) == 1 {
 				began <- time.Now()
 				return nil
@@ -46,33 +44,3 @@
 		t.Error("it was sent again after its key was forgotten")
 	}
 }
-
-// What is not written in its time is not sent, and a connection that came up too late is kept for the next call.
-func TestCallWithin(t *testing.T) {
-	t.Parallel()
-	e := st.NewEndpoint(t, st.Status(200))
-	p := newPool(&Config{ConnectTimeout: st.Wait, Limits: Limits{Sockets: 64}})
-	p.most, p.keep = 10, st.Wait
-	at := &endpoint{addr: e.Addr}
-	call := func(within time.Duration) brain.AttemptEnd {
-		ctx, cancel := context.WithTimeout(context.Background(), st.Wait)
-		defer cancel()
-		end, _ := p.call(ctx, at, tickets(record{ID: "id"}, within), st.Wait)
-		return end
-	}
-	if end := call(0); end.Outcome != brain.NotSent {
-		t.Errorf("with no time at all: %+v", end)
-	}
-	if end := call(st.Wait); end.Outcome != brain.Served {
-		t.Errorf("with time: %+v", end)
-	}
-	if end := call(-time.Second); end.Outcome != brain.NotSent || p.idle.Load() != 1 {
-		t.Errorf("with its time over: %+v, %d idle", end, p.idle.Load())
-	}
-	if end := call(st.Wait); end.Outcome != brain.Served {
-		t.Errorf("on the connection that was kept: %+v", end)
-	}
-	if len(e.Calls) != 2 || e.Next(t).Conn != 1 || e.Next(t).Conn != 1 {
-		t.Error("the calls did not go on one connection")
-	}
-}
--- a/internal/sender/resendpart.go
+++ b/internal/sender/resendpart.go
@@ -141,8 +141,8 @@
 	err = b.within(ctx, func(p *backgroundPart, now time.Duration) []brain.Event {
 		s := p.s
 		ready := map[uint32]bool{}
-		for _, e := range s.list.byID {
-			ready[uint32(e.line.Destination)] = ready[uint32(e.line.Destination)] || e.line.Ready
+		for _, e := range s.list.ByID {
+			ready[uint32(e.Line.Destination)] = ready[uint32(e.Line.Destination)] || e.Line.Ready
 		}
 		for dest, ok := range ready { // one of which nothing is known is well, as far as anybody can say
 			all[dest] = undelivered.Receiver{Well: ok, For: math.MaxInt64}
@@ -219,7 +219,7 @@
 	case s.journal.byID[e.Message] != nil:
 		return nil, errors.New("it is held")
 	}
-	if _, known := s.list.cells[e.Destination]; !known {
+	if _, known := s.list.Cells[e.Destination]; !known {
 		return nil, fmt.Errorf("destination %d does not exist any more", e.Destination)
 	}
 	// Asked again at the moment of taking it on: between the choice and this lie a write to the store and the loop's queue.
--- a/internal/sender/sdk_test.go
+++ b/internal/sender/sdk_test.go
@@ -20,6 +20,7 @@
 	cehttp "github.com/cloudevents/sdk-go/v2/protocol/http"
 	"github.com/cloudevents/sdk-go/v2/types"
 
+	"dockshift.example/dockshift/internal/calls"
 	st "dockshift.example/dockshift/internal/sendertest"
 )
 
@@ -91,12 +92,12 @@
 func TestSDKBothWays(t *testing.T) {
 	t.Parallel()
 	for _, in := range []string{"binary", "structured", "batched"} {
-		for _, out := range []string{formPlain, formBinary, formStructured, formBatched} {
+		for _, out := range []string{calls.Plain, calls.Binary, calls.Structured, calls.Batched} {
 			t.Run(in+" to "+out, func(t *testing.T) {
 				t.Parallel()
 				got := make(chan event.Event, 1000)
 				receiver := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-					if out == formBatched {
+					if out == calls.Batched {
 						all, err := cehttp.NewEventsFromHTTPRequest(r)
 						if err != nil {
 							t.Errorf("the SDK can't read it: %v", err)
@@ -115,7 +116,7 @@
 				}))
 				t.Cleanup(receiver.Close)
 				addr := run(t, st.NewPlatform(t, strings.TrimPrefix(receiver.URL, "http://")), both(takesEvents,
-					delivers(To{Form: out, BatchEvents: 5, BatchBytes: 65536}), func(c *Config) { c.Settings.MostHeld = 1000 }))
+					delivers(calls.To{Form: out, BatchEvents: 5, BatchBytes: 65536}), func(c *Config) { c.Settings.MostHeld = 1000 }))
 				p, err := cehttp.New(cehttp.WithTarget("http://" + addr + "/events"))
 				if err != nil {
 					t.Fatal(err)
@@ -125,7 +126,7 @@
 					t.Fatal(err)
 				}
 				r := rand.New(rand.NewPCG(9, 7))
-				binary := in == "binary" || out == formBinary || out == formPlain
+				binary := in == "binary" || out == calls.Binary || out == calls.Plain
 				var sent []event.Event
 				for n := range 60 {
 					sent = append(sent, sdkEvent(t, r, n, binary))
--- a/internal/sender/send.go
+++ b/internal/sender/send.go
@@ -6,33 +6,34 @@
 	"time"
 
 	"dockshift.example/dockshift/brain"
+	"dockshift.example/dockshift/internal/calls"
 )
 
 // send starts one call. One that could not be written down is not made: after a kill nobody would know
 // that the message may have run.
 func (s *Sender) send(ctx context.Context, a brain.Send, written bool) {
-	m, e := s.messages[a.Message], s.list.byNumber[a.Endpoint]
+	m, e := s.messages[a.Message], s.list.ByNumber[a.Endpoint]
 	if m == nil || e == nil {
 		s.log.Error("the module names what is not there", "message", a.Message, "endpoint", a.Endpoint)
 		return
 	}
 	attempt := m.sends
 	m.sends++
-	s.trace("call", m.ID, slog.Int("try", m.base+attempt), slog.Uint64("dest", uint64(m.Dest)), slog.String("endpoint", e.id), slog.Duration("timeout", a.Timeout))
+	s.trace("call", m.ID, slog.Int("try", m.base+attempt), slog.Uint64("dest", uint64(m.Dest)), slog.String("endpoint", e.ID), slog.Duration("timeout", a.Timeout))
 	call, cancel := context.WithTimeout(ctx, a.Timeout)
-	leave := &permit{until: time.Now().Add(s.repeatWithin(m, m.base+attempt, a.Timeout)), cancel: cancel, enter: s.enter(m)}
-	m.calls = append(m.calls, outCall{attempt, leave})
+	leave := &calls.Permit{Until: time.Now().Add(s.repeatWithin(m, m.base+attempt, a.Timeout)), Cancel: cancel, Enter: s.enter(m)}
+	m.calls = append(m.calls, outCall{attempt: attempt, Permit: leave})
 	s.out++
 	one := sending{m, attempt, call, a.Timeout, leave}
-	if e.form.Form == formBatched {
-		s.gather(e, one)
+	if events, bytes, ok := e.Batches(); ok {
+		s.gather(e, one, events, bytes)
 		return
 	}
-	began, rec := time.Now(), []ticket{{m.record, leave}} // a copy: the loop may drop the body meanwhile
+	began, rec := time.Now(), []calls.Ticket{{Message: m.message(), Permit: leave}} // a copy: the loop may drop the body meanwhile
 	go func() {
-		end, gone := brain.AttemptEnd{Endpoint: e.number, Outcome: brain.NotSent}, false
+		end, gone := brain.AttemptEnd{Endpoint: e.Number, Outcome: brain.NotSent}, false
 		if written {
-			end, gone = s.pool.call(call, e, rec, a.Timeout)
+			end, gone = s.pool.Call(call, e, rec, a.Timeout)
 		}
 		end.Elapsed = time.Since(began)
 		s.post(ctx, callEnd{m, attempt, end, gone})
--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -17,6 +17,8 @@
 	"testing"
 	"time"
 
+	"dockshift.example/dockshift/brain"
+	"dockshift.example/dockshift/internal/calls"
 	"dockshift.example/dockshift/internal/membership"
 	st "dockshift.example/dockshift/internal/sendertest"
 )
@@ -388,8 +390,14 @@
 	})
 	p := st.NewPlatform(t, e.Addr)
 	s := newTest(t, p, nil)
-	at := &endpoint{addr: e.Addr}
-	s.list.byNumber[0] = at
+	s.list.News(Targets{Servers: []Target{{ID: "e", Addr: e.Addr, State: "SERVING"}}}, false, s.c.names(), s.pool)
+	at := s.list.ByID["e"]
+	callOnce := func(p *calls.Pool, e *calls.Endpoint, timeout time.Duration, body string) brain.AttemptEnd {
+		ctx, cancel := context.WithTimeout(context.Background(), timeout)
+		defer cancel()
+		end, _ := p.Call(ctx, e, []calls.Ticket{{Message: calls.Message{ID: "id", Body: []byte(body)}, Permit: &calls.Permit{Until: time.Now().Add(timeout), Cancel: func() {}}}}, timeout)
+		return end
+	}
 	served := make(chan struct{}, 2)
 	for range 2 {
 		go func() { callOnce(s.pool, at, st.Wait, ""); served <- struct{}{} }()
@@ -399,15 +407,15 @@
 	close(answer)
 	st.Receive(t, served)
 	st.Receive(t, served)
-	if n := s.pool.idle.Load(); n != 2 {
+	if n := s.pool.Idle(); n != 2 {
 		t.Fatalf("%d idle connections", n)
 	}
 	cut.Store(true)
 	began := time.Now()
 	end := callOnce(s.pool, at, 30*time.Millisecond, "")
 	end.Elapsed = time.Since(began)
-	s.callEnded(callEnd{&message{stored: &stored{}, ended: true, calls: calls{{0, &permit{cancel: func() {}}}}}, 0, end, false})
-	if n := s.pool.idle.Load(); n != 0 {
+	s.callEnded(callEnd{&message{stored: &stored{}, ended: true, calls: outCalls{{Permit: &calls.Permit{Cancel: func() {}}}}}, 0, end, false})
+	if n := s.pool.Idle(); n != 0 {
 		t.Errorf("%d idle connections after a time-out", n)
 	}
 	if got := callOnce(s.pool, at, st.Wait, ""); !got.Over {
--- a/internal/sender/server.go
+++ b/internal/sender/server.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"dockshift.example/dockshift/brain"
+	"dockshift.example/dockshift/internal/calls"
 )
 
 // Requests are parsed by net/http, but connections are kept here rather than by http.Server. A client of the
@@ -39,7 +40,7 @@
 	lingerMost   = 256 << 10
 	readyPath    = "/-/ready"
 	healthPath   = "/-/healthy"
-	maxDest      = 1<<16 - 1
+	maxDest      = calls.MaxDest
 	maxDeadline  = 24 * time.Hour
 	refusedRetry = time.Second // Retry-After where the settings tell none
 )
@@ -86,7 +87,7 @@
 
 // client is a connection from a client. state and what follows it belong to the server's lock.
 type client struct {
-	bounded
+	calls.Bounded
 	r     *bufio.Reader
 	born  time.Time
 	state clientState
@@ -146,7 +147,7 @@
 			time.Sleep(roomLook)
 			continue
 		}
-		c := &client{bounded: bounded{nc, 0, errLongHead}, born: time.Now()}
+		c := &client{Bounded: calls.Bounded{Conn: nc, Over: errLongHead}, born: time.Now()}
 		c.since, c.r = c.born, bufio.NewReaderSize(c, 4096)
 		c.SetReadDeadline(c.born.Add(readTime))
 		if !s.admit(c) {
@@ -203,7 +204,7 @@
 		if s.asked > 0 || !may(c, now.Sub(c.since)) || victim != nil && c.since.After(victim.since) {
 			continue
 		}
-		if quiet(c.Conn) { // else something is here and only waits for us
+		if calls.Quiet(c.Conn) { // else something is here and only waits for us
 			victim = c
 		}
 	}
@@ -309,7 +310,7 @@
 func (s *server) talk(c *client) {
 	defer s.drop(c)
 	for first := true; ; first = false {
-		c.left = maxHead
+		c.Left = maxHead
 		if !s.begins(c) || !s.become(c, reading) {
 			return
 		}
@@ -351,7 +352,7 @@
 // begins waits for a request's first byte.
 func (s *server) begins(c *client) bool {
 	_, err := c.r.Peek(1)
-	if errors.Is(err, os.ErrDeadlineExceeded) && !quiet(c.Conn) {
+	if errors.Is(err, os.ErrDeadlineExceeded) && !calls.Quiet(c.Conn) {
 		// It came just as the wait ended, by itself or as the connection was asked to go: it is owed an answer.
 		c.SetReadDeadline(time.Now().Add(readTime))
 		_, err = c.r.Peek(1)
@@ -371,7 +372,7 @@
 		}
 	}
 	switch {
-	case err != nil && c.left <= 0: // whatever the parser makes of a line that was cut there
+	case err != nil && c.Left <= 0: // whatever the parser makes of a line that was cut there
 		return nil, nil, nil, errLongHead
 	case err != nil && errors.As(err, new(net.Error)):
 		return nil, nil, nil, err
@@ -406,14 +407,14 @@
 			return nil, nil, nil, err
 		}
 	}
-	c.left = int(most) + 1
+	c.Left = int(most) + 1
 	body, err := readBody(r)
 	if err != nil {
 		return nil, nil, nil, fmt.Errorf("the body does not come whole: %w", err)
 	}
 	// A client waits for its answer before it sends more. What stands behind a body of which the length is
 	// wrong is the rest of it: the message would go out cut short.
-	if c.r.Buffered() > 0 || !quiet(c.Conn) && !ending(c) {
+	if c.r.Buffered() > 0 || !calls.Quiet(c.Conn) && !ending(c) {
 		return nil, nil, nil, bad("more comes than the Content-Length says")
 	}
 	return r, hand, body, nil
--- a/internal/sender/server_test.go
+++ b/internal/sender/server_test.go
@@ -15,6 +15,7 @@
 	"testing"
 	"time"
 
+	"dockshift.example/dockshift/internal/calls"
 	st "dockshift.example/dockshift/internal/sendertest"
 )
 
@@ -233,7 +234,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	c := &client{bounded: bounded{Conn: nc}, born: time.Now().Add(-time.Hour), since: time.Now().Add(-time.Hour)}
+	c := &client{Bounded: calls.Bounded{Conn: nc}, born: time.Now().Add(-time.Hour), since: time.Now().Add(-time.Hour)}
 	c.r = bufio.NewReader(c)
 	s.server.clients[c] = struct{}{}
 	s.server.talks.Add(1)
@@ -243,7 +244,7 @@
 	}
 	s.server.mu.Unlock()
 	io.WriteString(other, head("m", "Content-Length: 1\r\nConnection: close\r\n")+"x")
-	for quiet(nc) {
+	for calls.Quiet(nc) {
 		time.Sleep(time.Millisecond)
 	}
 	s.server.talk(c)
@@ -294,11 +295,11 @@
 			}
 			if k.unread {
 				io.WriteString(other, "x")
-				for quiet(nc) {
+				for calls.Quiet(nc) {
 					time.Sleep(time.Millisecond)
 				}
 			}
-			all = append(all, &client{bounded: bounded{Conn: nc}, state: k.state, since: time.Now().Add(-k.age)})
+			all = append(all, &client{Bounded: calls.Bounded{Conn: nc}, state: k.state, since: time.Now().Add(-k.age)})
 			s.clients[all[len(all)-1]] = struct{}{}
 		}
 		if went := s.makeRoom(); went != (c.want >= 0) {
--- a/internal/sender/sources.go
+++ b/internal/sender/sources.go
@@ -46,7 +46,7 @@
 		all.all[membership.Names] = n.Source
 		all.merge = membership.NewMerge(n.Precedence, n.Fallback)
 		for _, d := range n.Destinations {
-			s.list.cells[d] = struct{}{}
+			s.list.Cells[d] = struct{}{}
 		}
 	}
 	return all
@@ -84,7 +84,7 @@
 		}
 	}
 	if s.sources.merge == nil {
-		return s.list.news(e.Targets, e.Full, s.c, s.pool)
+		return s.list.News(e.Targets, e.Full, s.c.names(), s.pool)
 	}
-	return s.list.news(membership.Update{Servers: s.sources.merge.Apply(e.from, e.Targets)}, false, s.c, s.pool)
+	return s.list.News(membership.Update{Servers: s.sources.merge.Apply(e.from, e.Targets)}, false, s.c.names(), s.pool)
 }
--- a/internal/sender/trace.go
+++ b/internal/sender/trace.go
@@ -23,8 +23,8 @@
 		outcome = string(outcomeOf(e.Outcome))
 	}
 	at := ""
-	if end := s.list.byNumber[e.Endpoint]; end != nil {
-		at = end.id
+	if end := s.list.ByNumber[e.Endpoint]; end != nil {
+		at = end.ID
 	}
 	s.trace("call ended", m.ID, slog.Uint64("dest", uint64(m.Dest)), slog.Int("try", m.base+e.attempt), slog.String("endpoint", at),
 		slog.String("outcome", outcome), slog.Duration("took", e.Elapsed), slog.Duration("wait", e.Wait),
--- a/internal/sendertest/platform.go
+++ b/internal/sendertest/platform.go
@@ -14,6 +14,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"dockshift.example/dockshift/internal/cloudevents"
 )
 
 // Wait is how long a test waits for an event that should come.
@@ -320,3 +322,20 @@
 		t.Fatalf("%s is answered %s: %s", id, resp.Status, body)
 	}
 }
+
+// BatchIDs is the ids of the events in a call.
+func BatchIDs(t testing.TB, c Call) []string {
+	t.Helper()
+	items, err := cloudevents.ReadBatch([]byte(c.Body), 1000, 1<<20)
+	if err != nil {
+		t.Fatalf("%v: %s", err, c.Body)
+	}
+	var ids []string
+	for _, it := range items {
+		if it.Err != nil {
+			t.Fatal(it.Err)
+		}
+		ids = append(ids, it.Event.Get("id"))
+	}
+	return ids
+}
