--- a/internal/rehearsal/links/links.go
+++ b/internal/rehearsal/links/links.go
@@ -30,7 +30,10 @@
 	Delay  time.Duration // of each chunk
 	Jitter time.Duration // up to so much more, drawn for each chunk; the order stays
 	Rate   int           // bytes a second at most; 0: any number
-	Freeze int           // over 0: so many bytes more pass on each connection, then nothing, in the middle of a frame as likely as not
+	// Of datagrams: the shares that are lost, come twice, or are overtaken by those behind them.
+	Loss, Repeat, Reorder float64
+
+	Freeze int // over 0: so many bytes more pass on each connection, then nothing, in the middle of a frame as likely as not
 }
 
 // sound is whether nothing is wrong.
@@ -45,7 +48,8 @@
 		is   bool
 		text string
 	}{{c.Cut, "cut"}, {c.Refuse, "refuse"}, {c.Delay > 0, "delay " + c.Delay.String()}, {c.Jitter > 0, "jitter " + c.Jitter.String()},
-		{c.Rate > 0, fmt.Sprintf("trickle %d B/s", c.Rate)}, {c.Freeze > 0, fmt.Sprintf("freeze after %d B", c.Freeze)}} {
+		{c.Rate > 0, fmt.Sprintf("trickle %d B/s", c.Rate)}, {c.Freeze > 0, fmt.Sprintf("freeze after %d B", c.Freeze)}, {c.Loss > 0, fmt.Sprintf("loss %g", c.Loss)},
+		{c.Repeat > 0, fmt.Sprintf("repeat %g", c.Repeat)}, {c.Reorder > 0, fmt.Sprintf("reorder %g", c.Reorder)}} {
 		if part.is && text != "" {
 			text += ", "
 		}
@@ -64,9 +68,10 @@
 	stop context.CancelFunc
 	done sync.WaitGroup
 
-	mu    sync.Mutex
-	ways  map[pair]*way
-	links []*link
+	mu      sync.Mutex
+	ways    map[pair]*way
+	links   []*link
+	closers []func() // of links for datagrams
 }
 
 type pair struct{ from, to string }
@@ -179,9 +184,12 @@
 func (n *Net) Close() {
 	n.stop()
 	n.mu.Lock()
-	links := n.links
-	n.links = nil
+	links, closers := n.links, n.closers
+	n.links, n.closers = nil, nil
 	n.mu.Unlock()
+	for _, stop := range closers {
+		stop()
+	}
 	for _, l := range links {
 		l.listen(false)
 		l.reset()
@@ -293,13 +301,7 @@
 	l.keep(b, true)
 	defer l.keep(b, false)
 	defer context.AfterFunc(ctx, func() { a.Close(); b.Close() })()
-	draw := func(dir uint64) *rand.Rand {
-		h := l.net.seed
-		for _, r := range l.from + ">" + l.to {
-			h = (h ^ uint64(r)) * 1099511628211
-		}
-		return rand.New(rand.NewPCG(h, n<<1|dir))
-	}
+	draw := func(dir uint64) *rand.Rand { return l.net.draws(l.from, l.to, n<<1|dir) }
 	var both sync.WaitGroup
 	both.Add(2)
 	go func() { defer both.Done(); defer stop(); pump(ctx, a, b, forth, draw(0)) }()
@@ -307,6 +309,15 @@
 	both.Wait()
 }
 
+// draws is a stream of a link's own.
+func (n *Net) draws(from, to string, stream uint64) *rand.Rand {
+	h := n.seed
+	for _, r := range from + ">" + to {
+		h = (h ^ uint64(r)) * 1099511628211
+	}
+	return rand.New(rand.NewPCG(h, stream))
+}
+
 // open waits until the way is not cut.
 func (w *way) open(ctx context.Context) bool {
 	for {
--- a/internal/rehearsal/links/links_test.go
+++ b/internal/rehearsal/links/links_test.go
@@ -176,3 +176,65 @@
 		})
 	}
 }
+
+// Datagrams under each condition: how many of a hundred come, how often, and in order or not.
+func TestDatagrams(t *testing.T) {
+	for name, c := range map[string]struct {
+		is          Condition
+		least, most int // that come, of 100
+		ordered     bool
+	}{
+		"sound":   {Condition{}, 100, 100, true},
+		"cut":     {Condition{Cut: true}, 0, 0, true},
+		"loss":    {Condition{Loss: 0.5}, 30, 70, true},
+		"repeat":  {Condition{Repeat: 0.5}, 130, 170, true},
+		"reorder": {Condition{Reorder: 0.5}, 100, 100, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			n := New(1, nil)
+			defer n.Close()
+			at, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer at.Close()
+			addr, err := n.LinkUDP("a", "b", at.LocalAddr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			conn, err := net.Dial("udp", addr)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			n.Set("a", "b", c.is)
+			for i := range 100 {
+				if _, err := conn.Write([]byte{byte(i)}); err != nil {
+					t.Fatal(err)
+				}
+				time.Sleep(100 * time.Microsecond)
+			}
+			n.Set("a", "b", Condition{})
+			time.Sleep(4 * reorderTime) // what was overtaken has come
+			conn.Write([]byte{200})
+			var got []byte
+			for {
+				b := make([]byte, 1)
+				at.SetReadDeadline(time.Now().Add(patience))
+				_, from, err := at.ReadFromUDP(b)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if b[0] == 200 {
+					at.WriteToUDP([]byte{201}, from)
+					break
+				}
+				got = append(got, b[0])
+			}
+			if len(got) < c.least || len(got) > c.most || slices.IsSorted(got) != c.ordered {
+				t.Errorf("%d came, in order %v", len(got), slices.IsSorted(got))
+			}
+			hear(t, conn, string([]byte{201})) // and an answer comes back
+		})
+	}
+}
