--- a/cmd/rehearse/cost.go
+++ b/cmd/rehearse/cost.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"os"
+	"slices"
 	"strings"
 	"time"
 
@@ -37,6 +38,7 @@
 	memory := f.Int("memory", 2048, "`MB` that the sender is told it has")
 	churn := f.Int("churn", 0, "endpoints replaced each second")
 	forms := f.String("forms", "", "measure the first case in these `forms`, too: binary,structured,batched")
+	pairs := f.Int("fleet", 0, "measure the first case so many `times` in turns without and with what a fleet agrees on")
 	if err := parse(f, args); err != nil {
 		return 0, err
 	}
@@ -61,6 +63,15 @@
 			cases, words = append(cases, c), append(words, words[0]+" "+name)
 		}
 	}
+	if *pairs > 0 {
+		first := cases[0]
+		cases, words = nil, nil
+		for i := range *pairs {
+			off, on := first, first
+			off.Again, on.Again, on.Fleet = i, i, true
+			cases, words = append(cases, off, on), append(words, "off", "fleet")
+		}
+	}
 	if *clients < 1 || *body < 0 || *body > 64<<10 || *seconds <= 0 {
 		return judge.ExitScript, fmt.Errorf("cost: %d clients, %d bytes, %v s", *clients, *body, *seconds)
 	}
@@ -99,15 +110,25 @@
 			float64(r.P50.Microseconds())/1000, float64(r.P99.Microseconds())/1000, float64(r.Memory)/1e6, float64(r.First)/1e6, float64(r.Second)/1e6, r.In, r.Out)
 	}
 	row("plain proxy", proxy)
+	var ratios []float64
+	var last time.Duration
 	for i, c := range cases {
 		r, err := cost.Sender(ctx, []string{path}, cost.Folder(folder, c), c)
 		if err != nil {
 			return judge.ExitInconclusive, err
 		}
 		row(words[i], r)
+		if c.Fleet {
+			ratios = append(ratios, float64(r.CPU)/float64(last))
+		}
+		last = r.CPU
 		if ctx.Err() != nil {
 			return judge.ExitInconclusive, ctx.Err()
 		}
 	}
+	if len(ratios) > 0 {
+		slices.Sort(ratios)
+		fmt.Fprintf(out, "with it to without, pair by pair: least %.3f, middle %.3f, most %.3f\n", ratios[0], ratios[len(ratios)/2], ratios[len(ratios)-1])
+	}
 	return 0, nil
 }
--- a/internal/fleet/node_test.go
+++ b/internal/fleet/node_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -28,7 +29,7 @@
 
 // squad is a fleet in one process: its nodes reach each other by links.
 type squad struct {
-	t      *testing.T
+	t      testing.TB
 	net    *links.Net
 	voters int
 	terms  lease.Terms
@@ -38,7 +39,7 @@
 	edit   func(i int, c *Config)
 }
 
-func newSquad(t *testing.T, voters, all int, edit func(int, *Config)) *squad {
+func newSquad(t testing.TB, voters, all int, edit func(int, *Config)) *squad {
 	t.Helper()
 	s := &squad{t: t, net: links.New(1, nil), voters: voters, terms: lease.Terms{Length: 1500 * time.Millisecond, Drift: lease.DefaultDrift}, nodes: make([]*Node, all), edit: edit}
 	for i := range all { // an address of its own for each, which no other process's connections take while it is down
@@ -97,7 +98,7 @@
 }
 
 type testLog struct {
-	t    *testing.T
+	t    testing.TB
 	name string
 }
 
@@ -113,7 +114,7 @@
 }
 
 // until waits for something that should come.
-func until(t *testing.T, what string, is func() bool) {
+func until(t testing.TB, what string, is func() bool) {
 	t.Helper()
 	for end := time.Now().Add(patience); !is(); time.Sleep(5 * time.Millisecond) {
 		if time.Now().After(end) {
@@ -668,3 +669,87 @@
 		t.Errorf("%d members", len(r.Members))
 	}
 }
+
+// BenchmarkCommits is what five voters take on from 64 who hand in at once, and how long each waits.
+func BenchmarkCommits(b *testing.B) {
+	s := newSquad(b, 5, 5, nil)
+	s.acting()
+	lead := s.leader()
+	var mu sync.Mutex
+	var took []time.Duration
+	var n atomic.Int64
+	b.ResetTimer()
+	began := time.Now()
+	var work sync.WaitGroup
+	for range 64 {
+		work.Add(1)
+		go func() {
+			defer work.Done()
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Minute)
+			defer cancel()
+			for n.Add(1) <= int64(b.N) {
+				from := time.Now()
+				if _, err := s.nodes[lead].Submit(ctx, 1, &pb.Join{Name: "m", Speaks: 4}); err != nil {
+					b.Error(err)
+					return
+				}
+				mu.Lock()
+				took = append(took, time.Since(from))
+				mu.Unlock()
+			}
+		}()
+	}
+	work.Wait()
+	slices.Sort(took)
+	b.ReportMetric(float64(b.N)/time.Since(began).Seconds(), "commits/s")
+	b.ReportMetric(float64(took[len(took)/2].Microseconds())/1000, "p50-ms")
+	b.ReportMetric(float64(took[len(took)*99/100].Microseconds())/1000, "p99-ms")
+}
+
+// A month of an ordinary fleet: twenty changes a day of a document of 200 destinations, each sender of 300 joining anew once a day. What it
+// leaves on a voter's disk is bounded. SAFFRONYARD_MONTH=30 plays all of it; a day is played in any case.
+func TestMonth(t *testing.T) {
+	days := 1
+	if n := os.Getenv("SAFFRONYARD_MONTH"); n != "" {
+		fmt.Sscan(n, &days)
+	}
+	s := newSquad(t, 1, 1, nil)
+	s.acting()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Minute)
+	defer cancel()
+	version, most := uint64(0), int64(0)
+	for day := range days {
+		for m := range 300 {
+			if _, err := s.nodes[0].Submit(ctx, 1, &pb.Join{Name: name(m), Speaks: 4}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		for range 20 {
+			var doc strings.Builder
+			doc.WriteString("[[route]]\nstate = \"closed\"\ndestinations = [")
+			for d := range 200 {
+				fmt.Fprintf(&doc, "%d, ", int(version)*7+d)
+			}
+			doc.WriteString("]\n")
+			change, err := s.propose(0, version, doc.String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			if past := s.over(0, change); past.Version != version+1 {
+				t.Fatalf("%v", past)
+			}
+			version++
+		}
+		info, err := os.Stat(filepath.Join(s.dirs[0], logName))
+		if err != nil {
+			t.Fatal(err)
+		}
+		most = max(most, info.Size())
+		if day == days-1 {
+			t.Logf("after %d days, %d changes, %d entries: %d bytes, at most %d", days, version, s.nodes[0].Report().Index, info.Size(), most)
+		}
+	}
+	if most > 32<<20 {
+		t.Errorf("%d bytes", most)
+	}
+}
--- a/internal/rehearsal/cost/cost.go
+++ b/internal/rehearsal/cost/cost.go
@@ -44,6 +44,8 @@
 	Churn        int           // endpoints that are replaced each second
 	Memory       int           // MB that the sender is told it has
 	Form         form.Form     // in which messages come in and leave; "" for the platform's
+	Fleet        bool          // the sender is one of a fleet that agrees, of itself alone
+	Again        int           // which time, of one that is measured again
 }
 
 // Result is what a case came to.
@@ -211,12 +213,24 @@
 
 // features writes the operators' file for a form, and gives the command that heeds it.
 func features(command []string, folder string, c Case) ([]string, error) {
+	if c.Fleet {
+		address, err := fleet.FreeAddr("127.0.0.1")
+		if err != nil {
+			return nil, fmt.Errorf("cost: %w", err)
+		}
+		return withFile(command, folder, fmt.Sprintf("[fleet]\ncluster = \"cost\"\nlisten = %q\n[[fleet.voter]]\nname = \"n0\"\naddress = %q\n", address, address))
+	}
 	if c.Form == "" || c.Form == form.Plain {
 		return command, nil
 	}
 	text := form.Rules([]form.Class{{Name: "safe", Deadline: 20 * time.Second}})
 	text = strings.Replace(text, "remember = \"1m\"\nremember_most = 10000", "remember = \"10s\"\nremember_most = 1000000", 1)
 	text += form.Delivery(map[string]form.Form{"plain": c.Form})
+	return withFile(command, folder, text)
+}
+
+// withFile has a command heed an operators' file.
+func withFile(command []string, folder, text string) ([]string, error) {
 	path := filepath.Join(folder, "features.toml")
 	err := os.MkdirAll(folder, 0o755)
 	if err == nil {
@@ -525,5 +539,5 @@
 
 // Folder is a new one for a case below a folder.
 func Folder(below string, c Case) string {
-	return filepath.Join(below, fmt.Sprintf("%d-%d-%d%s", c.Listed, c.Busy, c.Held, c.Form))
+	return filepath.Join(below, fmt.Sprintf("%d-%d-%d%s-%v-%d", c.Listed, c.Busy, c.Held, c.Form, c.Fleet, c.Again))
 }
