A voter that stood still takes no silence of the others' for what it missed

Seen with 30 processes: a leader whose disk held it up for over half a second ran all ticks that it had missed at once, found no majority heard in them, and stepped down; the next one waited out its leases, and a change took 4.7 s. Now three ticks at most are run in one step.

--- a/internal/agreed/core.go
+++ b/internal/agreed/core.go
@@ -206,8 +206,8 @@
 	if c.tick == 0 {
 		c.tick = now
 	}
-	if now-c.tick > 4*ElectionTicks*Tick { // it stood still: what it missed is no silence of the leader's
-		c.tick = now
+	if most := now - 2*Tick; c.tick < most { // it stood still, for its disk perhaps: what it missed meanwhile is no silence of the others
+		c.tick = most
 	}
 	for ; now >= c.tick; c.tick += Tick {
 		// One that has not come to the bar does not stand; its time goes on as soon as it has.
