--- a/cmd/saffronyard/command.go
+++ b/cmd/saffronyard/command.go
@@ -78,6 +78,7 @@
 	for _, c := range []*cobra.Command{at.fleet(), at.policy()} {
 		c.PersistentFlags().StringVar(&at.state, "state", getenv("EDGE_STATE"), "the sender's state `folder`; default $EDGE_STATE")
 		c.PersistentFlags().BoolVar(&at.json, "json", false, "JSON in place of text")
+		c.PersistentFlags().BoolVar(&at.current, "current", false, "what is read is no older than the question, as a majority confirms; without it it is this sender's copy")
 		root.AddCommand(c)
 	}
 	if slices.Contains(newer, args[0]) {
--- a/cmd/saffronyard/fleet.go
+++ b/cmd/saffronyard/fleet.go
@@ -40,8 +40,9 @@
 
 // atSender is the sender that is asked.
 type atSender struct {
-	state string
-	json  bool
+	state   string
+	json    bool
+	current bool
 }
 
 func (a *atSender) ask(method, path string, body []byte, into any) error {
@@ -60,7 +61,11 @@
 }
 
 func (a *atSender) report() (r fleet.Report, err error) {
-	return r, a.ask(http.MethodGet, "/fleet", nil, &r)
+	path := "/fleet"
+	if a.current {
+		path += "?current=1"
+	}
+	return r, a.ask(http.MethodGet, path, nil, &r)
 }
 
 // show prints a value as JSON, or has it printed as text.
@@ -170,7 +175,7 @@
 		word = "begins no call: " + r.Unfit
 	}
 	fmt.Fprintf(w, "%s of cluster %q\t%s\n", r.Name, r.Cluster, word)
-	fmt.Fprintf(w, "state\tto entry %d, policy version %d\n", r.Index, r.Policy.Version)
+	fmt.Fprintf(w, "state\tto entry %d, policy version %d; a voter's word came %v ago\n", r.Index, r.Policy.Version, time.Duration(r.HeardMS)*time.Millisecond)
 	if r.Follows != "" {
 		fmt.Fprintf(w, "follows\t%s\n", r.Follows)
 	}
--- a/cmd/saffronyard/fleet_test.go
+++ b/cmd/saffronyard/fleet_test.go
@@ -46,7 +46,8 @@
 // and come back with old folders. 'rehearse fleet' plays many more such days.
 func TestFleetAgreesUnderFaults(t *testing.T) {
 	t.Parallel()
-	for _, o := range []concord.Options{{Seed: 1, Senders: 3, Voters: 3, Seconds: 8}, {Seed: 2, Senders: 5, Voters: 3, Seconds: 8}} {
+	for _, o := range []concord.Options{{Seed: 1, Senders: 3, Voters: 3, Seconds: 8}, {Seed: 2, Senders: 5, Voters: 3, Seconds: 8},
+		{Seed: 4, Senders: 4, Voters: 3, Seconds: 8, Quiet: true, KillAll: true}} {
 		t.Run(fmt.Sprintf("seed %d", o.Seed), func(t *testing.T) {
 			t.Parallel()
 			o.Command = itself()
@@ -131,6 +132,7 @@
 		{"no such version", []string{"policy", "show", "7"}, 1, "there is no version 7"},
 		{"back", []string{"policy", "back", "0"}, 0, "version 2 is in force"},
 		{"the document of then", []string{"policy", "show", "1"}, 0, "the member asked"},
+		{"no older than the question", []string{"policy", "status", "-current"}, 0, "version 2 is in force"},
 		{"as JSON", []string{"policy", "status", "--json"}, 0, "\"version\": 2"},
 		{"members", []string{"fleet", "members"}, 0, "n0  speaks"},
 		{"the last voter stays", []string{"fleet", "voters", "change", "--remove", "n0"}, 1, "leaves one"},
--- a/internal/agreed/core.go
+++ b/internal/agreed/core.go
@@ -484,7 +484,7 @@
 		}
 		who := lease.Who{Name: a.Request.Name, Life: a.Request.Life}
 		if !c.coord.Grants(who, a.Request.Acts, c.policy.State()) {
-			c.do(Answer{a.To, &pb.AskReply{}}) // a lease of no length
+			c.do(Answer{a.To, &pb.AskReply{Need: index}}) // a lease of no length
 			continue
 		}
 		need := c.granter.Grant(who, index, now)
--- a/internal/agreed/sim_test.go
+++ b/internal/agreed/sim_test.go
@@ -47,6 +47,9 @@
 	rate  float64
 	asked map[uint64]func(any)
 	last  uint64
+	saves int
+	dies  int // with its save of this number, before that reaches the disk if torn
+	torn  bool
 }
 
 type simCopy struct {
@@ -177,6 +180,15 @@
 	for _, a := range actions {
 		switch a := a.(type) {
 		case Save:
+			v.saves++
+			if v.saves == v.dies {
+				if !v.torn {
+					s.save(v.saved, a)
+				}
+				v.up = false
+				s.after(700*time.Millisecond, func() { s.comeBack(i) })
+				return
+			}
 			s.save(v.saved, a)
 			disk += 500 * time.Microsecond
 		case Send:
@@ -549,3 +561,53 @@
 		})
 	}
 }
+
+// comeBack starts a voter from its disk once all others answer its hello.
+func (s *sim) comeBack(i int) {
+	heard := s.hello(i)
+	if heard == nil {
+		s.after(100*time.Millisecond, func() { s.comeBack(i) })
+		return
+	}
+	s.startVoter(i, heard)
+}
+
+// A voter dies with each of its writes in turn, as it is done or just before, and all that the step would have done behind it is
+// left out: from the first election on to the end of two changes. Both take hold, and the promise holds at each step.
+func TestDiesAtEachWrite(t *testing.T) {
+	points := 0
+	for voter := range 3 {
+		for write := 1; ; write++ {
+			reached := false
+			for _, torn := range []bool{false, true} {
+				s := newSim(t, 5, 3, 3)
+				s.voters[voter].dies, s.voters[voter].torn = write, torn
+				for n := range uint64(2) {
+					var change uint64
+					for tries := 0; ; tries++ {
+						if s.run(s.now+20*time.Second, func() bool { return s.acting() == 3 }); tries > 20 {
+							t.Fatalf("voter %d, write %d, torn %v: change %d is not handed in", voter, write, torn, n+1)
+						}
+						s.propose(int(n), n, &change)
+						if s.run(s.now+10*time.Second, func() bool {
+							for _, c := range s.copies {
+								if c.copy.Policy().State().Version != n+1 {
+									return false
+								}
+							}
+							return true
+						}) {
+							break
+						}
+					}
+				}
+				reached = reached || s.voters[voter].saves >= write
+				points++
+			}
+			if !reached {
+				break
+			}
+		}
+	}
+	t.Logf("%d points", points)
+}
--- a/internal/fleet/copy.go
+++ b/internal/fleet/copy.go
@@ -125,6 +125,9 @@
 	for n.ctx.Err() == nil {
 		if n.voter() != nil {
 			n.feed.follow(n.ctx, n.reached(), beats(), func(p *pb.Piece) bool {
+				n.mu.Lock()
+				n.heard = n.c.Now()
+				n.mu.Unlock()
 				return n.voter() != nil && (len(p.Entries)+len(p.Snapshot) == 0 || n.copy.In.Put(n.ctx, agreed.Told{Piece: p}) == nil)
 			})
 			continue
@@ -176,7 +179,7 @@
 		}
 		silent.Reset(silentTime)
 		n.mu.Lock()
-		n.current = name
+		n.current, n.heard = name, n.c.Now()
 		n.mu.Unlock()
 		if len(p.Entries)+len(p.Snapshot) > 0 {
 			if err := n.copy.In.Put(ctx, agreed.Told{Piece: p}); err != nil {
--- a/internal/fleet/http.go
+++ b/internal/fleet/http.go
@@ -24,7 +24,17 @@
 // Register adds what the command line asks: GET /fleet, and POST /policy/propose, /policy/abort, /fleet/gone, /fleet/voters. Who
 // reaches the sender's socket may ask all of it.
 func (n *Node) Register(mux *http.ServeMux) {
-	mux.HandleFunc("GET /fleet", func(w http.ResponseWriter, _ *http.Request) { json.NewEncoder(w).Encode(n.Report()) })
+	mux.HandleFunc("GET /fleet", func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Query().Get("current") != "" {
+			ctx, cancel := context.WithTimeout(r.Context(), commandTime)
+			defer cancel()
+			if err := n.Current(ctx); err != nil {
+				http.Error(w, err.Error(), http.StatusServiceUnavailable)
+				return
+			}
+		}
+		json.NewEncoder(w).Encode(n.Report())
+	})
 	post := func(path string, do func(ctx context.Context, r *http.Request, by string) (any, error)) {
 		mux.HandleFunc("POST "+path, func(w http.ResponseWriter, r *http.Request) {
 			ctx, cancel := context.WithTimeout(r.Context(), commandTime)
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -100,8 +100,9 @@
 	old     string // why the folder was found to be old
 	waits   string // for which voters this one waits before it takes part
 	report  copyReport
-	current string // voter that is followed
-	told    func() // that calls go by another view, or may or may not be begun at all
+	current string        // voter that is followed
+	heard   time.Duration // a voter's word came last; a voter hears its own log
+	told    func()        // that calls go by another view, or may or may not be begun at all
 }
 
 // Start lets a sender take part. It returns at once; nothing may be begun until a lease is there.
--- a/internal/fleet/policy.go
+++ b/internal/fleet/policy.go
@@ -20,6 +20,7 @@
 	Name     string        `json:"name"`
 	Cluster  string        `json:"cluster"`
 	Address  string        `json:"address"`
+	HeardMS  int64         `json:"heard_ms"` // since a voter told it last that this is all: its age, as far as that voter knew
 	Index    uint64        `json:"index"`    // how far its copy of the state has come
 	Acts     bool          `json:"acts"`     // it may begin calls now
 	LeaseMS  int64         `json:"lease_ms"` // that is left; 0: none
@@ -97,6 +98,9 @@
 	now := n.c.Now()
 	r := Report{Name: n.c.Name, Cluster: n.c.Cluster, Address: n.addr, Index: n.report.index, Follows: n.current, LengthMS: n.c.Terms.Length.Milliseconds(),
 		Bound: fmt.Sprintf("lease %v, counted %v by who grants it (drift %g); then two round trips", n.c.Terms.Length, n.c.Terms.Wait(), n.c.Terms.Drift)}
+	if n.heard > 0 {
+		r.HeardMS = (now - n.heard).Milliseconds()
+	}
 	if v, acts := n.gate.View(); v != nil {
 		r.Acts = acts
 		r.LeaseMS = max(0, (time.Duration(n.gate.until.Load()) - now).Milliseconds())
@@ -143,6 +147,29 @@
 	return r
 }
 
+// Current waits until this sender's copy has come to where the log was when it was asked, as a majority confirms: what is read then is
+// no older than the question.
+func (n *Node) Current(ctx context.Context) error {
+	var need uint64
+	if err := n.through(ctx, func(ctx context.Context, client pb.FleetClient) error {
+		r, err := client.Ask(ctx, &pb.AskRequest{Cluster: n.c.Cluster, Name: n.c.Name, Life: n.life})
+		if err == nil {
+			need = r.Need
+		}
+		return err
+	}); err != nil {
+		return fmt.Errorf("no majority confirms what is newest: %w", err)
+	}
+	for n.reached() < need {
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("this sender has come to entry %d, and %d is wanted: %w", n.reached(), need, ctx.Err())
+		case <-time.After(5 * time.Millisecond):
+		}
+	}
+	return nil
+}
+
 // ErrRefused is that the fleet turned a command away: it changed nothing.
 var ErrRefused = errors.New("refused")
 
--- a/internal/rehearsal/concord/concord.go
+++ b/internal/rehearsal/concord/concord.go
@@ -33,6 +33,7 @@
 	Seconds float64       // of faults and changes; healing comes behind
 	Lease   time.Duration // default 1s
 	Quiet   bool          // no faults
+	KillAll bool          // all are killed at once, twice
 	CutOff  bool          // the last sender is cut off from all others before the first change, and stays so
 	Down    int           // so many are killed before the first change and stay so
 	Command []string      // the sender's program
@@ -84,6 +85,11 @@
 	if o.CutOff {
 		fmt.Fprintf(&b, "[[link]]\ndo = \"cut\"\nfrom = \"n%d\"\nto = \"all\"\nboth = true\nat = \"1s\"\nfor = \"%vs\"\n", o.Senders-1, o.Seconds)
 	}
+	if o.KillAll {
+		for _, at := range []float64{0.4, 0.7} {
+			fmt.Fprintf(&b, "[[sender]]\ndo = \"kill\"\nwhich = \"all\"\nat = \"%vs\"\n", at*o.Seconds)
+		}
+	}
 	if o.Quiet {
 		return b.String()
 	}
