The fleet's keys, changed in service; one that was declared gone gets no lease; rings are shown

It keeps strangers out and hides nothing, so addresses stay loopback ones until TLS lands. fleet status shows the rings to other voters.

--- a/cmd/saffronyard/fleet.go
+++ b/cmd/saffronyard/fleet.go
@@ -201,6 +201,9 @@
 			fmt.Fprintf(w, "the change waits\t%s %s: %v until its lease has lapsed\n", or(h.Name, "holders of an earlier leader's leases"), h.For, h.Left.Round(time.Millisecond))
 		}
 	}
+	for _, s := range r.Rings {
+		fmt.Fprintf(w, "ring %s\t%d of %d, at most %d; %d dropped\n", s.Name, s.Held, s.Capacity, s.High, s.Dropped)
+	}
 	for _, d := range r.Duties {
 		state := fmt.Sprintf("%d turns, the longest %v", d.Turns, time.Duration(d.LongestUS)*time.Microsecond)
 		if d.Ended != "" {
--- a/cmd/saffronyard/main.go
+++ b/cmd/saffronyard/main.go
@@ -228,6 +228,16 @@
 				}
 			}()
 			c.Fleet = node
+			if f.Fleet.KeysFile != "" {
+				again = append(again, func(*sender.Sender) error {
+					keys, err := f.Fleet.Keys()
+					if err != nil {
+						return fmt.Errorf("the fleet's keys are kept as they were: %w", err)
+					}
+					node.Keys(keys)
+					return nil
+				})
+			}
 		}
 		if d := f.DNS; d != nil {
 			names, err := startNames(d, c, log)
@@ -285,6 +295,9 @@
 	if fc.Folder == "" {
 		fc.Folder = filepath.Join(c.State, "fleet")
 	}
+	if fc.Keys, err = f.Keys(); err != nil {
+		return nil, err
+	}
 	fc.Settings = fleetpolicy.Settings{Classes: c.Classes, Tenants: c.Tenants, Kinds: c.Kinds}
 	if err := fc.Check(); err != nil {
 		return nil, err
--- a/internal/agreed/core.go
+++ b/internal/agreed/core.go
@@ -271,6 +271,10 @@
 			c.do(Answer{e.To, errors.New("too many questions wait")})
 			return
 		}
+		if m := c.state.Member(e.Request.Name); m.GetGone() {
+			c.do(Answer{e.To, fmt.Errorf("%s was declared gone for good", m.Name)})
+			return
+		}
 		who := lease.Who{Name: e.Request.Name, Life: e.Request.Life}
 		c.granter.Asked(who, e.Request.Acts)
 		for _, s := range e.Request.Staged {
@@ -321,16 +325,13 @@
 	}
 }
 
-// own hands in a command of the leader's own. Lost, it is given again.
+// own hands in a command of the leader's own.
 func (c *Core) own(p *pb.Policy) {
 	body, err := proto.Marshal(p)
-	if err == nil {
-		var raw []byte
-		if raw, err = proto.Marshal(&pb.Command{Kind: KindPolicy, Body: body}); err == nil {
-			err = c.rn.Propose(raw)
-		}
-	}
-	_ = err // what is dropped is given again
+	must(err)
+	raw, err := proto.Marshal(&pb.Command{Kind: KindPolicy, Body: body})
+	must(err)
+	c.rn.Propose(raw) // what is dropped is given again
 }
 
 // handOn gives the lead to the voter that has most of the log.
--- a/internal/features/features.go
+++ b/internal/features/features.go
@@ -42,13 +42,16 @@
 }
 
 // Keys reads the file of keys.
-func (p *Peers) Keys() ([][]byte, error) {
-	if p.KeysFile == "" {
+func (p *Peers) Keys() ([][]byte, error) { return readKeys("peers", p.KeysFile) }
+
+// readKeys reads a file of keys; there are none without one.
+func readKeys(table, file string) ([][]byte, error) {
+	if file == "" {
 		return nil, nil
 	}
-	raw, err := os.ReadFile(p.KeysFile)
+	raw, err := os.ReadFile(file)
 	if err != nil {
-		return nil, fmt.Errorf("peers: keys_file: %w", err)
+		return nil, fmt.Errorf("%s: keys_file: %w", table, err)
 	}
 	var keys [][]byte
 	for i, line := range strings.Split(string(raw), "\n") {
@@ -57,15 +60,15 @@
 		}
 		k, err := base64.StdEncoding.DecodeString(line)
 		if err != nil {
-			return nil, fmt.Errorf("%s:%d: no key in base64: %w", p.KeysFile, i+1, err)
+			return nil, fmt.Errorf("%s:%d: no key in base64: %w", file, i+1, err)
 		}
 		if n := len(k); n != 16 && n != 24 && n != 32 {
-			return nil, fmt.Errorf("%s:%d: a key of %d bytes; 16, 24 or 32 are wanted", p.KeysFile, i+1, n)
+			return nil, fmt.Errorf("%s:%d: a key of %d bytes; 16, 24 or 32 are wanted", file, i+1, n)
 		}
 		keys = append(keys, k)
 	}
 	if len(keys) == 0 {
-		return nil, fmt.Errorf("%s: it holds no key", p.KeysFile)
+		return nil, fmt.Errorf("%s: it holds no key", file)
 	}
 	return keys, nil
 }
--- a/internal/features/fleet.go
+++ b/internal/features/fleet.go
@@ -15,7 +15,9 @@
 	Listen  string        `toml:"listen"`  // where others reach this sender; a loopback address; default ":7948"
 	Lease   tomlfile.Span `toml:"lease"`   // a sender that is cut off begins no call after it; from 500ms to 1m, default 3s
 	Folder  string        `toml:"folder"`  // default: "fleet" in the sender's state folder
-	Voters  []FleetVoter  `toml:"voter"`   // the first ones, the same in every sender's file; an odd number of them
+	// KeysFile has the fleet's keys, a line each in base64, the first for what is sent; default: none
+	KeysFile string       `toml:"keys_file"`
+	Voters   []FleetVoter `toml:"voter"` // the first ones, the same in every sender's file; an odd number of them
 }
 
 // FleetVoter is a sender that keeps the log.
@@ -35,6 +37,9 @@
 	return c
 }
 
+// Keys reads the file of keys.
+func (f *Fleet) Keys() ([][]byte, error) { return readKeys("fleet", f.KeysFile) }
+
 func (f *Fleet) check(c checker) error {
 	set(&f.Listen, ":7948")
 	set(&f.Lease, tomlfile.Span(fleet.LengthDefault))
--- /dev/null
+++ b/internal/fleet/keys.go
@@ -0,0 +1,96 @@
+package fleet
+
+import (
+	"context"
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/hex"
+	"sync"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/metadata"
+	"google.golang.org/grpc/status"
+)
+
+// A sender of the fleet shows with each call that it has the fleet's key: HMAC-SHA-256 over cluster and method. It keeps a
+// stranger, and a sender of another fleet, from being taken for one of this; it hides nothing, and who can read what goes over
+// the network can show it again. That is why addresses are loopback ones until TLS lands.
+
+// proofHeader carries the proof.
+const proofHeader = "saffronyard-proof"
+
+// keyring are the keys: the first is shown, each is taken, so that they can be changed in service.
+type keyring struct {
+	cluster string
+
+	mu   sync.Mutex
+	keys [][]byte
+}
+
+func (k *keyring) set(keys [][]byte) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.keys = keys
+}
+
+func (k *keyring) all() [][]byte {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.keys
+}
+
+func (k *keyring) proof(key []byte, method string) string {
+	h := hmac.New(sha256.New, key)
+	h.Write([]byte(k.cluster + "\x00" + method))
+	return hex.EncodeToString(h.Sum(nil))
+}
+
+// show adds the proof to a call.
+func (k *keyring) show(ctx context.Context, method string) context.Context {
+	if keys := k.all(); len(keys) > 0 {
+		return metadata.AppendToOutgoingContext(ctx, proofHeader, k.proof(keys[0], method))
+	}
+	return ctx
+}
+
+// check says why a call is not taken.
+func (k *keyring) check(ctx context.Context, method string) error {
+	keys := k.all()
+	if len(keys) == 0 {
+		return nil
+	}
+	for _, shown := range metadata.ValueFromIncomingContext(ctx, proofHeader) {
+		for _, key := range keys {
+			if hmac.Equal([]byte(shown), []byte(k.proof(key, method))) {
+				return nil
+			}
+		}
+	}
+	return status.Error(codes.Unauthenticated, "the caller does not show the fleet's key")
+}
+
+func (k *keyring) server() []grpc.ServerOption {
+	return []grpc.ServerOption{grpc.UnaryInterceptor(func(ctx context.Context, req any, info *grpc.UnaryServerInfo, next grpc.UnaryHandler) (any, error) {
+		if err := k.check(ctx, info.FullMethod); err != nil {
+			return nil, err
+		}
+		return next(ctx, req)
+	}), grpc.StreamInterceptor(func(srv any, s grpc.ServerStream, info *grpc.StreamServerInfo, next grpc.StreamHandler) error {
+		if err := k.check(s.Context(), info.FullMethod); err != nil {
+			return err
+		}
+		return next(srv, s)
+	})}
+}
+
+func (k *keyring) client() []grpc.DialOption {
+	return []grpc.DialOption{grpc.WithUnaryInterceptor(func(ctx context.Context, method string, req, reply any, c *grpc.ClientConn, next grpc.UnaryInvoker, opts ...grpc.CallOption) error {
+		return next(k.show(ctx, method), method, req, reply, c, opts...)
+	}), grpc.WithStreamInterceptor(func(ctx context.Context, d *grpc.StreamDesc, c *grpc.ClientConn, method string, next grpc.Streamer, opts ...grpc.CallOption) (grpc.ClientStream, error) {
+		return next(k.show(ctx, method), d, c, method, opts...)
+	})}
+}
+
+// Keys changes the fleet's keys; the first is shown, each is taken.
+func (n *Node) Keys(keys [][]byte) { n.keys.set(keys) }
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -37,6 +37,7 @@
 	Voters  []Voter // the first ones, the same in every sender's file, as this sender reaches them
 	Folder  string
 	Terms   lease.Terms
+	Keys    [][]byte // of the fleet: the first is shown with each call, each is taken; none: nothing is shown
 
 	Settings fleetpolicy.Settings // of this sender: what a policy may name
 
@@ -81,6 +82,7 @@
 	group   *duty.Group
 	server  *grpc.Server
 	wires   *wires
+	keys    *keyring
 	feed    *feed
 	lives   lives
 	follows atomic.Int64
@@ -93,8 +95,8 @@
 	store   *store
 	copy    *duty.Duty[any, any]
 	replies map[uint64]chan any
-	last    uint64 // reply
-	out     map[string]*outbox
+	last    uint64                                 // reply
+	out     map[string]*duty.Ring[*raftpb.Message] // to other voters
 	status  agreed.Status
 	failed  string // why it is no voter any more
 	old     string // why the folder was found to be old
@@ -120,8 +122,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("fleet: %w", err)
 	}
-	n := &Node{c: c, log: log, life: draw(), gate: NewGate(c.Now), wires: newWires(), feed: newFeed(), lives: lives{by: map[string]uint64{}},
-		replies: map[uint64]chan any{}, out: map[string]*outbox{}, addr: l.Addr().String()}
+	n := &Node{c: c, log: log, life: draw(), gate: NewGate(c.Now), keys: &keyring{cluster: c.Cluster, keys: c.Keys}, feed: newFeed(), lives: lives{by: map[string]uint64{}},
+		replies: map[uint64]chan any{}, out: map[string]*duty.Ring[*raftpb.Message]{}, addr: l.Addr().String()}
+	n.wires = newWires(n.keys)
 	n.ctx, n.stop = context.WithCancel(context.Background())
 	n.group = &duty.Group{Log: log, Clock: c.Now, Stall: stallTime}
 	n.group.Ended = func(name string, err error) {
@@ -131,7 +134,7 @@
 			n.core, n.folder, n.failed = nil, nil, err.Error()
 		}
 	}
-	n.server = grpc.NewServer(grpc.MaxRecvMsgSize(messageMost), grpc.MaxSendMsgSize(messageMost))
+	n.server = grpc.NewServer(append(n.keys.server(), grpc.MaxRecvMsgSize(messageMost), grpc.MaxSendMsgSize(messageMost))...)
 	pb.RegisterFleetServer(n.server, &service{n: n})
 	n.startCopy()
 	if slices.ContainsFunc(c.Voters, func(v Voter) bool { return v.Name == c.Name }) || n.wasVoter() {
@@ -348,12 +351,12 @@
 }
 
 // put hands an event that is answered to the voter's log.
-func (n *Node) put(ctx context.Context, make func(to uint64) any) (any, error) {
+func (n *Node) put(ctx context.Context, event func(to uint64) any) (any, error) {
 	core := n.voter()
 	if core == nil {
 		return nil, status.Error(codes.Unavailable, "this sender is no voter, or has not begun")
 	}
-	answer := makeReply()
+	answer := make(chan any, 1)
 	n.mu.Lock()
 	n.last++
 	to := n.last
@@ -364,7 +367,7 @@
 		delete(n.replies, to)
 		n.mu.Unlock()
 	}()
-	if err := core.In.Put(ctx, make(to)); err != nil {
+	if err := core.In.Put(ctx, event(to)); err != nil {
 		return nil, err
 	}
 	select {
@@ -380,8 +383,6 @@
 	}
 }
 
-func makeReply() chan any { return make(chan any, 1) }
-
 // leader is the way to the one that leads, as this voter knows.
 func (n *Node) leader() (pb.FleetClient, error) {
 	n.mu.Lock()
@@ -409,7 +410,7 @@
 			n.feed.cut(a.Snapshot.Data)
 		}
 	case agreed.Send:
-		n.box(n.nameOf(a.Message.GetTo())).ring.Offer(a.Message)
+		n.box(n.nameOf(a.Message.GetTo())).Offer(a.Message)
 	case agreed.Answer:
 		n.mu.Lock()
 		c := n.replies[a.To]
@@ -432,19 +433,18 @@
 	return nil
 }
 
-// box is the way to a voter.
-func (n *Node) box(name string) *outbox {
+// box is what goes to one voter, in order; the oldest is dropped when it does not keep up.
+func (n *Node) box(name string) *duty.Ring[*raftpb.Message] {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	b := n.out[name]
 	if b == nil {
-		ctx, stop := context.WithCancel(n.ctx)
-		b = &outbox{duty.NewRing[*raftpb.Message]("to "+name, outboxMost, duty.DropOldest, nil), stop}
+		b = duty.NewRing[*raftpb.Message]("to "+name, outboxMost, duty.DropOldest, nil)
 		n.out[name] = b
 		n.work.Add(1)
 		go func() {
 			defer n.work.Done()
-			n.send(ctx, name, b.ring)
+			n.send(n.ctx, name, b)
 		}()
 	}
 	return b
--- a/internal/fleet/node_test.go
+++ b/internal/fleet/node_test.go
@@ -617,6 +617,10 @@
 	if err := s.nodes[1].Abort(ctx, change, "again"); !errors.Is(err, ErrRefused) {
 		t.Errorf("aborted twice: %v", err)
 	}
+	if err := s.nodes[1].Leave(ctx, &pb.Leave{Name: "n4", By: "test"}); err != nil {
+		t.Error(err)
+	}
+	until(t, "one that was declared gone acts no longer", func() bool { _, acts := s.nodes[4].View(); return !acts })
 }
 
 // slowDisk takes as long as it is told to.
@@ -753,3 +757,35 @@
 		t.Errorf("%d bytes", most)
 	}
 }
+
+// Keys are changed in service, one sender after another; one that has another fleet's key, or none, is taken for nobody.
+func TestKeys(t *testing.T) {
+	t.Parallel()
+	first, second := []byte("0123456789abcdef"), []byte("fedcba9876543210")
+	s := newSquad(t, 3, 5, func(i int, c *Config) {
+		c.Keys = [][]byte{first}
+		switch i {
+		case 3:
+			c.Keys = [][]byte{second}
+		case 4:
+			c.Keys = nil
+		}
+	})
+	for i := range 3 {
+		until(t, name(i)+" acts", func() bool { _, acts := s.nodes[i].View(); return acts })
+	}
+	for _, keys := range [][][]byte{{first, second}, {second, first}, {second}} {
+		for i := range 3 {
+			s.nodes[i].Keys(keys)
+		}
+		change, err := s.propose(0, s.nodes[0].Report().Policy.Version, "# "+string(keys[0]))
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.over(0, change)
+	}
+	until(t, "the one whose key is the fleet's by now acts", func() bool { _, acts := s.nodes[3].View(); return acts })
+	if _, acts := s.nodes[4].View(); acts {
+		t.Error("one without a key acts")
+	}
+}
--- a/internal/fleet/policy.go
+++ b/internal/fleet/policy.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -30,6 +31,7 @@
 	Members  []Member      `json:"members"`
 	Voters   []string      `json:"voters"`
 	Policy   PolicyReport  `json:"policy"`
+	Rings    []duty.Stats  `json:"rings,omitempty"` // to other voters
 	Duties   []duty.Report `json:"duties"`
 	LengthMS int64         `json:"lease_length_ms"`
 	Bound    string        `json:"bound"` // how long a change waits for one that is cut off
@@ -143,6 +145,9 @@
 	for _, o := range p.GetPast() {
 		r.Policy.Past = append(r.Policy.Past, PastReport{o.Id, o.Version, o.By, o.Why, o.Ended, string(o.Document)})
 	}
+	for _, name := range slices.Sorted(maps.Keys(n.out)) {
+		r.Rings = append(r.Rings, n.out[name].Stats())
+	}
 	r.Duties = n.group.Reports()
 	return r
 }
--- a/internal/fleet/transport.go
+++ b/internal/fleet/transport.go
@@ -36,11 +36,12 @@
 
 // wires are the connections to other voters, by address.
 type wires struct {
+	keys  *keyring
 	mu    sync.Mutex
 	conns map[string]*grpc.ClientConn
 }
 
-func newWires() *wires { return &wires{conns: map[string]*grpc.ClientConn{}} }
+func newWires(keys *keyring) *wires { return &wires{keys: keys, conns: map[string]*grpc.ClientConn{}} }
 
 func (w *wires) to(address string) (pb.FleetClient, error) {
 	w.mu.Lock()
@@ -48,11 +49,11 @@
 	c := w.conns[address]
 	if c == nil {
 		var err error
-		c, err = grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(insecure.NewCredentials()),
+		c, err = grpc.NewClient("passthrough:///"+address, append(w.keys.client(), grpc.WithTransportCredentials(insecure.NewCredentials()),
 			grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(messageMost), grpc.MaxCallSendMsgSize(messageMost)),
 			grpc.WithDisableServiceConfig(), grpc.WithDisableRetry(),
 			grpc.WithConnectParams(grpc.ConnectParams{Backoff: backoff.Config{BaseDelay: 50 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: connectMost}, MinConnectTimeout: connectMost}),
-			grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: pingTime, Timeout: pingPatience}))
+			grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: pingTime, Timeout: pingPatience}))...)
 		if err != nil {
 			return nil, fmt.Errorf("fleet: %s: %w", address, err)
 		}
@@ -69,12 +70,6 @@
 	}
 }
 
-// outbox is what goes to one voter, in order; the oldest is dropped when it does not keep up.
-type outbox struct {
-	ring *duty.Ring[*raftpb.Message]
-	stop context.CancelFunc
-}
-
 // send keeps a stream to a voter and passes messages on.
 func (n *Node) send(ctx context.Context, name string, ring *duty.Ring[*raftpb.Message]) {
 	for ctx.Err() == nil {
--- a/internal/fleetpolicy/model_test.go
+++ b/internal/fleetpolicy/model_test.go
@@ -284,8 +284,7 @@
 			n.old = &old
 			n.leader = leading{lease.NewGranter(modelTerms, n.clock()), &Coordinator{}, len(n.log)}
 			if m.fault == noQuietTime {
-				n.leader.granter = lease.NewGranter(lease.Terms{}, -1)
-				n.leader.granter = withTerms(n.leader.granter)
+				n.leader.granter = withoutQuiet()
 			}
 			return ""
 		})
@@ -296,15 +295,15 @@
 	}
 }
 
-// withTerms is a granter that has no quiet time before it.
-func withTerms(*lease.Granter) *lease.Granter { return lease.NewGranter(modelTerms, -10*tick) }
+// withoutQuiet is a granter that takes nobody for a holder.
+func withoutQuiet() *lease.Granter { return lease.NewGranter(modelTerms, -10*tick) }
 
 func (m *model) decide(n *world) string {
 	l := &n.leader
 	st := m.machine(n.log[:l.applied]).State()
 	granter := l.granter
 	if m.fault == noWaitForLapse {
-		granter = withTerms(nil)
+		granter = withoutQuiet()
 	}
 	cmd, _ := l.coord.Step(n.clock(), st, granter)
 	step := ""
