--- a/cmd/saffronyard/fleet.go
+++ b/cmd/saffronyard/fleet.go
@@ -309,6 +309,9 @@
 					phase = "is about to take hold"
 				}
 				fmt.Fprintf(w, "change %d by %s %s: %s\n", o.ID, o.By, phase, or(o.Why, "no reason is given"))
+				for _, h := range o.Waits {
+					fmt.Fprintf(w, "it waits for %s %s, whose lease has %v left\n", or(h.Name, "holders of an earlier leader's leases"), h.For, h.Left.Round(time.Millisecond))
+				}
 			}
 		})
 	}}
@@ -456,10 +459,7 @@
 	if o.Frozen {
 		line = "it is about to take hold"
 	}
-	if r.Voter == nil {
-		return line
-	}
-	for _, w := range r.Voter.Waits {
+	for _, w := range o.Waits {
 		line += fmt.Sprintf("; waits for %s %s, whose lease has %v left", or(w.Name, "holders of an earlier leader's leases"), w.For, w.Left.Round(time.Second))
 	}
 	return line
--- a/internal/agreed/core.go
+++ b/internal/agreed/core.go
@@ -26,6 +26,7 @@
 	snapshotKeep  = 1000    // entries kept in front of one, for voters and followers that are a little behind
 	messageMost   = 1 << 20 // bytes of entries in one message
 	uncommitted   = 8 << 20 // bytes that a leader holds uncommitted; beyond that commands are turned away
+	waitsTold     = 20      // of those that a change waits for, to each who asks
 	asksMost      = 4096    // questions that wait to be confirmed
 )
 
@@ -485,15 +486,23 @@
 		}
 		who := lease.Who{Name: a.Request.Name, Life: a.Request.Life}
 		if !c.coord.Grants(who, a.Request.Acts, c.policy.State()) {
-			c.do(Answer{a.To, &pb.AskReply{Need: index}}) // a lease of no length
+			c.do(Answer{a.To, &pb.AskReply{Need: index, Waits: c.waits()}}) // a lease of no length
 			continue
 		}
 		need := c.granter.Grant(who, index, now)
-		c.do(Answer{a.To, &pb.AskReply{Need: need, LengthUs: c.terms.Length.Microseconds()}})
+		c.do(Answer{a.To, &pb.AskReply{Need: need, LengthUs: c.terms.Length.Microseconds(), Waits: c.waits()}})
 	}
 	delete(c.asks, read)
 }
 
+// waits are those that the open change waits for, the first few.
+func (c *Core) waits() (all []*pb.Waiting) {
+	for _, w := range c.status.Waits[:min(len(c.status.Waits), waitsTold)] {
+		all = append(all, &pb.Waiting{Name: w.Name, For: w.For, LeftUs: w.Left.Microseconds()})
+	}
+	return all
+}
+
 func (c *Core) restore(s *raftpb.Snapshot) {
 	must(c.state.Restore(s.Data))
 	c.conf = s.GetMetadata().GetConfState()
--- a/internal/fleet/copy.go
+++ b/internal/fleet/copy.go
@@ -73,6 +73,9 @@
 				n.copy.In.Put(ctx, agreed.Unanswered{Asked: a.Asked})
 				return
 			}
+			n.mu.Lock()
+			n.waiting = r.Waits
+			n.mu.Unlock()
 			n.copy.In.Put(ctx, agreed.Granted{Asked: a.Asked, Need: r.Need, Length: time.Duration(r.LengthUs) * time.Microsecond})
 		})
 	case agreed.Publish:
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -98,9 +98,10 @@
 	last    uint64                                 // reply
 	out     map[string]*duty.Ring[*raftpb.Message] // to other voters
 	status  agreed.Status
-	failed  string // why it is no voter any more
-	old     string // why the folder was found to be old
-	waits   string // for which voters this one waits before it takes part
+	failed  string        // why it is no voter any more
+	old     string        // why the folder was found to be old
+	waiting []*pb.Waiting // for whom the open change waits, as the one that leads said last
+	waits   string        // for which voters this one waits before it takes part
 	report  copyReport
 	current string        // voter that is followed
 	heard   time.Duration // a voter's word came last; a voter hears its own log
--- a/internal/fleet/node_test.go
+++ b/internal/fleet/node_test.go
@@ -224,6 +224,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	for i := range 3 { // whichever leads, each can say for whom the change waits
+		until(t, name(i)+" says for whom", func() bool {
+			open := s.nodes[i].Report().Policy.Open
+			return open == nil || slices.ContainsFunc(open.Waits, func(w fleetpolicy.Waiting) bool { return w.Name == "n3" && w.Left > 0 })
+		})
+	}
 	s.over(0, change)
 	if _, acts := s.nodes[3].gate.View(); acts {
 		t.Error("one that is cut off acts when a change has taken hold without it")
--- a/internal/fleet/policy.go
+++ b/internal/fleet/policy.go
@@ -81,6 +81,9 @@
 	Why      string `json:"why,omitempty"`
 	Frozen   bool   `json:"frozen"`
 	Document string `json:"document"`
+
+	// For whom it waits, as the one that leads said when this sender asked it last.
+	Waits []fleetpolicy.Waiting `json:"waits,omitempty"`
 }
 
 // PastReport is a change that is over.
@@ -140,7 +143,13 @@
 	p := n.report.policy
 	r.Policy = PolicyReport{Version: p.GetVersion(), Document: string(p.GetDocument()), Since: p.GetSince()}
 	if o := p.GetOpen(); o != nil {
-		r.Policy.Open = &ChangeReport{o.Id, o.Base, o.By, o.Why, o.Frozen != 0, string(o.Document)}
+		r.Policy.Open = &ChangeReport{ID: o.Id, Base: o.Base, By: o.By, Why: o.Why, Frozen: o.Frozen != 0, Document: string(o.Document)}
+		r.Policy.Open.Waits = n.status.Waits
+		if !n.status.Leads {
+			for _, w := range n.waiting {
+				r.Policy.Open.Waits = append(r.Policy.Open.Waits, fleetpolicy.Waiting{Name: w.Name, For: w.For, Left: time.Duration(w.LeftUs) * time.Microsecond})
+			}
+		}
 	}
 	for _, o := range p.GetPast() {
 		r.Policy.Past = append(r.Policy.Past, PastReport{o.Id, o.Version, o.By, o.Why, o.Ended, string(o.Document)})
