A field and a method that nothing uses are gone

Seen on reading the change once more: the feed's state and the lease holder's Asking had no caller but a test of the latter's own. Nothing else is another: lease and fleet tests pass, go vet is clean.

--- a/internal/agreed/lease/lease.go
+++ b/internal/agreed/lease/lease.go
@@ -85,11 +85,6 @@
 	return until
 }
 
-// Asking reports whether a question younger than so long is unanswered.
-func (h *Holder) Asking(now, younger time.Duration) bool {
-	return len(h.asked) > 0 && now-h.asked[len(h.asked)-1] < younger
-}
-
 // Who is a holder: one process of a sender.
 type Who struct {
 	Name string
--- a/internal/agreed/lease/lease_test.go
+++ b/internal/agreed/lease/lease_test.go
@@ -77,9 +77,6 @@
 	if got := h.Until(5); got != 14*s {
 		t.Errorf("the earlier one counts on: %v", got)
 	}
-	if h.Asking(9*s, 2*s) {
-		t.Error("it waits for an answer that has come")
-	}
 	late := h.Ask(20 * s)
 	h.Granted(late, 0, terms.Length, 31*s)
 	if got := h.Until(9); got > 31*s {
--- a/internal/fleet/feed.go
+++ b/internal/fleet/feed.go
@@ -19,7 +19,6 @@
 	mu       sync.Mutex
 	base     uint64 // index that the snapshot is of, or the first entry is behind
 	snapshot []byte // nil: entries from 1 on are all there are
-	state    func() ([]byte, error)
 	entries  []*pb.Entry
 	changed  chan struct{} // closed with each change
 }
