--- a/cmd/saffronyard/main.go
+++ b/cmd/saffronyard/main.go
@@ -154,7 +154,7 @@
 		}
 		c.Peers = &peers.Config{Name: c.Name, Life: uint64(time.Now().UnixMicro()), Cluster: p.Cluster,
 			Listen: peers.WithHost(p.Listen, host), Exchange: peers.WithHost(p.Exchange, host),
-			Seeds: p.Seeds, Keys: keys, Follow: p.Follow, Facts: p.Facts}
+			Seeds: p.Seeds, Keys: keys, Follow: p.Follow, Facts: p.Facts, Reach: p.Reaches()}
 	}
 	return nil
 }
--- a/internal/features/features.go
+++ b/internal/features/features.go
@@ -39,6 +39,22 @@
 	KeysFile string   `toml:"keys_file"` // keys of membership, a line each in base64, the first for sending; default: none
 	Follow   int      `toml:"follow"`    // so many are followed at once; from 1 to 16, default 3
 	Facts    int      `toml:"facts"`     // held of what each tells; from 100 to 1000000, default 50000
+	// Reach is where others are reached whose own addresses do not lead there; default: none
+	Reach []PeerReach `toml:"reach"`
+}
+
+// PeerReach is one of them.
+type PeerReach struct {
+	Address string `toml:"address"` // as it tells it: of its membership, or of its exchange
+	Via     string `toml:"via"`     // as this sender reaches it, TCP and UDP
+}
+
+// Reaches are all of them.
+func (p *Peers) Reaches() (all []peers.Reach) {
+	for _, r := range p.Reach {
+		all = append(all, peers.Reach(r))
+	}
+	return all
 }
 
 // Keys reads the file of keys.
@@ -224,7 +240,8 @@
 			key  string
 			edit func(*peers.Config)
 		}{{"cluster", func(c *peers.Config) { c.Cluster = p.Cluster }}, {"listen", func(c *peers.Config) { c.Listen = p.Listen }},
-			{"exchange", func(c *peers.Config) { c.Exchange = p.Exchange }}, {"seeds", func(c *peers.Config) { c.Seeds = p.Seeds }}} {
+			{"exchange", func(c *peers.Config) { c.Exchange = p.Exchange }}, {"seeds", func(c *peers.Config) { c.Seeds = p.Seeds }},
+			{"reach", func(c *peers.Config) { c.Reach = p.Reaches() }}} {
 			// Without a host it is the one that clients connect to, which the file does not know.
 			sound := peers.Config{Name: "n", Cluster: "c", Listen: "127.0.0.1:0", Exchange: "127.0.0.1:0"}
 			one.edit(&sound)
--- a/internal/features/features_test.go
+++ b/internal/features/features_test.go
@@ -33,6 +33,8 @@
 		"no cluster":    {"[peers]\nfollow = 2\n", `x.toml:1: peers: cluster "" is empty`},
 		"beyond":        {"[peers]\ncluster = \"a\"\nexchange = \"10.0.0.1:80\"\n", `x.toml:3: peers: exchange = "10.0.0.1:80": it is not a loopback address`},
 		"a bad seed":    {"[peers]\ncluster = \"a\"\nseeds = [\"n1\"]\n", `x.toml:3: peers: seed "n1"`},
+		"reach":         {"[peers]\ncluster = \"a\"\n[[peers.reach]]\naddress = \"127.0.0.2:7946\"\nvia = \"n1\"\n", `peers: reach 1: via = "n1"`},
+		"reached twice": {"[peers]\ncluster = \"a\"\n[[peers.reach]]\naddress = \"127.0.0.2:1\"\nvia = \"127.0.0.1:1\"\n[[peers.reach]]\naddress = \"127.0.0.2:1\"\nvia = \"127.0.0.1:2\"\n", "reach 2: 127.0.0.2:1 is reached at 127.0.0.1:1 already"},
 		"follows none":  {"[peers]\ncluster = \"a\"\nfollow = 99\n", "x.toml:3: peers.follow = 99 is not from 1 to 16"},
 		"too long":      {strings.Repeat("#", maxFile+1), "longer than"},
 	} {
--- a/internal/peers/node.go
+++ b/internal/peers/node.go
@@ -25,6 +25,7 @@
 // Node is one sender's part among its peers.
 type Node struct {
 	c      Config
+	to     reaches
 	log    *slog.Logger
 	now    func() time.Duration
 	heard  func([]knowledge.Fact) bool
@@ -60,7 +61,11 @@
 	if err := c.Check(); err != nil {
 		return nil, err
 	}
-	n := &Node{c: c, log: log, now: now, heard: heard, wake: make(chan struct{}, 1), known: map[string]*followed{}, parts: map[string]*progress{}}
+	to, err := newReaches(c.Reach)
+	if err != nil {
+		return nil, err
+	}
+	n := &Node{c: c, to: to, log: log, now: now, heard: heard, wake: make(chan struct{}, 1), known: map[string]*followed{}, parts: map[string]*progress{}}
 	n.ctx, n.stop = context.WithCancel(context.Background())
 	n.teller = newTeller(&n.c, now)
 	l, err := net.Listen("tcp", c.Exchange)
@@ -97,6 +102,22 @@
 	m.BindAddr, m.BindPort = at.Addr().String(), int(at.Port())
 	m.AdvertiseAddr, m.AdvertisePort = m.BindAddr, m.BindPort
 	m.Logger = stdlog.New(logLines{n.log}, "", 0)
+	if len(n.to) > 0 {
+		t, err := newTransport(at, n.to, m.Logger)
+		if err != nil {
+			return fmt.Errorf("peers: membership: %w", err)
+		}
+		m.Transport = t
+		defer func() {
+			if n.list == nil {
+				t.Shutdown()
+			}
+		}()
+		if at.Port() == 0 {
+			m.BindPort = t.GetAutoBindPort()
+			m.AdvertisePort = m.BindPort
+		}
+	}
 	m.Delegate = &n.meta
 	m.GossipInterval = gossipEvery // it is sent only when there is something to tell
 	m.Events = (*events)(n)
@@ -191,6 +212,7 @@
 		f := n.known[name]
 		f.following = true
 		m, p := f.Member, n.parts[name]
+		m.Exchange = n.to.at(m.Exchange)
 		if p == nil {
 			p = &progress{}
 			n.parts[name] = p
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -28,6 +28,7 @@
 	Keys     [][]byte // of the membership's messages, the first for what is sent: 16, 24 or 32 bytes each; none: in clear
 	Follow   int      // so many peers are followed at once
 	Facts    int      // held of what each tells, at most
+	Reach    []Reach  // of others that are not reached at their own address
 }
 
 // The defaults.
@@ -57,6 +58,9 @@
 			return fmt.Errorf("peers: seed %q: %w", s, err)
 		}
 	}
+	if _, err := newReaches(c.Reach); err != nil {
+		return err
+	}
 	for i, k := range c.Keys {
 		if n := len(k); n != 16 && n != 24 && n != 32 {
 			return fmt.Errorf("peers: key %d has %d bytes; 16, 24 or 32 are wanted", i+1, n)
--- a/internal/rehearsal/day/hosts.go
+++ b/internal/rehearsal/day/hosts.go
@@ -6,6 +6,7 @@
 	"path/filepath"
 	"regexp"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -54,12 +55,34 @@
 // the link between the two.
 var place = regexp.MustCompile(`\{n(\d+)(?::(\d+))?\}`)
 
+// reach stands for tables by which a sender reaches all others at ports of theirs, TCP and UDP, by links: {reach peers 7946 7947}
+// for [[peers.reach]].
+var reach = regexp.MustCompile(`\{reach (\w+)((?: \d+)+)\}`)
+
 // features writes the operators' file of a sender; there is none if the day has no features.
 func (d *Day) features(i int) (args []string, err error) {
 	if d.text == "" {
 		return nil, nil
 	}
-	text := place.ReplaceAllStringFunc(d.text, func(match string) string {
+	text := reach.ReplaceAllStringFunc(d.text, func(match string) string {
+		parts := reach.FindStringSubmatch(match)
+		var b strings.Builder
+		for to := range d.plan.Most() {
+			for _, port := range strings.Fields(parts[2]) {
+				if to == i {
+					continue
+				}
+				addr := d.hosts.sender(to) + ":" + port
+				link, bad := d.links.LinkBoth(name(i), name(to), addr)
+				if bad != nil {
+					err = bad
+				}
+				fmt.Fprintf(&b, "[[%s.reach]]\naddress = %q\nvia = %q\n", parts[1], addr, link)
+			}
+		}
+		return b.String()
+	})
+	text = place.ReplaceAllStringFunc(text, func(match string) string {
 		parts := place.FindStringSubmatch(match)
 		to, _ := strconv.Atoi(parts[1])
 		host := d.hosts.sender(to)
--- a/internal/rehearsal/links/links.go
+++ b/internal/rehearsal/links/links.go
@@ -167,17 +167,21 @@
 
 // Link opens the way by which from reaches the other at target, and gives the address to dial in target's place.
 func (n *Net) Link(from, to, target string) (string, error) {
-	l := &link{pair: pair{from, to}, target: target, net: n, conns: map[net.Conn]struct{}{}}
 	first, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return "", fmt.Errorf("link %s to %s: %w", from, to, err)
 	}
+	return n.link(from, to, target, first), nil
+}
+
+func (n *Net) link(from, to, target string, first net.Listener) string {
+	l := &link{pair: pair{from, to}, target: target, net: n, conns: map[net.Conn]struct{}{}}
 	l.addr = first.Addr().String()
 	l.serve(first)
 	n.mu.Lock()
 	n.links = append(n.links, l)
 	n.mu.Unlock()
-	return l.addr, nil
+	return l.addr
 }
 
 // Close ends all links.
--- a/internal/rehearsal/links/udp.go
+++ b/internal/rehearsal/links/udp.go
@@ -14,18 +14,47 @@
 const (
 	datagramMost = 64 << 10
 	reorderTime  = 5 * time.Millisecond // one that is overtaken comes so much later
+	bothTries    = 20                   // ports, until one is free for TCP and UDP
 	flowsMost    = 1024                 // sockets of senders that are told apart at once; further ones are not carried
 )
 
+// LinkBoth opens the ways for connections and for datagrams at one address, as membership wants it.
+func (n *Net) LinkBoth(from, to, target string) (string, error) {
+	for try := 0; ; try++ {
+		in, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+		if err != nil {
+			return "", fmt.Errorf("link %s to %s: %w", from, to, err)
+		}
+		tcp, err := net.Listen("tcp", in.LocalAddr().String())
+		if err != nil { // another has the port for TCP
+			in.Close()
+			if try < bothTries {
+				continue
+			}
+			return "", fmt.Errorf("link %s to %s: %w", from, to, err)
+		}
+		if _, err := n.linkUDP(from, to, target, in); err != nil {
+			tcp.Close()
+			return "", err
+		}
+		return n.link(from, to, target, tcp), nil
+	}
+}
+
 // LinkUDP opens the way by which from's datagrams reach the other at target, and gives the address to send to in target's place.
 // What the other answers goes back the way it came.
 func (n *Net) LinkUDP(from, to, target string) (string, error) {
-	dest, err := net.ResolveUDPAddr("udp", target)
+	in, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	if err != nil {
 		return "", fmt.Errorf("link %s to %s: %w", from, to, err)
 	}
-	in, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	return n.linkUDP(from, to, target, in)
+}
+
+func (n *Net) linkUDP(from, to, target string, in *net.UDPConn) (string, error) {
+	dest, err := net.ResolveUDPAddr("udp", target)
 	if err != nil {
+		in.Close()
 		return "", fmt.Errorf("link %s to %s: %w", from, to, err)
 	}
 	l := &udpLink{net: n, in: in, to: dest, forth: n.way(from, to), back: n.way(to, from), flows: map[string]*net.UDPConn{}, rng: n.draws(from, to, 0)}
--- a/internal/rehearsal/script/link.go
+++ b/internal/rehearsal/script/link.go
@@ -9,18 +9,20 @@
 	"dockshift.example/dockshift/internal/rehearsal/links"
 )
 
-// Link is what happens to the links between senders: cut, refuse, slow, trickle, freeze, reset.
+// Link is what happens to the links between senders: cut, refuse, slow, trickle, freeze, reset; lose, repeat and reorder strike
+// datagrams alone.
 type Link struct {
-	Do     string `toml:"do"`
-	At     Span   `toml:"at"`
-	For    Span   `toml:"for"`    // but for reset
-	From   string `toml:"from"`   // n0 and up, "all", or "one": drawn
-	To     string `toml:"to"`     // likewise; never From
-	Both   bool   `toml:"both"`   // the other direction too
-	Delay  Span   `toml:"delay"`  // slow
-	Jitter Span   `toml:"jitter"` // slow
-	Rate   int    `toml:"rate"`   // trickle: bytes a second; default 200
-	After  int    `toml:"after"`  // freeze: bytes that pass before; default 100
+	Do     string  `toml:"do"`
+	At     Span    `toml:"at"`
+	For    Span    `toml:"for"`    // but for reset
+	From   string  `toml:"from"`   // n0 and up, "all", or "one": drawn
+	To     string  `toml:"to"`     // likewise; never From
+	Both   bool    `toml:"both"`   // the other direction too
+	Delay  Span    `toml:"delay"`  // slow
+	Jitter Span    `toml:"jitter"` // slow
+	Rate   int     `toml:"rate"`   // trickle: bytes a second; default 200
+	After  int     `toml:"after"`  // freeze: bytes that pass before; default 100
+	Share  float64 `toml:"share"`  // lose, repeat, reorder: of the datagrams, by itself for each; default 0.3
 
 	where string
 }
@@ -28,8 +30,16 @@
 func (l *Link) check() error {
 	set(&l.Rate, 200)
 	set(&l.After, 100)
+	if (l.Do == "lose" || l.Do == "repeat" || l.Do == "reorder") && l.Share == 0 {
+		l.Share = 0.3
+	} else if l.Share != 0 && l.Do != "lose" && l.Do != "repeat" && l.Do != "reorder" {
+		return fmt.Errorf("%s: share is for lose, repeat and reorder alone", l.where)
+	}
+	if l.Share < 0 || l.Share > 1 {
+		return fmt.Errorf("%s: share = %v is not from 0 to 1", l.where, l.Share)
+	}
 	switch l.Do {
-	case "cut", "refuse", "trickle", "freeze":
+	case "cut", "refuse", "trickle", "freeze", "lose", "repeat", "reorder":
 	case "slow":
 		if l.Delay+l.Jitter <= 0 {
 			return fmt.Errorf("%s: slow needs delay or jitter", l.where)
@@ -39,7 +49,7 @@
 			return fmt.Errorf("%s: reset happens at a moment: it has no for", l.where)
 		}
 	default:
-		return fmt.Errorf("%s: do = %q; there are cut, refuse, slow, trickle, freeze, reset", l.where, l.Do)
+		return fmt.Errorf("%s: do = %q; there are cut, refuse, slow, trickle, freeze, reset, lose, repeat, reorder", l.where, l.Do)
 	}
 	if l.Do != "reset" && l.For == 0 {
 		return fmt.Errorf("%s: %s needs for", l.where, l.Do)
@@ -66,6 +76,12 @@
 		return links.Condition{Rate: l.Rate}
 	case "freeze":
 		return links.Condition{Freeze: l.After}
+	case "lose":
+		return links.Condition{Loss: l.Share}
+	case "repeat":
+		return links.Condition{Repeat: l.Share}
+	case "reorder":
+		return links.Condition{Reorder: l.Share}
 	}
 	return links.Condition{Delay: l.Delay.D(), Jitter: l.Jitter.D()}
 }
--- a/internal/rehearsal/script/plan.go
+++ b/internal/rehearsal/script/plan.go
@@ -468,3 +468,14 @@
 	}
 	return text
 }
+
+// Most is how many senders the day has at the most: those that are there from its begin, and all that join.
+func (p *Plan) Most() int {
+	n := p.Senders
+	for _, a := range p.Acts {
+		if a.Do == "join" {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/rehearsal/script/script_test.go
+++ b/internal/rehearsal/script/script_test.go
@@ -45,6 +45,8 @@
 		"a cut without a length":   {"\n[[link]]\ndo = \"cut\"\nfrom = \"n0\"\nto = \"n1\"\n", "x.toml:2: cut needs for"},
 		"a cut from nowhere":       {"[[link]]\ndo = \"cut\"\nfor = \"1s\"\nto = \"n1\"\n", "x.toml:1: cut needs from and to"},
 		"a link to itself":         {"[[link]]\ndo = \"cut\"\nfor = \"1s\"\nfrom = \"n1\"\nto = \"n1\"\n", "x.toml:1: from and to are both"},
+		"a share of a cut":         {"[[link]]\ndo = \"cut\"\nshare = 0.5\nfor = \"1s\"\nfrom = \"n0\"\nto = \"n1\"\n", "x.toml:1: share is for lose, repeat and reorder alone"},
+		"more than all are lost":   {"[[link]]\ndo = \"lose\"\nshare = 1.5\nfor = \"1s\"\nfrom = \"n0\"\nto = \"n1\"\n", "x.toml:1: share = 1.5 is not from 0 to 1"},
 		"slow by nothing":          {"[[link]]\ndo = \"slow\"\nfor = \"1s\"\nfrom = \"n0\"\nto = \"n1\"\n", "x.toml:1: slow needs delay or jitter"},
 		"a reset that lasts":       {"[[link]]\ndo = \"reset\"\nfor = \"1s\"\nfrom = \"n0\"\nto = \"n1\"\n", "x.toml:1: reset happens at a moment"},
 		"sender without a name":    {"[[sender]]\ndo = \"kill\"\n", "x.toml:1: kill needs which"},
