--- a/cmd/rehearse/cost.go
+++ b/cmd/rehearse/cost.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"io"
 	"os"
-	"slices"
+	"path/filepath"
 	"strings"
 	"time"
 
@@ -38,7 +38,7 @@
 	memory := f.Int("memory", 2048, "`MB` that the sender is told it has")
 	churn := f.Int("churn", 0, "endpoints replaced each second")
 	forms := f.String("forms", "", "measure the first case in these `forms`, too: binary,structured,batched")
-	pairs := f.Int("fleet", 0, "measure the first case so many `times` in turns without and with what a fleet agrees on")
+	pairs := f.Int("fleet", 0, "measure the first case so many `times` without and, beside it, with what a fleet agrees on")
 	if err := parse(f, args); err != nil {
 		return 0, err
 	}
@@ -63,15 +63,6 @@
 			cases, words = append(cases, c), append(words, words[0]+" "+name)
 		}
 	}
-	if *pairs > 0 {
-		first := cases[0]
-		cases, words = nil, nil
-		for i := range *pairs {
-			off, on := first, first
-			off.Again, on.Again, on.Fleet = i, i, true
-			cases, words = append(cases, off, on), append(words, "off", "fleet")
-		}
-	}
 	if *clients < 1 || *body < 0 || *body > 64<<10 || *seconds <= 0 {
 		return judge.ExitScript, fmt.Errorf("cost: %d clients, %d bytes, %v s", *clients, *body, *seconds)
 	}
@@ -89,6 +80,12 @@
 	}
 	defer os.RemoveAll(folder)
 	fmt.Fprintln(out, day.Machine())
+	if *pairs > 0 {
+		off := cases[0]
+		on := off
+		on.Fleet = true
+		return beside(ctx, out, []string{path}, folder, *pairs, off, on)
+	}
 	fmt.Fprintf(out, "%-22s %9s %8s %8s %9s %9s %9s %8s %8s %8s %8s %8s\n", "listed/busy/held", "CPU/msg", "x proxy", "x first", "msg/s", "p50", "p99", "most MB", "1st half", "2nd half", "bytes in", "out")
 	measure := cases[0]
 	measure.For = min(measure.For, 6*time.Second)
@@ -110,25 +107,42 @@
 			float64(r.P50.Microseconds())/1000, float64(r.P99.Microseconds())/1000, float64(r.Memory)/1e6, float64(r.First)/1e6, float64(r.Second)/1e6, r.In, r.Out)
 	}
 	row("plain proxy", proxy)
-	var ratios []float64
-	var last time.Duration
 	for i, c := range cases {
 		r, err := cost.Sender(ctx, []string{path}, cost.Folder(folder, c), c)
 		if err != nil {
 			return judge.ExitInconclusive, err
 		}
 		row(words[i], r)
-		if c.Fleet {
-			ratios = append(ratios, float64(r.CPU)/float64(last))
-		}
-		last = r.CPU
 		if ctx.Err() != nil {
 			return judge.ExitInconclusive, ctx.Err()
 		}
 	}
-	if len(ratios) > 0 {
-		slices.Sort(ratios)
-		fmt.Fprintf(out, "with it to without, pair by pair: least %.3f, middle %.3f, most %.3f\n", ratios[0], ratios[len(ratios)/2], ratios[len(ratios)-1])
+	return 0, nil
+}
+
+// beside measures one case against another at the same time, some times: each begins new processes, and they change places.
+func beside(ctx context.Context, out io.Writer, command []string, folder string, times int, off, on cost.Case) (int, error) {
+	var all []float64
+	for i := range times {
+		below := filepath.Join(folder, fmt.Sprint(i))
+		one, other := off, on
+		if i%2 == 1 {
+			one, other = on, off
+		}
+		ratios, err := cost.Beside(ctx, command, below, one, other, 500*time.Millisecond)
+		if err != nil {
+			return judge.ExitInconclusive, err
+		}
+		for j := range ratios {
+			if i%2 == 1 {
+				ratios[j] = 1 / ratios[j]
+			}
+		}
+		least, middle, most := cost.Middle(ratios)
+		fmt.Fprintf(out, "with it to without, CPU for each message, run %d: %.3f (%.3f to %.3f, %d slices)\n", i+1, middle, least, most, len(ratios))
+		all = append(all, ratios...)
 	}
+	least, middle, most := cost.Middle(all)
+	fmt.Fprintf(out, "all runs: %.3f (%.3f to %.3f, %d slices)\n", middle, least, most, len(all))
 	return 0, nil
 }
--- a/internal/rehearsal/cost/cost.go
+++ b/internal/rehearsal/cost/cost.go
@@ -45,7 +45,6 @@
 	Memory       int           // MB that the sender is told it has
 	Form         form.Form     // in which messages come in and leave; "" for the platform's
 	Fleet        bool          // the sender is one of a fleet that agrees, of itself alone
-	Again        int           // which time, of one that is measured again
 }
 
 // Result is what a case came to.
@@ -317,8 +316,18 @@
 	if err := b.hold(c); err != nil {
 		return Result{}, err
 	}
+	if c.Churn > 0 {
+		stop := make(chan struct{})
+		defer close(stop)
+		go b.churn(c, stop)
+	}
+	return measure(ctx, c, b.sender.Listen, b.sender.PID(), b.good, c.request(), http.StatusAccepted)
+}
+
+// request makes the hand-ins of a case.
+func (c Case) request() func(n int64) []byte {
 	body := bytes.Repeat([]byte("x"), c.Body)
-	request := func(n int64) []byte {
+	return func(n int64) []byte {
 		if c.Form != "" && c.Form != form.Plain {
 			id := strconv.FormatInt(n, 16)
 			if c.Form == form.Batched {
@@ -328,12 +337,6 @@
 		}
 		return traffic.Request(strconv.FormatInt(n, 16), "safe", "acme", 20*time.Second, "", "", "", int(n)%max(1, c.Busy), body)
 	}
-	if c.Churn > 0 {
-		stop := make(chan struct{})
-		defer close(stop)
-		go b.churn(c, stop)
-	}
-	return measure(ctx, c, b.sender.Listen, b.sender.PID(), b.good, request, 202)
 }
 
 // hold hands in what is to be held for the receiver that hangs.
@@ -381,70 +384,95 @@
 	}
 }
 
-// measure loads a server with closed-loop clients and reads what its process used.
-func measure(ctx context.Context, c Case, addr string, pid int, receiver *instant, request func(int64) []byte, want int) (Result, error) {
-	res := Result{Case: c}
-	var number, refused atomic.Int64
-	var mu sync.Mutex
-	var waits []time.Duration
-	var wg sync.WaitGroup
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	var counting atomic.Bool
-	errs := make(chan error, c.Clients)
-	for range c.Clients {
-		wg.Add(1)
+// load is closed-loop clients at a server.
+type load struct {
+	number, refused atomic.Int64
+	counting        atomic.Bool
+	mu              sync.Mutex
+	waits           []time.Duration // of those that ended while counting
+	wg              sync.WaitGroup
+	errs            chan error
+	cancel          context.CancelFunc
+}
+
+func newLoad(ctx context.Context, clients int, addr string, request func(int64) []byte, want int) *load {
+	l := &load{errs: make(chan error, clients)}
+	ctx, l.cancel = context.WithCancel(ctx)
+	for range clients {
+		l.wg.Add(1)
 		go func() {
-			defer wg.Done()
+			defer l.wg.Done()
 			conn, err := dial(addr)
 			if err != nil {
-				errs <- err
+				l.errs <- err
 				return
 			}
 			defer func() { conn.Close() }()
 			var mine []time.Duration
 			for ctx.Err() == nil {
-				text := request(number.Add(1))
+				text := request(l.number.Add(1))
 				began := time.Now()
 				status, err := conn.ask(text)
 				if err != nil { // the server may end a connection after an answer
 					conn.Close()
 					if conn, err = dial(addr); err != nil {
-						errs <- err
+						l.errs <- err
 						return
 					}
 					continue
 				}
 				if status != want {
-					refused.Add(1)
+					l.refused.Add(1)
 					time.Sleep(5 * time.Millisecond)
-				} else if counting.Load() {
+				} else if l.counting.Load() {
 					mine = append(mine, time.Since(began))
 				}
 			}
-			mu.Lock()
-			waits = append(waits, mine...)
-			mu.Unlock()
+			l.mu.Lock()
+			l.waits = append(l.waits, mine...)
+			l.mu.Unlock()
 		}()
 	}
-	sleep := func(d time.Duration) {
-		t := time.NewTimer(d)
-		defer t.Stop()
-		select {
-		case <-t.C:
-		case <-ctx.Done():
-		}
+	return l
+}
+
+// stop ends the clients; the error is the first that one of them met.
+func (l *load) stop() error {
+	l.cancel()
+	l.wg.Wait()
+	select {
+	case err := <-l.errs:
+		return fmt.Errorf("cost: a client: %w", err)
+	default:
+		return nil
 	}
-	sleep(c.Warm)
-	counting.Store(true)
-	refused.Store(0)
+}
+
+// sleep ends early with the context.
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+// measure loads a server and reads what its process used.
+func measure(ctx context.Context, c Case, addr string, pid int, receiver *instant, request func(int64) []byte, want int) (Result, error) {
+	res := Result{Case: c}
+	l := newLoad(ctx, c.Clients, addr, request, want)
+	defer l.stop()
+	sleep(ctx, c.Warm)
+	l.counting.Store(true)
+	l.refused.Store(0)
 	cpu, _, _, err := usage(pid)
 	if err != nil {
 		return res, err
 	}
 	began, n, read := time.Now(), receiver.n.Load(), receiver.bytes.Load()
 	for end := began.Add(c.For); time.Now().Before(end) && ctx.Err() == nil; {
-		sleep(min(100*time.Millisecond, time.Until(end)))
+		sleep(ctx, min(100*time.Millisecond, time.Until(end)))
 		_, held, _, err := usage(pid)
 		if err != nil {
 			return res, err
@@ -457,25 +485,22 @@
 	}
 	delivered, took := receiver.n.Load()-n, time.Since(began)
 	res.Out = int((receiver.bytes.Load() - read) / max(1, delivered))
-	res.In = len(request(number.Add(1)))
+	res.In = len(request(l.number.Add(1)))
 	after, _, most, err := usage(pid)
 	if err != nil {
 		return res, err
 	}
-	cancel()
-	wg.Wait()
-	select {
-	case err := <-errs:
-		return res, fmt.Errorf("cost: a client: %w", err)
-	default:
+	if err := l.stop(); err != nil {
+		return res, err
 	}
+	waits := l.waits
 	if delivered == 0 || len(waits) == 0 {
 		return res, errors.New("cost: nothing was delivered")
 	}
 	slices.Sort(waits)
 	res.CPU, res.Rate = (after-cpu)/time.Duration(delivered), float64(delivered)/took.Seconds()
 	res.P50, res.P99 = waits[len(waits)/2], waits[(len(waits)*99-1)/100]
-	res.Refused, res.Memory = int(refused.Load()), most
+	res.Refused, res.Memory = int(l.refused.Load()), most
 	return res, nil
 }
 
@@ -539,5 +564,5 @@
 
 // Folder is a new one for a case below a folder.
 func Folder(below string, c Case) string {
-	return filepath.Join(below, fmt.Sprintf("%d-%d-%d%s-%v-%d", c.Listed, c.Busy, c.Held, c.Form, c.Fleet, c.Again))
+	return filepath.Join(below, fmt.Sprintf("%d-%d-%d%s-%v", c.Listed, c.Busy, c.Held, c.Form, c.Fleet))
 }
