Quota: units lent, promised and rested; a roster says who is in charge of which limit

Need: a receiver's limit is one and its senders are many, each guessing what the others use. internal/quota is the limits' core, free of I/O and clocks: Purse (what a sender holds, asked as a call is written), Book (what an authority lent of one limit), Shares (max-min in whole units, turns where there is less than a piece each), Lender, Asker, Till. internal/roster says by rendezvous hashing who is in charge, in two steps of the agreed log, so that no two are at one moment.

--- /dev/null
+++ b/internal/quota/lender.go
@@ -0,0 +1,197 @@
+package quota
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"dockshift.example/dockshift/internal/agreed/lease"
+	"dockshift.example/dockshift/internal/roster"
+	pb "dockshift.example/dockshift/proto/saffronyard/fleet/v1"
+)
+
+// Lender is a sender as the authority of those limits that the roster puts it in charge of.
+//
+// It has to be told the roster and the limits as of a state that it may act by, at a moment at which its lease on that state lasts.
+// A step that stands still after that moment does no harm: what it lends is counted from before it was asked, and whoever is in charge
+// next waits for longer than that from a later moment on.
+type Lender struct {
+	me     lease.Who
+	terms  Terms
+	limits map[string]Limit
+	coming *roster.Charge // nil: none is
+	begun  []begun        // rosters, the one in force last
+	books  map[string]*Book
+	told   map[string]told // what receivers tell of their limits
+	wait   func(time.Duration) time.Duration
+}
+
+// begun is a roster and when it began, as this process saw it.
+type begun struct {
+	epoch  uint64
+	charge *roster.Charge
+	at     time.Duration
+}
+
+type told struct {
+	perSecond float64
+	at        time.Duration
+}
+
+const (
+	rostersMost = 64               // that are remembered
+	toldLasts   = 30 * time.Minute // a receiver's word is gone by
+)
+
+// NewLender makes one that is in charge of nothing.
+func NewLender(me lease.Who, t Terms) *Lender {
+	return &Lender{me: me, terms: t, limits: map[string]Limit{}, books: map[string]*Book{}, told: map[string]told{}, wait: func(d time.Duration) time.Duration { return d }}
+}
+
+// Wrong has a test make a wrong authority, whose quiet is another.
+func (l *Lender) Wrong(quiet func(time.Duration) time.Duration) { l.wait = quiet }
+
+// Limits takes over what is limited now.
+func (l *Lender) Limits(all []Limit) {
+	l.limits = make(map[string]Limit, len(all))
+	for _, one := range all {
+		l.limits[one.Key] = one
+	}
+	for key, b := range l.books {
+		if one, ok := l.limits[key]; ok {
+			b.Change(l.effective(one, b.limit.Units))
+		} // else it is kept until what was lent has lapsed: the limit may come back
+	}
+}
+
+// Roster takes over who takes part now.
+func (l *Lender) Roster(s *pb.RosterState, now time.Duration) {
+	if n := len(l.begun); n == 0 || l.begun[n-1].epoch != s.GetEpoch() {
+		if n > 0 && s.GetEpoch() != l.begun[n-1].epoch+1 {
+			l.begun = nil // others were in charge meanwhile, of nobody knows what
+		}
+		l.begun = append(l.begun, begun{s.GetEpoch(), roster.NewCharge(s.GetParts()), now})
+		if n := len(l.begun) - rostersMost; n > 0 {
+			l.begun = slices.Delete(l.begun, 0, n)
+		}
+		for key := range l.books {
+			if !l.mine(l.now().charge, key) {
+				delete(l.books, key)
+			}
+		}
+	}
+	l.coming = nil
+	if s.GetComing() != 0 {
+		l.coming = roster.NewCharge(s.GetNext())
+	}
+}
+
+func (l *Lender) now() begun { return l.begun[len(l.begun)-1] }
+
+func (l *Lender) mine(c *roster.Charge, key string) bool {
+	p := c.Of(key)
+	return p != nil && p.Name == l.me.Name && p.Life == l.me.Life
+}
+
+// since is from when it has been in charge of a limit without a break, as far as that is known.
+func (l *Lender) since(key string) time.Duration {
+	at := l.now().at
+	for i := len(l.begun) - 1; i > 0 && l.mine(l.begun[i-1].charge, key); i-- {
+		at = l.begun[i-1].at
+	}
+	return at
+}
+
+// Epoch is of the roster that it goes by.
+func (l *Lender) Epoch() uint64 {
+	if len(l.begun) == 0 {
+		return 0
+	}
+	return l.now().epoch
+}
+
+// Lend answers a holder, by the roster and the limits told last. An error is that it is not for this sender, or not now.
+func (l *Lender) Lend(r *pb.LendRequest, now time.Duration) (*pb.LendReply, error) {
+	if l.Epoch() != r.Epoch || r.ToLife != l.me.Life {
+		return nil, fmt.Errorf("this sender goes by roster %d as process %x, the question by roster %d for %x", l.Epoch(), l.me.Life, r.Epoch, r.ToLife)
+	}
+	reply := &pb.LendReply{Epoch: r.Epoch}
+	who := lease.Who{Name: r.Name, Life: r.Life}
+	if !l.now().charge.Has(who) {
+		return nil, fmt.Errorf("%s takes no part in roster %d with that process", r.Name, r.Epoch)
+	}
+	for _, a := range r.Asks {
+		limit, known := l.limits[a.Key]
+		if !known || !l.mine(l.now().charge, a.Key) {
+			continue
+		}
+		if l.coming != nil && !l.mine(l.coming, a.Key) {
+			continue // it moves: nothing more is lent here
+		}
+		if a.Told > 0 {
+			if t := (told{a.Told, now - max(0, time.Duration(a.ToldAgeUs)*time.Microsecond)}); t.at >= l.told[a.Key].at {
+				l.told[a.Key] = t
+			}
+		}
+		b := l.books[a.Key]
+		if b == nil {
+			b = NewBook(limit, l.terms, l.since(a.Key)+l.wait(l.terms.Quiet(limit)))
+			l.books[a.Key] = b
+		}
+		if is := l.effectiveAt(limit, now); is != b.limit {
+			b.Change(is)
+		}
+		lent, ok := b.Ask(who, Ask{Seq: r.Seq, Holds: a.Holds, Rests: a.Rests, Left: time.Duration(a.LeftUs) * time.Microsecond, Want: a.Want, Piece: a.Piece, Spent: a.Spent}, now)
+		if ok {
+			reply.Lent = append(reply.Lent, &pb.Lent{Key: a.Key, Units: lent.Units, LengthUs: lent.Length.Microseconds(), Turns: lent.Turns, AgainUs: lent.Again.Microseconds(), UnitsInAll: b.limit.Units})
+		}
+	}
+	return reply, nil
+}
+
+// effectiveAt is a limit with what its receiver tells, if it is one that learns: the lower of both.
+func (l *Lender) effectiveAt(limit Limit, now time.Duration) Limit {
+	if t, ok := l.told[limit.Key]; ok && limit.Learns && now-t.at < toldLasts && t.perSecond > 0 {
+		return l.effective(limit, int64(t.perSecond*limit.Span.Seconds()))
+	}
+	return limit
+}
+
+func (l *Lender) effective(limit Limit, units int64) Limit {
+	if limit.Learns {
+		limit.Units = max(1, min(limit.Units, units))
+	}
+	return limit
+}
+
+// Tidy forgets what says nothing any more, a few at a time.
+func (l *Lender) Tidy(now time.Duration) {
+	n := 0
+	for key, b := range l.books {
+		if n++; n > 100 {
+			return
+		}
+		if b.empty(now) {
+			delete(l.books, key)
+		}
+	}
+}
+
+// Report is a limit as its authority has it.
+type Report struct {
+	Key   string
+	Limit Limit
+	Out   int64
+	Quiet time.Duration // left
+	Lines []Line
+}
+
+// Reports are of the limits that it has a book of, by key.
+func (l *Lender) Reports(now time.Duration) []Report {
+	var all []Report
+	for key, b := range l.books {
+		all = append(all, Report{key, b.limit, b.Out(now), max(0, b.quiet-now), b.Lines(now)})
+	}
+	slices.SortFunc(all, func(a, b Report) int { return byKey(a.Limit, b.Limit) })
+	return all
+}
--- /dev/null
+++ b/internal/quota/sim_test.go
@@ -0,0 +1,616 @@
+package quota
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"dockshift.example/dockshift/internal/agreed/lease"
+	"dockshift.example/dockshift/internal/roster"
+	pb "dockshift.example/dockshift/proto/saffronyard/fleet/v1"
+)
+
+// sim is a fleet in virtual time: the code that ships, one goroutine, a network that a seed draws. Each sender's clock has an offset
+// and a rate of its own. Receivers keep their own books.
+type sim struct {
+	t       *testing.T
+	rng     *rand.Rand
+	now     time.Duration
+	agenda  agenda
+	n       int
+	terms   Terms
+	limits  []Limit
+	senders []*simSender
+	roster  *pb.RosterState
+	cut     map[[2]int]bool
+	loss    float64
+	uses    map[string][]time.Duration // at the receiver, by limit
+	counts  map[string]int             // of uses
+	by      map[string]map[int]int     // by sender
+	broken  string
+	sent    int
+	bytes   int
+	lives   uint64
+	coming  []*pb.Part // nil: none is
+	again   bool       // another is to come
+}
+
+type simSender struct {
+	s       *sim
+	i       int
+	name    string
+	who     lease.Who
+	rate    float64
+	offset  time.Duration
+	till    *Till
+	asker   *Asker
+	lender  *Lender
+	pokes   []any
+	down    bool
+	paused  time.Duration
+	lease   time.Duration // of the fleet's, in true time
+	heard   uint64        // roster that it knows to be coming
+	alarm   time.Duration // true time
+	stepped bool
+	load    map[string]*simLoad
+}
+
+// simLoad is messages that come for a limit at a pace, and wait.
+type simLoad struct {
+	every   time.Duration
+	next    time.Duration
+	waiting int64
+	again   time.Duration
+	paced   time.Duration
+	stuck   bool // its calls do not get through
+}
+
+type simEvent struct {
+	at time.Duration
+	n  int
+	do func()
+}
+type agenda []simEvent
+
+func (a agenda) Len() int { return len(a) }
+func (a agenda) Less(i, j int) bool {
+	return a[i].at < a[j].at || a[i].at == a[j].at && a[i].n < a[j].n
+}
+func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
+func (a *agenda) Push(x any)   { *a = append(*a, x.(simEvent)) }
+func (a *agenda) Pop() any {
+	last := (*a)[len(*a)-1]
+	*a = (*a)[:len(*a)-1]
+	return last
+}
+
+func newSim(t *testing.T, seed uint64, n int, terms Terms, limits ...Limit) *sim {
+	s := &sim{t: t, rng: rand.New(rand.NewPCG(seed, 1)), terms: terms, limits: limits, cut: map[[2]int]bool{}, uses: map[string][]time.Duration{}, counts: map[string]int{}, by: map[string]map[int]int{}}
+	s.roster = &pb.RosterState{}
+	for i := range n {
+		p := &simSender{s: s, i: i, name: fmt.Sprintf("n%03d", i), rate: 1 + (s.rng.Float64()*2-1)*terms.Drift, offset: time.Duration(s.rng.Int64N(int64(time.Hour)))}
+		s.senders = append(s.senders, p)
+		p.start()
+	}
+	s.begin()
+	return s
+}
+
+func (s *sim) at(d time.Duration, do func()) {
+	s.n++
+	heap.Push(&s.agenda, simEvent{s.now + d, s.n, do})
+}
+
+// run plays until a time.
+func (s *sim) run(until time.Duration) {
+	for len(s.agenda) > 0 && s.agenda[0].at <= until && s.broken == "" {
+		e := heap.Pop(&s.agenda).(simEvent)
+		s.now = e.at
+		e.do()
+	}
+	s.now = until
+}
+
+const leaseLength = time.Second
+
+// begin has a roster of all that hold a lease come, and begin once the fence is passed: all that hold a lease know that it comes.
+func (s *sim) begin() {
+	if s.coming != nil {
+		s.again = true
+		return
+	}
+	s.coming = []*pb.Part{}
+	for _, p := range s.senders {
+		if !p.down && p.lease > s.now {
+			s.coming = append(s.coming, &pb.Part{Name: p.name, Life: p.who.Life})
+		}
+	}
+	r := &pb.RosterState{Epoch: s.roster.Epoch, Parts: s.roster.Parts, Coming: s.roster.Epoch + 1, Next: s.coming}
+	s.tell(r)
+	var fence func()
+	fence = func() {
+		for _, p := range s.senders {
+			if p.heard < r.Coming && p.lease > s.now {
+				s.at(10*time.Millisecond, fence)
+				return
+			}
+		}
+		s.roster, s.coming = &pb.RosterState{Epoch: r.Coming, Parts: s.coming}, nil
+		s.tell(s.roster)
+		if s.again {
+			s.again = false
+			s.begin()
+		}
+	}
+	s.at(10*time.Millisecond, fence)
+}
+
+// tell has each sender hear of a roster, with a delay of its own; one that is paused hears so when it wakes.
+func (s *sim) tell(r *pb.RosterState) {
+	for _, p := range s.senders {
+		life := p.who.Life
+		var hear func()
+		hear = func() {
+			switch {
+			case p.down || p.who.Life != life || r.Epoch < p.asker.epoch:
+			case p.paused > s.now:
+				s.at(p.paused-s.now+s.delay(), hear)
+			default:
+				p.heard = max(p.heard, r.Coming)
+				p.asker.Roster(r)
+				p.lender.Roster(r, p.clock())
+				p.step()
+			}
+		}
+		s.at(time.Duration(s.rng.Int64N(int64(20*time.Millisecond))), hear)
+	}
+}
+
+// renew renews a sender's lease, unless a roster comes that it does not know of.
+func (p *simSender) renew(life uint64) {
+	if p.down || p.who.Life != life {
+		return
+	}
+	if p.paused <= p.s.now && (p.s.coming == nil || p.heard > p.s.roster.Epoch) {
+		p.lease = p.s.now + leaseLength
+	}
+	p.s.at(100*time.Millisecond, func() { p.renew(life) })
+}
+
+func (p *simSender) clock() time.Duration {
+	return p.offset + time.Duration(float64(p.s.now)*p.rate)
+}
+
+func (p *simSender) start() {
+	p.s.lives++
+	p.who, p.down, p.load = lease.Who{Name: p.name, Life: p.s.lives}, false, map[string]*simLoad{}
+	p.till = NewTill(p.s.terms.Drift, func(key string) { p.pokes = append(p.pokes, Poke{key}) })
+	p.till.Limits(p.s.limits, func(Limit) bool { return false }, p.clock())
+	p.asker, p.lender = NewAsker(p.who, p.s.terms, p.till), NewLender(p.who, p.s.terms)
+	p.lender.Limits(p.s.limits)
+	p.alarm, p.heard = Never, 0
+	p.renew(p.s.lives)
+	if p.s.roster.Epoch > 0 {
+		r := p.s.roster
+		p.asker.Roster(r)
+		p.lender.Roster(r, p.clock())
+	}
+}
+
+// step lets the asker step with what has come, and carries out what it wants.
+func (p *simSender) step(events ...any) {
+	if p.down {
+		return
+	}
+	if p.paused > p.s.now { // what comes meanwhile is there when it wakes
+		p.s.at(p.paused-p.s.now, func() { p.step(events...) })
+		return
+	}
+	events = append(events, p.pokes...)
+	p.pokes = nil
+	actions, alarm := p.asker.Step(p.clock(), events)
+	if alarm != Never {
+		at := max(0, time.Duration(float64(alarm-p.clock())/p.rate)) + time.Microsecond
+		if due := p.s.now + at; due < p.alarm || p.alarm <= p.s.now {
+			p.alarm = due
+			p.s.at(at, func() {
+				if p.alarm <= p.s.now {
+					p.step()
+				}
+			})
+		}
+	}
+	for _, a := range actions {
+		switch a := a.(type) {
+		case Question:
+			p.put(a)
+		case Changed:
+			for _, key := range a.Keys {
+				if l := p.load[key]; l != nil {
+					life := p.who.Life
+					p.s.at(0, func() {
+						if p.who.Life == life {
+							p.sends(key, l)
+						}
+					})
+				}
+			}
+		}
+	}
+}
+
+func (s *sim) delay() time.Duration {
+	return time.Millisecond + time.Duration(s.rng.Int64N(int64(4*time.Millisecond)))
+}
+
+// put sends a question, and the answer back.
+func (p *simSender) put(q Question) {
+	s, life := p.s, p.who.Life
+	to := s.senders[slices.IndexFunc(s.senders, func(o *simSender) bool { return o.name == q.To.Name })]
+	s.sent++
+	s.bytes += proto.Size(q.Request)
+	if s.cut[[2]int{p.i, to.i}] || s.rng.Float64() < s.loss {
+		return
+	}
+	var arrive func()
+	arrive = func() {
+		if to.down {
+			return
+		}
+		if to.paused > s.now {
+			s.at(to.paused-s.now, arrive)
+			return
+		}
+		if to.lease <= s.now {
+			return
+		}
+		reply, err := to.lender.Lend(q.Request, to.clock())
+		if err != nil || s.cut[[2]int{to.i, p.i}] || s.rng.Float64() < s.loss {
+			return
+		}
+		s.sent++
+		s.bytes += proto.Size(reply)
+		s.at(s.delay(), func() {
+			if p.who.Life == life {
+				p.step(Answered{q.To.Name, q.Request.Seq, reply})
+			}
+		})
+	}
+	s.at(s.delay(), arrive)
+}
+
+// wants has messages come for a limit, so many a second.
+func (p *simSender) wants(key string, perSecond float64) *simLoad {
+	l := p.load[key]
+	if l == nil {
+		l = &simLoad{}
+		p.load[key] = l
+	}
+	was := l.every
+	if l.every = 0; perSecond > 0 {
+		l.every = time.Duration(float64(time.Second) / perSecond)
+	}
+	if was == 0 && l.every > 0 {
+		life := p.who.Life
+		var come func()
+		come = func() {
+			if p.who.Life != life || l.every == 0 {
+				return
+			}
+			if p.paused <= p.s.now && l.waiting < 100 {
+				l.waiting++
+				p.till.Wait(key, 1, 1)
+				p.sends(key, l)
+			}
+			p.s.at(time.Duration(p.s.rng.ExpFloat64()*float64(l.every)), come)
+		}
+		p.s.at(time.Duration(p.s.rng.Float64()*float64(l.every)), come)
+	}
+	return l
+}
+
+// sends has a sender use what it may, as soon as it may.
+func (p *simSender) sends(key string, l *simLoad) {
+	s, life := p.s, p.who.Life
+	if p.down || l.stuck {
+		return
+	}
+	if p.paused <= s.now {
+		for l.waiting > 0 && l.paced <= s.now { // evenly, as the module does
+			if ok, _ := p.till.Take([]Use{{key, 1}}, p.clock()); !ok {
+				break
+			}
+			l.waiting--
+			if sh, _ := p.till.Share(key, p.clock()); sh.Units > 0 {
+				l.paced = s.now + sh.Rest/time.Duration(sh.Units)
+			}
+			p.till.Wait(key, -1, 1)
+			s.at(time.Duration(s.rng.Int64N(int64(5*time.Millisecond))), func() { s.used(key, p.i) })
+		}
+		if len(p.pokes) > 0 {
+			p.step()
+		}
+	}
+	again := p.till.Next(key, p.clock())
+	if l.waiting == 0 || again == Never || l.again > s.now {
+		return // until more comes, or is lent
+	}
+	at := max(time.Millisecond, l.paced-s.now, time.Duration(float64(again-p.clock())/p.rate), p.paused-s.now)
+	l.again = s.now + at
+	s.at(at, func() {
+		if p.who.Life == life {
+			p.sends(key, l)
+		}
+	})
+}
+
+// used is a use as the receiver sees it.
+func (s *sim) used(key string, i int) {
+	l := s.limits[slices.IndexFunc(s.limits, func(l Limit) bool { return l.Key == key })]
+	u := append(s.uses[key], s.now)
+	for len(u) > 0 && u[0] <= s.now-l.Span {
+		u = u[1:]
+	}
+	s.uses[key] = u
+	s.counts[key]++
+	if s.by[key] == nil {
+		s.by[key] = map[int]int{}
+	}
+	s.by[key][i]++
+	if int64(len(u)) > l.Units && s.broken == "" {
+		s.broken = fmt.Sprintf("at %v %s had %d uses in %v, of %d units", s.now, key, len(u), l.Span, l.Units)
+	}
+}
+
+var simTerms = Terms{Length: 2 * time.Second, Drift: 0.01}
+
+func perSecond(key string, units int64) Limit {
+	return Limit{Key: key, Units: units, Span: time.Second, Transit: 10 * time.Millisecond}
+}
+
+// jain is Jain's index of fairness: 1 if all have the same.
+func jain(by map[int]int, n int) float64 {
+	sum, squares := 0.0, 0.0
+	for _, v := range by {
+		sum += float64(v)
+		squares += float64(v) * float64(v)
+	}
+	return sum * sum / (float64(n) * squares)
+}
+
+// Whatever is cut, paused, killed or lost: in no span does a receiver see more uses than units, and a fleet that is well again
+// uses what there is.
+func TestFaultsInVirtualTime(t *testing.T) {
+	seeds := 40
+	if os.Getenv("SAFFRONYARD_MODEL") == "large" {
+		seeds = 2000
+	}
+	for seed := range uint64(seeds) {
+		n := 2 + int(seed%7)
+		limits := []Limit{perSecond("small", 1+int64(seed%4)), perSecond("large", 40)}
+		s := newSim(t, seed, n, simTerms, limits...)
+		for _, p := range s.senders {
+			p.wants("small", 3)
+			p.wants("large", 30)
+		}
+		restart := func(p *simSender) {
+			if p.down {
+				p.start()
+				p.wants("small", 3)
+				p.wants("large", 30)
+				s.begin()
+			}
+		}
+		for at := 5 * time.Second; at < 25*time.Second; at += time.Duration(s.rng.Int64N(int64(800 * time.Millisecond))) {
+			s.run(at)
+			p, o := s.senders[s.rng.IntN(n)], s.senders[s.rng.IntN(n)]
+			for_ := time.Duration(s.rng.Int64N(int64(4 * time.Second)))
+			switch s.rng.IntN(8) {
+			case 0, 1:
+				s.cut[[2]int{p.i, o.i}] = true
+				s.at(for_, func() { delete(s.cut, [2]int{p.i, o.i}) })
+			case 2, 3:
+				p.paused = max(p.paused, s.now+for_)
+			case 4:
+				p.down = true
+				s.at(for_, func() { restart(p) })
+				s.at(for_/2, s.begin)
+			case 5:
+				s.loss = 0.3
+				s.at(for_, func() { s.loss = 0 })
+			case 6: // one that is paused is left out of the roster, and comes back
+				p.paused = max(p.paused, s.now+for_)
+				s.at(for_/2, s.begin)
+				s.at(for_+200*time.Millisecond, s.begin)
+			case 7:
+				s.begin()
+			}
+		}
+		s.run(30 * time.Second)
+		s.loss = 0
+		clear(s.cut)
+		for _, p := range s.senders {
+			restart(p)
+		}
+		s.run(31 * time.Second)
+		s.begin()
+		s.run(38 * time.Second)
+		clear(s.counts)
+		s.run(48 * time.Second)
+		if s.broken != "" {
+			t.Fatalf("seed %d, %d senders: %s", seed, n, s.broken)
+		}
+		for _, l := range limits {
+			want := min(float64(l.Units), float64(n)*map[string]float64{"small": 3, "large": 30}[l.Key])
+			if got := float64(s.counts[l.Key]) / 10; got < 0.8*want {
+				t.Errorf("seed %d, %d senders: healed, %.1f a second of %s are used, of %.0f that could be", seed, n, got, l.Key, want)
+			}
+		}
+	}
+}
+
+// What a healthy fleet uses, how even, and how soon it follows: figures for the design note.
+func TestFiguresInVirtualTime(t *testing.T) {
+	for _, c := range []struct {
+		senders, units int64
+		each           float64 // wanted, a second
+		least          float64 // used, of what is wanted or there
+	}{{3, 30, 30, 0.95}, {8, 100, 50, 0.95}, {30, 3, 2, 0.85}, {30, 300, 30, 0.95}, {5, 2, 3, 0.85}, {3, 100, 5, 0.97}} {
+		s := newSim(t, 7, int(c.senders), simTerms, perSecond("x", c.units))
+		for _, p := range s.senders {
+			p.wants("x", c.each)
+		}
+		s.run(8 * time.Second)
+		clear(s.counts)
+		clear(s.by)
+		s.run(68 * time.Second)
+		want := min(float64(c.units), c.each*float64(c.senders))
+		used := float64(s.counts["x"]) / 60 / want
+		t.Logf("%d senders, %d units a second, %g wanted by each: %.3f of what could be is used, Jain %.3f", c.senders, c.units, c.each, used, jain(s.by["x"], int(c.senders)))
+		if used < c.least || s.broken != "" {
+			t.Errorf("%d senders, %d units: %.3f is used, under %.2f; %s", c.senders, c.units, used, c.least, s.broken)
+		}
+	}
+}
+
+// The demand jumps from one sender to another: within two seconds four fifths of the limit are used again; likewise once the authority
+// has died, and a sender that takes what it can and uses nothing keeps none of it for long.
+func TestFollowsNeed(t *testing.T) {
+	used := func(s *sim, from, to time.Duration) float64 {
+		s.run(from)
+		clear(s.counts)
+		s.run(to)
+		if s.broken != "" {
+			t.Fatal(s.broken)
+		}
+		return float64(s.counts["x"]) / (to - from).Seconds()
+	}
+	s := newSim(t, 3, 5, simTerms, perSecond("x", 40))
+	at := 6 * time.Second
+	for turn := range 6 {
+		for i, p := range s.senders {
+			p.wants("x", map[bool]float64{true: 80, false: 0}[i == turn%5])
+			p.load["x"].waiting = 0
+			p.till.Recount(map[string]int64{})
+		}
+		if got := used(s, at+2*time.Second, at+4*time.Second); got < 0.8*40 {
+			t.Errorf("2 s after shift %d %.1f a second are used, of 40", turn, got)
+		}
+		at += 4 * time.Second
+	}
+	s = newSim(t, 4, 5, simTerms, perSecond("x", 40))
+	for _, p := range s.senders {
+		p.wants("x", 40)
+	}
+	s.run(8 * time.Second)
+	charge := roster.NewCharge(s.roster.Parts)
+	dead := slices.IndexFunc(s.senders, func(p *simSender) bool { return p.name == charge.Of("x").Name })
+	s.senders[dead].down = true
+	s.at(1010*time.Millisecond, s.begin) // its lease has lapsed
+	if got := used(s, 8*time.Second, 10*time.Second); got < 0.75*40 {
+		t.Errorf("in the 2 s after its authority's death %.1f a second are used, of 40", got)
+	}
+	if got := used(s, 10*time.Second, 14*time.Second); got < 0.75*40 {
+		t.Errorf("from then on %.1f a second are used, of 40", got)
+	}
+	if got := used(s, 14*time.Second, 18*time.Second); got < 0.95*40 {
+		t.Errorf("6 s after it %.1f a second are used, of 40", got)
+	}
+	s = newSim(t, 5, 3, simTerms, perSecond("x", 30))
+	s.senders[0].wants("x", 100).stuck = true
+	s.run(6 * time.Second)
+	for _, p := range s.senders[1:] {
+		p.wants("x", 40)
+	}
+	if got := used(s, 12*time.Second, 20*time.Second); got < 0.9*30 {
+		t.Errorf("beside one that uses nothing %.1f a second are used, of 30", got)
+	}
+}
+
+// 300 senders and 5,000 limits of which 20 are busy: what it costs each, and how soon it settles.
+func TestThreeHundred(t *testing.T) {
+	sizes := []int{3, 30}
+	if os.Getenv("SAFFRONYARD_MODEL") == "large" {
+		sizes = []int{3, 10, 30, 100, 300}
+	}
+	for _, n := range sizes {
+		var limits []Limit
+		for i := range 5000 {
+			limits = append(limits, perSecond(fmt.Sprintf("destination %d", i), int64(max(20, 2*n))))
+		}
+		s := newSim(t, 11, n, Terms{Length: 4500 * time.Millisecond, Drift: 0.01}, limits...)
+		for _, p := range s.senders {
+			for i := range 20 {
+				p.wants(limits[i].Key, 1)
+			}
+		}
+		s.run(10 * time.Second)
+		s.sent, s.bytes = 0, 0
+		clear(s.counts)
+		s.run(20 * time.Second)
+		used, idle, least := 0, int64(0), math.Inf(1)
+		for i := range 20 {
+			used += s.counts[limits[i].Key]
+			least = min(least, jain(s.by[limits[i].Key], n))
+		}
+		for _, p := range s.senders {
+			for _, st := range p.till.Stands(p.clock()) {
+				idle += st.Units - st.Busy
+			}
+		}
+		t.Logf("%d senders: each sends %.1f messages and %.0f bytes a second; %d calls a second; %d units lie idle, of %d; Jain at least %.3f", n, float64(s.sent)/10/float64(n),
+			float64(s.bytes)/10/float64(n), used/10, idle, 20*limits[0].Units, least)
+		if s.broken != "" || used == 0 {
+			t.Errorf("%d senders: %d uses; %s", n, used, s.broken)
+		}
+	}
+}
+
+// Shares are whole, fair, and never more than there is.
+func TestShares(t *testing.T) {
+	for seed := range uint64(2000) {
+		rng := rand.New(rand.NewPCG(seed, 0))
+		units, all := rng.Int64N(50), make([]Demand, 1+rng.IntN(8))
+		pieces := int64(0)
+		for i := range all {
+			all[i] = Demand{Units: rng.Int64N(20), Piece: 1 + rng.Int64N(3), Busy: rng.IntN(3) == 0}
+			if all[i].Units > 0 {
+				pieces += all[i].Piece
+			}
+			if !all[i].Busy && rng.IntN(2) == 0 {
+				all[i].Since = time.Duration(1 + rng.IntN(100))
+			}
+		}
+		got, sum, want := Shares(units, all), int64(0), int64(0)
+		for i, s := range got {
+			d := all[i]
+			sum += s
+			most := max(d.Units, d.Piece)
+			if want += min(d.Units, most); d.Units == 0 && s > 0 || s < 0 || s > most || s > 0 && s < d.Piece {
+				t.Fatalf("seed %d: %d of %d for %+v: %v", seed, s, units, d, got)
+			}
+			for j, o := range got { // who has less than it wants has no less than another, but for one unit, or their pieces
+				if pieces <= units && d.Units > s && o > s+1 && o > all[j].Piece {
+					t.Fatalf("seed %d: %d beside %d: %v of %+v", seed, s, o, got, all)
+				}
+			}
+		}
+		if sum > units || pieces <= units && sum < min(units, want) {
+			t.Fatalf("seed %d: %d of %d are cut, %d are wanted: %v of %+v", seed, sum, units, want, got, all)
+		}
+		for i, d := range all { // by turns: who waits is passed over for nobody who came later and needs no less
+			for j, o := range all {
+				if pieces > units && d.Units > 0 && o.Units > 0 && !d.Busy && !o.Busy && d.Since > 0 && d.Since < o.Since && d.Piece <= o.Piece && got[i] == 0 && got[j] > 0 {
+					t.Fatalf("seed %d: the one of %+v is passed over for %+v: %v", seed, d, o, got)
+				}
+			}
+		}
+	}
+}
