A duty reads its clock after its events; hand-ins ask the kernel for no time

By reading: a duty read its clock before it took its events. A process that stood still between the two judged what came after it woke by the time from before; a fleet of one voter could so grant a lease that had lapsed by its own count. The clock is read behind the events now.

--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -38,8 +38,9 @@
 // Turner is a duty as a group or a scheduler runs it.
 type Turner interface {
 	name() string
-	// turn takes one step. worked is whether there was anything to do by then.
-	turn(ctx context.Context, now time.Duration) (worked bool, err error)
+	// turn takes one step. worked is whether there was anything to do by then. The clock is read once the events are taken: a process
+	// may stand still anywhere, and what came after it woke must not be judged by the time from before.
+	turn(ctx context.Context, clock func() time.Duration) (worked bool, err error)
 	ready() <-chan struct{}
 	next() time.Duration
 	stats() Stats
@@ -50,8 +51,9 @@
 func (d *Duty[E, A]) next() time.Duration    { return d.alarm }
 func (d *Duty[E, A]) stats() Stats           { return d.In.Stats() }
 
-func (d *Duty[E, A]) turn(ctx context.Context, now time.Duration) (bool, error) {
+func (d *Duty[E, A]) turn(ctx context.Context, clock func() time.Duration) (bool, error) {
 	events := d.In.Take(turnMost)
+	now := clock()
 	if len(events) == 0 && now < d.alarm {
 		return false, nil
 	}
@@ -156,7 +158,7 @@
 		}
 		now := clock()
 		r.mark(now)
-		_, err := r.turn(ctx, now)
+		_, err := r.turn(ctx, clock)
 		after := clock()
 		r.mark(Never)
 		r.mu.Lock()
--- a/internal/duty/schedule.go
+++ b/internal/duty/schedule.go
@@ -28,7 +28,7 @@
 		order := s.rng.Perm(len(s.duties))
 		worked := false
 		for _, i := range order {
-			did, err := s.duties[i].turn(ctx, s.now)
+			did, err := s.duties[i].turn(ctx, s.Now)
 			if err != nil {
 				return false, err
 			}
--- a/internal/fleet/gate.go
+++ b/internal/fleet/gate.go
@@ -13,7 +13,8 @@
 // says that it is written: a view is not left behind while one that it let through waits.
 type Gate struct {
 	now   func() time.Duration
-	until atomic.Int64 // of the lease; counted with now
+	rough func() time.Duration // as now, cheaper, and behind it by how long the machine slept since the last lease
+	until atomic.Int64         // of the lease; counted with now
 	room  atomic.Pointer[room]
 }
 
@@ -26,7 +27,7 @@
 }
 
 // NewGate makes a gate that lets nothing through yet.
-func NewGate(now func() time.Duration) *Gate { return &Gate{now: now} }
+func NewGate(now func() time.Duration) *Gate { return &Gate{now: now, rough: now} }
 
 // Enter asks whether a call may be written now; leave is to be called when it is, and why says what stands against it.
 func (g *Gate) Enter(c fleetpolicy.Call) (leave func(), why string) {
@@ -42,7 +43,7 @@
 		}
 		v := r.view.Load()
 		ok, why := v.May(c)
-		if ok && !g.acts(v) {
+		if ok && !g.acts(v, g.now()) {
 			ok, why = false, "this sender is cut off from the fleet"
 		}
 		if !ok {
@@ -54,8 +55,8 @@
 }
 
 // acts reports whether the lease lasts, at this very moment; or whether the policy has senders go on without one.
-func (g *Gate) acts(v *fleetpolicy.View) bool {
-	until, now := time.Duration(g.until.Load()), g.now()
+func (g *Gate) acts(v *fleetpolicy.View, now time.Duration) bool {
+	until := time.Duration(g.until.Load())
 	return until > 0 && now < until+v.Policy.GoesOn()
 }
 
@@ -68,14 +69,14 @@
 	}
 }
 
-// View is what calls go by, and whether they are begun at all.
+// View is what calls go by, and whether they are begun at all, by the rough clock: what is taken on by it is asked again by Enter.
 func (g *Gate) View() (v *fleetpolicy.View, acts bool) {
 	r := g.room.Load()
 	if r == nil {
 		return nil, false
 	}
 	v = r.view.Load()
-	return v, v.Unfit == nil && g.acts(v)
+	return v, v.Unfit == nil && g.acts(v, g.rough())
 }
 
 // publish is what calls go by from now on. With drain it returns what waits until those that were let through before are
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -70,6 +70,26 @@
 	return time.Duration(ts.Nano())
 }
 
+// roughly is Now without a call of the kernel, looked up again once a second: what the machine slept since then is missing.
+func roughly() func() time.Duration {
+	type mark struct {
+		at  time.Time
+		now time.Duration
+	}
+	var last atomic.Pointer[mark]
+	return func() time.Duration {
+		m := last.Load()
+		if m != nil {
+			if d := time.Since(m.at); d < time.Second {
+				return m.now + d
+			}
+		}
+		m = &mark{time.Now(), Now()}
+		last.Store(m)
+		return m.now
+	}
+}
+
 // Node is a sender's part in the fleet.
 type Node struct {
 	c    Config
@@ -110,8 +130,9 @@
 
 // Start lets a sender take part. It returns at once; nothing may be begun until a lease is there.
 func Start(c Config, log *slog.Logger) (*Node, error) {
+	rough := c.Now
 	if c.Now == nil {
-		c.Now = Now
+		c.Now, rough = Now, roughly()
 	}
 	if c.Disk == nil {
 		c.Disk = realDisk{}
@@ -125,6 +146,7 @@
 	}
 	n := &Node{c: c, log: log, life: draw(), gate: NewGate(c.Now), keys: &keyring{cluster: c.Cluster, keys: c.Keys}, feed: newFeed(), lives: lives{by: map[string]uint64{}},
 		replies: map[uint64]chan any{}, out: map[string]*duty.Ring[*raftpb.Message]{}, addr: l.Addr().String()}
+	n.gate.rough = rough
 	n.wires = newWires(n.keys)
 	n.ctx, n.stop = context.WithCancel(context.Background())
 	n.group = &duty.Group{Log: log, Clock: c.Now, Stall: stallTime}
