--- a/internal/fleetpolicy/model_test.go
+++ b/internal/fleetpolicy/model_test.go
@@ -5,6 +5,7 @@
 	"hash/maphash"
 	"os"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -497,6 +498,56 @@
 	return len(seen), nil, ""
 }
 
+// reach visits all states that so many steps lead to, layer by layer: a stated bound where the whole space is too large. It
+// keeps no traces; explore finds one where a promise is broken.
+func (m *model) reach(steps int) (layers []int, why string) {
+	first := m.first()
+	seen := map[[2]uint64]struct{}{m.key(first): {}}
+	for layer := []*world{first}; len(layer) > 0 && len(layers) < steps && why == ""; {
+		var below []*world
+		for _, w := range layer {
+			m.next(w, func(_ string, n *world, broken string) {
+				k := m.key(n)
+				if _, ok := seen[k]; ok && broken == "" {
+					return
+				}
+				seen[k] = struct{}{}
+				if broken != "" {
+					why = broken
+				}
+				below = append(below, n)
+			})
+		}
+		layer, layers = below, append(layers, len(below))
+	}
+	return layers, why
+}
+
+// Three senders and two changes have too many states to be walked whole: all that lie within a number of steps are.
+func TestModelHoldsWithin(t *testing.T) {
+	steps := 9
+	if n, err := strconv.Atoi(os.Getenv("SAFFRONYARD_MODEL_STEPS")); err == nil {
+		steps = n
+	}
+	t.Parallel()
+	m := &model{senders: 3, ticks: 3, changes: 2, crashes: 1, repeats: 1}
+	layers, why := m.reach(steps)
+	if why != "" {
+		t.Fatal(why)
+	}
+	states := 1
+	for _, n := range layers {
+		states += n
+	}
+	t.Logf("%d states within %d steps: %v", states, steps, layers)
+	// The bound reaches a wrong program's fault, so that what it does not find says something.
+	wrong := *m
+	wrong.fault, wrong.crashes, wrong.repeats = countsFromAnswer, 0, 0
+	if _, why := wrong.reach(steps); why == "" {
+		t.Errorf("within %d steps not even a lease that is counted from its answer is found", steps)
+	}
+}
+
 // walk visits all states, depth first, as that needs the least memory, and stops at most of them.
 func (m *model) walk(most int) (states int, trace []string, why string) {
 	seen := map[[2]uint64]struct{}{}
