--- a/brain/api.go
+++ b/brain/api.go
@@ -82,7 +82,7 @@
 	DestinationID uint32
 )
 
-// Event is one of Message, AttemptEnd, Earlier, Learnt, Withdrawn, ListNews and Alarm.
+// Event is one of Message, AttemptEnd, Earlier, Learnt, Granted, Withdrawn, ListNews and Alarm.
 type Event interface{ event() }
 
 // Message hands in a new message. The Brain ends it exactly once; one of a class that the settings lack is
@@ -139,6 +139,52 @@
 	Rate        float64
 }
 
+// Health is how a destination does.
+type Health uint8
+
+// The states of health; the zero value is that nothing is known.
+const (
+	HealthUnknown Health = iota
+	Serving              // calls are served
+	Warming              // it serves again after an outage
+	OutOfService         // calls fail, are refused or go unanswered
+)
+
+// Learnt is what is known of a destination, or of one route of it, with the age of its evidence. As an event it tells a
+// Brain what it has not seen itself; Known gives what it has. Whatever is zero is not known.
+type Learnt struct {
+	Destination DestinationID
+	Endpoint    EndpointID // of a route apart; 0 for all of the destination's
+	Own         bool       // seen by this sender, in an earlier process
+
+	Calls                         int // that the pace rests on
+	Mean, Median, Quickest, Bound time.Duration
+	PaceAge                       time.Duration
+
+	Window    float64 // calls at once that it bore
+	WindowAge time.Duration
+
+	Limit    float64 // calls a second, told for all senders
+	LimitAge time.Duration
+
+	Wait time.Duration // told, and so much is left of it
+
+	Health    Health
+	For       time.Duration // how long ago it came to be so
+	HealthAge time.Duration // of the newest evidence for it
+	Rate      float64       // calls a second usually served there for who saw it, before any outage
+	Others    int           // other senders that hold it out just now
+}
+
+// Granted says what the fleet lends this sender of a destination's limit, until the next word: its calls are spread by that, in place
+// of what this sender would make of the limit by itself.
+type Granted struct {
+	Destination DestinationID
+	Limited     bool    // false: the fleet shares no limit of it out any more
+	Mine        float64 // calls a second that this sender may make; 0: none
+	All         float64 // that all may
+}
+
 // Withdrawn says that nobody wants the message any more.
 type Withdrawn struct{ Message MessageID }
 
@@ -165,6 +211,8 @@
 func (Message) event()    {}
 func (AttemptEnd) event() {}
 func (Earlier) event()    {}
+func (Learnt) event()     {}
+func (Granted) event()    {}
 func (Withdrawn) event()  {}
 func (ListNews) event()   {}
 func (Alarm) event()      {}
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -186,9 +186,13 @@
 // the rate of quick failures, and a cold destination bears few calls, refused ones too.
 func (b *Brain) rate(r *route) (rate, burst float64) {
 	rate, burst = math.Inf(1), math.Inf(1)
-	if r.limit > 0 {
+	lent, shared := b.lent[r.of]
+	if r.limit > 0 && !(shared && lent.All <= r.limit) {
 		rate, burst = r.pace, max(1, r.pace)
 	}
+	if shared { // by the fleet: nothing is guessed of what others use
+		rate, burst = min(rate, lent.Mine/float64(b.routesOf(r.of))), 1
+	}
 	switch {
 	case r.state == out:
 		rate, burst = min(rate, b.bearable(r), 1/probeFirst.Seconds())*b.alone(r), 1
@@ -251,8 +255,9 @@
 	}
 	b.fill(r)
 	if r.tokens < 1 {
-		rate, _ := b.rate(r)
-		b.wakeAt(b.now + time.Duration((1-r.tokens)/rate*float64(time.Second)) + time.Millisecond)
+		if rate, _ := b.rate(r); rate > 0 { // else until something is lent
+			b.wakeAt(b.now + time.Duration((1-r.tokens)/rate*float64(time.Second)) + time.Millisecond)
+		}
 		return false
 	}
 	return true
@@ -305,6 +310,8 @@
 			b.remember(e)
 		case Learnt:
 			b.learnt(e)
+		case Granted:
+			b.granted(e)
 		case Withdrawn:
 			if m := b.byID[e.Message]; m != nil {
 				b.close(m)
--- a/brain/learn.go
+++ b/brain/learn.go
@@ -1,54 +1,13 @@
 package brain
 
 import (
-	"cmp"
 	"math"
-	"slices"
 	"time"
 )
 
 // What is learnt of a destination from other senders, or from this one's earlier process, and what it does. All of it
 // gives way to what this process sees itself, and none of it lets more through than a sender that saw it would.
 
-// Health is how a destination does.
-type Health uint8
-
-// The states of health; the zero value is that nothing is known.
-const (
-	HealthUnknown Health = iota
-	Serving              // calls are served
-	Warming              // it serves again after an outage
-	OutOfService         // calls fail, are refused or go unanswered
-)
-
-// Learnt is what is known of a destination, or of one route of it, with the age of its evidence. As an event it tells a
-// Brain what it has not seen itself; Known gives what it has. Whatever is zero is not known.
-type Learnt struct {
-	Destination DestinationID
-	Endpoint    EndpointID // of a route apart; 0 for all of the destination's
-	Own         bool       // seen by this sender, in an earlier process
-
-	Calls                         int // that the pace rests on
-	Mean, Median, Quickest, Bound time.Duration
-	PaceAge                       time.Duration
-
-	Window    float64 // calls at once that it bore
-	WindowAge time.Duration
-
-	Limit    float64 // calls a second, told for all senders
-	LimitAge time.Duration
-
-	Wait time.Duration // told, and so much is left of it
-
-	Health    Health
-	For       time.Duration // how long ago it came to be so
-	HealthAge time.Duration // of the newest evidence for it
-	Rate      float64       // calls a second usually served there for who saw it, before any outage
-	Others    int           // other senders that hold it out just now
-}
-
-func (Learnt) event() {}
-
 const (
 	windowHalf  = 5 * time.Minute  // after which a window that was learnt counts half
 	limitHalf   = 30 * time.Minute // and a limit
@@ -160,90 +119,3 @@
 	}
 	o.best = time.Duration(blend(float64(tauFirst), float64(bound), t))
 }
-
-// Known is what this process has seen itself of each route, in the order of destinations. What it was told by others is
-// in it only as far as calls of its own have borne it out.
-func (b *Brain) Known() []Learnt {
-	var all []Learnt
-	seen := map[*route]bool{}
-	for _, d := range b.order {
-		if d.shared != nil {
-			all = b.known(all, d.shared, Learnt{Destination: DestinationID(d.shared.name)})
-			continue
-		}
-		for _, e := range d.endpoints {
-			if !seen[e.route] {
-				seen[e.route] = true
-				all = b.known(all, e.route, Learnt{Destination: e.Destination, Endpoint: e.ID})
-			}
-		}
-	}
-	for _, f := range b.folded {
-		if wait := f.closedUntil - b.now; f.seen > 0 || wait > 0 {
-			all = append(all, Learnt{Destination: f.id, Own: true, Calls: int(f.seen), Mean: time.Duration(float64(f.mean) * float64(time.Second)),
-				Median: time.Duration(f.median) * time.Microsecond, Quickest: time.Duration(f.quickest) * time.Microsecond,
-				Bound: time.Duration(f.best) * time.Microsecond, PaceAge: b.now - f.lastServed, Wait: max(0, wait)})
-		}
-	}
-	slices.SortFunc(all, func(x, y Learnt) int {
-		return cmp.Or(cmp.Compare(x.Destination, y.Destination), cmp.Compare(x.Endpoint, y.Endpoint))
-	})
-	return all
-}
-
-// changed notes that a route's health or wait is news.
-func (b *Brain) changed(r *route) {
-	if b.s.TellsNews && !r.news {
-		r.news = true
-		b.newsOf = append(b.newsOf, r)
-	}
-}
-
-// News is what Known has of the routes whose health or wait has changed since it was asked for last, in that order. It
-// costs nothing where nothing has; without Settings.TellsNews there is none.
-func (b *Brain) News() []Learnt {
-	if len(b.newsOf) == 0 {
-		return nil
-	}
-	var all []Learnt
-	for _, r := range b.newsOf {
-		r.news = false
-		if d := b.dests[DestinationID(r.name)]; d != nil && d.shared == r {
-			all = b.known(all, r, Learnt{Destination: DestinationID(r.name)})
-		} else if e := b.endpoints[EndpointID(r.name)]; e != nil && e.route == r {
-			all = b.known(all, r, Learnt{Destination: e.Destination, Endpoint: e.ID})
-		} // or it has left the list
-	}
-	clear(b.newsOf)
-	b.newsOf = b.newsOf[:0]
-	return all
-}
-
-func (b *Brain) known(all []Learnt, r *route, k Learnt) []Learnt {
-	k.Own = true
-	served := r.served > 0 // by this process
-	age := b.now - r.lastServed
-	if served && r.seen > 0 {
-		bound := r.optimum()
-		k.Calls, k.Mean, k.Median, k.Quickest, k.Bound, k.PaceAge = r.seen, time.Duration(r.mean*float64(time.Second)), r.median, r.quickest, bound, age
-	}
-	if served && r.state == well {
-		k.Window, k.WindowAge = r.window, age
-	}
-	if r.limit > 0 && r.sentAt > 0 {
-		k.Limit, k.LimitAge = r.limit, b.now-r.sentAt
-	}
-	k.Wait = max(0, r.askedUntil-b.now) // told on, a wait that was heard of would come back, a little longer each time
-	switch {
-	case r.state == out && (r.bad > 0 || b.silent(r, 1)): // seen, not only heard of
-		k.Health, k.For, k.HealthAge, k.Rate = OutOfService, b.now-r.since, b.now-max(r.since, r.sentAt), r.before
-	case r.state == cold && served:
-		k.Health, k.For, k.HealthAge, k.Rate = Warming, b.now-r.since, age, r.before
-	case r.state == well && served:
-		k.Health, k.For, k.HealthAge, k.Rate = Serving, b.now-r.firstServed, age, max(b.usual(r.done), b.earlier(r))
-	}
-	if (k == Learnt{Destination: k.Destination, Endpoint: k.Endpoint, Own: true}) {
-		return all
-	}
-	return append(all, k)
-}
--- a/brain/state.go
+++ b/brain/state.go
@@ -50,6 +50,7 @@
 	oracle
 	tried, done fading // calls sent, and served
 	name        uint32
+	of          DestinationID
 	place       uint64 // in the order of making
 	gone        bool
 	window      float64
@@ -89,10 +90,10 @@
 	logged      time.Duration
 }
 
-func (b *Brain) newRoute(id uint32) *route {
+func (b *Brain) newRoute(id uint32, of DestinationID) *route {
 	b.places++
 	b.routes++
-	return &route{name: id, place: b.places, window: 1, tokens: 1, filled: b.now, lastServed: b.now, logged: -never / 2}
+	return &route{name: id, of: of, place: b.places, window: 1, tokens: 1, filled: b.now, lastServed: b.now, logged: -never / 2}
 }
 
 type endpoint struct {
@@ -189,6 +190,8 @@
 
 // Brain is one sender's decisions.
 type Brain struct {
+	lent map[DestinationID]Granted // by the fleet
+
 	s         Settings
 	random    uint64
 	now, wake time.Duration
@@ -306,10 +309,10 @@
 		e = &endpoint{}
 		b.endpoints[line.ID] = e
 		if line.Kind < len(b.s.Kinds) && b.s.Kinds[line.Kind].Apart {
-			e.route, d.apart = b.newRoute(uint32(line.ID)), true
+			e.route, d.apart = b.newRoute(uint32(line.ID), line.Destination), true
 		} else {
 			if d.shared == nil {
-				d.shared = b.newRoute(uint32(line.Destination))
+				d.shared = b.newRoute(uint32(line.Destination), line.Destination)
 				d.shared.past = d.past
 			}
 			e.route = d.shared
@@ -582,6 +585,29 @@
 	return r.served / (rateSpan.Seconds() * (1 - math.Exp(-seen/rateSpan.Seconds())))
 }
 
+// routesOf is how many routes a destination has.
+func (b *Brain) routesOf(id DestinationID) int {
+	if d := b.dests[id]; d != nil && d.shared == nil {
+		return max(1, len(d.endpoints))
+	}
+	return 1
+}
+
+// granted books what the fleet lends.
+func (b *Brain) granted(g Granted) {
+	if !g.Limited {
+		delete(b.lent, g.Destination)
+		return
+	}
+	if b.lent == nil {
+		b.lent = map[DestinationID]Granted{}
+	}
+	if d := b.dests[g.Destination]; d != nil && d.shared != nil && b.lent[g.Destination].Mine == 0 && g.Mine > 0 {
+		d.shared.tokens = max(d.shared.tokens, 1) // it may be used at once
+	}
+	b.lent[g.Destination] = g
+}
+
 // fill books the calls that the rate has allowed since the last look.
 func (b *Brain) fill(r *route) {
 	rate, burst := b.rate(r)
--- /dev/null
+++ b/cmd/rehearse/limits.go
@@ -0,0 +1,121 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"dockshift.example/dockshift/internal/rehearsal/day"
+	"dockshift.example/dockshift/internal/rehearsal/judge"
+	"dockshift.example/dockshift/internal/rehearsal/ration"
+)
+
+// limitDays plays days on which a fleet shares a limit out while links, processes and folders fail, a seed each, and judges by what
+// the receiver got that the limit held.
+func limitDays(ctx context.Context, args []string, out, errs io.Writer) (int, error) {
+	o := ration.Options{}
+	var program, logs string
+	var runs, side int
+	f := flags("limits", errs)
+	f.StringVar(&program, "sender", "", "the sender's `program`; by default the one beside this program, or built from the sources")
+	f.StringVar(&logs, "logs", "", "keep the senders' files and logs in this `folder`; by default a new temporary one")
+	f.Uint64Var(&o.Seed, "seed", 1, "the first `seed`")
+	f.IntVar(&runs, "runs", 1, "so many seeds")
+	f.IntVar(&side, "side", 2, "so many days side by side")
+	f.IntVar(&o.Senders, "senders", 0, "of each day; by default 3, 5 or 8, by seed")
+	f.IntVar(&o.Voters, "voters", 0, "of them; by default 3, or 5 where there are so many senders, by seed")
+	f.Float64Var(&o.Seconds, "seconds", 10, "of faults")
+	f.DurationVar(&o.Lease, "lease", time.Second, "`length` of the fleet's leases")
+	f.IntVar(&o.Units, "units", 0, "calls in a span; by default by seed")
+	f.DurationVar(&o.Span, "span", 0, "in which they are counted; by default by seed")
+	f.IntVar(&o.Over, "over", 0, "each sender that is cut off may go so much beyond")
+	f.Float64Var(&o.Rate, "rate", 0, "messages a second for the limited receiver; by default twice the limit")
+	f.BoolVar(&o.Halve, "halve", false, "halve the limit in the middle")
+	f.BoolVar(&o.Quiet, "quiet", false, "no faults")
+	if err := parse(f, args); err != nil {
+		return 0, err
+	}
+	if runs < 1 || side < 1 || o.Senders < 0 || o.Senders > 100 || o.Seconds < 2 || o.Units < 0 || o.Over < 0 {
+		return 0, fmt.Errorf("%w: runs and side are over 0, senders at most 100, seconds 2 at least", errUsage)
+	}
+	path, err := sender(ctx, program, errs)
+	if err != nil {
+		return judge.ExitScript, err
+	}
+	if logs == "" {
+		if logs, err = day.Folder("limits"); err != nil {
+			return 0, err
+		}
+	}
+	o.Command = []string{path}
+	var mu sync.Mutex
+	var work sync.WaitGroup
+	failed, played, calls, full, over := 0, 0, 0, 0, 0
+	seeds := make(chan uint64)
+	for range side {
+		work.Add(1)
+		go func() {
+			defer work.Done()
+			for seed := range seeds {
+				one := o
+				one.Seed = seed
+				if one.Senders == 0 {
+					one.Senders = []int{3, 5, 8}[seed%3]
+				}
+				if one.Voters == 0 {
+					one.Voters = 3
+					if one.Senders >= 5 && seed%2 == 0 {
+						one.Voters = 5
+					}
+				}
+				if !o.Halve && !o.Quiet {
+					one.Halve = seed%4 == 3
+				}
+				one.Folder = filepath.Join(logs, fmt.Sprintf("seed-%d", seed))
+				r, err := ration.Run(ctx, one)
+				if ctx.Err() != nil {
+					return
+				}
+				var v ration.Verdict
+				if err == nil {
+					v, one = ration.Check(r), r.Options
+				} else {
+					v.Broken = []string{err.Error()}
+				}
+				mu.Lock()
+				played, calls, full = played+1, calls+v.Calls, full+v.Spans
+				word := "kept"
+				if len(v.Broken) > 0 {
+					word, failed = "BROKEN", failed+1
+				}
+				over += v.Refused
+				fmt.Fprintf(out, "seed %d, %d senders, %d in %v: %s; %d calls, %d at most in a span, %d spans full; healed, %.3f of it are used; %d refused\n", seed, one.Senders, one.Units, one.Span, word, v.Calls, v.Most, v.Spans, v.Used, v.Refused)
+				for i, b := range v.Broken {
+					if i < 10 {
+						fmt.Fprintf(out, "  %s\n", b)
+					}
+				}
+				mu.Unlock()
+			}
+		}()
+	}
+	for i := range runs {
+		select {
+		case seeds <- o.Seed + uint64(i):
+		case <-ctx.Done():
+		}
+	}
+	close(seeds)
+	work.Wait()
+	fmt.Fprintf(out, "%d days, %d broken; %d calls judged, %d spans were full\n", played, failed, calls, full)
+	if err := ctx.Err(); err != nil {
+		return 0, err
+	}
+	if failed > 0 {
+		return judge.ExitFail, nil
+	}
+	return 0, nil
+}
--- a/cmd/rehearse/main.go
+++ b/cmd/rehearse/main.go
@@ -48,7 +48,7 @@
 		return judge.ExitScript
 	}
 	run, ok := map[string]func(context.Context, []string, io.Writer, io.Writer) (int, error){
-		"run": runDays, "list": listScripts, "judge": judgeLog, "report": reportLog, "up": up, "selftest": selftest, "measure": measure, "cost": costs, "compare": compare, "teach": teach, "fleet": fleetDays,
+		"run": runDays, "list": listScripts, "judge": judgeLog, "report": reportLog, "up": up, "selftest": selftest, "measure": measure, "cost": costs, "compare": compare, "teach": teach, "fleet": fleetDays, "limits": limitDays,
 		wrongCommand: wrongSender, proxyCommand: plainProxy,
 	}[args[0]]
 	if !ok {
--- /dev/null
+++ b/cmd/saffronyard/limits_test.go
@@ -0,0 +1,86 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"dockshift.example/dockshift/internal/fleet"
+	"dockshift.example/dockshift/internal/rehearsal/ration"
+	"dockshift.example/dockshift/internal/roster"
+	pb "dockshift.example/dockshift/proto/saffronyard/fleet/v1"
+)
+
+// startsFromFull makes a wrong authority: it lends all units at once, whatever an earlier one has lent.
+func startsFromFull(c *fleet.Config) {
+	c.Quiet = func(time.Duration) time.Duration { return -time.Hour }
+}
+
+// keepsLoans makes a wrong holder, whose loans last twenty times as long.
+func keepsLoans(c *fleet.Config) {
+	c.Loan = func(d time.Duration) time.Duration { return 20 * d }
+}
+
+// rationRun plays a day of processes of the program that share a limit out.
+func rationRun(t *testing.T, o ration.Options) ration.Verdict {
+	t.Helper()
+	o.Folder = t.TempDir()
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Minute)
+	defer cancel()
+	r, err := ration.Run(ctx, o)
+	if err != nil {
+		t.Fatalf("seed %d: %v", o.Seed, err)
+	}
+	v := ration.Check(r)
+	t.Logf("seed %d: %d in %v; %d calls judged, %d spans full, %d broken; %.3f used; %d faults", o.Seed, r.Options.Units, r.Options.Span, v.Calls, v.Spans, len(v.Broken), v.Used, r.Faults)
+	return v
+}
+
+// A limit holds at its receiver while links between processes are cut, also one way, and processes are paused, killed and come back
+// with old folders. 'rehearse limits' plays many more such days.
+func TestLimitsHoldUnderFaults(t *testing.T) {
+	t.Parallel()
+	for _, o := range []ration.Options{{Seed: 1, Senders: 3, Voters: 3, Seconds: 10}, {Seed: 2, Senders: 5, Voters: 3, Seconds: 10, Units: 20, Span: time.Second, Halve: true},
+		{Seed: 4, Senders: 4, Voters: 3, Seconds: 8, Units: 10, Span: time.Second, Quiet: true, KillAll: true}} {
+		t.Run(fmt.Sprintf("seed %d", o.Seed), func(t *testing.T) {
+			t.Parallel()
+			o.Command = itself()
+			v := rationRun(t, o)
+			if len(v.Broken) > 0 {
+				t.Errorf("%s", strings.Join(v.Broken, "\n"))
+			}
+			if v.Calls == 0 || v.Spans == 0 {
+				t.Errorf("it shows nothing: %d calls, %d full spans", v.Calls, v.Spans)
+			}
+		})
+	}
+}
+
+// Wrong senders are found out by the receiver's count: one that goes by its loans after they have lapsed, and authorities that start from
+// full while one that is cut off still uses what it holds.
+func TestWrongLendersAreFound(t *testing.T) {
+	t.Parallel()
+	var names []*pb.Part
+	for i := range 5 {
+		names = append(names, &pb.Part{Name: fmt.Sprintf("n%d", i)})
+	}
+	in := roster.NewCharge(names).Of("destination 0").Name
+	if in == "n4" {
+		t.Fatal("the one that is cut off is in charge: the day shows nothing")
+	}
+	for name, o := range map[string]ration.Options{
+		"keeps its loan": {Seed: 3, Senders: 4, Seconds: 10, Command: itself("SAFFRONYARD_TEST_WRONG=n3 keeps")},
+		"from full":      {Seed: 6, Senders: 5, Seconds: 8, Lend: 6 * time.Second, Kill: in, Command: itself("SAFFRONYARD_TEST_WRONG=full")},
+		"none":           {Seed: 6, Senders: 5, Seconds: 8, Lend: 6 * time.Second, Kill: in, Command: itself()},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			o.Voters, o.Units, o.Span, o.Transit, o.Quiet, o.CutOff, o.GoOn, o.Rate = 3, 40, time.Second, 20*time.Millisecond, true, true, true, 70
+			if v := rationRun(t, o); (len(v.Broken) == 0) != (name == "none") {
+				t.Errorf("found: %q", v.Broken)
+			}
+		})
+	}
+}
--- a/internal/agreed/copy.go
+++ b/internal/agreed/copy.go
@@ -5,6 +5,7 @@
 
 	"dockshift.example/dockshift/internal/agreed/lease"
 	"dockshift.example/dockshift/internal/fleetpolicy"
+	"dockshift.example/dockshift/internal/roster"
 	pb "dockshift.example/dockshift/proto/saffronyard/fleet/v1"
 )
 
@@ -60,15 +61,17 @@
 	settings fleetpolicy.Settings
 	terms    lease.Terms
 
-	state  *State
-	policy *fleetpolicy.Machine
-	holder *lease.Holder
-	view   *fleetpolicy.View // as published
-	shows  [3]uint64         // version, open change and freeze that it shows
-	until  time.Duration     // as published
-	ends   time.Duration     // when it may begin nothing any more; 0: told
-	acts   uint64            // no call waits that was begun under an older state
-	drains uint64            // index of the view that is not drained yet; 0: none
+	state   *State
+	policy  *fleetpolicy.Machine
+	roster  *roster.Machine
+	holder  *lease.Holder
+	view    *fleetpolicy.View // as published
+	shows   [3]uint64         // version, open change and freeze that it shows
+	address string            // where others reach this sender; empty: it takes no part in rosters
+	until   time.Duration     // as published
+	ends    time.Duration     // when it may begin nothing any more; 0: told
+	acts    uint64            // no call waits that was begun under an older state
+	drains  uint64            // index of the view that is not drained yet; 0: none
 
 	staging uint64 // change that is on its way to the disk
 	staged  uint64 // change that is there
@@ -76,7 +79,7 @@
 	refusal uint64
 
 	asked  time.Duration // when it asked last; -1: never
-	told   [3]uint64     // what it told then: acts if a change is open, staged, refusal
+	told   [4]uint64     // what it told then: acts if a change is open, staged, refusal; acts if a roster comes
 	joined time.Duration // when it handed its join in last; -1: never
 
 	actions []any
@@ -84,12 +87,15 @@
 
 // NewCopy makes the copy of a process that has just begun: it holds no lease, whatever its folder says. life is drawn by it.
 func NewCopy(name string, life uint64, settings fleetpolicy.Settings, terms lease.Terms) *Copy {
-	c := &Copy{name: name, life: life, settings: settings, terms: terms, policy: fleetpolicy.NewMachine(),
+	c := &Copy{name: name, life: life, settings: settings, terms: terms, policy: fleetpolicy.NewMachine(), roster: roster.NewMachine(),
 		holder: lease.NewHolder(terms), asked: -1, joined: -1}
-	c.state = NewState(map[uint32]Machine{KindPolicy: c.policy})
+	c.state = NewState(map[uint32]Machine{KindPolicy: c.policy, KindRoster: c.roster})
 	return c
 }
 
+// TakesPart has this sender be in rosters, reached at an address.
+func (c *Copy) TakesPart(address string) { c.address = address }
+
 // State is the agreed state, as far as it is known here. It is read only, between steps.
 func (c *Copy) State() *State { return c.state }
 
@@ -186,6 +192,9 @@
 		moved.Index = c.state.Index()
 		p.View = &moved
 	}
+	if p.View != c.view {
+		p.View.Roster, p.View.Rank = c.roster.State(), c.state.Rank(c.name)
+	}
 	p.Until = c.holder.Until(c.state.Index())
 	if p.View == c.view && p.Until == c.until {
 		return
@@ -205,7 +214,10 @@
 
 // ask asks for a lease when it is time, or when there is something that a change waits for.
 func (c *Copy) ask(now time.Duration) (next time.Duration) {
-	told := [3]uint64{0, c.staged, c.refusal}
+	told := [4]uint64{0, c.staged, c.refusal, 0}
+	if s := c.roster.State(); s.Coming != 0 && c.acts >= s.From {
+		told[3] = s.From
+	}
 	if o := c.policy.State().GetOpen(); o != nil && o.Frozen != 0 && c.acts >= o.Frozen {
 		told[0] = o.Frozen
 	} else if o != nil {
@@ -215,7 +227,7 @@
 		return due
 	}
 	c.asked, c.told = now, told
-	r := &pb.AskRequest{Name: c.name, Life: c.life, Acts: c.acts, Speaks: Speaks}
+	r := &pb.AskRequest{Name: c.name, Life: c.life, Acts: c.acts, Speaks: Speaks, Address: c.address}
 	if c.staged != 0 {
 		r.Staged = append(r.Staged, &pb.Staged{Change: c.staged})
 	}
--- a/internal/agreed/core.go
+++ b/internal/agreed/core.go
@@ -13,6 +13,7 @@
 
 	"dockshift.example/dockshift/internal/agreed/lease"
 	"dockshift.example/dockshift/internal/fleetpolicy"
+	"dockshift.example/dockshift/internal/roster"
 	pb "dockshift.example/dockshift/proto/saffronyard/fleet/v1"
 )
 
@@ -126,6 +127,7 @@
 	mem     *raft.MemoryStorage
 	state   *State
 	policy  *fleetpolicy.Machine
+	roster  *roster.Machine
 	conf    *raftpb.ConfState
 	hard    *raftpb.HardState // as of now; its commit may be ahead of the disk's
 	cut     uint64            // entries up to here are in no memory any more
@@ -135,7 +137,9 @@
 	// While it leads.
 	granter *lease.Granter
 	coord   *fleetpolicy.Coordinator
-	asks    map[uint64][]Ask // by the read that confirms them
+	rosters *roster.Coordinator
+	places  map[lease.Who]string // where those who asked are reached
+	asks    map[uint64][]Ask     // by the read that confirms them
 	read    uint64
 	led     uint64 // term in which it led last
 
@@ -146,8 +150,8 @@
 // NewCore makes a voter that goes on from its folder. heard are the answers of all others to its hello; nil if somebody
 // vouches for the folder, or there are no others.
 func NewCore(name string, saved *Saved, heard map[string]Heard, terms lease.Terms, policy *fleetpolicy.Machine, log raft.Logger) (*Core, Start, error) {
-	c := &Core{id: VoterID(name), terms: terms, mem: raft.NewMemoryStorage(), policy: policy, waiting: map[[2]uint64]uint64{}, asks: map[uint64][]Ask{}}
-	c.state = NewState(map[uint32]Machine{KindPolicy: policy})
+	c := &Core{id: VoterID(name), terms: terms, mem: raft.NewMemoryStorage(), policy: policy, roster: roster.NewMachine(), waiting: map[[2]uint64]uint64{}, asks: map[uint64][]Ask{}}
+	c.state = NewState(map[uint32]Machine{KindPolicy: policy, KindRoster: c.roster})
 	c.start = begin(c.id, saved.Folder(), heard)
 	hard := &raftpb.HardState{Term: &c.start.Term, Vote: &c.start.Vote, Commit: new(saved.Hard.GetCommit())}
 	c.conf = saved.Conf
@@ -219,12 +223,13 @@
 	c.drive(now)
 	if c.leads() && c.granter != nil {
 		if cmd, waits := c.coord.Step(now, c.policy.State(), c.granter); cmd != nil {
-			c.own(cmd)
+			c.own(KindPolicy, cmd)
 			c.drive(now)
 		} else {
 			c.status.Waits = waits
 		}
 		c.status.Holds = c.granter.Holders(now)
+		c.comeAndGo(now)
 	} else {
 		c.status.Waits, c.status.Holds = nil, nil
 	}
@@ -278,6 +283,9 @@
 		}
 		who := lease.Who{Name: e.Request.Name, Life: e.Request.Life}
 		c.granter.Asked(who, e.Request.Acts)
+		if e.Request.Address != "" {
+			c.places[who] = e.Request.Address
+		}
 		for _, s := range e.Request.Staged {
 			c.coord.Told(who, s.Change, s.Refused)
 		}
@@ -327,14 +335,33 @@
 }
 
 // own hands in a command of the leader's own.
-func (c *Core) own(p *pb.Policy) {
+func (c *Core) own(kind uint32, p proto.Message) {
 	body, err := proto.Marshal(p)
 	must(err)
-	raw, err := proto.Marshal(&pb.Command{Kind: KindPolicy, Body: body})
+	raw, err := proto.Marshal(&pb.Command{Kind: kind, Body: body})
 	must(err)
 	c.rn.Propose(raw) // what is dropped is given again
 }
 
+// comeAndGo hands in who takes part in rosters, as leases come and lapse.
+func (c *Core) comeAndGo(now time.Duration) {
+	var here []roster.Part
+	for _, h := range c.status.Holds {
+		if at := c.places[h.Who]; at != "" {
+			here = append(here, roster.Part{Who: h.Who, Address: at})
+		}
+	}
+	if len(c.places) > 2*len(c.status.Holds)+16 { // of those that have gone
+		maps.DeleteFunc(c.places, func(w lease.Who, _ string) bool {
+			return !slices.ContainsFunc(c.status.Holds, func(h lease.Holding) bool { return h.Who == w })
+		})
+	}
+	if cmd := c.rosters.Step(now, c.roster.State(), c.granter, here); cmd != nil && c.state.Speak(KindRoster) == "" {
+		c.own(KindRoster, cmd)
+		c.drive(now)
+	}
+}
+
 // handOn gives the lead to the voter that has most of the log.
 func (c *Core) handOn() {
 	if !c.leads() {
@@ -461,6 +488,7 @@
 	if c.leads() {
 		if c.granter == nil || c.led != term {
 			c.granter, c.coord, c.led = lease.NewGranter(c.terms, now), &fleetpolicy.Coordinator{}, term
+			c.rosters, c.places = &roster.Coordinator{}, map[lease.Who]string{}
 		}
 		return
 	}
@@ -485,7 +513,7 @@
 			continue
 		}
 		who := lease.Who{Name: a.Request.Name, Life: a.Request.Life}
-		if !c.coord.Grants(who, a.Request.Acts, c.policy.State()) {
+		if !c.coord.Grants(who, a.Request.Acts, c.policy.State()) || !roster.Grants(a.Request.Acts, c.roster.State()) {
 			c.do(Answer{a.To, &pb.AskReply{Need: index, Waits: c.waits()}}) // a lease of no length
 			continue
 		}
--- a/internal/agreed/state.go
+++ b/internal/agreed/state.go
@@ -22,11 +22,12 @@
 	KindLeave  uint32 = 2
 	KindPolicy uint32 = 3
 	KindVoters uint32 = 4 // with a change of raft's own
+	KindRoster uint32 = 5
 )
 
 // Speaks is up to which kind of command this program knows. A command of a higher kind is handed in only when all members
 // speak it, and a program that meets one it does not know stops following the log.
-const Speaks uint32 = 4
+const Speaks uint32 = 5
 
 const (
 	snapshotFormat = 1
@@ -110,7 +111,7 @@
 	var err error
 	switch c.Kind {
 	case KindJoin:
-		done.Refused, err = s.join(c.Body)
+		done.Refused, err = s.join(index, c.Body)
 	case KindLeave:
 		done.Refused, err = s.leave(c.Body)
 	case KindVoters:
@@ -146,7 +147,7 @@
 	return Done{}, false
 }
 
-func (s *State) join(body []byte) (refused string, err error) {
+func (s *State) join(index uint64, body []byte) (refused string, err error) {
 	j := &pb.Join{}
 	if err := proto.Unmarshal(body, j); err != nil {
 		return "", fmt.Errorf("a join can't be read: %w", err)
@@ -159,7 +160,10 @@
 	case m == nil && len(s.members) >= membersMost:
 		return fmt.Sprintf("the fleet has %d members, which is the most", membersMost), nil
 	}
-	s.members[j.Name] = &pb.Member{Name: j.Name, Speaks: j.Speaks}
+	if was := s.members[j.Name]; was != nil {
+		index = was.At
+	}
+	s.members[j.Name] = &pb.Member{Name: j.Name, Speaks: j.Speaks, At: index}
 	return "", nil
 }
 
@@ -172,7 +176,7 @@
 	if m == nil {
 		return fmt.Sprintf("%q is no member", l.Name), nil
 	}
-	s.members[l.Name] = &pb.Member{Name: m.Name, Speaks: m.Speaks, Gone: true}
+	s.members[l.Name] = &pb.Member{Name: m.Name, Speaks: m.Speaks, Gone: true, At: m.At}
 	return "", nil
 }
 
@@ -205,6 +209,21 @@
 // Member is one of them; nil if there is none of that name.
 func (s *State) Member(name string) *pb.Member { return s.members[name] }
 
+// Rank is how many joined before a member, also of those that have gone; -1 if it is none.
+func (s *State) Rank(name string) int {
+	m := s.members[name]
+	if m == nil {
+		return -1
+	}
+	before := 0
+	for _, o := range s.members {
+		if o.At < m.At || o.At == m.At && o.Name < m.Name { // of programs that did not note it yet: by name
+			before++
+		}
+	}
+	return before
+}
+
 // Speak says why a command of a kind may not be handed in yet; "" if it may.
 func (s *State) Speak(kind uint32) string {
 	for _, m := range s.Members() {
@@ -238,6 +257,9 @@
 		if err != nil {
 			return nil, fmt.Errorf("snapshot: kind %d: %w", k, err)
 		}
+		if len(raw) == 0 {
+			continue // untouched: a program that does not know it can take the snapshot
+		}
 		snap.Machines = append(snap.Machines, &pb.Machine{Kind: k, State: raw})
 	}
 	return proto.MarshalOptions{Deterministic: true}.Marshal(snap)
@@ -252,6 +274,11 @@
 	if snap.Format != snapshotFormat {
 		return fmt.Errorf("the snapshot is of format %d; this program reads %d", snap.Format, snapshotFormat)
 	}
+	for _, m := range s.machines {
+		if err := m.Restore(nil); err != nil {
+			return err
+		}
+	}
 	for _, m := range snap.Machines {
 		if s.machines[m.Kind] == nil {
 			return fmt.Errorf("%w (its state has kind %d; this one knows up to %d)", ErrUnknown, m.Kind, Speaks)
--- a/internal/calls/permit.go
+++ b/internal/calls/permit.go
@@ -18,10 +18,11 @@
 	Until  time.Time          // it lapses by itself: a repeat is lawful only while its key is remembered
 	Cancel context.CancelFunc // ends the call
 
-	// Enter is what the fleet says of the call at this very moment; nil where senders agree on nothing. leave is to be called
-	// when the message is written.
-	Enter   func() (leave func(), ok bool)
-	against atomic.Bool // it said no
+	// Enter is what the fleet says of the call at this very moment; nil where senders agree on nothing. left is to be called when the
+	// message is written; over when the call has ended, or with false if it was not written after all.
+	Enter   func() (left func(), over func(written bool), ok bool)
+	over    func(written bool) // of a message that is written
+	against atomic.Bool        // the fleet said no
 }
 
 const (
@@ -38,8 +39,9 @@
 		p.state.CompareAndSwap(granted, takenBack)
 		return nil, false
 	}
+	over := func(bool) {}
 	if p.Enter != nil {
-		if written, ok = p.Enter(); !ok {
+		if written, over, ok = p.Enter(); !ok {
 			if p.state.CompareAndSwap(granted, takenBack) {
 				p.against.Store(true)
 			}
@@ -48,8 +50,10 @@
 	}
 	if !p.state.CompareAndSwap(granted, used) {
 		written()
+		over(false)
 		return nil, false
 	}
+	p.over = over
 	return written, true
 }
 
@@ -63,6 +67,13 @@
 	return true
 }
 
+// Ended is that the call of the permit has ended; it is called once, by who was told so.
+func (p *Permit) Ended() {
+	if p.over != nil {
+		p.over(true)
+	}
+}
+
 // Gone reports whether the leave was taken back, or lapsed when it was asked for: nothing was written.
 func (p *Permit) Gone() bool { return p.state.Load() == takenBack }
 
--- a/internal/features/features.go
+++ b/internal/features/features.go
@@ -50,11 +50,13 @@
 }
 
 // Reaches are all of them.
-func (p *Peers) Reaches() (all []peers.Reach) {
-	for _, r := range p.Reach {
-		all = append(all, peers.Reach(r))
+func (p *Peers) Reaches() []peers.Reach { return reaches(p.Reach) }
+
+func reaches(all []PeerReach) (is []peers.Reach) {
+	for _, r := range all {
+		is = append(is, peers.Reach(r))
 	}
-	return all
+	return is
 }
 
 // Keys reads the file of keys.
--- a/internal/features/fleet.go
+++ b/internal/features/fleet.go
@@ -14,6 +14,8 @@
 	Cluster string        `toml:"cluster"` // the deployment's name: others do not mix in
 	Listen  string        `toml:"listen"`  // where others reach this sender; a loopback address; default ":7948"
 	Lease   tomlfile.Span `toml:"lease"`   // a sender that is cut off begins no call after it; from 500ms to 1m, default 3s
+	Lend    tomlfile.Span `toml:"lend"`    // units of a limit are lent for so long; default: half as long again as a lease, and 500ms
+	Reach   []PeerReach   `toml:"reach"`   // where others are reached whose own addresses do not lead there; default: none
 	Folder  string        `toml:"folder"`  // default: "fleet" in the sender's state folder
 	// KeysFile has the fleet's keys, a line each in base64, the first for what is sent; default: none
 	KeysFile string       `toml:"keys_file"`
@@ -29,7 +31,7 @@
 // Config is what the file says; host is where clients connect, which an address without a host means.
 func (f *Fleet) Config(name, host string) fleet.Config {
 	c := fleet.Config{Name: name, Cluster: f.Cluster, Listen: peers.WithHost(f.Listen, host), Folder: f.Folder}
-	c.Terms.Length = f.Lease.D()
+	c.Terms.Length, c.Lend, c.Reach = f.Lease.D(), f.Lend.D(), reaches(f.Reach)
 	for _, v := range f.Voters {
 		c.Voters = append(c.Voters, fleet.Voter(v))
 	}
@@ -49,6 +51,7 @@
 		edit func(*fleet.Config)
 	}{{"cluster", func(c *fleet.Config) { c.Cluster = f.Cluster }}, {"listen", func(c *fleet.Config) { c.Listen = peers.WithHost(f.Listen, "127.0.0.1") }},
 		{"lease", func(c *fleet.Config) { c.Terms.Length = f.Lease.D() }},
+		{"lend", func(c *fleet.Config) { c.Terms.Length, c.Lend = f.Lease.D(), f.Lend.D() }}, {"reach", func(c *fleet.Config) { c.Reach = reaches(f.Reach) }},
 		{"voter", func(c *fleet.Config) { c.Voters = f.Config("n", "127.0.0.1").Voters }}} {
 		sound := fleet.Config{Name: "n", Cluster: "c", Listen: "127.0.0.1:0", Voters: []fleet.Voter{{Name: "n", Address: "127.0.0.1:1"}}}
 		sound.Defaults()
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -37,6 +37,12 @@
 	if len(c.Voters) == 0 || len(c.Voters) > votersMost {
 		return fmt.Errorf("fleet: %d voters; from 1 to %d are possible", len(c.Voters), votersMost)
 	}
+	if least := c.lendLeast(); c.Lend != 0 && (c.Lend < least || c.Lend > LendMost) {
+		return fmt.Errorf("fleet: lend = %v is not from %v, which a lease that lapses and a roster take, to %v", c.Lend, least, LendMost)
+	}
+	if _, err := peers.NewReaches(c.Reach); err != nil {
+		return fmt.Errorf("fleet: %w", err)
+	}
 	seen := map[string]bool{}
 	for i, v := range c.Voters {
 		if v.Name == "" || len(v.Name) > nameMost || seen[v.Name] {
@@ -50,6 +56,30 @@
 	return nil
 }
 
+// LendMost is how long units of a limit are lent for at the most.
+const LendMost = 10 * time.Minute
+
+// lendLeast is how long the death of an authority lasts: its lease lapses, and a roster without it begins. Holders would be without
+// units meanwhile.
+func (c *Config) lendLeast() time.Duration { return c.Terms.Wait() + 300*time.Millisecond }
+
+// limitsDrift is the drift that limits allow: it costs them twice as much of each span. The fleet is tested at it; where clocks are
+// known to be worse, the lease's holds.
+func (c *Config) limitsDrift() float64 {
+	if c.Terms.Drift > lease.DefaultDrift {
+		return c.Terms.Drift
+	}
+	return min(c.Terms.Drift, lease.DefaultDrift/2)
+}
+
+// lend is how long units are lent for: half as long again as a lease, and some questions.
+func (c *Config) lend() time.Duration {
+	if c.Lend > 0 {
+		return c.Lend
+	}
+	return c.Terms.Length*3/2 + 500*time.Millisecond
+}
+
 func loopback(addr string) error { return peers.Loopback(addr) }
 
 // Defaults fills in what is not stated.
--- a/internal/fleet/copy.go
+++ b/internal/fleet/copy.go
@@ -40,6 +40,7 @@
 
 func (n *Node) startCopy() {
 	c := agreed.NewCopy(n.c.Name, n.life, n.c.Settings, n.c.Terms)
+	c.TakesPart(n.addr)
 	d := &duty.Duty[any, any]{Name: "copy", In: duty.NewRing[any]("copy", copyMost, duty.Wait, nil), Stepper: stepper{c, n}, Do: n.doCopy}
 	n.copy = d
 	n.group.Start(d, duty.EndDuty)
@@ -80,6 +81,7 @@
 		})
 	case agreed.Publish:
 		_, could := n.gate.View()
+		n.limits.published(a.View) // before any call goes by it
 		drained := n.gate.publish(a.View, a.Until, a.Drain)
 		if a.Drain {
 			n.aside(func(ctx context.Context) {
@@ -87,6 +89,7 @@
 				n.copy.In.Put(ctx, agreed.Drained{Index: a.View.Index})
 			})
 		}
+		n.limits.nudge()
 		if _, can := n.gate.View(); a.Drain || can != could {
 			n.changed()
 		}
--- a/internal/fleet/http.go
+++ b/internal/fleet/http.go
@@ -35,6 +35,16 @@
 		}
 		json.NewEncoder(w).Encode(n.Report())
 	})
+	mux.HandleFunc("GET /limits", func(w http.ResponseWriter, r *http.Request) {
+		ctx, cancel := context.WithTimeout(r.Context(), commandTime)
+		defer cancel()
+		all, err := n.Limits(ctx)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+		json.NewEncoder(w).Encode(all)
+	})
 	post := func(path string, do func(ctx context.Context, r *http.Request, by string) (any, error)) {
 		mux.HandleFunc("POST "+path, func(w http.ResponseWriter, r *http.Request) {
 			ctx, cancel := context.WithTimeout(r.Context(), commandTime)
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -26,6 +26,7 @@
 	"dockshift.example/dockshift/internal/agreed/lease"
 	"dockshift.example/dockshift/internal/duty"
 	"dockshift.example/dockshift/internal/fleetpolicy"
+	"dockshift.example/dockshift/internal/peers"
 	pb "dockshift.example/dockshift/proto/saffronyard/fleet/v1"
 )
 
@@ -37,13 +38,17 @@
 	Voters  []Voter // the first ones, the same in every sender's file, as this sender reaches them
 	Folder  string
 	Terms   lease.Terms
-	Keys    [][]byte // of the fleet: the first is shown with each call, each is taken; none: nothing is shown
+	Lend    time.Duration // how long units of a limit are lent for; 0: by the lease
+	Reach   []peers.Reach // of others that are not reached at their own address
+	Keys    [][]byte      // of the fleet: the first is shown with each call, each is taken; none: nothing is shown
 
 	Settings fleetpolicy.Settings // of this sender: what a policy may name
 
 	// Seams: what tests put in place of the machine's.
-	Now  func() time.Duration
-	Disk Disk
+	Now   func() time.Duration
+	Disk  Disk
+	Quiet func(time.Duration) time.Duration // how long a new authority waits, of how long it should
+	Loan  func(time.Duration) time.Duration // how long a loan lasts at its holder, of how long it should
 }
 
 // Voter is one that keeps the log.
@@ -100,6 +105,7 @@
 	ctx     context.Context
 	stop    context.CancelFunc
 	group   *duty.Group
+	limits  *limiting
 	server  *grpc.Server
 	wires   *wires
 	keys    *keyring
@@ -159,7 +165,13 @@
 	}
 	n.server = grpc.NewServer(append(n.keys.server(), grpc.MaxRecvMsgSize(messageMost), grpc.MaxSendMsgSize(messageMost))...)
 	pb.RegisterFleetServer(n.server, &service{n: n})
+	if n.limits, err = newLimiting(n); err != nil {
+		n.stop()
+		l.Close()
+		return nil, err
+	}
 	n.startCopy()
+	n.limits.start()
 	if slices.ContainsFunc(c.Voters, func(v Voter) bool { return v.Name == c.Name }) || n.wasVoter() {
 		if err := n.beginVoter(n.firstVoters()); err != nil {
 			n.stop()
@@ -473,9 +485,6 @@
 	return b
 }
 
-// Enter asks at the moment of writing whether a call may be begun.
-func (n *Node) Enter(c fleetpolicy.Call) (leave func(), why string) { return n.gate.Enter(c) }
-
 // View is what calls go by, and whether any is begun at all; nil while nothing is known.
 func (n *Node) View() (v *fleetpolicy.View, acts bool) { return n.gate.View() }
 
--- a/internal/fleetpolicy/diff.go
+++ b/internal/fleetpolicy/diff.go
@@ -31,17 +31,7 @@
 	for _, n := range sorted(t.tenants) {
 		say("tenant %q: %s -> %s", n, word[was.suspended[n]], word[is.suspended[n]])
 	}
-	limits := map[uint32]struct{}{}
-	differ(limits, was.limits, is.limits)
-	limit := func(p *Policy, d uint32) string {
-		if l := p.limits[d]; l > 0 {
-			return fmt.Sprintf("%g calls a second", l)
-		}
-		return "none is told"
-	}
-	for _, d := range sorted(limits) {
-		say("destination %d, limit: %s -> %s", d, limit(was, d), limit(is, d))
-	}
+	lines = append(lines, diffLimits(was, is)...)
 	classes := map[string]struct{}{}
 	differ(classes, was.classes, is.classes)
 	for _, n := range sorted(classes) {
--- a/internal/fleetpolicy/document.go
+++ b/internal/fleetpolicy/document.go
@@ -50,18 +50,11 @@
 	DeadlineMost tomlfile.Span `toml:"deadline_most"` // a message is given up no later than this after it was handed in
 }
 
-// Limit is what a destination takes from all senders together, as the module is told before the destination tells it itself.
-type Limit struct {
-	Destinations []uint32 `toml:"destinations"`
-	Calls        float64  `toml:"calls"` // a second
-}
-
 // Bounds of a document. A larger one would not fit a step of the log.
 const (
 	documentMost     = 1 << 20 // bytes
 	destinationsMost = 100_000 // named, in all
 	textMost         = 500     // bytes of a reason
-	callsMost        = 1e6     // a second, of a limit
 	goOnMost         = 24 * time.Hour
 )
 
@@ -71,7 +64,7 @@
 	routes    map[uint32]rule
 	suspended map[string]bool
 	classes   map[string]time.Duration
-	limits    map[uint32]float64
+	limits    limits
 }
 
 type rule struct {
@@ -97,7 +90,7 @@
 	if err := tomlfile.Decode(name, raw, d); err != nil {
 		return nil, err
 	}
-	p := &Policy{document: d, routes: map[uint32]rule{}, suspended: map[string]bool{}, classes: map[string]time.Duration{}, limits: map[uint32]float64{}}
+	p := &Policy{document: d, routes: map[uint32]rule{}, suspended: map[string]bool{}, classes: map[string]time.Duration{}}
 	bad := func(format string, args ...any) error {
 		return fmt.Errorf("%s: "+format, append([]any{name}, args...)...)
 	}
@@ -167,19 +160,9 @@
 		}
 		p.classes[c.Name] = c.DeadlineMost.D()
 	}
-	for i, l := range d.Limits {
-		if !(l.Calls > 0 && l.Calls <= callsMost) || len(l.Destinations) == 0 {
-			return nil, bad("limit %d: calls = %v is not over 0 and up to %v, or it names no destinations", i+1, l.Calls, float64(callsMost))
-		}
-		for _, dest := range l.Destinations {
-			if _, twice := p.limits[dest]; twice {
-				return nil, bad("limit %d: destination %d is named twice", i+1, dest)
-			}
-			p.limits[dest] = l.Calls
-		}
-	}
-	if len(p.limits) > destinationsMost {
-		return nil, bad("%d destinations have limits; %d are the most", len(p.limits), destinationsMost)
+	var err error
+	if p.limits, err = newLimits(d.Limits); err != nil {
+		return nil, bad("%w", err)
 	}
 	return p, nil
 }
@@ -196,7 +179,9 @@
 			kinds[r.kind] = true
 		}
 	}
-	return cmp.Or(named("class", sorted(p.classes), s.Classes), named("tenant", sorted(p.suspended), s.Tenants), named("kind", sorted(kinds), s.Kinds))
+	classes, tenants := p.limits.names()
+	return cmp.Or(named("class", slices.Concat(sorted(p.classes), classes), s.Classes), named("tenant", slices.Concat(sorted(p.suspended), tenants), s.Tenants),
+		named("kind", sorted(kinds), s.Kinds))
 }
 
 // named says which name the settings lack.
@@ -233,6 +218,11 @@
 type Call struct {
 	Destination uint32
 	Tenant      string
+
+	// What limits go by besides; empty where no call is about to be written.
+	Endpoint string
+	Class    string
+	Bytes    int64
 }
 
 // Open reports whether calls for a destination are begun at all.
@@ -249,12 +239,6 @@
 	return listed
 }
 
-// Limit is what a destination takes, in calls a second from all senders; 0 if the policy tells none.
-func (p *Policy) Limit(destination uint32) float64 { return p.limits[destination] }
-
-// Limits are the destinations that the policy tells a limit of.
-func (p *Policy) Limits() []uint32 { return sorted(p.limits) }
-
 // May reports whether a call is begun; why is for who is told.
 func (p *Policy) May(c Call) (ok bool, why string) {
 	if r, ruled := p.routes[c.Destination]; ruled && r.kind == "" {
--- a/internal/fleetpolicy/machine.go
+++ b/internal/fleetpolicy/machine.go
@@ -6,6 +6,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"dockshift.example/dockshift/internal/roster"
 	pb "dockshift.example/dockshift/proto/saffronyard/fleet/v1"
 )
 
@@ -158,8 +159,14 @@
 	Change  uint64   // open; 0: none
 	Frozen  *Touched // what that holds up; nil: nothing
 	Unfit   error    // the policy can't be followed here: nothing is begun
+
+	Roster *pb.RosterState // who takes part in what is shared out by name
+	Rank   int             // of this sender among those that have joined; -1: it has not
 }
 
+// Charge says who is in charge of what is shared out by name.
+func (v *View) Charge() *roster.Charge { return roster.NewCharge(v.Roster.GetParts()) }
+
 // View is the state as a sender with these settings goes by it.
 func (m *Machine) View(index uint64, s Settings) *View {
 	v := &View{Index: index, Version: m.state.Version, Policy: m.policy, Unfit: m.policy.Fits(s)}
--- a/internal/peers/node.go
+++ b/internal/peers/node.go
@@ -25,7 +25,7 @@
 // Node is one sender's part among its peers.
 type Node struct {
 	c      Config
-	to     reaches
+	to     Reaches
 	log    *slog.Logger
 	now    func() time.Duration
 	heard  func([]knowledge.Fact) bool
@@ -61,7 +61,7 @@
 	if err := c.Check(); err != nil {
 		return nil, err
 	}
-	to, err := newReaches(c.Reach)
+	to, err := NewReaches(c.Reach)
 	if err != nil {
 		return nil, err
 	}
@@ -212,7 +212,7 @@
 		f := n.known[name]
 		f.following = true
 		m, p := f.Member, n.parts[name]
-		m.Exchange = n.to.at(m.Exchange)
+		m.Exchange = n.to.At(m.Exchange)
 		if p == nil {
 			p = &progress{}
 			n.parts[name] = p
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -58,8 +58,8 @@
 			return fmt.Errorf("peers: seed %q: %w", s, err)
 		}
 	}
-	if _, err := newReaches(c.Reach); err != nil {
-		return err
+	if _, err := NewReaches(c.Reach); err != nil {
+		return fmt.Errorf("peers: %w", err)
 	}
 	for i, k := range c.Keys {
 		if n := len(k); n != 16 && n != 24 && n != 32 {
--- a/internal/quota/asker.go
+++ b/internal/quota/asker.go
@@ -54,6 +54,7 @@
 	stands map[string]Share // as told
 	lapses map[string]time.Duration
 	seq    uint64
+	lasts  func(time.Duration) time.Duration // a loan
 }
 
 type question struct {
@@ -71,9 +72,13 @@
 
 // NewAsker makes one that knows of nobody to ask.
 func NewAsker(me lease.Who, t Terms, till *Till) *Asker {
-	return &Asker{me: me, terms: t, till: till, out: map[string]*question{}, due: map[string]time.Duration{}, keeps: map[string]int64{}, wants: map[string]int64{}, stands: map[string]Share{}, lapses: map[string]time.Duration{}}
+	return &Asker{me: me, terms: t, till: till, out: map[string]*question{}, due: map[string]time.Duration{}, keeps: map[string]int64{}, wants: map[string]int64{}, stands: map[string]Share{}, lapses: map[string]time.Duration{},
+		lasts: func(d time.Duration) time.Duration { return d }}
 }
 
+// Wrong has a test make a wrong holder, whose loans last otherwise.
+func (a *Asker) Wrong(lasts func(time.Duration) time.Duration) { a.lasts = lasts }
+
 // Roster takes over who is in charge now. Questions to those of before are over.
 func (a *Asker) Roster(s *pb.RosterState) {
 	if a.charge != nil && a.epoch == s.GetEpoch() {
@@ -220,7 +225,8 @@
 	defer s.mu.Unlock()
 	p, q := s.purse, &pb.LendAsk{Key: key}
 	lent, busy, _ := p.Holds(now)
-	waiting := s.waiting.Load()
+	waiting := max(s.waiting.Load(), s.lacked)
+	s.lacked = 0
 	q.Piece = 1
 	if s.limit.Sort == Bytes {
 		q.Piece, s.most = s.most, max(1, s.most*9/10)
@@ -278,12 +284,13 @@
 		s.mu.Lock()
 		before := s.purse.lent(now)
 		s.turns = l.Turns
-		s.purse.Lent(l.Units, q.at, min(a.terms.Length, time.Duration(l.LengthUs)*time.Microsecond), now)
+		length := a.lasts(min(a.terms.Length, time.Duration(l.LengthUs)*time.Microsecond))
+		s.purse.Lent(l.Units, q.at, length, now)
 		waiting, lent, want := s.waiting.Load(), s.purse.lent(now), a.wants[l.Key]
 		s.mu.Unlock()
 		a.keeps[l.Key], touched[l.Key] = l.Units, struct{}{}
 		if lent > 0 {
-			a.lapses[l.Key] = q.at + min(a.terms.Length, time.Duration(l.LengthUs)*time.Microsecond)
+			a.lapses[l.Key] = q.at + length
 		}
 		next := calmly
 		switch {
--- a/internal/quota/till.go
+++ b/internal/quota/till.go
@@ -20,8 +20,9 @@
 	mu      sync.Mutex
 	limit   Limit
 	purse   *Purse
-	turns   bool // units go by turns
-	piece   int64
+	floor   bool
+	lacked  int64        // units that were not there, since the last question
+	turns   bool         // units go by turns
 	waiting atomic.Int64 // units of the messages that wait
 	most    int64        // units of the largest of late
 
@@ -43,13 +44,15 @@
 	was := *t.slots.Load()
 	is := make(map[string]*slot, len(all))
 	for _, l := range all {
-		s := was[l.Key]
+		s, own := was[l.Key], floor(l)
 		if s == nil {
-			s = &slot{limit: l, purse: NewPurse(l, t.drift, floor(l), now), piece: 1, most: 1}
-		} else if s.limit != l {
+			s = &slot{limit: l, floor: own, purse: NewPurse(l, t.drift, own, now), most: 1}
+		} else {
 			s.mu.Lock()
-			s.limit = l
-			s.purse.Change(l, t.drift, floor(l), now)
+			if s.limit != l || s.floor != own {
+				s.limit, s.floor = l, own
+				s.purse.Change(l, t.drift, own, now)
+			}
 			s.mu.Unlock()
 		}
 		is[l.Key] = s
@@ -78,6 +81,7 @@
 			s.used += uint64(u.Units)
 		} else {
 			s.refused++
+			s.lacked = max(s.lacked, u.Units)
 		}
 		poke := !took || s.turns
 		s.mu.Unlock()
@@ -85,14 +89,7 @@
 			t.poke(u.Key)
 		}
 		if !took {
-			for _, v := range uses[:i] {
-				if s := t.slot(v.Key); s != nil {
-					s.mu.Lock()
-					s.purse.Undo(v.Units, now)
-					s.used -= uint64(v.Units)
-					s.mu.Unlock()
-				}
-			}
+			t.Undo(uses[:i], now)
 			return false, u.Key
 		}
 	}
@@ -102,7 +99,7 @@
 // Over is that a call has ended which took these.
 func (t *Till) Over(uses []Use, now time.Duration) {
 	for _, u := range uses {
-		if s := t.slot(u.Key); s != nil && s.limit.Sort == AtOnce {
+		if s := t.slot(u.Key); s != nil {
 			s.mu.Lock()
 			s.purse.Over(u.Units, now)
 			s.mu.Unlock()
@@ -110,6 +107,18 @@
 	}
 }
 
+// Undo is that these were taken and the call was not written after all.
+func (t *Till) Undo(uses []Use, now time.Duration) {
+	for _, u := range uses {
+		if s := t.slot(u.Key); s != nil {
+			s.mu.Lock()
+			s.purse.Undo(u.Units, now)
+			s.used -= uint64(u.Units)
+			s.mu.Unlock()
+		}
+	}
+}
+
 // Wait notes that messages with so many units more, or fewer, wait for a limit, and what one of them needs.
 func (t *Till) Wait(key string, units, piece int64) {
 	s := t.slot(key)
--- a/internal/rehearsal/day/late.go
+++ b/internal/rehearsal/day/late.go
@@ -1,6 +1,7 @@
 package day
 
 import (
+	"context"
 	"slices"
 	"sync"
 	"syscall"
@@ -91,3 +92,13 @@
 	}
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
+
+// Sleep lets a time go by, or less if ctx ends before.
+func Sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(max(0, d))
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/rehearsal/ration/ration.go
@@ -0,0 +1,279 @@
+// Package ration plays days on which a fleet shares a limit out while links between its senders fail and processes are paused, killed, or
+// come back with an old folder, and judges from outside whether the limit held: by what receivers got. It knows a sender by
+// its sockets and files only.
+package ration
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"dockshift.example/dockshift/internal/rehearsal/concord"
+	"dockshift.example/dockshift/internal/rehearsal/day"
+	"dockshift.example/dockshift/internal/rehearsal/eventlog"
+	"dockshift.example/dockshift/internal/rehearsal/script"
+)
+
+// Options say what is played.
+type Options struct {
+	Seed    uint64
+	Senders int
+	Voters  int
+	Seconds float64 // of faults, once the limit is in force
+	Lease   time.Duration
+	Units   int // calls in a span that the limit of receiver 0 allows; default by seed
+	Span    time.Duration
+	Over    int
+	Rate    float64       // messages a second for each of the two receivers; default twice the limit
+	Halve   bool          // the limit is halved in the middle
+	Lend    time.Duration // how long units are lent for; default the sender's own
+	Transit time.Duration // of the limit; default 100ms, as the kit's processes share the machine's cores with the senders
+	GoOn    bool          // senders that are cut off go on, as far as limits let them
+	Kill    string        // a sender that is killed a little after the last one is cut off
+	Quiet   bool          // no faults
+	KillAll bool          // all are killed at once, twice
+	CutOff  bool          // the last sender is cut off from all others once the limit is in force
+	Command []string
+	Folder  string
+}
+
+// Result is what became of a day.
+type Result struct {
+	Events  []eventlog.Event
+	Options Options
+	Words   []Word // limits that were in force, and from when they bind
+	Faults  int
+	Healed  time.Duration // all is sound from here on
+}
+
+// Word is a limit that binds from a time on.
+type Word struct {
+	From  time.Duration
+	Units int
+}
+
+const (
+	transit  = 100 * time.Millisecond // the default
+	calm     = 12 * time.Second       // of traffic behind the faults
+	heals    = 7 * time.Second        // after which a fleet that is sound again is held to use its limit
+	askTime  = time.Second
+	waitTime = 40 * time.Second
+	begins   = 8 * time.Second // by then the limit is in force, and faults begin
+)
+
+// defaults fills in what a seed draws.
+func (o Options) defaults() Options {
+	rng := rand.New(rand.NewPCG(o.Seed, 31))
+	if o.Lease == 0 {
+		o.Lease = time.Second
+	}
+	if o.Transit == 0 {
+		o.Transit = transit
+	}
+	if o.Lend == 0 {
+		o.Lend = o.Lease*3/2 + 500*time.Millisecond
+	}
+	if o.Span == 0 {
+		o.Span = []time.Duration{500 * time.Millisecond, time.Second, 2 * time.Second}[rng.IntN(3)]
+	}
+	if o.Units == 0 {
+		o.Units = []int{2, 6, 20, 40}[rng.IntN(4)]
+	}
+	if o.Rate == 0 {
+		o.Rate = min(120, max(10, 2*float64(o.Units)/o.Span.Seconds()))
+	}
+	return o
+}
+
+// binds is how long after a limit was seen to be in force it binds every call: a sender that has not heard of it has no lease by then,
+// and what was called before has left the span; of a later one, what was lent under an earlier one has lapsed as well.
+func (o Options) binds(later bool) time.Duration {
+	d := time.Duration(float64(o.Lease)*1.05) + concord.Grace + o.Span + o.Transit
+	if later {
+		d += time.Duration(float64(o.Lend)*1.05) + o.Span + o.Transit
+	}
+	return d
+}
+
+// Script is the day of a seed: traffic for two receivers, and faults.
+func (o Options) Script() string {
+	o = o.defaults()
+	var b strings.Builder
+	seconds := begins.Seconds() + o.Seconds + calm.Seconds()
+	fmt.Fprintf(&b, "[day]\nseconds = %v\nseed = %d\nrate = %v\nsenders = %d\nreceivers = 2\nendpoints = [1, 1]\nload = 0.2\nzipf = 0.0\nretries = 0\ngrace = \"400ms\"\nfeatures = '''\n", seconds, o.Seed, 2*o.Rate, o.Senders)
+	fmt.Fprintf(&b, "[fleet]\ncluster = \"ration\"\nlease = \"%v\"\nlend = \"%v\"\n", o.Lease, o.Lend)
+	for v := range o.Voters {
+		fmt.Fprintf(&b, "[[fleet.voter]]\nname = \"n%d\"\naddress = \"{n%d:7948}\"\n", v, v)
+	}
+	fmt.Fprintf(&b, "{reach fleet 7948}\n'''\n[[class]]\nname = \"card-event\"\neffect = \"safe\"\naim = \"1s\"\ndeadline = \"2500ms\"\n")
+	if o.CutOff {
+		fmt.Fprintf(&b, "[[link]]\ndo = \"cut\"\nfrom = \"n%d\"\nto = \"all\"\nboth = true\nat = \"%v\"\nfor = \"%vs\"\n", o.Senders-1, begins+2*time.Second, o.Seconds)
+	}
+	if o.Kill != "" {
+		fmt.Fprintf(&b, "[[sender]]\ndo = \"kill\"\nwhich = %q\nat = \"%v\"\n", o.Kill, begins+2200*time.Millisecond)
+	}
+	if o.KillAll {
+		for _, at := range []float64{0.3, 0.6} {
+			fmt.Fprintf(&b, "[[sender]]\ndo = \"kill\"\nwhich = \"all\"\nat = \"%vs\"\n", begins.Seconds()+at*o.Seconds)
+		}
+	}
+	if !o.Quiet {
+		b.WriteString(concord.Faults(rand.New(rand.NewPCG(o.Seed, 7)), o.Senders, begins, begins+time.Duration(o.Seconds*float64(time.Second))))
+	}
+	return b.String()
+}
+
+// document limits receiver 0; receiver 1 goes free, so that what is held up by something else shows.
+func (o Options) document(units int) []byte {
+	text := ""
+	if o.GoOn {
+		text = "cut_off = \"go-on\"\ngo_on_for = \"5m\"\n"
+	}
+	return fmt.Appendf(nil, text+"[[limit]]\ndestinations = [0]\ncalls = %d\nspan = \"%v\"\ntransit = \"%v\"\nover = %d\n", units, o.Span, o.Transit, o.Over)
+}
+
+// Run plays the day of a seed.
+func Run(ctx context.Context, o Options) (*Result, error) {
+	o = o.defaults()
+	s, err := script.Parse("ration.toml", []byte(o.Script()))
+	if err != nil {
+		return nil, err
+	}
+	plan, err := s.Make()
+	if err != nil {
+		return nil, err
+	}
+	r := &Result{Options: o, Faults: len(plan.Acts)}
+	var failed error
+	r.Events, _, err = day.Play(ctx, plan, day.Options{Command: o.Command, Folder: o.Folder, During: func(ctx context.Context, d *day.Day) { failed = r.during(ctx, d) }})
+	return r, errors.Join(err, failed)
+}
+
+// during sets the limit, halves it in the middle if that is wanted, and heals all once the faults are over.
+func (r *Result) during(ctx context.Context, d *day.Day) error {
+	o := r.Options
+	limit := func(units int) error {
+		at, err := propose(ctx, d, o.Senders, o.document(units))
+		if err != nil {
+			return err
+		}
+		r.Words = append(r.Words, Word{at + o.binds(len(r.Words) > 0), units})
+		return nil
+	}
+	if err := limit(o.Units); err != nil {
+		return fmt.Errorf("the limit does not come in force: %w", err)
+	}
+	over := begins + time.Duration(o.Seconds*float64(time.Second))
+	if o.Halve {
+		day.Sleep(ctx, begins+(over-begins)/2-d.Now())
+		if err := limit(max(1, o.Units/2)); err != nil {
+			return fmt.Errorf("the limit is not halved: %w", err)
+		}
+	}
+	day.Sleep(ctx, over-d.Now())
+	d.Heal()
+	r.Healed = d.Now()
+	return nil
+}
+
+// propose has a document take hold, by whichever sender answers, and gives when it was seen to.
+func propose(ctx context.Context, d *day.Day, senders int, document []byte) (time.Duration, error) {
+	var err error
+	for end := time.Now().Add(waitTime); time.Now().Before(end) && ctx.Err() == nil; time.Sleep(20 * time.Millisecond) {
+		for i := range senders {
+			var version uint64
+			if version, err = concord.Version(ctx, d, i, askTime); err != nil {
+				continue
+			}
+			if err = concord.Propose(ctx, d, i, version, document, 5*time.Second); err != nil {
+				continue
+			}
+			for ; time.Now().Before(end) && ctx.Err() == nil; time.Sleep(10 * time.Millisecond) {
+				for j := range senders {
+					if is, err := concord.Version(ctx, d, j, askTime); err == nil && is > version {
+						return d.Now(), nil
+					}
+				}
+			}
+		}
+	}
+	return 0, errors.Join(err, ctx.Err(), fmt.Errorf("not within %v", waitTime))
+}
+
+// Verdict is what the checker found.
+type Verdict struct {
+	Broken []string
+	Calls  int // of receiver 0 that were judged
+	Most   int // in a span
+	Spans  int // that were full
+	// Used is what share of the limit was used while all was sound: behind the healing, or all the time on a quiet day.
+	Used    float64
+	Refused int // answers of a receiver that was over a limit of its own
+}
+
+// Check judges a day: in no span are there more calls of receiver 0 than the limit that binds then allows, and its allowance for each
+// sender. A span lies under a limit that binds from its begin to its end.
+func Check(r *Result) Verdict {
+	var v Verdict
+	o := r.Options
+	var at []time.Duration
+	end := time.Duration(0)
+	for _, e := range r.Events {
+		end = max(end, time.Duration(e.T)*time.Microsecond)
+		if e.Kind == eventlog.Call && e.Dest == 0 {
+			at = append(at, time.Duration(e.First)*time.Microsecond)
+		}
+		if e.Kind == eventlog.Done && (e.Status == 429 || e.Status == 503) {
+			v.Refused++
+		}
+	}
+	slices.Sort(at)
+	for i, w := range r.Words {
+		until := end
+		if i+1 < len(r.Words) {
+			until = r.Words[i+1].From // what is lower binds then
+		}
+		most := w.Units + o.Over*o.Senders
+		first := 0
+		for j, t := range at {
+			if t < w.From || t > until {
+				first = j + 1
+				continue
+			}
+			for at[first] <= t-o.Span {
+				first++
+			}
+			n := j + 1 - first
+			v.Calls++
+			v.Most = max(v.Most, n)
+			if n == w.Units {
+				v.Spans++
+			}
+			if n > most {
+				v.Broken = append(v.Broken, fmt.Sprintf("%d calls of receiver 0 in the %v up to %v, where %d are the most", n, o.Span, t, most))
+				first = j + 1 // the same is not told for each call
+			}
+		}
+	}
+	if n := len(r.Words); n > 0 {
+		from := max(r.Words[n-1].From, r.Healed+heals)
+		if o.Quiet && !o.KillAll && !o.CutOff {
+			from = r.Words[n-1].From
+		}
+		until := begins + time.Duration(o.Seconds*float64(time.Second)) + calm
+		used := 0
+		for _, t := range at {
+			if t >= from && t < until {
+				used++
+			}
+		}
+		if until > from+o.Span {
+			v.Used = float64(used) / (float64(r.Words[n-1].Units) * (until - from).Seconds() / o.Span.Seconds())
+		}
+	}
+	return v
+}
--- a/internal/sender/ends.go
+++ b/internal/sender/ends.go
@@ -15,6 +15,9 @@
 	e.Recalled = e.Outcome == brain.NotSent && (m.calls.recalled(e.attempt) || m.calls.against(e.attempt))
 	s.lookAgain(m, e)
 	m.calls.ended(e.attempt)
+	if s.c.Fleet != nil && e.Reported && e.Limit > 0 {
+		s.c.Fleet.Told(m.Dest, e.Limit)
+	}
 	s.traceEnd(m, e)
 	if e.Outcome == brain.TimedOut {
 		// Where a machine vanished or was cut off, the connections from before say nothing either, and are
@@ -45,6 +48,7 @@
 			s.journal.note(m.stored, rec)
 		}
 	}
+	s.waits(m, !m.ended && len(m.calls) == 0)
 	s.forget(m)
 	return e.AttemptEnd
 }
@@ -64,6 +68,7 @@
 	s.journal.note(m.stored, rec)
 	m.ended = true
 	s.held--
+	s.waits(m, false)
 }
 
 func (s *Sender) forget(m *message) {
--- a/internal/sender/fleetpart.go
+++ b/internal/sender/fleetpart.go
@@ -9,13 +9,24 @@
 	"time"
 
 	"dockshift.example/dockshift/brain"
+	"dockshift.example/dockshift/internal/fleet"
 	"dockshift.example/dockshift/internal/fleetpolicy"
 )
 
 // Fleet is what senders agree on, as far as it concerns messages and calls. Nothing of it waits.
 type Fleet interface {
-	// Enter asks at the moment of writing whether a call may be begun; leave is called when it is written.
-	Enter(fleetpolicy.Call) (leave func(), why string)
+	// Enter asks at the moment of writing whether a call may be begun, and takes what it uses of the fleet's limits; left is called when
+	// it is written, over when it has ended.
+	Enter(fleetpolicy.Call) (left func(), over func(written bool), why string)
+	// Waits notes that so many messages more, or fewer, wait; Recount puts what waits in place of all that was noted.
+	Waits(c fleetpolicy.Call, messages int64)
+	Recount(map[fleetpolicy.Call]int64)
+	// Paces are what this sender may send where the fleet shares a limit out: those that have changed, or all.
+	Paces(all bool) []fleet.Pace
+	// OnPaces has f called, from any goroutine, when some have.
+	OnPaces(f func())
+	// Told is that a receiver has told this sender its limit, in calls a second.
+	Told(destination uint32, perSecond float64)
 	// View is what calls go by; acts is whether any is begun at all. It is nil while nothing is known.
 	View() (v *fleetpolicy.View, acts bool)
 	// OnChange has f called, from any goroutine, when either is another.
@@ -30,6 +41,11 @@
 	s *Sender
 }
 
+// paceEvent is that this sender may send more or less where the fleet shares a limit out.
+type paceEvent struct{}
+
+func (paceEvent) partEvent() {}
+
 // fleetEvent is that the policy is another, or that this sender may begin calls, or may not any more.
 type fleetEvent struct{}
 
@@ -43,6 +59,13 @@
 		default:
 		}
 	}
+	paced := make(chan struct{}, 1)
+	s.c.Fleet.OnPaces(func() {
+		select {
+		case paced <- struct{}{}:
+		default:
+		}
+	})
 	s.c.Fleet.OnChange(s.fleetNews)
 	s.fleetNews() // it may have changed before
 	ctx, stop := context.WithCancel(context.Background())
@@ -52,6 +75,8 @@
 			select {
 			case <-news:
 				s.post(ctx, fleetEvent{})
+			case <-paced:
+				s.post(ctx, paceEvent{})
 			case <-ctx.Done():
 				return
 			}
@@ -67,7 +92,11 @@
 
 // take tells the module what is closed now, and hands back what can't go.
 func (p *fleetPart) take(e any, _ time.Duration) []brain.Event {
-	if _, ok := e.(fleetEvent); !ok {
+	switch e.(type) {
+	case paceEvent:
+		return p.paces(false)
+	case fleetEvent:
+	default:
 		return nil
 	}
 	s := p.s
@@ -75,7 +104,14 @@
 	if news := s.list.Closings(s.c.names()); len(news.Endpoints) > 0 {
 		events = append(events, news)
 	}
-	events = append(events, p.limits()...)
+	events = append(events, p.paces(true)...)
+	waiting := map[fleetpolicy.Call]int64{}
+	for _, m := range s.messages {
+		if m.waits {
+			waiting[limitedAs(m.stored.record)]++
+		}
+	}
+	s.c.Fleet.Recount(waiting)
 	held := make([]*message, 0, len(s.messages))
 	for _, m := range s.messages {
 		held = append(held, m)
@@ -103,20 +139,32 @@
 	return events
 }
 
-// listed tells the module the limits of what has just been listed; it takes them only where the receiver has told none.
-func (p *fleetPart) listed(time.Duration) []brain.Event { return p.limits() }
+// paces tells the module what it may send where the fleet shares a limit out.
+func (p *fleetPart) paces(all bool) (events []brain.Event) {
+	for _, f := range p.s.c.Fleet.Paces(all) {
+		events = append(events, brain.Granted{Destination: brain.DestinationID(f.Destination), Limited: f.Limited, Mine: f.Mine, All: f.All})
+	}
+	return events
+}
 
-func (p *fleetPart) limits() (events []brain.Event) {
-	v, _ := p.s.c.Fleet.View()
-	if v == nil {
-		return nil
+// waits notes whether a message waits to be sent, as far as the fleet's limits go by that.
+func (s *Sender) waits(m *message, is bool) {
+	if s.c.Fleet == nil || m.waits == is {
+		return
 	}
-	for _, d := range v.Policy.Limits() {
-		if _, known := p.s.list.Cells[d]; known {
-			events = append(events, brain.Learnt{Destination: brain.DestinationID(d), Limit: v.Policy.Limit(d)})
-		}
+	m.waits = is
+	n := int64(1)
+	if !is {
+		n = -1
 	}
-	return events
+	s.c.Fleet.Waits(limitedAs(m.stored.record), n)
+}
+
+// limitedAs is what limits go by of a message that waits.
+func limitedAs(r record) fleetpolicy.Call {
+	c := callOf(r)
+	c.Class, c.Bytes = r.Class, int64(len(r.Body))
+	return c
 }
 
 // kindByFleet is the kind of a destination that is listed as of another.
@@ -187,14 +235,15 @@
 }
 
 // enter is what a call asks of the fleet before its first byte; nil where there is none.
-func (s *Sender) enter(m *message) func() (func(), bool) {
+func (s *Sender) enter(m *message, endpoint string) func() (func(), func(bool), bool) {
 	if s.c.Fleet == nil {
 		return nil
 	}
-	c := callOf(m.stored.record) // the loop may drop the message meanwhile
-	return func() (func(), bool) {
-		leave, why := s.c.Fleet.Enter(c)
-		return leave, why == ""
+	c := limitedAs(m.stored.record) // the loop may drop the message meanwhile
+	c.Endpoint = endpoint
+	return func() (func(), func(bool), bool) {
+		left, over, why := s.c.Fleet.Enter(c)
+		return left, over, why == ""
 	}
 }
 
--- a/internal/sender/handin.go
+++ b/internal/sender/handin.go
@@ -96,6 +96,7 @@
 	s.journal.remove(m.stored)
 	m.ended = true
 	s.held--
+	s.waits(m, false)
 	s.withdrawn = append(s.withdrawn, brain.Withdrawn{Message: m.number})
 	s.forget(m)
 }
--- a/internal/sender/loop.go
+++ b/internal/sender/loop.go
@@ -300,6 +300,7 @@
 	s.messages[m.number], s.byID[st.ID] = m, m
 	s.ends.hold(m)
 	s.held++
+	s.waits(m, true)
 	return m.number
 }
 
--- a/internal/sender/message.go
+++ b/internal/sender/message.go
@@ -17,6 +17,7 @@
 	also   []chan answerLine // and others, that handed in the same event meanwhile
 	calls  outCalls          // out
 	ended  bool
+	waits  bool // the fleet's limits know that it waits
 }
 
 // outCalls is those of a message that are out, by the Brain's number of the attempt: one as a rule.
@@ -61,6 +62,11 @@
 // ended takes one out and lets go of what it holds.
 func (c *outCalls) ended(attempt int) {
 	c.cancel(attempt)
+	for _, o := range *c {
+		if o.attempt == attempt {
+			o.Ended()
+		}
+	}
 	*c = slices.DeleteFunc(*c, func(o outCall) bool { return o.attempt == attempt })
 }
 
--- a/internal/sender/send.go
+++ b/internal/sender/send.go
@@ -19,9 +19,10 @@
 	}
 	attempt := m.sends
 	m.sends++
+	s.waits(m, false)
 	s.trace("call", m.ID, slog.Int("try", m.base+attempt), slog.Uint64("dest", uint64(m.Dest)), slog.String("endpoint", e.ID), slog.Duration("timeout", a.Timeout))
 	call, cancel := context.WithTimeout(ctx, a.Timeout)
-	leave := &calls.Permit{Until: time.Now().Add(s.repeatWithin(m, m.base+attempt, a.Timeout)), Cancel: cancel, Enter: s.enter(m)}
+	leave := &calls.Permit{Until: time.Now().Add(s.repeatWithin(m, m.base+attempt, a.Timeout)), Cancel: cancel, Enter: s.enter(m, e.ID)}
 	m.calls = append(m.calls, outCall{attempt: attempt, Permit: leave})
 	s.out++
 	one := sending{m, attempt, call, a.Timeout, leave}
--- a/internal/tomlfile/tomlfile.go
+++ b/internal/tomlfile/tomlfile.go
@@ -27,6 +27,9 @@
 	return nil
 }
 
+// MarshalText writes a span as a file states it.
+func (s Span) MarshalText() ([]byte, error) { return []byte(time.Duration(s).String()), nil }
+
 // D is the span as a duration.
 func (s Span) D() time.Duration { return time.Duration(s) }
 
