--- a/cmd/rehearse/limits.go
+++ b/cmd/rehearse/limits.go
@@ -35,6 +35,10 @@
 	f.Float64Var(&o.Rate, "rate", 0, "messages a second for the limited receiver; by default twice the limit")
 	f.BoolVar(&o.Halve, "halve", false, "halve the limit in the middle")
 	f.BoolVar(&o.Quiet, "quiet", false, "no faults")
+	f.DurationVar(&o.Outage, "outage", 0, "the receiver hangs for so long")
+	f.BoolVar(&o.Verdict, "verdict", false, "with -outage: the fleet holds together whether it is out")
+	f.BoolVar(&o.Own, "own", false, "the receivers keep the limit themselves, and refuse what is above it")
+	f.BoolVar(&o.Free, "free", false, "no limit")
 	if err := parse(f, args); err != nil {
 		return 0, err
 	}
@@ -82,6 +86,16 @@
 				var v ration.Verdict
 				if err == nil {
 					v, one = ration.Check(r), r.Options
+					if o.Free {
+						v = ration.Verdict{Calls: v.Calls, Refused: v.Refused, Served: v.Served}
+					}
+					if one.Outage > 0 {
+						back := ration.CheckReturn(r, 0)
+						v.Broken = append(v.Broken, back.Broken...)
+						mu.Lock()
+						fmt.Fprintf(out, "seed %d: %d calls while it was out; %d in the first two seconds of its return, %d in any second of it at most; %v until it serves four fifths again\n", seed, back.Probes, back.Early, back.Most, back.Full.Round(time.Millisecond))
+						mu.Unlock()
+					}
 				} else {
 					v.Broken = []string{err.Error()}
 				}
@@ -92,7 +106,7 @@
 					word, failed = "BROKEN", failed+1
 				}
 				over += v.Refused
-				fmt.Fprintf(out, "seed %d, %d senders, %d in %v: %s; %d calls, %d at most in a span, %d spans full; healed, %.3f of it are used; %d refused\n", seed, one.Senders, one.Units, one.Span, word, v.Calls, v.Most, v.Spans, v.Used, v.Refused)
+				fmt.Fprintf(out, "seed %d, %d senders, %d in %v: %s; %d calls, %d at most in a span, %d spans full; healed, %.3f of it are used; %d served, %d refused\n", seed, one.Senders, one.Units, one.Span, word, v.Calls, v.Most, v.Spans, v.Used, v.Served, v.Refused)
 				for i, b := range v.Broken {
 					if i < 10 {
 						fmt.Fprintf(out, "  %s\n", b)
--- a/cmd/saffronyard/command.go
+++ b/cmd/saffronyard/command.go
@@ -39,7 +39,7 @@
 }
 
 // newer are those that cobra reads.
-var newer = []string{"fleet", "policy", "limits", "help"}
+var newer = []string{"fleet", "policy", "limits", "verdicts", "help"}
 
 // commandNames are all of them.
 func commandNames() []string {
@@ -75,7 +75,7 @@
 		}})
 	}
 	at := &atSender{}
-	for _, c := range []*cobra.Command{at.fleet(), at.policy(), at.limits()} {
+	for _, c := range []*cobra.Command{at.fleet(), at.policy(), at.limits(), at.verdicts()} {
 		c.PersistentFlags().StringVar(&at.state, "state", getenv("EDGE_STATE"), "the sender's state `folder`; default $EDGE_STATE")
 		c.PersistentFlags().BoolVar(&at.json, "json", false, "JSON in place of text")
 		c.PersistentFlags().BoolVar(&at.current, "current", false, "what is read is no older than the question, as a majority confirms; without it it is this sender's copy")
--- a/cmd/saffronyard/limits.go
+++ b/cmd/saffronyard/limits.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"strconv"
 	"strings"
 	"time"
 
@@ -46,8 +45,8 @@
 		return fmt.Errorf("there is no limit %q; 'saffronyard limits list' names them", args[0])
 	}}
 	explain := &cobra.Command{Use: "explain DESTINATION", Short: "what holds back the calls to a destination", Args: exactly("DESTINATION"), RunE: func(c *cobra.Command, args []string) error {
-		if _, err := strconv.ParseUint(args[0], 10, 32); err != nil {
-			return errUsage{fmt.Errorf("%q is no destination", args[0])}
+		if _, err := destination(args[0]); err != nil {
+			return err
 		}
 		all, err := reports()
 		if err != nil {
@@ -116,16 +115,16 @@
 	var why string
 	var dry, quiet, none bool
 	c := &cobra.Command{Use: "set DESTINATION", Short: "limit a destination, everywhere or nowhere", Args: exactly("DESTINATION"), RunE: func(c *cobra.Command, args []string) error {
-		d, err := strconv.ParseUint(args[0], 10, 32)
+		d, err := destination(args[0])
 		if err != nil {
-			return errUsage{fmt.Errorf("%q is no destination", args[0])}
+			return err
 		}
 		r, err := a.report()
 		if err != nil {
 			return err
 		}
 		l.Span, l.Lasts, l.Transit = tomlfile.Span(span), tomlfile.Span(lasts), tomlfile.Span(transit)
-		raw, err := fleetpolicy.WithLimit([]byte(r.Policy.Document), uint32(d), l, none)
+		raw, err := fleetpolicy.WithLimit([]byte(r.Policy.Document), d, l, none)
 		if err != nil {
 			return err
 		}
--- a/cmd/saffronyard/limits_test.go
+++ b/cmd/saffronyard/limits_test.go
@@ -58,6 +58,30 @@
 	}
 }
 
+// A receiver hangs and comes back: while it is out one call of all senders goes there in a span, and its return is one ramp. Senders that
+// each find out by themselves are seen to keep neither.
+func TestOutageIsTheFleets(t *testing.T) {
+	t.Parallel()
+	for _, together := range []bool{true, false} {
+		t.Run(fmt.Sprintf("together %v", together), func(t *testing.T) {
+			t.Parallel()
+			o := ration.Options{Seed: 1, Senders: 4, Voters: 3, Rate: 40, Free: true, Verdict: together, Outage: 9 * time.Second, Seconds: 10, Quiet: true, Command: itself(), Folder: t.TempDir()}
+			ctx, cancel := context.WithTimeout(context.Background(), 3*time.Minute)
+			defer cancel()
+			r, err := ration.Run(ctx, o)
+			if err != nil {
+				t.Fatal(err)
+			}
+			r.Options.Verdict = true // both are judged by it
+			v := ration.CheckReturn(r, 0)
+			t.Logf("%d probes, %d calls in the first two seconds, %d in any second, %v until it serves as before", v.Probes, v.Early, v.Most, v.Full)
+			if (len(v.Broken) == 0) != together || together && v.Probes == 0 {
+				t.Errorf("%d probes, broken: %q", v.Probes, v.Broken)
+			}
+		})
+	}
+}
+
 // Wrong senders are found out by the receiver's count: one that goes by its loans after they have lapsed, and authorities that start from
 // full while one that is cut off still uses what it holds.
 func TestWrongLendersAreFound(t *testing.T) {
--- a/internal/agreed/copy.go
+++ b/internal/agreed/copy.go
@@ -6,6 +6,7 @@
 	"dockshift.example/dockshift/internal/agreed/lease"
 	"dockshift.example/dockshift/internal/fleetpolicy"
 	"dockshift.example/dockshift/internal/roster"
+	"dockshift.example/dockshift/internal/verdict"
 	pb "dockshift.example/dockshift/proto/saffronyard/fleet/v1"
 )
 
@@ -61,17 +62,22 @@
 	settings fleetpolicy.Settings
 	terms    lease.Terms
 
-	state   *State
-	policy  *fleetpolicy.Machine
-	roster  *roster.Machine
-	holder  *lease.Holder
-	view    *fleetpolicy.View // as published
-	shows   [3]uint64         // version, open change and freeze that it shows
-	address string            // where others reach this sender; empty: it takes no part in rosters
-	until   time.Duration     // as published
-	ends    time.Duration     // when it may begin nothing any more; 0: told
-	acts    uint64            // no call waits that was begun under an older state
-	drains  uint64            // index of the view that is not drained yet; 0: none
+	state    *State
+	policy   *fleetpolicy.Machine
+	roster   *roster.Machine
+	verdicts *verdict.Machine
+	heard    map[uint64]time.Duration // when a verdict was heard, by its entry
+	stand    *pb.VerdictsState        // as published: those that have not lapsed
+	from     *pb.VerdictsState        // of which state that is
+	lapses   time.Duration            // when one of them does; 0: none
+	holder   *lease.Holder
+	view     *fleetpolicy.View // as published
+	shows    [3]uint64         // version, open change and freeze that it shows
+	address  string            // where others reach this sender; empty: it takes no part in rosters
+	until    time.Duration     // as published
+	ends     time.Duration     // when it may begin nothing any more; 0: told
+	acts     uint64            // no call waits that was begun under an older state
+	drains   uint64            // index of the view that is not drained yet; 0: none
 
 	staging uint64 // change that is on its way to the disk
 	staged  uint64 // change that is there
@@ -87,9 +93,10 @@
 
 // NewCopy makes the copy of a process that has just begun: it holds no lease, whatever its folder says. life is drawn by it.
 func NewCopy(name string, life uint64, settings fleetpolicy.Settings, terms lease.Terms) *Copy {
-	c := &Copy{name: name, life: life, settings: settings, terms: terms, policy: fleetpolicy.NewMachine(), roster: roster.NewMachine(),
+	c := &Copy{name: name, life: life, settings: settings, terms: terms, policy: fleetpolicy.NewMachine(),
 		holder: lease.NewHolder(terms), asked: -1, joined: -1}
-	c.state = NewState(map[uint32]Machine{KindPolicy: c.policy, KindRoster: c.roster})
+	all, r, v := machines(c.policy)
+	c.state, c.roster, c.verdicts, c.heard = NewState(all), r, v, map[uint64]time.Duration{}
 	return c
 }
 
@@ -140,6 +147,9 @@
 	} else if c.ends > 0 {
 		alarm = min(alarm, c.ends)
 	}
+	if c.lapses > 0 {
+		alarm = min(alarm, c.lapses)
+	}
 	actions := c.actions
 	c.actions = nil
 	return actions, alarm
@@ -192,7 +202,14 @@
 		moved.Index = c.state.Index()
 		p.View = &moved
 	}
+	if stand := c.standing(now); stand != c.stand {
+		if c.stand = stand; p.View == c.view {
+			same := *c.view
+			p.View = &same
+		}
+	}
 	if p.View != c.view {
+		p.View.Verdicts = c.stand
 		p.View.Roster, p.View.Rank = c.roster.State(), c.state.Rank(c.name)
 	}
 	p.Until = c.holder.Until(c.state.Index())
@@ -209,6 +226,35 @@
 	c.actions = append(c.actions, p)
 }
 
+// standing are the verdicts that have not lapsed here: one that is not said again is over, also for who hears nothing any more.
+func (c *Copy) standing(now time.Duration) *pb.VerdictsState {
+	all := c.verdicts.State()
+	if all == c.from && (c.lapses == 0 || now < c.lapses) {
+		return c.stand
+	}
+	c.from, c.lapses = all, 0
+	heard, stand := map[uint64]time.Duration{}, &pb.VerdictsState{}
+	for _, v := range all.GetVerdicts() {
+		at, known := c.heard[v.At]
+		if !known {
+			at = now
+		}
+		heard[v.At] = at
+		if v.TtlUs > 0 {
+			until := at + time.Duration(v.TtlUs)*time.Microsecond
+			if now >= until {
+				continue
+			}
+			if c.lapses == 0 || until < c.lapses {
+				c.lapses = until
+			}
+		}
+		stand.Verdicts = append(stand.Verdicts, v)
+	}
+	c.heard = heard
+	return stand
+}
+
 // renew is how often a lease is asked for: three times in its length, so that two answers may be lost.
 func (c *Copy) renew() time.Duration { return c.terms.Length / 3 }
 
--- a/internal/agreed/core.go
+++ b/internal/agreed/core.go
@@ -150,8 +150,9 @@
 // NewCore makes a voter that goes on from its folder. heard are the answers of all others to its hello; nil if somebody
 // vouches for the folder, or there are no others.
 func NewCore(name string, saved *Saved, heard map[string]Heard, terms lease.Terms, policy *fleetpolicy.Machine, log raft.Logger) (*Core, Start, error) {
-	c := &Core{id: VoterID(name), terms: terms, mem: raft.NewMemoryStorage(), policy: policy, roster: roster.NewMachine(), waiting: map[[2]uint64]uint64{}, asks: map[uint64][]Ask{}}
-	c.state = NewState(map[uint32]Machine{KindPolicy: policy, KindRoster: c.roster})
+	c := &Core{id: VoterID(name), terms: terms, mem: raft.NewMemoryStorage(), policy: policy, waiting: map[[2]uint64]uint64{}, asks: map[uint64][]Ask{}}
+	all, r, _ := machines(policy)
+	c.state, c.roster = NewState(all), r
 	c.start = begin(c.id, saved.Folder(), heard)
 	hard := &raftpb.HardState{Term: &c.start.Term, Vote: &c.start.Vote, Commit: new(saved.Hard.GetCommit())}
 	c.conf = saved.Conf
--- a/internal/agreed/state.go
+++ b/internal/agreed/state.go
@@ -13,21 +13,25 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"dockshift.example/dockshift/internal/fleetpolicy"
+	"dockshift.example/dockshift/internal/roster"
+	"dockshift.example/dockshift/internal/verdict"
 	pb "dockshift.example/dockshift/proto/saffronyard/fleet/v1"
 )
 
 // Kinds of command. A new one gets the next number, and a higher Speaks.
 const (
-	KindJoin   uint32 = 1
-	KindLeave  uint32 = 2
-	KindPolicy uint32 = 3
-	KindVoters uint32 = 4 // with a change of raft's own
-	KindRoster uint32 = 5
+	KindJoin    uint32 = 1
+	KindLeave   uint32 = 2
+	KindPolicy  uint32 = 3
+	KindVoters  uint32 = 4 // with a change of raft's own
+	KindRoster  uint32 = 5
+	KindVerdict uint32 = 6
 )
 
 // Speaks is up to which kind of command this program knows. A command of a higher kind is handed in only when all members
 // speak it, and a program that meets one it does not know stops following the log.
-const Speaks uint32 = 5
+const Speaks uint32 = 6
 
 const (
 	snapshotFormat = 1
@@ -71,6 +75,13 @@
 	return &State{members: map[string]*pb.Member{}, voters: map[uint64]*pb.Voter{}, machines: machines}
 }
 
+// machines are those of this program, that work on the policy given.
+func machines(policy *fleetpolicy.Machine) (map[uint32]Machine, *roster.Machine, *verdict.Machine) {
+	r := roster.NewMachine()
+	v := verdict.NewMachine(func() uint64 { return r.State().GetEpoch() })
+	return map[uint32]Machine{KindPolicy: policy, KindRoster: r, KindVerdict: v}, r, v
+}
+
 // Index is how far the state has come.
 func (s *State) Index() uint64 { return s.index }
 
--- a/internal/fleet/copy.go
+++ b/internal/fleet/copy.go
@@ -80,7 +80,7 @@
 			n.copy.In.Put(ctx, agreed.Granted{Asked: a.Asked, Need: r.Need, Length: time.Duration(r.LengthUs) * time.Microsecond})
 		})
 	case agreed.Publish:
-		_, could := n.gate.View()
+		was, could := n.gate.View()
 		n.limits.published(a.View) // before any call goes by it
 		drained := n.gate.publish(a.View, a.Until, a.Drain)
 		if a.Drain {
@@ -90,7 +90,7 @@
 			})
 		}
 		n.limits.nudge()
-		if _, can := n.gate.View(); a.Drain || can != could {
+		if _, can := n.gate.View(); a.Drain || can != could || was != nil && was.Verdicts != a.View.Verdicts {
 			n.changed()
 		}
 	case agreed.Lapsed:
--- a/internal/fleet/http.go
+++ b/internal/fleet/http.go
@@ -45,6 +45,14 @@
 		}
 		json.NewEncoder(w).Encode(all)
 	})
+	mux.HandleFunc("GET /verdicts", func(w http.ResponseWriter, r *http.Request) {
+		all, err := n.Verdicts()
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+		json.NewEncoder(w).Encode(all)
+	})
 	post := func(path string, do func(ctx context.Context, r *http.Request, by string) (any, error)) {
 		mux.HandleFunc("POST "+path, func(w http.ResponseWriter, r *http.Request) {
 			ctx, cancel := context.WithTimeout(r.Context(), commandTime)
@@ -92,6 +100,15 @@
 		why := fmt.Sprintf("%s aborted it: %s", by, r.URL.Query().Get("why"))
 		return struct{}{}, n.Abort(ctx, change, why)
 	})
+	for path, do := range map[string]func(ctx context.Context, destination uint32, by, why string) error{"/verdicts/suspend": n.Suspend, "/verdicts/lift": n.Lift} {
+		post(path, func(ctx context.Context, r *http.Request, by string) (any, error) {
+			d, err := strconv.ParseUint(r.URL.Query().Get("destination"), 10, 32)
+			if err != nil {
+				return nil, fmt.Errorf("destination %q is no number", r.URL.Query().Get("destination"))
+			}
+			return struct{}{}, do(ctx, uint32(d), by, r.URL.Query().Get("why"))
+		})
+	}
 	post("/fleet/gone", func(ctx context.Context, r *http.Request, by string) (any, error) {
 		q := r.URL.Query()
 		return struct{}{}, n.Leave(ctx, &pb.Leave{Name: q.Get("name"), By: by, Why: q.Get("why")})
--- a/internal/fleet/limits.go
+++ b/internal/fleet/limits.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -29,10 +31,14 @@
 	asks  *duty.Duty[any, any]
 	lends *duty.Duty[any, any]
 
+	evidence *evidence
+
 	version uint64 // of the policy that the till goes by; the copy's duty alone has it
 	rank    int
 	known   bool
 
+	verdicts *pb.VerdictsState
+
 	mu      sync.Mutex
 	changed map[string]struct{} // limits of which this sender may use another share, and nobody has heard so
 	told    func()
@@ -78,12 +84,14 @@
 		lender.Wrong(n.c.Quiet)
 	}
 	l.lends = &duty.Duty[any, any]{Name: "limits, lending", In: duty.NewRing[any]("limits, lending", lendsMost, duty.DropOldest, nil), Stepper: &lending{l: l, Lender: lender}, Do: l.doLend}
+	l.evidence = newEvidence(l)
 	return l, nil
 }
 
 func (l *limiting) start() {
 	l.n.group.Start(l.lends, duty.EndDuty)
 	l.n.group.Start(l.asks, duty.EndDuty)
+	l.n.group.Start(l.evidence.duty, duty.EndDuty)
 }
 
 // pokeKey has events of one sort about one thing be one.
@@ -99,11 +107,11 @@
 
 // published takes over what is limited, before any call goes by it.
 func (l *limiting) published(v *fleetpolicy.View) {
-	if l.known && v.Version == l.version && v.Rank == l.rank {
+	if l.known && v.Version == l.version && v.Rank == l.rank && v.Verdicts == l.verdicts {
 		return
 	}
-	l.version, l.rank, l.known = v.Version, v.Rank, true
-	l.till.Limits(v.Policy.Limits(), func(q quota.Limit) bool { return v.Rank >= 0 && int64(v.Rank) < q.FloorFor }, l.n.c.Now())
+	l.version, l.rank, l.verdicts, l.known = v.Version, v.Rank, v.Verdicts, true
+	l.till.Limits(v.Limits(), func(q quota.Limit) bool { return v.Rank >= 0 && int64(v.Rank) < q.FloorFor }, l.n.c.Now())
 	l.asks.In.Offer(quota.Relimited{})
 }
 
@@ -111,6 +119,7 @@
 func (l *limiting) nudge() {
 	l.lends.In.Offer(nudge{})
 	l.asks.In.Offer(nudge{})
+	l.evidence.duty.In.Offer(nudge{})
 }
 
 // asking is the asker as a duty.
@@ -202,6 +211,8 @@
 	version uint64
 	known   bool
 	tidied  time.Duration
+
+	verdicts *pb.VerdictsState
 }
 
 // lendReply goes back to who asked.
@@ -229,9 +240,9 @@
 			d.l.epoch = v.Roster.GetEpoch()
 			d.l.mu.Unlock()
 		}
-		if v.Version != d.version || !d.known {
-			d.version, d.known = v.Version, true
-			d.Limits(v.Policy.Limits())
+		if v.Version != d.version || v.Verdicts != d.verdicts || !d.known {
+			d.version, d.verdicts, d.known = v.Version, v.Verdicts, true
+			d.Limits(v.Limits(), now)
 		}
 	}
 	if now-d.tidied > tidyEvery {
@@ -275,7 +286,7 @@
 		return nil, nil, why
 	}
 	v, _ := n.gate.View()
-	uses := v.Policy.Uses(c)
+	uses := v.Uses(c)
 	if len(uses) == 0 {
 		return left, func(bool) {}, ""
 	}
@@ -298,7 +309,7 @@
 	if v == nil {
 		return
 	}
-	for _, u := range v.Policy.Uses(c) {
+	for _, u := range v.Uses(c) {
 		n.limits.till.Wait(u.Key, messages*u.Units, u.Units)
 	}
 }
@@ -311,7 +322,7 @@
 	}
 	by := map[string]int64{}
 	for c, messages := range waiting {
-		for _, u := range v.Policy.Uses(c) {
+		for _, u := range v.Uses(c) {
 			by[u.Key] += messages * u.Units
 		}
 	}
@@ -343,24 +354,27 @@
 	if all {
 		keys = append(keys, l.till.Keys()...)
 	}
-	slices.Sort(keys)
 	now := n.c.Now()
-	for _, key := range slices.Compact(keys) {
-		destination, paced := v.Policy.Paces(key)
-		share, limited := l.till.Share(key, now)
-		switch {
-		case paced && limited:
-			p := Pace{Destination: destination, Limited: true, Mine: float64(share.Units) / share.Rest.Seconds()}
-			if q, ok := v.Policy.Paced(destination); ok {
-				p.All = float64(q.Units) / q.Span.Seconds()
-			}
-			paces = append(paces, p)
-		case !limited:
-			var d uint32
-			if _, err := fmt.Sscanf(key, "destination %d", &d); err == nil && key == fmt.Sprintf("destination %d", d) {
-				paces = append(paces, Pace{Destination: d})
+	by := map[uint32]bool{}
+	for _, key := range keys {
+		var d uint32 // limits of a destination by itself begin with its number
+		if _, err := fmt.Sscanf(key, "destination %d", &d); err == nil {
+			by[d] = true
+		}
+	}
+	for _, d := range slices.Sorted(maps.Keys(by)) {
+		p := Pace{Destination: d, Mine: math.Inf(1), All: math.Inf(1)}
+		for _, q := range v.Paced(d) {
+			if share, ok := l.till.Share(q.Key, now); ok { // the lowest counts
+				p.Limited = true
+				p.Mine = min(p.Mine, float64(share.Units)/share.Rest.Seconds())
+				p.All = min(p.All, float64(max(q.Units, q.RampTo))/q.Span.Seconds())
 			}
 		}
+		if !p.Limited {
+			p.Mine, p.All = 0, 0
+		}
+		paces = append(paces, p)
 	}
 	return paces
 }
--- /dev/null
+++ b/internal/fleet/verdicts.go
@@ -0,0 +1,218 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"dockshift.example/dockshift/internal/agreed"
+	"dockshift.example/dockshift/internal/duty"
+	"dockshift.example/dockshift/internal/fleetpolicy"
+	"dockshift.example/dockshift/internal/knowledge"
+	"dockshift.example/dockshift/internal/verdict"
+	pb "dockshift.example/dockshift/proto/saffronyard/fleet/v1"
+)
+
+// evidence is a sender's part in verdicts: a duty that passes on what this sender has seen, and, where the roster puts it in charge,
+// hears the others and hands what it finds to the log.
+type evidence struct {
+	l     *limiting
+	court *verdict.Court
+	duty  *duty.Duty[any, any]
+	own   map[uint32]verdict.Testimony // seen here, and not told yet
+	tells time.Duration                // they were told last
+}
+
+const (
+	testimoniesMost = 4096
+	judgeEvery      = 250 * time.Millisecond
+	tellAt          = 500 // destinations in one testimony
+)
+
+type (
+	// seen is what this sender has seen itself.
+	seen struct{ all []verdict.Testimony }
+	// told is what another has.
+	told struct{ request *pb.TestifyRequest }
+	// tell goes to the one in charge.
+	tell struct {
+		to *pb.Part
+		r  *pb.TestifyRequest
+	}
+)
+
+func newEvidence(l *limiting) *evidence {
+	e := &evidence{l: l, court: verdict.NewCourt(), own: map[uint32]verdict.Testimony{}}
+	e.duty = &duty.Duty[any, any]{Name: "verdicts", In: duty.NewRing[any]("verdicts", testimoniesMost, duty.DropOldest, nil), Stepper: e, Do: e.do}
+	return e
+}
+
+// Step takes words in, passes this sender's own on, and judges what it is in charge of. It has to hold a lease for that, looked at before what
+// that is on, as the lender does; the log refuses what comes too late all the same.
+func (e *evidence) Step(now time.Duration, events []any) (actions []any, alarm time.Duration) {
+	g := e.l.n.gate
+	until := time.Duration(g.until.Load())
+	var v *fleetpolicy.View
+	if r := g.room.Load(); r != nil {
+		v = r.view.Load()
+	}
+	if v == nil || v.Roster == nil || !v.Policy.Guards() && len(v.Verdicts.GetVerdicts()) == 0 {
+		return nil, duty.Never
+	}
+	charge, me := v.Charge(), e.l.me
+	for _, x := range events {
+		switch x := x.(type) {
+		case seen:
+			for _, t := range x.all {
+				if _, ruled := v.Policy.VerdictRule(t.Destination); ruled && len(e.own) < testimoniesMost {
+					e.own[t.Destination] = t
+				}
+			}
+		case told:
+			if x.request.Epoch == v.Roster.GetEpoch() && x.request.ToLife == me.Life {
+				for _, t := range x.request.Testimonies {
+					e.court.Hear(x.request.Name, verdict.Testimony{Destination: t.Destination, State: knowledge.State(t.State),
+						Age: time.Duration(t.AgeUs) * time.Microsecond, For: time.Duration(t.ForUs) * time.Microsecond}, now)
+				}
+			}
+		}
+	}
+	by := map[string]*tell{}
+	for d, t := range e.own {
+		p := charge.Of(key(d))
+		if p == nil {
+			continue
+		}
+		if p.Name == me.Name && p.Life == me.Life {
+			e.court.Hear(me.Name, t, now)
+			delete(e.own, d)
+			continue
+		}
+		to := by[p.Name]
+		if to == nil {
+			to = &tell{p, &pb.TestifyRequest{Name: me.Name, Life: me.Life, ToLife: p.Life, Epoch: v.Roster.GetEpoch()}}
+			by[p.Name] = to
+		}
+		if len(to.r.Testimonies) < tellAt {
+			to.r.Testimonies = append(to.r.Testimonies, &pb.Testimony{Destination: d, State: uint32(t.State), AgeUs: t.Age.Microseconds(), ForUs: t.For.Microseconds()})
+			delete(e.own, d)
+		}
+	}
+	for _, t := range by {
+		actions = append(actions, *t)
+	}
+	if v.Unfit != nil || now >= until || v.Roster.GetComing() != 0 {
+		return actions, now + judgeEvery
+	}
+	mine := func(d uint32) bool {
+		p := charge.Of(key(d))
+		return p != nil && p.Name == me.Name && p.Life == me.Life
+	}
+	for _, w := range e.court.Judge(now, v.Roster.GetEpoch(), me.Name, mine, v.Policy.VerdictRule, v.Verdicts) {
+		actions = append(actions, w)
+	}
+	return actions, now + judgeEvery
+}
+
+// key is what the roster goes by for a destination: its limit and its verdict are in the same hands.
+func key(d uint32) string { return fmt.Sprintf("destination %d", d) }
+
+func (e *evidence) do(_ context.Context, a any) error {
+	n := e.l.n
+	switch a := a.(type) {
+	case tell:
+		a.r.Cluster = n.c.Cluster
+		n.aside(func(ctx context.Context) {
+			ctx, cancel := context.WithTimeout(ctx, n.patience())
+			defer cancel()
+			client, err := n.wires.to(e.l.reach.At(a.to.Address))
+			if err == nil {
+				_, err = client.Testify(ctx, a.r)
+			}
+			if err != nil { // it is said again in a second
+				n.log.Debug("fleet: what was seen is not told", "to", a.to.Name, "err", err)
+			}
+		})
+	case *pb.Judgement:
+		n.aside(func(ctx context.Context) {
+			ctx, cancel := context.WithTimeout(ctx, n.c.Terms.Length)
+			defer cancel()
+			r, err := n.Submit(ctx, agreed.KindVerdict, a)
+			if err == nil && r.Refused != "" {
+				err = errors.New(r.Refused)
+			}
+			if err != nil {
+				n.log.Debug("fleet: a verdict does not count", "err", err)
+			}
+		})
+	}
+	return nil
+}
+
+// Testify is told what other senders have seen.
+func (s *service) Testify(_ context.Context, r *pb.TestifyRequest) (*pb.Taken, error) {
+	if err := s.mine(r.Cluster); err != nil {
+		return nil, err
+	}
+	if len(r.Testimonies) > tellAt {
+		return nil, status.Errorf(codes.InvalidArgument, "%d testimonies; %d are the most", len(r.Testimonies), tellAt)
+	}
+	s.n.limits.evidence.duty.In.Offer(told{r})
+	return &pb.Taken{}, nil
+}
+
+// Testify takes what this sender has seen itself of destinations. It never waits.
+func (n *Node) Testify(all []verdict.Testimony) { n.limits.evidence.duty.In.Offer(seen{all}) }
+
+// Suspend has a person's verdict on a destination stand until it is lifted: no sender begins a call there.
+func (n *Node) Suspend(ctx context.Context, destination uint32, by, why string) error {
+	_, err := n.command(ctx, agreed.KindVerdict, &pb.Judgement{What: &pb.Judgement_Pronounce{Pronounce: &pb.Pronounce{Destination: destination, Sort: uint32(verdict.Suspended), By: by, Why: why}}})
+	return err
+}
+
+// Lift ends it.
+func (n *Node) Lift(ctx context.Context, destination uint32, by, why string) error {
+	_, err := n.command(ctx, agreed.KindVerdict, &pb.Judgement{What: &pb.Judgement_Lift{Lift: &pb.Lift{Destination: destination, Person: true, By: by, Why: why}}})
+	return err
+}
+
+// VerdictReport is a verdict as this sender has it.
+type VerdictReport struct {
+	Destination uint32 `json:"destination"`
+	Verdict     string `json:"verdict"`
+	By          string `json:"by"`
+	Why         string `json:"why"`
+	Since       uint64 `json:"since"`              // entry of the log
+	At          uint64 `json:"at"`                 // and of when it was said last
+	Authority   string `json:"authority"`          // that may say it again, or lift it; empty: a person
+	LastsMS     int64  `json:"lasts_ms,omitempty"` // unless it is said again, from when this sender heard it
+	Bound       string `json:"bound"`
+}
+
+// Verdicts shows those that stand here.
+func (n *Node) Verdicts() ([]VerdictReport, error) {
+	v, _ := n.gate.View()
+	if v == nil {
+		return nil, status.Error(codes.Unavailable, "the fleet's policy is not known yet")
+	}
+	charge, all := v.Charge(), []VerdictReport{}
+	for _, is := range v.Verdicts.GetVerdicts() {
+		r := VerdictReport{Destination: is.Destination, Verdict: verdict.Sort(is.Sort).String(), By: is.By, Why: is.Why, Since: is.Since, At: is.At,
+			LastsMS: (time.Duration(is.TtlUs) * time.Microsecond).Milliseconds()}
+		if verdict.Sort(is.Sort) == verdict.Suspended {
+			r.Bound = fmt.Sprintf("a sender that has not heard of it begins no call %v after it was last granted a lease", n.c.Terms.Length)
+		} else {
+			if p := charge.Of(key(is.Destination)); p != nil {
+				r.Authority = p.Name
+			}
+			r.Bound = fmt.Sprintf("each sender that reaches a majority goes by it within a round trip to the one in charge, %v, a commit and a round trip to a voter; one that is cut off drops it after %v",
+				judgeEvery, time.Duration(is.TtlUs)*time.Microsecond)
+		}
+		all = append(all, r)
+	}
+	return all, nil
+}
--- a/internal/fleetpolicy/diff.go
+++ b/internal/fleetpolicy/diff.go
@@ -32,6 +32,7 @@
 		say("tenant %q: %s -> %s", n, word[was.suspended[n]], word[is.suspended[n]])
 	}
 	lines = append(lines, diffLimits(was, is)...)
+	lines = append(lines, diffVerdicts(was, is)...)
 	classes := map[string]struct{}{}
 	differ(classes, was.classes, is.classes)
 	for _, n := range sorted(classes) {
--- a/internal/fleetpolicy/document.go
+++ b/internal/fleetpolicy/document.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"dockshift.example/dockshift/internal/tomlfile"
+	"dockshift.example/dockshift/internal/verdict"
 )
 
 // Document is a policy as operators write it. What it does not name is as the platform has it.
@@ -24,6 +25,8 @@
 	Tenants []Tenant `toml:"tenant,omitempty"`
 	Classes []Class  `toml:"class,omitempty"`
 	Limits  []Limit  `toml:"limit,omitempty"`
+
+	Verdicts []Verdict `toml:"verdict,omitempty"`
 }
 
 // Route says where the messages for some destinations go.
@@ -65,6 +68,7 @@
 	suspended map[string]bool
 	classes   map[string]time.Duration
 	limits    limits
+	verdicts  map[uint32]verdict.Rule
 }
 
 type rule struct {
@@ -164,6 +168,9 @@
 	if p.limits, err = newLimits(d.Limits); err != nil {
 		return nil, bad("%w", err)
 	}
+	if p.verdicts, err = verdictRules(d.Verdicts); err != nil {
+		return nil, bad("%w", err)
+	}
 	return p, nil
 }
 
--- a/internal/fleetpolicy/document_test.go
+++ b/internal/fleetpolicy/document_test.go
@@ -127,11 +127,11 @@
 		"destination 8: 30 calls in 1s, or as the receiver tells", "destination 9: 1 calls in 2s", "endpoint s-1, at once: 3 calls at once, of 5s at most"}; !slices.Equal(words, want) {
 		t.Errorf("%q", words)
 	}
-	if d, ok := p.Paces("destination 8"); !ok || d != 8 {
+	if l, ok := p.Paced(8); !ok || l.Key != "destination 8" {
 		t.Error("destination 8 is not paced")
 	}
-	if _, ok := p.Paces("destination 7, tenant a"); ok {
-		t.Error("a pair is paced")
+	if _, ok := p.Paced(1); ok {
+		t.Error("destination 1 is paced")
 	}
 	if err := p.Fits(Settings{Tenants: []string{"a", "b"}, Classes: []string{"small"}}); err == nil || !strings.Contains(err.Error(), `class "big" is not`) {
 		t.Error(err)
--- a/internal/fleetpolicy/limits.go
+++ b/internal/fleetpolicy/limits.go
@@ -69,11 +69,10 @@
 type limits struct {
 	of     map[subject][]quota.Limit
 	shapes []shape // that occur
-	paced  map[string]uint32
 }
 
 func newLimits(all []Limit) (limits, error) {
-	ls := limits{of: map[subject][]quota.Limit{}, paced: map[string]uint32{}}
+	ls := limits{of: map[subject][]quota.Limit{}}
 	n := 0
 	for i, l := range all {
 		bad := func(format string, args ...any) (limits, error) {
@@ -96,9 +95,6 @@
 				return bad("%s is limited twice", q.Key)
 			}
 			ls.of[s] = append(ls.of[s], q)
-			if s.shape == byDestination && q.Sort == quota.Calls {
-				ls.paced[q.Key] = s.destination
-			}
 			if !slices.Contains(ls.shapes, s.shape) {
 				ls.shapes = append(ls.shapes, s.shape)
 			}
@@ -271,12 +267,6 @@
 	return quota.Limit{}, false
 }
 
-// Paces is the destination whose calls are spread by a limit; ok is false for any other.
-func (p *Policy) Paces(key string) (destination uint32, ok bool) {
-	destination, ok = p.limits.paced[key]
-	return destination, ok
-}
-
 // names are the classes and tenants that limits name.
 func (ls limits) names() (classes, tenants []string) {
 	c, t := map[string]bool{}, map[string]bool{}
--- a/internal/fleetpolicy/machine.go
+++ b/internal/fleetpolicy/machine.go
@@ -1,12 +1,16 @@
 package fleetpolicy
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
+	"dockshift.example/dockshift/internal/quota"
 	"dockshift.example/dockshift/internal/roster"
+	"dockshift.example/dockshift/internal/verdict"
 	pb "dockshift.example/dockshift/proto/saffronyard/fleet/v1"
 )
 
@@ -160,8 +164,9 @@
 	Frozen  *Touched // what that holds up; nil: nothing
 	Unfit   error    // the policy can't be followed here: nothing is begun
 
-	Roster *pb.RosterState // who takes part in what is shared out by name
-	Rank   int             // of this sender among those that have joined; -1: it has not
+	Roster   *pb.RosterState   // who takes part in what is shared out by name
+	Verdicts *pb.VerdictsState // that stand here
+	Rank     int               // of this sender among those that have joined; -1: it has not
 }
 
 // Charge says who is in charge of what is shared out by name.
@@ -187,5 +192,70 @@
 	if v.Frozen.Call(c) {
 		return false, "a change of the fleet's policy is about to take hold"
 	}
+	if s := verdict.Of(v.Verdicts, c.Destination, true); s != nil {
+		return false, fmt.Sprintf("%s has suspended its destination", s.By)
+	}
 	return v.Policy.May(c)
 }
+
+// GetVerdicts are those that stand; none of a view that is not known yet.
+func (v *View) GetVerdicts() []*pb.Verdict {
+	if v == nil {
+		return nil
+	}
+	return v.Verdicts.GetVerdicts()
+}
+
+// Open reports whether calls for a destination are begun at all, as long as nothing changes.
+func (v *View) Open(destination uint32) bool {
+	return v.Policy.Open(destination) && verdict.Of(v.Verdicts, destination, true) == nil
+}
+
+// guard is the limit that a verdict puts on its destination: one call of the whole fleet now and then while it is out, and few that
+// become more as it comes back.
+func (v *View) guard(destination uint32) (l quota.Limit, ok bool) {
+	is := verdict.Of(v.Verdicts, destination, false)
+	r, ruled := v.Policy.VerdictRule(destination)
+	if is == nil || !ruled {
+		return l, false
+	}
+	l = quota.Limit{Key: fmt.Sprintf("destination %d, probes", destination), Units: 1, Span: r.Probe, Transit: transitDefault}
+	if verdict.Sort(is.Sort) == verdict.Cold {
+		l = quota.Limit{Key: fmt.Sprintf("destination %d, return", destination), Units: r.Cold, Span: time.Second, Transit: transitDefault, RampTo: r.Warm, RampFor: r.WarmFor}
+	}
+	return l, true
+}
+
+// Limits are those of the policy and of verdicts, by key.
+func (v *View) Limits() []quota.Limit {
+	all := v.Policy.Limits()
+	for _, is := range v.Verdicts.GetVerdicts() {
+		if l, ok := v.guard(is.Destination); ok && verdict.Sort(is.Sort) != verdict.Suspended {
+			all = append(all, l)
+		}
+	}
+	slices.SortFunc(all, func(a, b quota.Limit) int { return cmp.Compare(a.Key, b.Key) })
+	return all
+}
+
+// Uses are the units that a call takes of each limit that it is under.
+func (v *View) Uses(c Call) []quota.Use {
+	uses := v.Policy.Uses(c)
+	if len(v.Verdicts.GetVerdicts()) > 0 {
+		if l, ok := v.guard(c.Destination); ok {
+			uses = append(uses, quota.Use{Key: l.Key, Units: 1})
+		}
+	}
+	return uses
+}
+
+// Paced are the limits of calls that a destination is under by itself: what its calls are spread by.
+func (v *View) Paced(destination uint32) (all []quota.Limit) {
+	if l, ok := v.Policy.Paced(destination); ok {
+		all = append(all, l)
+	}
+	if l, ok := v.guard(destination); ok {
+		all = append(all, l)
+	}
+	return all
+}
--- a/internal/quota/asker.go
+++ b/internal/quota/asker.go
@@ -231,7 +231,7 @@
 	if s.limit.Sort == Bytes {
 		q.Piece, s.most = s.most, max(1, s.most*9/10)
 	}
-	want := min(s.limit.Lendable(), waiting+p.Pace(now)) // what was used of late is wanted again: so a want does not flap
+	want := min(s.limit.most(), waiting+p.Pace(now)) // what was used of late is wanted again: so a want does not flap
 	if s.limit.Sort == Daily {
 		want = min(s.limit.Lendable(), waiting)
 	}
--- a/internal/quota/lender.go
+++ b/internal/quota/lender.go
@@ -22,7 +22,8 @@
 	coming *roster.Charge // nil: none is
 	begun  []begun        // rosters, the one in force last
 	books  map[string]*Book
-	told   map[string]told // what receivers tell of their limits
+	told   map[string]told          // what receivers tell of their limits
+	heard  map[string]time.Duration // since when a limit that grows is there
 	wait   func(time.Duration) time.Duration
 }
 
@@ -45,17 +46,25 @@
 
 // NewLender makes one that is in charge of nothing.
 func NewLender(me lease.Who, t Terms) *Lender {
-	return &Lender{me: me, terms: t, limits: map[string]Limit{}, books: map[string]*Book{}, told: map[string]told{}, wait: func(d time.Duration) time.Duration { return d }}
+	return &Lender{me: me, terms: t, limits: map[string]Limit{}, books: map[string]*Book{}, told: map[string]told{}, heard: map[string]time.Duration{}, wait: func(d time.Duration) time.Duration { return d }}
 }
 
 // Wrong has a test make a wrong authority, whose quiet is another.
 func (l *Lender) Wrong(quiet func(time.Duration) time.Duration) { l.wait = quiet }
 
 // Limits takes over what is limited now.
-func (l *Lender) Limits(all []Limit) {
+func (l *Lender) Limits(all []Limit, now time.Duration) {
 	l.limits = make(map[string]Limit, len(all))
 	for _, one := range all {
 		l.limits[one.Key] = one
+		if _, ok := l.heard[one.Key]; !ok && one.RampTo > 0 {
+			l.heard[one.Key] = now
+		}
+	}
+	for key := range l.heard {
+		if l.limits[key].RampTo == 0 {
+			delete(l.heard, key)
+		}
 	}
 	for key, b := range l.books {
 		if one, ok := l.limits[key]; ok {
@@ -151,6 +160,10 @@
 
 // effectiveAt is a limit with what its receiver tells, if it is one that learns: the lower of both.
 func (l *Lender) effectiveAt(limit Limit, now time.Duration) Limit {
+	if limit.RampTo > limit.Units && limit.RampFor > 0 {
+		grown := float64(limit.RampTo-limit.Units) * min(1, (now-l.heard[limit.Key]).Seconds()/limit.RampFor.Seconds())
+		limit.Units += int64(grown)
+	}
 	if t, ok := l.told[limit.Key]; ok && limit.Learns && now-t.at < toldLasts && t.perSecond > 0 {
 		return l.effective(limit, int64(t.perSecond*limit.Span.Seconds()))
 	}
--- a/internal/quota/limit.go
+++ b/internal/quota/limit.go
@@ -46,11 +46,17 @@
 	// FloorFor is how many members have a floor.
 	FloorFor int64
 	Learns   bool // what the receiver tells counts where it is lower
+	// RampTo is how many units it grows to within RampFor, counted by its authority from when that was told of the limit; 0: it stays.
+	RampTo  int64
+	RampFor time.Duration
 }
 
 // Lendable is what is lent: all but the floors.
 func (l Limit) Lendable() int64 { return max(0, l.Units-l.Floor*l.FloorFor) }
 
+// most is what may ever be lent of it.
+func (l Limit) most() int64 { return max(l.Lendable(), l.RampTo) }
+
 // slowest is how much longer a clock that is fast by the drift has to count than one that is slow by it.
 func slowest(d time.Duration, drift float64) time.Duration {
 	return time.Duration(math.Ceil(float64(d) * (1 + drift) / (1 - drift)))
--- a/internal/quota/sim_test.go
+++ b/internal/quota/sim_test.go
@@ -194,7 +194,7 @@
 	p.till = NewTill(p.s.terms.Drift, func(key string) { p.pokes = append(p.pokes, Poke{key}) })
 	p.till.Limits(p.s.limits, func(Limit) bool { return false }, p.clock())
 	p.asker, p.lender = NewAsker(p.who, p.s.terms, p.till), NewLender(p.who, p.s.terms)
-	p.lender.Limits(p.s.limits)
+	p.lender.Limits(p.s.limits, p.clock())
 	p.alarm, p.heard = Never, 0
 	p.renew(p.s.lives)
 	if p.s.roster.Epoch > 0 {
--- a/internal/rehearsal/ration/ration.go
+++ b/internal/rehearsal/ration/ration.go
@@ -34,6 +34,10 @@
 	Transit time.Duration // of the limit; default 100ms, as the kit's processes share the machine's cores with the senders
 	GoOn    bool          // senders that are cut off go on, as far as limits let them
 	Kill    string        // a sender that is killed a little after the last one is cut off
+	Outage  time.Duration // receiver 0 hangs for so long, from a little after the begin of the faults
+	Verdict bool          // the fleet holds together whether it is out
+	Free    bool          // no limit of the fleet's
+	Own     bool          // both receivers keep that limit themselves, and refuse what is above it
 	Quiet   bool          // no faults
 	KillAll bool          // all are killed at once, twice
 	CutOff  bool          // the last sender is cut off from all others once the limit is in force
@@ -58,8 +62,9 @@
 
 const (
 	transit  = 100 * time.Millisecond // the default
-	calm     = 12 * time.Second       // of traffic behind the faults
-	heals    = 7 * time.Second        // after which a fleet that is sound again is held to use its limit
+	load     = 0.2
+	calm     = 12 * time.Second // of traffic behind the faults
+	heals    = 7 * time.Second  // after which a fleet that is sound again is held to use its limit
 	askTime  = time.Second
 	waitTime = 40 * time.Second
 	begins   = 8 * time.Second // by then the limit is in force, and faults begin
@@ -104,15 +109,21 @@
 	o = o.defaults()
 	var b strings.Builder
 	seconds := begins.Seconds() + o.Seconds + calm.Seconds()
-	fmt.Fprintf(&b, "[day]\nseconds = %v\nseed = %d\nrate = %v\nsenders = %d\nreceivers = 2\nendpoints = [1, 1]\nload = 0.2\nzipf = 0.0\nretries = 0\ngrace = \"400ms\"\nfeatures = '''\n", seconds, o.Seed, 2*o.Rate, o.Senders)
+	fmt.Fprintf(&b, "[day]\nseconds = %v\nseed = %d\nrate = %v\nsenders = %d\nreceivers = 2\nendpoints = [1, 1]\nload = %v\nzipf = 0.0\nretries = 0\ngrace = \"400ms\"\nfeatures = '''\n", seconds, o.Seed, 2*o.Rate, o.Senders, load)
 	fmt.Fprintf(&b, "[fleet]\ncluster = \"ration\"\nlease = \"%v\"\nlend = \"%v\"\n", o.Lease, o.Lend)
 	for v := range o.Voters {
 		fmt.Fprintf(&b, "[[fleet.voter]]\nname = \"n%d\"\naddress = \"{n%d:7948}\"\n", v, v)
 	}
 	fmt.Fprintf(&b, "{reach fleet 7948}\n'''\n[[class]]\nname = \"card-event\"\neffect = \"safe\"\naim = \"1s\"\ndeadline = \"2500ms\"\n")
+	if o.Own { // what a receiver takes is stated over its calls at full load
+		fmt.Fprintf(&b, "[[kind]]\nname = \"limited\"\nlimit = \"window\"\nwindow = \"%v\"\nlimit_room = [%[2]g, %[2]g]\nreports = true\n", o.Span, float64(o.Units)/o.Span.Seconds()*load/o.Rate)
+	}
 	if o.CutOff {
 		fmt.Fprintf(&b, "[[link]]\ndo = \"cut\"\nfrom = \"n%d\"\nto = \"all\"\nboth = true\nat = \"%v\"\nfor = \"%vs\"\n", o.Senders-1, begins+2*time.Second, o.Seconds)
 	}
+	if o.Outage > 0 {
+		fmt.Fprintf(&b, "[[trouble]]\nwhat = \"hang\"\nwho = {name = \"r0\"}\nat = \"%v\"\nfor = \"%v\"\n", begins+500*time.Millisecond, o.Outage)
+	}
 	if o.Kill != "" {
 		fmt.Fprintf(&b, "[[sender]]\ndo = \"kill\"\nwhich = %q\nat = \"%v\"\n", o.Kill, begins+2200*time.Millisecond)
 	}
@@ -133,7 +144,17 @@
 	if o.GoOn {
 		text = "cut_off = \"go-on\"\ngo_on_for = \"5m\"\n"
 	}
-	return fmt.Appendf(nil, text+"[[limit]]\ndestinations = [0]\ncalls = %d\nspan = \"%v\"\ntransit = \"%v\"\nover = %d\n", units, o.Span, o.Transit, o.Over)
+	if o.Verdict {
+		text += fmt.Sprintf("[[verdict]]\ndestinations = [0]\nprobe = \"%v\"\ncold = %d\nwarm = %d\nwarm_for = \"%v\"\nlasts = \"6s\"\n", Probe, Cold, Warm, WarmFor)
+	}
+	if o.Free {
+		return []byte(text)
+	}
+	both := "0"
+	if o.Own {
+		both = "0, 1"
+	}
+	return fmt.Appendf(nil, text+"[[limit]]\ndestinations = [%s]\ncalls = %d\nspan = \"%v\"\ntransit = \"%v\"\nover = %d\n", both, units, o.Span, o.Transit, o.Over)
 }
 
 // Run plays the day of a seed.
@@ -204,6 +225,101 @@
 	return 0, errors.Join(err, ctx.Err(), fmt.Errorf("not within %v", waitTime))
 }
 
+// The rule of a day with verdicts.
+const (
+	Probe   = 500 * time.Millisecond
+	Cold    = 5
+	Warm    = 60
+	WarmFor = 8 * time.Second
+
+	hears = 5 * time.Second // by then an outage is seen: a call that hangs for four seconds is no silence before
+	acts  = time.Second     // and from then on, as from a return, all senders go by what the fleet holds
+)
+
+// Return is what became of a receiver's outage, as the receiver saw it.
+type Return struct {
+	Broken []string
+	Probes int           // calls that came while it was out, once that was seen
+	Most   int           // calls that came in one second within WarmFor of its return
+	Early  int           // calls that came in the first two seconds of it
+	Full   time.Duration // from its return until four fifths of what is handed in for it are served again
+}
+
+// CheckReturn judges an outage: once it is seen one call of all senders comes in Probe, and from the return on no more than the fleet's
+// ramp allows. Cut says how many senders hear nothing of the others and probe by themselves.
+func CheckReturn(r *Result, cut int) (v Return) {
+	var off, on, back time.Duration
+	var calls, served []time.Duration
+	for _, e := range r.Events {
+		t := time.Duration(e.T) * time.Microsecond
+		switch {
+		case e.Dest != 0:
+		case e.Kind == eventlog.Trouble && e.State == "on":
+			off = t
+		case e.Kind == eventlog.Trouble:
+			on = t
+		case e.Kind == eventlog.Call:
+			calls = append(calls, time.Duration(e.First)*time.Microsecond)
+		case e.Kind == eventlog.Done && e.Status == 200:
+			if served = append(served, t); on > 0 && back == 0 && t > on {
+				back = t
+			}
+		}
+	}
+	slices.Sort(calls)
+	if back == 0 {
+		v.Broken = append(v.Broken, "it never serves again")
+		return v
+	}
+	// most is how many may come in a span that ends at a time.
+	most := func(t time.Duration) (int, time.Duration) {
+		switch {
+		case t > off+hears+acts && t < on:
+			return 1 + cut, Probe
+		case t > back+acts && t < back+WarmFor:
+			grown := float64(Warm-Cold) * (t - back + acts).Seconds() / WarmFor.Seconds()
+			return min(Warm, Cold+int(grown)+1), time.Second
+		}
+		return 0, 0
+	}
+	for i, t := range calls {
+		if t > back && t < back+2*time.Second {
+			v.Early++
+		}
+		if t > off+hears+acts && t < on {
+			v.Probes++
+		}
+		second := 1
+		for j := i - 1; j >= 0 && calls[j] > t-time.Second; j-- {
+			second++
+		}
+		if t > back && t < back+WarmFor {
+			v.Most = max(v.Most, second)
+		}
+		if n, span := most(t); span > 0 && r.Options.Verdict {
+			came := 1
+			for j := i - 1; j >= 0 && calls[j] > t-span; j-- {
+				came++
+			}
+			if came > n {
+				v.Broken = append(v.Broken, fmt.Sprintf("%d calls of receiver 0 in the %v up to %v, where %d are the most (it hung from %v to %v, and serves since %v)", came, span, t, n, off, on, back))
+			}
+		}
+	}
+	for at := back; ; at += 250 * time.Millisecond {
+		n := 0
+		for _, t := range served {
+			if t > at && t <= at+time.Second {
+				n++
+			}
+		}
+		if float64(n) >= 0.8*r.Options.Rate || at > back+time.Minute {
+			v.Full = at - back
+			return v
+		}
+	}
+}
+
 // Verdict is what the checker found.
 type Verdict struct {
 	Broken []string
@@ -212,7 +328,8 @@
 	Spans  int // that were full
 	// Used is what share of the limit was used while all was sound: behind the healing, or all the time on a quiet day.
 	Used    float64
-	Refused int // answers of a receiver that was over a limit of its own
+	Refused int // answers of receivers that were over a limit of their own, once the fleet's would bind
+	Served  int // messages that were served from then on
 }
 
 // Check judges a day: in no span are there more calls of receiver 0 than the limit that binds then allows, and its allowance for each
@@ -227,8 +344,12 @@
 		if e.Kind == eventlog.Call && e.Dest == 0 {
 			at = append(at, time.Duration(e.First)*time.Microsecond)
 		}
-		if e.Kind == eventlog.Done && (e.Status == 429 || e.Status == 503) {
+		switch late := time.Duration(e.T)*time.Microsecond >= begins; {
+		case e.Kind != eventlog.Done || !late:
+		case e.Status == 429 || e.Status == 503:
 			v.Refused++
+		case e.Status == 200:
+			v.Served++
 		}
 	}
 	slices.Sort(at)
--- /dev/null
+++ b/internal/roster/roster_test.go
@@ -0,0 +1,168 @@
+package roster
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"dockshift.example/dockshift/internal/agreed/lease"
+	pb "dockshift.example/dockshift/proto/saffronyard/fleet/v1"
+)
+
+// fleet is a coordinator with the granter and the log that it goes by.
+type fleet struct {
+	*Machine
+	Coordinator
+	g   *lease.Granter
+	at  uint64
+	now time.Duration
+}
+
+var terms = lease.Terms{Length: time.Second}
+
+func newFleet() *fleet {
+	f := &fleet{Machine: NewMachine(), now: time.Hour}
+	f.g = lease.NewGranter(terms, f.now)
+	return f
+}
+
+// goes lets a time go by in which some ask for leases, acting at the log's end or, behind, before what comes.
+func (f *fleet) goes(t *testing.T, span time.Duration, here []lease.Who, behind ...lease.Who) {
+	t.Helper()
+	for end := f.now + span; f.now < end; {
+		f.now += 100 * time.Millisecond
+		for _, w := range here {
+			f.g.Asked(w, f.at)
+			f.g.Grant(w, f.at, f.now)
+		}
+		for _, w := range behind {
+			if Grants(0, f.State()) {
+				f.g.Grant(w, 0, f.now)
+			}
+		}
+		var parts []Part
+		for _, h := range f.g.Holders(f.now) {
+			parts = append(parts, Part{h.Who, "at " + h.Name})
+		}
+		if c := f.Step(f.now, f.State(), f.g, parts); c != nil {
+			raw, err := proto.Marshal(c)
+			if err != nil {
+				t.Fatal(err)
+			}
+			f.at++
+			if _, refused, err := f.Apply(f.at, raw); err != nil || refused != "" {
+				t.Fatalf("%v: %s %v", c, refused, err)
+			}
+		}
+	}
+}
+
+func (f *fleet) is() string {
+	var names []string
+	for _, p := range f.State().Parts {
+		names = append(names, fmt.Sprintf("%s%d", p.Name, p.Life))
+	}
+	return fmt.Sprintf("%d: %s", f.State().Epoch, strings.Join(names, " "))
+}
+
+// Rosters follow leases: nobody is in one that holds none, none begins while one may act who does not know of it, and one that starts
+// again takes the place of its former process.
+func TestRosters(t *testing.T) {
+	a, b, a2 := lease.Who{Name: "a", Life: 1}, lease.Who{Name: "b", Life: 1}, lease.Who{Name: "a", Life: 2}
+	f := newFleet()
+	f.goes(t, 900*time.Millisecond, []lease.Who{a, b})
+	if f.is() != "0: " {
+		t.Errorf("while an earlier leader's leases may last there is %s", f.is())
+	}
+	f.goes(t, time.Second, []lease.Who{a, b})
+	if f.is() != "1: a1 b1" {
+		t.Error(f.is())
+	}
+	f.goes(t, 900*time.Millisecond, []lease.Who{b})
+	if f.is() != "1: a1 b1" {
+		t.Errorf("before a's lease has lapsed there is %s", f.is())
+	}
+	f.goes(t, 900*time.Millisecond, []lease.Who{b})
+	if f.is() != "2: b1" {
+		t.Error(f.is())
+	}
+	f.goes(t, 2*time.Second, []lease.Who{b, a2})
+	if f.is() != "3: a2 b1" {
+		t.Error(f.is())
+	}
+	// b does not hear that a has gone: nothing begins before its lease has lapsed, and it is granted none.
+	f.goes(t, 1100*time.Millisecond, nil, b)
+	if f.State().Coming == 0 || f.State().Epoch != 3 {
+		t.Errorf("%v", f.State())
+	}
+	f.goes(t, 3*time.Second, nil, b)
+	if f.State().Epoch < 4 {
+		t.Errorf("one that hears nothing holds up the next roster: %v", f.State())
+	}
+}
+
+// A thing moves only with who was in charge of it.
+func TestCharge(t *testing.T) {
+	var parts []*pb.Part
+	for i := range 20 {
+		parts = append(parts, &pb.Part{Name: fmt.Sprintf("n%d", i), Life: uint64(i)})
+	}
+	all, without := NewCharge(parts), NewCharge(parts[1:])
+	counts := map[string]int{}
+	for i := range 2000 {
+		thing := fmt.Sprintf("destination %d", i)
+		was, is := all.Of(thing), without.Of(thing)
+		counts[was.Name]++
+		if was.Name != "n0" && was != is || is.Name == "n0" {
+			t.Fatalf("%s moves from %s to %s as n0 goes", thing, was.Name, is.Name)
+		}
+	}
+	for _, p := range parts {
+		if n := counts[p.Name]; n < 50 || n > 200 {
+			t.Errorf("%s is in charge of %d of 2000", p.Name, n)
+		}
+	}
+	if NewCharge(nil).Of("x") != nil || (*Charge)(nil).Of("x") != nil || all.Has(lease.Who{Name: "n3", Life: 4}) || !all.Has(lease.Who{Name: "n3", Life: 3}) {
+		t.Error("who takes part")
+	}
+}
+
+// What does not fit the state changes nothing.
+func TestRefused(t *testing.T) {
+	m := NewMachine()
+	come := func(base uint64, names ...string) *pb.Roster {
+		c := &pb.Come{Base: base}
+		for _, n := range names {
+			c.Parts = append(c.Parts, &pb.Part{Name: n})
+		}
+		return &pb.Roster{What: &pb.Roster_Come{Come: c}}
+	}
+	begin := func(epoch uint64) *pb.Roster {
+		return &pb.Roster{What: &pb.Roster_Begin{Begin: &pb.RosterStep{Epoch: epoch}}}
+	}
+	for i, c := range []struct {
+		r    *pb.Roster
+		says string
+	}{{begin(1), "not about to begin"}, {come(3, "a"), "roster 0 is in force"}, {come(0, "a", "a"), "twice"}, {come(0, "a"), ""}, {come(0, "b"), "about to begin"},
+		{begin(2), "not about to begin"}, {begin(1), ""}, {begin(1), "not about to begin"}, {come(0, "b"), "roster 1 is in force"}} {
+		raw, err := proto.Marshal(c.r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, refused, err := m.Apply(uint64(i+1), raw)
+		if err != nil || (c.says == "") != (refused == "") || !strings.Contains(refused, c.says) {
+			t.Errorf("%d: %q %v, want %q", i, refused, err, c.says)
+		}
+	}
+	raw, err := m.Snapshot()
+	again := NewMachine()
+	if err == nil {
+		err = again.Restore(raw)
+	}
+	if err != nil || again.State().Epoch != 1 || again.State().Since != 7 {
+		t.Errorf("%v: %v", err, again.State())
+	}
+}
--- a/internal/sender/fleetpart.go
+++ b/internal/sender/fleetpart.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"fmt"
+	"maps"
 	"net/http"
 	"slices"
 	"time"
@@ -11,6 +12,8 @@
 	"dockshift.example/dockshift/brain"
 	"dockshift.example/dockshift/internal/fleet"
 	"dockshift.example/dockshift/internal/fleetpolicy"
+	"dockshift.example/dockshift/internal/knowledge"
+	"dockshift.example/dockshift/internal/verdict"
 )
 
 // Fleet is what senders agree on, as far as it concerns messages and calls. Nothing of it waits.
@@ -25,6 +28,8 @@
 	Paces(all bool) []fleet.Pace
 	// OnPaces has f called, from any goroutine, when some have.
 	OnPaces(f func())
+	// Testify takes what this sender has seen of receivers itself.
+	Testify([]verdict.Testimony)
 	// Told is that a receiver has told this sender its limit, in calls a second.
 	Told(destination uint32, perSecond float64)
 	// View is what calls go by; acts is whether any is begun at all. It is nil while nothing is known.
@@ -38,7 +43,8 @@
 // fleetPart is the fleet's policy as a participant: to the module what is closed drains, and what can't go is handed back.
 type fleetPart struct {
 	noPart
-	s *Sender
+	s     *Sender
+	stand map[uint32]verdict.Sort // verdicts as the module was told
 }
 
 // paceEvent is that this sender may send more or less where the fleet shares a limit out.
@@ -82,7 +88,7 @@
 			}
 		}
 	}()
-	return &fleetPart{s: s}
+	return &fleetPart{s: s, stand: map[uint32]verdict.Sort{}}
 }
 
 func (p *fleetPart) leaving() error {
@@ -105,6 +111,7 @@
 		events = append(events, news)
 	}
 	events = append(events, p.paces(true)...)
+	events = append(events, p.verdicts()...)
 	waiting := map[fleetpolicy.Call]int64{}
 	for _, m := range s.messages {
 		if m.waits {
@@ -147,6 +154,66 @@
 	return events
 }
 
+// verdicts tells the module what the fleet holds of receivers, as far as it was not told.
+func (p *fleetPart) verdicts() (events []brain.Event) {
+	v, _ := p.s.c.Fleet.View()
+	is := map[uint32]verdict.Sort{}
+	for _, one := range v.GetVerdicts() {
+		if sort := verdict.Sort(one.Sort); sort != verdict.Suspended {
+			is[one.Destination] = sort
+		}
+	}
+	health := map[verdict.Sort]brain.Health{verdict.Out: brain.OutOfService, verdict.Cold: brain.Warming, verdict.None: brain.Serving}
+	tell := func(d uint32, sort verdict.Sort) {
+		if _, listed := p.s.list.Cells[d]; listed {
+			events = append(events, brain.Learnt{Destination: brain.DestinationID(d), Health: health[sort]})
+		}
+	}
+	for _, d := range slices.Sorted(maps.Keys(is)) {
+		if p.stand[d] != is[d] {
+			tell(d, is[d])
+		}
+	}
+	for _, d := range slices.Sorted(maps.Keys(p.stand)) {
+		if is[d] == verdict.None {
+			tell(d, verdict.None)
+		}
+	}
+	p.stand = is
+	return events
+}
+
+// afterWrite passes on what has just been seen of receivers.
+func (p *fleetPart) afterWrite(context.Context) { p.testify(p.s.fresh, false) }
+
+// looked passes on what is known of those on which there is a verdict, or which do not serve.
+func (p *fleetPart) looked(time.Duration) {
+	if v, _ := p.s.c.Fleet.View(); v != nil && v.Policy.Guards() {
+		p.testify(p.s.brain.Known(), true)
+	}
+}
+
+func (p *fleetPart) testify(known []brain.Learnt, some bool) {
+	if len(known) == 0 {
+		return
+	}
+	v, _ := p.s.c.Fleet.View()
+	if v == nil || !v.Policy.Guards() {
+		return
+	}
+	var all []verdict.Testimony
+	for _, k := range known {
+		d := uint32(k.Destination)
+		if _, ruled := v.Policy.VerdictRule(d); !ruled || k.Endpoint != 0 || k.Health == brain.HealthUnknown || some && k.Health == brain.Serving && p.stand[d] == verdict.None && k.HealthAge > time.Second {
+			continue
+		}
+		all = append(all, verdict.Testimony{Destination: d, State: knowledge.State(k.Health), Age: k.HealthAge, For: max(0, k.For-k.HealthAge)})
+	}
+	if len(all) > 0 {
+		p.s.c.Fleet.Testify(all)
+	}
+}
+
 // waits notes whether a message waits to be sent, as far as the fleet's limits go by that.
 func (s *Sender) waits(m *message, is bool) {
 	if s.c.Fleet == nil || m.waits == is {
@@ -200,13 +267,16 @@
 	if ok, why := v.Policy.May(callOf(r)); !ok {
 		return why, v.Policy.Open(r.Dest)
 	}
+	if !v.Open(r.Dest) {
+		return "its destination is suspended", false
+	}
 	return "", false
 }
 
 // shutByFleet reports whether nothing is sent to a destination just now.
 func (s *Sender) shutByFleet(destination uint32) bool {
 	v, acts := s.c.Fleet.View()
-	return !acts || !v.Policy.Open(destination) || v.Frozen.Destination(destination)
+	return !acts || !v.Open(destination) || v.Frozen.Destination(destination)
 }
 
 // byPolicy applies the policy to a message that is handed in: it may go to another destination, or be given up sooner. why is
@@ -228,6 +298,9 @@
 	if ok, why := v.Policy.May(callOf(*r)); !ok {
 		return why
 	}
+	if !v.Open(r.Dest) {
+		return "its destination is suspended"
+	}
 	if most := v.Policy.DeadlineMost(r.Class); most > 0 {
 		r.Deadline = min(r.Deadline, s.clock.now()+most)
 	}
--- a/internal/sender/fleetpart_test.go
+++ b/internal/sender/fleetpart_test.go
@@ -13,6 +13,7 @@
 	"dockshift.example/dockshift/internal/fleet"
 	"dockshift.example/dockshift/internal/fleetpolicy"
 	st "dockshift.example/dockshift/internal/sendertest"
+	"dockshift.example/dockshift/internal/verdict"
 )
 
 // toldFleet is a fleet that says what a test has it say.
@@ -37,6 +38,7 @@
 func (f *toldFleet) Recount(map[fleetpolicy.Call]int64) {}
 func (f *toldFleet) OnPaces(told func())                { f.paced = told }
 func (f *toldFleet) Told(uint32, float64)               {}
+func (f *toldFleet) Testify([]verdict.Testimony)        {}
 func (f *toldFleet) Paces(bool) []fleet.Pace {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/sender/loop.go
+++ b/internal/sender/loop.go
@@ -67,7 +67,8 @@
 	learnt    []brain.Event // what the features have for the module, after the news that they heard
 	knownAt   time.Duration // when what the module knows was asked for last
 	knownAll  []knowledge.Fact
-	withdrawn []brain.Event // of messages that could not be written down, for the next step
+	fresh     []brain.Learnt // news of receivers in this turn
+	withdrawn []brain.Event  // of messages that could not be written down, for the next step
 
 	grace, leaveAfter time.Duration
 	fleetStop         context.CancelFunc // ends the words of the fleet
@@ -103,7 +104,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c.Settings.TellsNews = c.Peers != nil
+	c.Settings.TellsNews = c.Peers != nil || c.Fleet != nil
 	s := &Sender{c: c, log: log, clock: newClock(), brain: brain.New(c.Settings, c.Seed), journal: j, pool: calls.NewPool(calls.Config{ConnectTimeout: c.ConnectTimeout, Idle: c.Settings.IdleConnections, Most: c.idleCalls(), Fields: c.Fields, Delivery: c.Delivery}),
 		list: calls.NewList(), disc: newDiscovery(c.Discovery), events: make(chan any, eventRoom),
 		asked: make(chan struct{}, 1), notices: make(chan []notice, 1), messages: map[brain.MessageID]*message{},
@@ -447,6 +448,7 @@
 
 // after lets the features know that a turn is over.
 func (s *Sender) after(ctx context.Context) {
+	s.fresh = s.brain.News()
 	for _, p := range s.parts {
 		p.afterWrite(ctx)
 	}
--- a/internal/sender/peerspart.go
+++ b/internal/sender/peerspart.go
@@ -106,8 +106,8 @@
 
 // afterWrite tells at once what matters most to others: an outage, a return, a wait.
 func (p *peersPart) afterWrite(context.Context) {
-	if news := p.s.brain.News(); len(news) > 0 {
-		p.node.TellNews(p.s.factsOf(news, p.s.clock.now()))
+	if len(p.s.fresh) > 0 {
+		p.node.TellNews(p.s.factsOf(p.s.fresh, p.s.clock.now()))
 	}
 }
 
--- /dev/null
+++ b/internal/verdict/verdict.go
@@ -0,0 +1,180 @@
+// Package verdict is what the fleet holds of a receiver together: that it is out, that it comes back cold, or that a person has suspended
+// it. It is free of I/O and of clocks.
+//
+// Senders tell what they have seen to one of them, which the roster puts in charge of the receiver. It weighs their words, as one
+// whose own line is broken sees every receiver fail, and hands what it finds to the agreed log, from which all hear it in one order. So a
+// verdict and its lifting do not cross, and one that was in charge and is no longer pronounces nothing: the log refuses an epoch
+// that is over. A verdict lapses by itself, at each sender, unless it is said again; a person's does not.
+//
+// What a verdict does is done by limits (package quota): while a receiver is out, one call of the whole fleet goes there now and then; as
+// it comes back, its calls grow from few to its usual ones, shared out to all.
+package verdict
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	pb "dockshift.example/dockshift/proto/saffronyard/fleet/v1"
+)
+
+// Sort is what a verdict says.
+type Sort uint32
+
+// The sorts.
+const (
+	None      Sort = iota
+	Out            // calls fail, are refused or go unanswered
+	Cold           // it serves again since a short while
+	Suspended      // a person said so
+)
+
+func (s Sort) String() string {
+	if int(s) < len(sortNames) {
+		return sortNames[s]
+	}
+	return fmt.Sprintf("sort %d", uint32(s))
+}
+
+var sortNames = [...]string{"none", "out", "cold", "suspended"}
+
+const (
+	verdictsMost = 20_000
+	textMost     = 500 // bytes of a reason
+	// LastsMost is how long a verdict may last that is not said again.
+	LastsMost = 10 * time.Minute
+)
+
+// Machine is the verdicts as the fleet agrees on them. The same commands in the same order make the same state everywhere.
+type Machine struct {
+	state *pb.VerdictsState
+	epoch func() uint64 // of the roster that is in force at this place of the log
+}
+
+// NewMachine makes the state before the first command.
+func NewMachine(epoch func() uint64) *Machine { return &Machine{&pb.VerdictsState{}, epoch} }
+
+// State is what is agreed; it is read only, and holds until the next command.
+func (m *Machine) State() *pb.VerdictsState { return m.state }
+
+// Of is the verdict on a destination, a person's or another; nil if there is none.
+func Of(s *pb.VerdictsState, destination uint32, person bool) *pb.Verdict {
+	i := find(s, destination, person)
+	if i < len(s.GetVerdicts()) && same(s.Verdicts[i], destination, person) {
+		return s.Verdicts[i]
+	}
+	return nil
+}
+
+func same(v *pb.Verdict, destination uint32, person bool) bool {
+	return v.Destination == destination && (Sort(v.Sort) == Suspended) == person
+}
+
+// find is the place of a verdict, or where it would stand: by destination, a person's behind the other.
+func find(s *pb.VerdictsState, destination uint32, person bool) int {
+	i, _ := slices.BinarySearchFunc(s.GetVerdicts(), destination, func(v *pb.Verdict, d uint32) int {
+		if v.Destination != d {
+			return cmp.Compare(v.Destination, d)
+		}
+		if (Sort(v.Sort) == Suspended) == person {
+			return 0
+		}
+		if person {
+			return -1
+		}
+		return 1
+	})
+	return i
+}
+
+// Apply carries out a command at its index of the log. Each makes a new state, so that who has the old one may go on reading it.
+func (m *Machine) Apply(index uint64, body []byte) (result []byte, refused string, err error) {
+	c := &pb.Judgement{}
+	if err := proto.Unmarshal(body, c); err != nil {
+		return nil, "", fmt.Errorf("a verdict can't be read: %w", err)
+	}
+	switch w := c.GetWhat().(type) {
+	case *pb.Judgement_Pronounce:
+		return nil, m.pronounce(index, w.Pronounce), nil
+	case *pb.Judgement_Lift:
+		return nil, m.lift(w.Lift), nil
+	}
+	return nil, "", fmt.Errorf("a verdict is of a sort that this program does not know")
+}
+
+// stands says why a word on a verdict does not count: it was given by what has changed meanwhile.
+func (m *Machine) stands(destination uint32, person bool, epoch, base uint64) (was *pb.Verdict, refused string) {
+	was = Of(m.state, destination, person)
+	switch {
+	case !person && epoch != m.epoch():
+		return was, fmt.Sprintf("it was given under roster %d, and roster %d is in force", epoch, m.epoch())
+	case !person && base != was.GetAt():
+		return was, fmt.Sprintf("it follows the verdict of entry %d, and that of entry %d stands", base, was.GetAt())
+	}
+	return was, ""
+}
+
+func (m *Machine) pronounce(index uint64, p *pb.Pronounce) (refused string) {
+	sort, person := Sort(p.Sort), Sort(p.Sort) == Suspended
+	was, refused := m.stands(p.Destination, person, p.Epoch, p.Base)
+	ttl := time.Duration(p.TtlUs) * time.Microsecond
+	switch {
+	case refused != "":
+		return refused
+	case sort != Out && sort != Cold && sort != Suspended:
+		return fmt.Sprintf("a verdict of %v is none", sort)
+	case person != (ttl == 0) || ttl < 0 || ttl > LastsMost:
+		return fmt.Sprintf("it lasts %v: a person's lasts until it is lifted, any other up to %v", ttl, LastsMost)
+	case len(p.Why) > textMost:
+		return fmt.Sprintf("why has %d bytes; %d are the most", len(p.Why), textMost)
+	case person && was != nil:
+		return fmt.Sprintf("%s has suspended destination %d already: %s", was.By, p.Destination, was.Why)
+	case was == nil && len(m.state.Verdicts) >= verdictsMost:
+		return fmt.Sprintf("there are %d verdicts, which is the most", verdictsMost)
+	}
+	v := &pb.Verdict{Destination: p.Destination, Sort: p.Sort, At: index, Since: index, Epoch: p.Epoch, By: p.By, Why: p.Why, TtlUs: p.TtlUs}
+	all := slices.Clone(m.state.Verdicts)
+	i := find(m.state, p.Destination, person)
+	if was != nil {
+		if was.Sort == p.Sort {
+			v.Since = was.Since
+		}
+		all[i] = v
+	} else {
+		all = slices.Insert(all, i, v)
+	}
+	m.state = &pb.VerdictsState{Verdicts: all}
+	return ""
+}
+
+func (m *Machine) lift(l *pb.Lift) (refused string) {
+	was, refused := m.stands(l.Destination, l.Person, l.Epoch, l.Base)
+	if refused != "" {
+		return refused
+	}
+	if was == nil {
+		return fmt.Sprintf("there is no such verdict on destination %d", l.Destination)
+	}
+	all := slices.Clone(m.state.Verdicts)
+	i := find(m.state, l.Destination, l.Person)
+	m.state = &pb.VerdictsState{Verdicts: slices.Delete(all, i, i+1)}
+	return ""
+}
+
+// Snapshot is the whole state.
+func (m *Machine) Snapshot() ([]byte, error) {
+	return proto.MarshalOptions{Deterministic: true}.Marshal(m.state)
+}
+
+// Restore puts the state in place of what is held.
+func (m *Machine) Restore(raw []byte) error {
+	s := &pb.VerdictsState{}
+	if err := proto.Unmarshal(raw, s); err != nil {
+		return fmt.Errorf("the verdicts can't be read: %w", err)
+	}
+	m.state = s
+	return nil
+}
--- /dev/null
+++ b/internal/verdict/verdict_test.go
@@ -0,0 +1,252 @@
+package verdict
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"dockshift.example/dockshift/internal/knowledge"
+	pb "dockshift.example/dockshift/proto/saffronyard/fleet/v1"
+)
+
+// log is the machine with its commands' places.
+type log struct {
+	*Machine
+	t     *testing.T
+	at    uint64
+	epoch uint64
+}
+
+func newLog(t *testing.T) *log {
+	l := &log{t: t, epoch: 1}
+	l.Machine = NewMachine(func() uint64 { return l.epoch })
+	return l
+}
+
+func (l *log) apply(c *pb.Judgement) string {
+	l.t.Helper()
+	raw, err := proto.Marshal(c)
+	if err != nil {
+		l.t.Fatal(err)
+	}
+	l.at++
+	_, refused, err := l.Apply(l.at, raw)
+	if err != nil {
+		l.t.Fatal(err)
+	}
+	return refused
+}
+
+func pronounce(d uint32, sort Sort, epoch, base uint64) *pb.Judgement {
+	p := &pb.Pronounce{Destination: d, Sort: uint32(sort), Epoch: epoch, Base: base, By: "x"}
+	if sort != Suspended {
+		p.TtlUs = time.Second.Microseconds()
+	}
+	return &pb.Judgement{What: &pb.Judgement_Pronounce{Pronounce: p}}
+}
+
+func lift(d uint32, person bool, epoch, base uint64) *pb.Judgement {
+	return &pb.Judgement{What: &pb.Judgement_Lift{Lift: &pb.Lift{Destination: d, Person: person, Epoch: epoch, Base: base}}}
+}
+
+// A verdict and its lifting do not cross; one that was in charge says nothing any more; a person's stands beside, and for ever.
+func TestMachine(t *testing.T) {
+	l := newLog(t)
+	for _, step := range []struct {
+		what    string
+		word    *pb.Judgement
+		refused string
+		stand   string
+	}{
+		{"nothing is lifted", lift(7, false, 1, 0), "there is no such verdict", ""},
+		{"out", pronounce(7, Out, 1, 0), "", "7 out"},
+		{"by one who did not know of it", pronounce(7, Out, 1, 0), "that of entry 2 stands", "7 out"},
+		{"a lifting of what it was not", lift(7, false, 1, 1), "that of entry 2 stands", "7 out"},
+		{"said again", pronounce(7, Out, 1, 2), "", "7 out"},
+		{"of an old roster", pronounce(7, Cold, 0, 5), "under roster 0", "7 out"},
+		{"a person", pronounce(7, Suspended, 0, 0), "", "7 out, 7 suspended"},
+		{"again", pronounce(7, Suspended, 0, 0), "has suspended destination 7 already", "7 out, 7 suspended"},
+		{"another place", pronounce(3, Out, 1, 0), "", "3 out, 7 out, 7 suspended"},
+		{"cold", pronounce(7, Cold, 1, 5), "", "3 out, 7 cold, 7 suspended"},
+		{"no sort", pronounce(8, None, 1, 0), "is none", "3 out, 7 cold, 7 suspended"},
+		{"lifted by its authority", lift(7, false, 1, 10), "", "3 out, 7 suspended"},
+		{"lifted by a person", lift(7, true, 0, 0), "", "3 out"},
+	} {
+		if got := l.apply(step.word); (step.refused == "") != (got == "") || !strings.Contains(got, step.refused) {
+			t.Errorf("%s: refused %q, want %q", step.what, got, step.refused)
+		}
+		var is []string
+		for _, v := range l.State().Verdicts {
+			is = append(is, strings.TrimSpace(string(rune('0'+v.Destination))+" "+Sort(v.Sort).String()))
+		}
+		if got := strings.Join(is, ", "); got != step.stand {
+			t.Errorf("%s: %q stand, want %q", step.what, got, step.stand)
+		}
+	}
+	if v := Of(l.State(), 3, false); v.Since != 9 || v.At != 9 {
+		t.Errorf("%v", v)
+	}
+	raw, err := l.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	again := newLog(t)
+	if err := again.Restore(raw); err != nil || !proto.Equal(again.State(), l.State()) {
+		t.Errorf("%v: %v", err, again.State())
+	}
+}
+
+// trial is a court with its log, and a clock.
+type trial struct {
+	*log
+	c    *Court
+	now  time.Duration
+	rule Rule
+	mine bool
+}
+
+func newTrial(t *testing.T) *trial {
+	return &trial{log: newLog(t), c: NewCourt(), now: time.Hour, mine: true, rule: Rule{Agree: 2, Probe: time.Second, Cold: 1, Warm: 10, WarmFor: 5 * time.Second, Lasts: 6 * time.Second}}
+}
+
+// is lets a time go by with the court judging, and gives what destination 7 is held to be.
+func (tr *trial) is(after time.Duration) string {
+	for end := tr.now + after; tr.now < end; {
+		tr.now += 100 * time.Millisecond
+		for _, w := range tr.c.Judge(tr.now, tr.epoch, "x", func(uint32) bool { return tr.mine }, func(uint32) (Rule, bool) { return tr.rule, tr.rule.Agree > 0 }, tr.State()) {
+			tr.apply(w)
+		}
+	}
+	return Sort(Of(tr.State(), 7, false).GetSort()).String()
+}
+
+func (tr *trial) says(who string, d uint32, s knowledge.State, age time.Duration) {
+	tr.c.Hear(who, Testimony{Destination: d, State: s, Age: age, For: time.Second}, tr.now)
+}
+
+// What the court makes of testimonies.
+func TestCourt(t *testing.T) {
+	t.Parallel()
+	ms := time.Millisecond
+	for name, c := range map[string]struct {
+		play func(tr *trial)
+		want string
+	}{
+		"nobody says anything": {func(tr *trial) {}, "none"},
+		"two agree": {func(tr *trial) {
+			tr.says("a", 7, knowledge.Out, 0)
+			tr.says("b", 7, knowledge.Out, 0)
+			tr.is(200 * ms)
+		}, "out"},
+		"one alone waits for others": {func(tr *trial) {
+			tr.says("a", 7, knowledge.Out, 0)
+			tr.is(1500 * ms)
+		}, "none"},
+		"one alone for some time": {func(tr *trial) {
+			tr.says("a", 7, knowledge.Out, 0)
+			tr.is(1500 * ms)
+			tr.says("a", 7, knowledge.Out, 0)
+			tr.is(800 * ms)
+		}, "out"},
+		"one against two that are served": {func(tr *trial) {
+			tr.says("a", 7, knowledge.Out, 0)
+			tr.says("b", 7, knowledge.Serves, 0)
+			tr.says("c", 7, knowledge.Serves, 0)
+			tr.is(3000 * ms)
+		}, "none"},
+		"broken lines talk nobody into anything": {func(tr *trial) {
+			for _, who := range []string{"a", "b"} {
+				for d := range uint32(8) {
+					tr.says(who, d, knowledge.Out, 0)
+				}
+			}
+			tr.says("c", 7, knowledge.Serves, 0)
+			tr.is(3000 * ms)
+		}, "none"},
+		"a call is served": {func(tr *trial) {
+			tr.says("a", 7, knowledge.Out, 0)
+			tr.says("b", 7, knowledge.Out, 0)
+			tr.is(1000 * ms)
+			tr.says("a", 7, knowledge.Cold, 0)
+			tr.is(200 * ms)
+		}, "cold"},
+		"what was served before it is no return": {func(tr *trial) {
+			tr.says("a", 7, knowledge.Out, 0)
+			tr.says("b", 7, knowledge.Out, 0)
+			tr.is(1000 * ms)
+			tr.says("c", 7, knowledge.Serves, 2*time.Second)
+			tr.is(200 * ms)
+		}, "out"},
+		"it has warmed up": {func(tr *trial) {
+			tr.says("a", 7, knowledge.Out, 0)
+			tr.says("b", 7, knowledge.Out, 0)
+			tr.is(1000 * ms)
+			tr.says("a", 7, knowledge.Serves, 0)
+			tr.is(4500 * ms)
+			if got := tr.is(100 * ms); got != "cold" {
+				tr.t.Errorf("it is %s while it warms up", got)
+			}
+			tr.is(1500 * ms)
+		}, "none"},
+		"it falls again": {func(tr *trial) {
+			tr.says("a", 7, knowledge.Out, 0)
+			tr.says("b", 7, knowledge.Out, 0)
+			tr.is(1000 * ms)
+			tr.says("a", 7, knowledge.Serves, 0)
+			tr.is(500 * ms)
+			tr.says("a", 7, knowledge.Out, 0)
+			tr.says("b", 7, knowledge.Out, 0)
+			tr.is(200 * ms)
+		}, "out"},
+		"it is said again as long as somebody tells of it": {func(tr *trial) {
+			for range 20 {
+				tr.says("a", 7, knowledge.Out, 0)
+				tr.says("b", 7, knowledge.Out, 0)
+				tr.is(1000 * ms)
+			}
+			if v := Of(tr.State(), 7, false); v.At < v.Since+3 {
+				tr.t.Errorf("it was not said again: %v", v)
+			}
+		}, "out"},
+		"nobody goes there any more": {func(tr *trial) {
+			tr.says("a", 7, knowledge.Out, 0)
+			tr.says("b", 7, knowledge.Out, 0)
+			tr.is(7000 * ms)
+		}, "none"},
+		"another is in charge": {func(tr *trial) {
+			tr.mine = false
+			tr.says("a", 7, knowledge.Out, 0)
+			tr.says("b", 7, knowledge.Out, 0)
+			tr.is(1000 * ms)
+		}, "none"},
+		"no rule asks for it any more": {func(tr *trial) {
+			tr.says("a", 7, knowledge.Out, 0)
+			tr.says("b", 7, knowledge.Out, 0)
+			tr.is(1000 * ms)
+			tr.rule = Rule{}
+			tr.is(1500 * ms)
+		}, "none"},
+		"one that takes over goes on": {func(tr *trial) {
+			tr.says("a", 7, knowledge.Out, 0)
+			tr.says("b", 7, knowledge.Out, 0)
+			tr.is(1000 * ms)
+			tr.c, tr.epoch = NewCourt(), 2
+			tr.says("a", 7, knowledge.Out, 0)
+			tr.is(3000 * ms)
+			if v := Of(tr.State(), 7, false); v.GetEpoch() != 2 || v.GetSince() != 1 {
+				tr.t.Errorf("%v", v)
+			}
+		}, "out"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			tr := newTrial(t)
+			c.play(tr)
+			if got := tr.is(100 * ms); got != c.want {
+				t.Errorf("it is held to be %s, want %s", got, c.want)
+			}
+		})
+	}
+}
