--- a/cmd/saffronyard/limits.go
+++ b/cmd/saffronyard/limits.go
@@ -141,6 +141,7 @@
 	f.Float64Var(&l.Calls, "calls", 0, "calls in a span")
 	f.Int64Var(&l.Bytes, "bytes", 0, "bytes of messages in a span")
 	f.Int64Var(&l.AtOnce, "at-once", 0, "calls at once")
+	f.Int64Var(&l.ADay, "a-day", 0, "calls in a day")
 	f.DurationVar(&span, "span", 0, "of calls and bytes; default 1s")
 	f.DurationVar(&lasts, "lasts", 0, "with --at-once: no call lasts longer")
 	f.DurationVar(&transit, "transit", 0, "by so much may the ways of two calls differ; default 20ms")
--- a/internal/fleet/limits.go
+++ b/internal/fleet/limits.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"fmt"
 	"maps"
 	"math"
@@ -12,6 +13,7 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
+	"dockshift.example/dockshift/internal/agreed"
 	"dockshift.example/dockshift/internal/agreed/lease"
 	"dockshift.example/dockshift/internal/duty"
 	"dockshift.example/dockshift/internal/fleetpolicy"
@@ -65,6 +67,10 @@
 		err   error
 	}
 	showBooks struct{ done chan []quota.Report }
+	drawn     struct {
+		quota.Draw
+		units int64
+	}
 )
 
 func newLimiting(n *Node) (*limiting, error) {
@@ -80,6 +86,9 @@
 	}
 	l.asks = &duty.Duty[any, any]{Name: "limits, asking", In: duty.NewRing[any]("limits, asking", pokesMost, duty.Merge, pokeKey), Stepper: &asking{l: l, Asker: asker}, Do: l.doAsk}
 	lender := quota.NewLender(l.me, l.terms)
+	if n.c.Day == nil {
+		n.c.Day = func() int64 { return time.Now().UTC().Unix() / int64(24*time.Hour/time.Second) }
+	}
 	if n.c.Quiet != nil {
 		lender.Wrong(n.c.Quiet)
 	}
@@ -249,8 +258,11 @@
 		d.tidied = now
 		d.Tidy(now)
 	}
+	d.Day(d.l.n.c.Day())
 	for _, e := range events {
 		switch e := e.(type) {
+		case drawn:
+			d.Drawn(e.Draw, e.units)
 		case lendAsk:
 			var a lendAnswer
 			if acts {
@@ -268,12 +280,29 @@
 			e.done <- d.Reports(now)
 		}
 	}
+	for _, draw := range d.Draws() {
+		actions = append(actions, draw)
+	}
 	return actions, duty.Never
 }
 
 func (l *limiting) doLend(_ context.Context, a any) error {
-	if r, ok := a.(lendReply); ok {
-		r.to <- r.lendAnswer
+	switch a := a.(type) {
+	case lendReply:
+		a.to <- a.lendAnswer
+	case quota.Draw:
+		l.n.aside(func(ctx context.Context) {
+			ctx, cancel := context.WithTimeout(ctx, l.n.c.Terms.Length)
+			defer cancel()
+			r, err := l.n.Submit(ctx, agreed.KindRoster, &pb.Roster{What: &pb.Roster_Draw{Draw: &pb.Draw{Epoch: a.Epoch, Key: a.Key, Period: a.Period, Units: a.Units, Most: a.Most}}})
+			units := int64(0)
+			if err == nil && r.Refused == "" {
+				units, _ = binary.Varint(r.Result)
+			} else { // what the log gave without our hearing of it is lost for the day
+				l.n.log.Debug("fleet: nothing is drawn of a day's quota", "limit", a.Key, "err", err, "refused", r.GetRefused())
+			}
+			l.lends.In.Offer(drawn{a, units})
+		})
 	}
 	return nil
 }
@@ -462,6 +491,9 @@
 // bound is what a limit promises, for a fleet of so many senders.
 func (l *limiting) bound(q quota.Limit, senders int) string {
 	text := fmt.Sprintf("%d in any %v at the receiver", q.Units, q.Span)
+	if q.Sort == quota.Daily {
+		return fmt.Sprintf("%d in a day of the calendar of who is in charge; what is held as it ends may be used %v longer; what a sender holds that dies, and up to a hundredth for each authority that does, is lost for the day", q.Units, l.terms.Length)
+	}
 	if q.Sort == quota.AtOnce {
 		text = fmt.Sprintf("%d at once", q.Units)
 	}
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -48,6 +48,7 @@
 	Now   func() time.Duration
 	Disk  Disk
 	Quiet func(time.Duration) time.Duration // how long a new authority waits, of how long it should
+	Day   func() int64                      // of the calendar
 	Loan  func(time.Duration) time.Duration // how long a loan lasts at its holder, of how long it should
 }
 
--- a/internal/fleetpolicy/limits.go
+++ b/internal/fleetpolicy/limits.go
@@ -14,7 +14,7 @@
 	"dockshift.example/dockshift/internal/tomlfile"
 )
 
-// Limit is what all senders together do no more of. It is one of calls, bytes and at_once, for each of the destinations or endpoints
+// Limit is what all senders together do no more of. It is one of calls, bytes, at_once and a_day, for each of the destinations or endpoints
 // named, each of the tenants, each of the classes, or each pair of two of these.
 type Limit struct {
 	Destinations []uint32 `toml:"destinations,omitempty"`
@@ -25,6 +25,7 @@
 	Calls  float64 `toml:"calls,omitempty"`   // begun in any span
 	Bytes  int64   `toml:"bytes,omitempty"`   // of the messages of those
 	AtOnce int64   `toml:"at_once,omitempty"` // calls that are out
+	ADay   int64   `toml:"a_day,omitempty"`   // calls begun in a day, as the calendars of those in charge have it (UTC); it outlasts every process
 
 	Span    tomlfile.Span `toml:"span,omitempty"`    // of calls and bytes; default 1s
 	Transit tomlfile.Span `toml:"transit,omitempty"` // by so much may the ways of two calls differ; default 20ms
@@ -129,17 +130,23 @@
 		given++
 		q.Sort, q.Units, q.Span = quota.AtOnce, l.AtOnce, 0
 	}
+	if l.ADay != 0 {
+		given++
+		q.Sort, q.Units, q.Span, q.Transit = quota.Daily, l.ADay, 0, 0
+	}
 	switch {
 	case given != 1:
-		return q, fmt.Errorf("one of calls, bytes and at_once is needed, and no more")
+		return q, fmt.Errorf("one of calls, bytes, at_once and a_day is needed, and no more")
 	case q.Units < 1 || q.Units > unitsMost:
 		return q, fmt.Errorf("%s = %d is not from 1 to %d", strings.ReplaceAll(q.Sort.String(), " ", "_"), q.Units, unitsMost)
 	case l.Span < 0 || l.Span.D() > spanMost || l.Transit < 0 || l.Transit.D() > transitMost:
 		return q, fmt.Errorf("span = %v, transit = %v: up to %v and %v are possible", l.Span.D(), l.Transit.D(), spanMost, transitMost)
 	case (q.Sort == quota.AtOnce) != (l.Lasts > 0) || l.Lasts.D() > spanMost:
 		return q, fmt.Errorf("lasts = %v goes with at_once, is needed there, and is %v at most", l.Lasts.D(), spanMost)
-	case q.Sort == quota.AtOnce && l.Span != 0:
-		return q, fmt.Errorf("at_once has no span")
+	case q.Span == 0 && l.Span != 0:
+		return q, fmt.Errorf("at_once and a_day have no span")
+	case q.Sort == quota.Daily && (l.Over != 0 || l.Floor != 0):
+		return q, fmt.Errorf("a_day has neither over nor floor: who is cut off uses what it holds")
 	case l.Over < 0 || l.Over > unitsMost:
 		return q, fmt.Errorf("over = %d is not from 0 to %d", l.Over, unitsMost)
 	case l.Floor < 0 || (l.Floor > 0) != (l.FloorFor > 0) || l.FloorFor < 0 || l.Floor > 0 && l.FloorFor > q.Units/l.Floor:
@@ -291,6 +298,8 @@
 		text = fmt.Sprintf("%d bytes in %v", l.Units, l.Span)
 	case quota.AtOnce:
 		text = fmt.Sprintf("%d calls at once, of %v at most", l.Units, l.Lasts)
+	case quota.Daily:
+		text = fmt.Sprintf("%d calls a day", l.Units)
 	}
 	if l.Learns {
 		text += ", or as the receiver tells"
--- a/internal/quota/lender.go
+++ b/internal/quota/lender.go
@@ -22,6 +22,9 @@
 	coming *roster.Charge // nil: none is
 	begun  []begun        // rosters, the one in force last
 	books  map[string]*Book
+	pots   map[string]*Pot
+	day    int64                    // as this sender's calendar has it
+	draws  []Draw                   // that the log is to be asked for
 	told   map[string]told          // what receivers tell of their limits
 	heard  map[string]time.Duration // since when a limit that grows is there
 	wait   func(time.Duration) time.Duration
@@ -46,7 +49,7 @@
 
 // NewLender makes one that is in charge of nothing.
 func NewLender(me lease.Who, t Terms) *Lender {
-	return &Lender{me: me, terms: t, limits: map[string]Limit{}, books: map[string]*Book{}, told: map[string]told{}, heard: map[string]time.Duration{}, wait: func(d time.Duration) time.Duration { return d }}
+	return &Lender{me: me, terms: t, limits: map[string]Limit{}, books: map[string]*Book{}, pots: map[string]*Pot{}, told: map[string]told{}, heard: map[string]time.Duration{}, wait: func(d time.Duration) time.Duration { return d }}
 }
 
 // Wrong has a test make a wrong authority, whose quiet is another.
@@ -88,6 +91,11 @@
 				delete(l.books, key)
 			}
 		}
+		for key := range l.pots {
+			if !l.mine(l.now().charge, key) {
+				delete(l.pots, key)
+			}
+		}
 	}
 	l.coming = nil
 	if s.GetComing() != 0 {
@@ -137,6 +145,12 @@
 		if l.coming != nil && !l.mine(l.coming, a.Key) {
 			continue // it moves: nothing more is lent here
 		}
+		if limit.Sort == Daily {
+			if lent, ok := l.daily(limit, who, r.Seq, a, now); ok {
+				reply.Lent = append(reply.Lent, lent)
+			}
+			continue
+		}
 		if a.Told > 0 {
 			if t := (told{a.Told, now - max(0, time.Duration(a.ToldAgeUs)*time.Microsecond)}); t.at >= l.told[a.Key].at {
 				l.told[a.Key] = t
@@ -158,6 +172,48 @@
 	return reply, nil
 }
 
+// Draw is units of a day's quota that the log is asked for.
+type Draw struct {
+	Key    string
+	Epoch  uint64
+	Period int64
+	Units  int64
+	Most   int64 // in the period
+}
+
+// Day begins a day, as this sender's calendar has it. Calendars that differ do no harm: the log lets no day come back.
+func (l *Lender) Day(day int64) { l.day = max(l.day, day) }
+
+// Draws are those that the log is to be asked for since it was looked last.
+func (l *Lender) Draws() []Draw {
+	d := l.draws
+	l.draws = nil
+	return d
+}
+
+// Drawn is what the log gave of one.
+func (l *Lender) Drawn(d Draw, units int64) {
+	if p := l.pots[d.Key]; p != nil && d.Epoch == l.Epoch() {
+		p.Drawn(d.Period, units)
+	}
+}
+
+// daily lends of a day's quota.
+func (l *Lender) daily(limit Limit, who lease.Who, seq uint64, a *pb.LendAsk, now time.Duration) (*pb.Lent, bool) {
+	p := l.pots[limit.Key]
+	if p == nil {
+		p = NewPot(limit, l.terms)
+		l.pots[limit.Key] = p
+	}
+	p.limit = limit
+	p.Begin(l.day)
+	lent, draw, ok := p.Ask(who, Ask{Seq: seq, Holds: a.Holds, Want: a.Want, Piece: a.Piece, Spent: a.Spent}, now)
+	if draw > 0 {
+		l.draws = append(l.draws, Draw{limit.Key, l.Epoch(), p.period, draw, limit.Units})
+	}
+	return &pb.Lent{Key: limit.Key, Units: lent.Units, LengthUs: lent.Length.Microseconds(), UnitsInAll: limit.Units}, ok
+}
+
 // effectiveAt is a limit with what its receiver tells, if it is one that learns: the lower of both.
 func (l *Lender) effectiveAt(limit Limit, now time.Duration) Limit {
 	if limit.RampTo > limit.Units && limit.RampFor > 0 {
@@ -205,6 +261,13 @@
 	for key, b := range l.books {
 		all = append(all, Report{key, b.limit, b.Out(now), max(0, b.quiet-now), b.Lines(now)})
 	}
+	for key, p := range l.pots {
+		out := int64(0)
+		for _, line := range p.Lines(now) {
+			out += line.Units
+		}
+		all = append(all, Report{key, p.limit, out, 0, p.Lines(now)})
+	}
 	slices.SortFunc(all, func(a, b Report) int { return byKey(a.Limit, b.Limit) })
 	return all
 }
--- /dev/null
+++ b/internal/quota/pot_test.go
@@ -0,0 +1,135 @@
+package quota
+
+import (
+	"encoding/binary"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"dockshift.example/dockshift/internal/agreed/lease"
+	"dockshift.example/dockshift/internal/roster"
+	pb "dockshift.example/dockshift/proto/saffronyard/fleet/v1"
+)
+
+// A day's quota under answers that are lost, holders that die and come back, authorities that are replaced, and days that begin: never
+// more is used than the day has, but for what was lent as it began; and with nothing lost it is used to the last unit.
+func TestDaysQuota(t *testing.T) {
+	t.Parallel()
+	day := Limit{Key: "x", Sort: Daily, Units: 1000}
+	for seed := range uint64(300) {
+		rng := rand.New(rand.NewPCG(seed, 5))
+		log, index, epoch := roster.NewMachine(), uint64(0), uint64(0)
+		apply := func(r *pb.Roster) (int64, string) {
+			raw, err := proto.Marshal(r)
+			if err != nil {
+				t.Fatal(err)
+			}
+			index++
+			result, refused, err := log.Apply(index, raw)
+			if err != nil {
+				t.Fatal(err)
+			}
+			units, _ := binary.Varint(result)
+			return units, refused
+		}
+		pot := NewPot(day, simTerms)
+		replace := func() {
+			apply(&pb.Roster{What: &pb.Roster_Come{Come: &pb.Come{Base: epoch}}})
+			epoch++
+			if _, refused := apply(&pb.Roster{What: &pb.Roster_Begin{Begin: &pb.RosterStep{Epoch: epoch}}}); refused != "" {
+				t.Fatal(refused)
+			}
+			pot = NewPot(day, simTerms)
+		}
+		replace()
+		now, period := time.Hour, int64(10)
+		pot.Begin(period)
+		type one struct {
+			who   lease.Who
+			purse *Purse
+			seq   uint64
+		}
+		holders := make([]one, 3)
+		lives := uint64(0)
+		begin := func(i int) {
+			lives++
+			holders[i] = one{lease.Who{Name: string(rune('a' + i)), Life: lives}, NewPurse(day, simTerms.Drift, false, now), 0}
+		}
+		for i := range holders {
+			begin(i)
+		}
+		used, carried, sound := int64(0), int64(0), seed%3 == 0
+		for step := range 3000 {
+			now += time.Duration(rng.Int64N(int64(200 * time.Millisecond)))
+			h, n := &holders[rng.IntN(len(holders))], rng.IntN(40)
+			if sound {
+				h, n = &holders[step%len(holders)], 10 // all ask in time
+			}
+			switch {
+			case !sound && n == 0:
+				begin(rng.IntN(len(holders)))
+			case !sound && n == 1:
+				replace()
+				pot.Begin(period)
+			case !sound && n == 2 && step > 1500 && period == 10:
+				carried = 0
+				for i := range holders {
+					carried += holders[i].purse.lent(now)
+				}
+				period, used = 11, 0
+				pot.Begin(period)
+			case n < 20:
+				h.seq++
+				asked := now
+				q := Ask{Seq: h.seq, Want: 30, Piece: 1}
+				q.Holds, q.Rests, q.Left = h.purse.Promise(30, now)
+				q.Spent = h.purse.Spent()
+				if !sound && rng.IntN(5) == 0 {
+					continue // the question is lost
+				}
+				lent, draw, ok := pot.Ask(h.who, q, now)
+				if !ok {
+					t.Fatalf("seed %d: a new question is taken for an old one", seed)
+				}
+				if draw > 0 {
+					units, _ := apply(&pb.Roster{What: &pb.Roster_Draw{Draw: &pb.Draw{Epoch: epoch, Key: "x", Period: period, Units: draw, Most: day.Units}}})
+					if !sound && rng.IntN(5) == 0 {
+						units = 0 // the answer is lost, and so are they
+					}
+					pot.Drawn(period, units)
+				}
+				for range rng.IntN(4) { // used between question and answer
+					if h.purse.Take(1, now) {
+						used++
+					}
+				}
+				if !sound && rng.IntN(5) == 0 {
+					continue // the answer is lost
+				}
+				h.purse.Lent(lent.Units, asked, lent.Length, now)
+			default:
+				if h.purse.Take(1, now) {
+					used++
+				}
+			}
+			if used > day.Units+carried {
+				t.Fatalf("seed %d: %d are used of a day's %d, and %d were lent as it began", seed, used, day.Units, carried)
+			}
+		}
+		if sound && used != day.Units {
+			t.Errorf("seed %d: %d are used of %d, with nothing lost", seed, used, day.Units)
+		}
+		if used == 0 {
+			t.Errorf("seed %d: nothing is used", seed)
+		}
+		// An authority of before, and a day that is over, get nothing.
+		if _, refused := apply(&pb.Roster{What: &pb.Roster_Draw{Draw: &pb.Draw{Epoch: epoch - 1, Key: "x", Period: period, Units: 1, Most: 1 << 30}}}); refused == "" {
+			t.Errorf("seed %d: an authority of before draws", seed)
+		}
+		if _, refused := apply(&pb.Roster{What: &pb.Roster_Draw{Draw: &pb.Draw{Epoch: epoch, Key: "x", Period: period - 1, Units: 1, Most: 1 << 30}}}); refused == "" {
+			t.Errorf("seed %d: a day that is over is drawn from", seed)
+		}
+	}
+}
--- a/internal/quota/purse.go
+++ b/internal/quota/purse.go
@@ -21,6 +21,7 @@
 	rests int64         // units of those
 	out   int64         // AtOnce: in use by calls that are out
 	spent int64         // Daily: all that this process has used
+	told  int64         // and of that, as the last question told
 }
 
 type use struct {
@@ -169,8 +170,8 @@
 	p.settle(now)
 	lent := p.lent(now)
 	if p.limit.Sort == Daily {
-		p.units = min(p.units, max(0, keep))
-		return p.lent(now), 0, 0
+		p.units, p.told = min(p.lent(now), max(0, keep)), p.spent
+		return p.units, 0, 0
 	}
 	keep = max(0, min(keep, lent))
 	holds = max(keep, min(p.had, max(0, p.out-p.floor)))
@@ -189,6 +190,9 @@
 	if asked+length <= now {
 		return
 	}
+	if p.limit.Sort == Daily { // some of it was used since the question
+		units -= p.spent - p.told
+	}
 	p.units, p.until = units, asked+length
 	p.had = max(p.had, units)
 }
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -9,6 +9,7 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"fmt"
 	"slices"
 	"time"
@@ -57,18 +58,58 @@
 			}
 			seen[p.GetName()] = true
 		}
-		m.state = &pb.RosterState{Epoch: s.Epoch, Since: s.Since, Parts: s.Parts, Coming: s.Epoch + 1, From: index, Next: w.Come.GetParts()}
+		m.state = &pb.RosterState{Epoch: s.Epoch, Since: s.Since, Parts: s.Parts, Coming: s.Epoch + 1, From: index, Next: w.Come.GetParts(), Drawn: s.Drawn}
 		return nil, "", nil
 	case *pb.Roster_Begin:
 		if s.Coming == 0 || s.Coming != w.Begin.GetEpoch() {
 			return nil, fmt.Sprintf("roster %d is not about to begin", w.Begin.GetEpoch()), nil
 		}
-		m.state = &pb.RosterState{Epoch: s.Coming, Since: index, Parts: s.Next}
+		m.state = &pb.RosterState{Epoch: s.Coming, Since: index, Parts: s.Next, Drawn: s.Drawn}
 		return nil, "", nil
 	}
+	if w, ok := c.GetWhat().(*pb.Roster_Draw); ok {
+		units, refused := m.draw(w.Draw)
+		return binary.AppendVarint(nil, units), refused, nil
+	}
 	return nil, "", fmt.Errorf("a command on the roster is of a sort that this program does not know")
 }
 
+// drawnMost is of how many quotas it is kept what was drawn.
+const drawnMost = 20_000
+
+// draw gives units of a day's quota, as far as there are any. A day that is over does not come back, whatever calendar asks.
+func (m *Machine) draw(d *pb.Draw) (units int64, refused string) {
+	s := m.state
+	if d.GetEpoch() != s.Epoch {
+		return 0, fmt.Sprintf("it was drawn under roster %d, and roster %d is in force", d.GetEpoch(), s.Epoch)
+	}
+	i, known := slices.BinarySearchFunc(s.Drawn, d.GetKey(), func(o *pb.Drawn, key string) int { return cmp.Compare(o.Key, key) })
+	is := &pb.Drawn{Key: d.GetKey(), Period: d.GetPeriod()}
+	if known {
+		switch was := s.Drawn[i]; {
+		case d.GetPeriod() < was.Period:
+			return 0, fmt.Sprintf("day %d is over; it is day %d", d.GetPeriod(), was.Period)
+		case d.GetPeriod() == was.Period:
+			is.Units = was.Units
+		}
+	} else if len(s.Drawn) >= drawnMost {
+		return 0, fmt.Sprintf("%d quotas are kept, which is the most", drawnMost)
+	}
+	units = min(d.GetUnits(), d.GetMost()-is.Units)
+	if units <= 0 {
+		return 0, fmt.Sprintf("all %d of day %d are drawn", d.GetMost(), d.GetPeriod())
+	}
+	is.Units += units
+	drawn := slices.Clone(s.Drawn)
+	if known {
+		drawn[i] = is
+	} else {
+		drawn = slices.Insert(drawn, i, is)
+	}
+	m.state = &pb.RosterState{Epoch: s.Epoch, Since: s.Since, Parts: s.Parts, Coming: s.Coming, From: s.From, Next: s.Next, Drawn: drawn}
+	return units, ""
+}
+
 // Snapshot is the whole state.
 func (m *Machine) Snapshot() ([]byte, error) {
 	return proto.MarshalOptions{Deterministic: true}.Marshal(m.state)
