--- a/brain/brain.go
+++ b/brain/brain.go
@@ -49,7 +49,6 @@
 	paceUnheard = 4                      // seconds without an answer that count in it at most
 	plenty      = 0.3                    // share of the allowance left from which the pace may grow
 	scarce      = 0.1                    // and below which it is cut
-	late        = 50 * time.Millisecond  // a call that was due so long ago at the most is made up for, where a limit is lent
 	passedOver  = 2 * time.Second        // how long a message passed over is thought to wait
 	anyWorth    = 0.1                    // weight of the worth itself beside its loss by waiting
 	holdFull    = 0.95                   // share of the room for messages from which some are refused
@@ -192,8 +191,7 @@
 		rate, burst = r.pace, max(1, r.pace)
 	}
 	if shared { // by the fleet: nothing is guessed of what others use
-		rate = min(rate, lent.Mine/float64(b.routesOf(r.of)))
-		burst = 1 + rate*late.Seconds()
+		rate, burst = min(rate, lent.Mine/float64(b.routesOf(r.of))), 1
 	}
 	switch {
 	case r.state == out:
