One that takes over a verdict waits to be told before it lifts it

After the death of the one in charge the next one had heard nobody, took that for a sign that nobody tells of the outage any more, and lifted the verdict at once; all senders went there by themselves. It counts from when it first saw the verdict now; a test is red without it.

--- a/internal/verdict/court.go
+++ b/internal/verdict/court.go
@@ -88,8 +88,8 @@
 // roster that makes it so.
 func (c *Court) Judge(now time.Duration, epoch uint64, me string, mine func(uint32) bool, rule func(uint32) (Rule, bool), s *pb.VerdictsState) (words []*pb.Judgement) {
 	for _, v := range s.GetVerdicts() { // also those that nobody testifies on any more
-		if Sort(v.Sort) != Suspended {
-			c.of(v.Destination)
+		if Sort(v.Sort) != Suspended && c.cases[v.Destination] == nil {
+			c.of(v.Destination).spoke = now // one that takes over has heard nobody yet, which is no sign
 		}
 	}
 	ds := make([]uint32, 0, len(c.cases))
--- a/internal/verdict/verdict_test.go
+++ b/internal/verdict/verdict_test.go
@@ -228,6 +228,13 @@
 			tr.rule = Rule{}
 			tr.is(1500 * ms)
 		}, "none"},
+		"one that takes over waits to be told": {func(tr *trial) {
+			tr.says("a", 7, knowledge.Out, 0)
+			tr.says("b", 7, knowledge.Out, 0)
+			tr.is(1000 * ms)
+			tr.c, tr.epoch = NewCourt(), 2
+			tr.is(3000 * ms)
+		}, "out"},
 		"one that takes over goes on": {func(tr *trial) {
 			tr.says("a", 7, knowledge.Out, 0)
 			tr.says("b", 7, knowledge.Out, 0)
