--- a/cmd/rehearse/limits.go
+++ b/cmd/rehearse/limits.go
@@ -91,10 +91,10 @@
 						v = ration.Verdict{Calls: v.Calls, Refused: v.Refused, Served: v.Served}
 					}
 					if one.Outage > 0 {
-						back := ration.CheckReturn(r, 0)
+						back := ration.CheckReturn(r)
 						v.Broken = append(v.Broken, back.Broken...)
 						mu.Lock()
-						fmt.Fprintf(out, "seed %d: %d calls while it was out; %d in the first two seconds of its return, %d in any second of it at most; %v until it serves four fifths again\n", seed, back.Probes, back.Early, back.Most, back.Full.Round(time.Millisecond))
+						fmt.Fprintf(out, "seed %d: %d calls under a verdict, %d of them while it was out; %d in the first two seconds of its return, %d in any second of it at most; %v until it serves four fifths again\n", seed, back.Judged, back.Probes, back.Early, back.Most, back.Full.Round(time.Millisecond))
 						mu.Unlock()
 					}
 				} else {
--- a/cmd/saffronyard/limits_test.go
+++ b/cmd/saffronyard/limits_test.go
@@ -58,27 +58,39 @@
 	}
 }
 
-// A receiver hangs and comes back: while it is out one call of all senders goes there in a span, and its return is one ramp. Senders that
-// each find out by themselves are seen to keep neither.
+// A receiver hangs and comes back: while it is held to be out one call of all senders goes there in a span, and its return is one ramp,
+// also where the one in charge dies meanwhile. A day on which each finds out by itself is seen to keep neither, judged by the other's verdicts.
 func TestOutageIsTheFleets(t *testing.T) {
 	t.Parallel()
-	for _, together := range []bool{true, false} {
-		t.Run(fmt.Sprintf("together %v", together), func(t *testing.T) {
-			t.Parallel()
-			o := ration.Options{Seed: 1, Senders: 4, Voters: 3, Rate: 40, Free: true, Verdict: together, Outage: 9 * time.Second, Seconds: 10, Quiet: true, Command: itself(), Folder: t.TempDir()}
-			ctx, cancel := context.WithTimeout(context.Background(), 3*time.Minute)
-			defer cancel()
-			r, err := ration.Run(ctx, o)
-			if err != nil {
-				t.Fatal(err)
-			}
-			r.Options.Verdict = true // both are judged by it
-			v := ration.CheckReturn(r, 0)
-			t.Logf("%d probes, %d calls in the first two seconds, %d in any second, %v until it serves as before", v.Probes, v.Early, v.Most, v.Full)
-			if (len(v.Broken) == 0) != together || together && v.Probes == 0 {
-				t.Errorf("%d probes, broken: %q", v.Probes, v.Broken)
-			}
-		})
+	var days [2]*ration.Result
+	t.Run("days", func(t *testing.T) {
+		for i, together := range []bool{true, false} {
+			t.Run(fmt.Sprintf("together %v", together), func(t *testing.T) {
+				t.Parallel()
+				o := ration.Options{Seed: 1, Senders: 4, Voters: 3, Rate: 40, Free: true, Verdict: together, Outage: 9 * time.Second, Seconds: 10, Quiet: true, Command: itself(), Folder: t.TempDir()}
+				if together {
+					o.CutOff = true // and the last one, without the others, begins no call once its lease is over
+				}
+				ctx, cancel := context.WithTimeout(context.Background(), 3*time.Minute)
+				defer cancel()
+				r, err := ration.Run(ctx, o)
+				if err != nil {
+					t.Fatal(err)
+				}
+				days[i] = r
+			})
+		}
+	})
+	if t.Failed() {
+		return
+	}
+	days[1].Held = days[0].Held
+	for i, r := range days {
+		v := ration.CheckReturn(r)
+		t.Logf("%d calls under a verdict, %d of them while it was out, %d broken; %d calls in the first two seconds, %d in any second, %v until it serves as before", v.Judged, v.Probes, len(v.Broken), v.Early, v.Most, v.Full)
+		if (len(v.Broken) == 0) != (i == 0) || v.Probes == 0 || v.Judged == v.Probes {
+			t.Errorf("day %d: %d under a verdict, %d probes, broken: %q", i, v.Judged, v.Probes, v.Broken[:min(3, len(v.Broken))])
+		}
 	}
 }
 
--- a/internal/fleetpolicy/machine.go
+++ b/internal/fleetpolicy/machine.go
@@ -219,9 +219,9 @@
 	if is == nil || !ruled {
 		return l, false
 	}
-	l = quota.Limit{Key: fmt.Sprintf("destination %d, probes", destination), Units: 1, Span: r.Probe, Transit: transitDefault}
+	l = quota.Limit{Key: fmt.Sprintf("destination %d, probes", destination), Units: 1, Span: r.Probe, Transit: r.Transit}
 	if verdict.Sort(is.Sort) == verdict.Cold {
-		l = quota.Limit{Key: fmt.Sprintf("destination %d, return", destination), Units: r.Cold, Span: time.Second, Transit: transitDefault, RampTo: r.Warm, RampFor: r.WarmFor}
+		l = quota.Limit{Key: fmt.Sprintf("destination %d, return", destination), Units: r.Cold, Span: time.Second, Transit: r.Transit, RampTo: r.Warm, RampFor: r.WarmFor}
 	}
 	return l, true
 }
--- a/internal/fleetpolicy/verdicts.go
+++ b/internal/fleetpolicy/verdicts.go
@@ -21,6 +21,7 @@
 	Warm         int64         `toml:"warm"`               // which grow to so many
 	WarmFor      tomlfile.Span `toml:"warm_for,omitempty"` // in this time; default 14s
 	Lasts        tomlfile.Span `toml:"lasts,omitempty"`    // a verdict that is not said again is over; default 15s
+	Transit      tomlfile.Span `toml:"transit,omitempty"`  // by so much may the ways of two calls differ; default 20ms
 }
 
 const (
@@ -40,7 +41,8 @@
 		bad := func(format string, args ...any) (map[uint32]verdict.Rule, error) {
 			return nil, fmt.Errorf("verdict %d: "+format, append([]any{i + 1}, args...)...)
 		}
-		r := verdict.Rule{Agree: cmp.Or(v.Agree, agreeDefault), Probe: cmp.Or(v.Probe.D(), probeDefault), Cold: v.Cold, Warm: v.Warm, WarmFor: cmp.Or(v.WarmFor.D(), warmDefault), Lasts: cmp.Or(v.Lasts.D(), lastsDefault)}
+		r := verdict.Rule{Agree: cmp.Or(v.Agree, agreeDefault), Probe: cmp.Or(v.Probe.D(), probeDefault), Cold: v.Cold, Warm: v.Warm, WarmFor: cmp.Or(v.WarmFor.D(), warmDefault), Lasts: cmp.Or(v.Lasts.D(), lastsDefault),
+			Transit: cmp.Or(v.Transit.D(), transitDefault)}
 		switch {
 		case len(v.Destinations) == 0:
 			return bad("it names no destinations")
@@ -52,6 +54,8 @@
 			return bad("cold = %d and warm = %d: both are needed, calls a second, the second no fewer", r.Cold, r.Warm)
 		case r.WarmFor <= 0 || r.WarmFor > warmMost:
 			return bad("warm_for = %v is not up to %v", r.WarmFor, warmMost)
+		case r.Transit > transitMost:
+			return bad("transit = %v is not up to %v", r.Transit, transitMost)
 		case r.Lasts < lastsLeast || r.Lasts > verdict.LastsMost:
 			return bad("lasts = %v is not from %v to %v", r.Lasts, lastsLeast, verdict.LastsMost)
 		}
--- a/internal/rehearsal/concord/concord.go
+++ b/internal/rehearsal/concord/concord.go
@@ -200,6 +200,18 @@
 	return r.Policy.Version, err
 }
 
+// SeenVerdict is one that a sender goes by.
+type SeenVerdict struct {
+	Destination uint32 `json:"destination"`
+	Verdict     string `json:"verdict"`
+	Since       uint64 `json:"since"`
+}
+
+// Verdicts are those that a sender goes by.
+func Verdicts(ctx context.Context, d *day.Day, i int, patience time.Duration) (all []SeenVerdict, err error) {
+	return all, ask(ctx, d, i, http.MethodGet, "/verdicts", nil, patience, &all)
+}
+
 // Propose hands a document in at a sender, made from a version.
 func Propose(ctx context.Context, d *day.Day, i int, base uint64, document []byte, patience time.Duration) error {
 	q := url.Values{"base": {fmt.Sprint(base)}, "wait": {"20s"}, "why": {"rehearsal"}}
--- a/internal/rehearsal/ration/ration.go
+++ b/internal/rehearsal/ration/ration.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"dockshift.example/dockshift/internal/rehearsal/concord"
@@ -52,6 +53,30 @@
 	Words   []Word // limits that were in force, and from when they bind
 	Faults  int
 	Healed  time.Duration // all is sound from here on
+
+	mu   sync.Mutex
+	Held map[uint64]*Held // verdicts on receiver 0 as senders showed them, by the entry from which each stands
+}
+
+// Held is a verdict that some sender was seen to go by.
+type Held struct {
+	Sort        string
+	First, Last time.Duration
+	Gone        time.Duration // a sender that had shown it was seen without it, not before then; 0: none was
+}
+
+// ends is until when it surely stood: another that follows it, or its end, may have been known before it was seen.
+func (r *Result) ends(h *Held) time.Duration {
+	end := h.Last
+	if h.Gone > 0 {
+		end = min(end, h.Gone-eager)
+	}
+	for _, o := range r.Held {
+		if o.First > h.First {
+			end = min(end, o.First-eager)
+		}
+	}
+	return end
 }
 
 // Word is a limit that binds from a time on.
@@ -145,7 +170,7 @@
 		text = "cut_off = \"go-on\"\ngo_on_for = \"5m\"\n"
 	}
 	if o.Verdict {
-		text += fmt.Sprintf("[[verdict]]\ndestinations = [0]\nprobe = \"%v\"\ncold = %d\nwarm = %d\nwarm_for = \"%v\"\nlasts = \"6s\"\n", Probe, Cold, Warm, WarmFor)
+		text += fmt.Sprintf("[[verdict]]\ndestinations = [0]\nprobe = \"%v\"\ncold = %d\nwarm = %d\nwarm_for = \"%v\"\nlasts = \"6s\"\ntransit = \"%v\"\n", Probe, Cold, Warm, WarmFor, o.Transit)
 	}
 	if o.Free {
 		return []byte(text)
@@ -168,7 +193,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Result{Options: o, Faults: len(plan.Acts)}
+	r := &Result{Options: o, Faults: len(plan.Acts), Held: map[uint64]*Held{}}
 	var failed error
 	r.Events, _, err = day.Play(ctx, plan, day.Options{Command: o.Command, Folder: o.Folder, During: func(ctx context.Context, d *day.Day) { failed = r.during(ctx, d) }})
 	return r, errors.Join(err, failed)
@@ -188,6 +213,22 @@
 	if err := limit(o.Units); err != nil {
 		return fmt.Errorf("the limit does not come in force: %w", err)
 	}
+	if o.Verdict {
+		watch, stop := context.WithCancel(ctx)
+		var watching sync.WaitGroup
+		for i := range o.Senders {
+			watching.Add(1)
+			go func() {
+				defer watching.Done()
+				r.watch(watch, d, i)
+			}()
+		}
+		defer func() {
+			day.Sleep(ctx, heals+WarmFor) // the return is watched, too
+			stop()
+			watching.Wait()
+		}()
+	}
 	over := begins + time.Duration(o.Seconds*float64(time.Second))
 	if o.Halve {
 		day.Sleep(ctx, begins+(over-begins)/2-d.Now())
@@ -201,6 +242,39 @@
 	return nil
 }
 
+// watch sees which verdict a sender goes by.
+func (r *Result) watch(ctx context.Context, d *day.Day, i int) {
+	last, shown := time.Duration(0), uint64(0)
+	for ctx.Err() == nil {
+		before := d.Now()
+		all, err := concord.Verdicts(ctx, d, i, askTime)
+		if err != nil {
+			day.Sleep(ctx, look)
+			continue
+		}
+		r.mu.Lock()
+		now := uint64(0)
+		for _, v := range all {
+			if v.Destination != 0 {
+				continue
+			}
+			now = v.Since
+			h := r.Held[v.Since]
+			if h == nil {
+				h = &Held{Sort: v.Verdict, First: d.Now()}
+				r.Held[v.Since] = h
+			}
+			h.Last = max(h.Last, before) // it was still so when it was asked
+		}
+		if h := r.Held[shown]; h != nil && now != shown && (h.Gone == 0 || last < h.Gone) {
+			h.Gone = last
+		}
+		last, shown = before, now
+		r.mu.Unlock()
+		day.Sleep(ctx, look)
+	}
+}
+
 // propose has a document take hold, by whichever sender answers, and gives when it was seen to.
 func propose(ctx context.Context, d *day.Day, senders int, document []byte) (time.Duration, error) {
 	var err error
@@ -232,22 +306,25 @@
 	Warm    = 60
 	WarmFor = 8 * time.Second
 
-	hears = 5 * time.Second         // by then an outage is seen: a call that hangs for four seconds is no silence before
-	acts  = 2100 * time.Millisecond // and from then on, as from a return, all senders go by what the fleet holds: one that has not heard of it has no lease
+	// acts is how long after a verdict was first seen somewhere each sender goes by it: one that has not heard of it has no lease by then.
+	acts  = 1500 * time.Millisecond
+	look  = 40 * time.Millisecond
+	eager = time.Second // by so much may the one in charge have heard of a return sooner than it was seen
 )
 
 // Return is what became of a receiver's outage, as the receiver saw it.
 type Return struct {
 	Broken []string
-	Probes int           // calls that came while it was out, once that was seen
+	Judged int           // calls that came under a verdict
+	Probes int           // and of those, while it was held to be out
 	Most   int           // calls that came in one second within WarmFor of its return
 	Early  int           // calls that came in the first two seconds of it
 	Full   time.Duration // from its return until four fifths of what is handed in for it are served again
 }
 
-// CheckReturn judges an outage: once it is seen one call of all senders comes in Probe, and from the return on no more than the fleet's
-// ramp allows. Cut says how many senders hear nothing of the others and probe by themselves.
-func CheckReturn(r *Result, cut int) (v Return) {
+// CheckReturn judges an outage: while a verdict was seen to stand at some sender, from a lease after it was first seen, one call of all
+// senders comes in Probe, or no more than the ramp allows.
+func CheckReturn(r *Result) (v Return) {
 	var off, on, back time.Duration
 	var calls, served []time.Duration
 	for _, e := range r.Events {
@@ -272,13 +349,16 @@
 		return v
 	}
 	// most is how many may come in a span that ends at a time.
-	most := func(t time.Duration) (int, time.Duration) {
-		switch {
-		case t > off+hears+acts && t < on:
-			return 1 + cut, Probe
-		case t > back+acts && t < back+WarmFor:
-			grown := float64(Warm-Cold) * (t - back + acts).Seconds() / WarmFor.Seconds()
-			return min(Warm, Cold+int(grown)+1), time.Second
+	most := func(t time.Duration) (n int, span time.Duration) {
+		for _, h := range r.Held {
+			switch since := t - h.First; {
+			case t > r.ends(h):
+			case h.Sort == "out" && since > acts+Probe:
+				return 1, Probe
+			case h.Sort == "cold" && since > acts+time.Second:
+				grown := float64(Warm-Cold) * (since + eager).Seconds() / WarmFor.Seconds()
+				return min(Warm, Cold+int(grown)), time.Second
+			}
 		}
 		return 0, 0
 	}
@@ -286,7 +366,8 @@
 		if t > back && t < back+2*time.Second {
 			v.Early++
 		}
-		if t > off+hears+acts && t < on {
+		n, span := most(t)
+		if span == Probe {
 			v.Probes++
 		}
 		second := 1 // with those of the second before
@@ -296,7 +377,8 @@
 		if t > back && t < back+WarmFor {
 			v.Most = max(v.Most, second)
 		}
-		if n, span := most(t); span > 0 && r.Options.Verdict {
+		if span > 0 {
+			v.Judged++
 			came := 1
 			for j := i - 1; j >= 0 && calls[j] > t-span; j-- {
 				came++
--- a/internal/verdict/court.go
+++ b/internal/verdict/court.go
@@ -17,6 +17,7 @@
 	Warm    int64         // which grow to so many
 	WarmFor time.Duration // in this time
 	Lasts   time.Duration // a verdict that is not said again is over
+	Transit time.Duration // by so much may the ways of two calls differ
 }
 
 // Lone is how long the word of one sender alone waits for others.
