--- a/cmd/saffronyard/fleet_test.go
+++ b/cmd/saffronyard/fleet_test.go
@@ -27,9 +27,19 @@
 	c.Now = func() time.Duration { return began + (fleet.Now()-began)/20 }
 }
 
+// daysAtOnce is how many days of processes are played side by side: each has several that write to one disk, as other tests do.
+var daysAtOnce = make(chan struct{}, 4)
+
+// turn waits until a day may be played.
+func turn(t *testing.T) {
+	daysAtOnce <- struct{}{}
+	t.Cleanup(func() { <-daysAtOnce })
+}
+
 // concordRun plays a day of processes of the program.
 func concordRun(t *testing.T, o concord.Options) (*concord.Result, concord.Verdict) {
 	t.Helper()
+	turn(t)
 	o.Folder = t.TempDir()
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Minute)
 	defer cancel()
--- a/cmd/saffronyard/limits_test.go
+++ b/cmd/saffronyard/limits_test.go
@@ -26,6 +26,7 @@
 // rationRun plays a day of processes of the program that share a limit out.
 func rationRun(t *testing.T, o ration.Options) ration.Verdict {
 	t.Helper()
+	turn(t)
 	o.Folder = t.TempDir()
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Minute)
 	defer cancel()
@@ -67,6 +68,7 @@
 		for i, together := range []bool{true, false} {
 			t.Run(fmt.Sprintf("together %v", together), func(t *testing.T) {
 				t.Parallel()
+				turn(t)
 				o := ration.Options{Seed: 1, Senders: 4, Voters: 3, Rate: 40, Free: true, Verdict: together, Outage: 9 * time.Second, Seconds: 10, Quiet: true, Command: itself(), Folder: t.TempDir()}
 				if together {
 					o.CutOff = true // and the last one, without the others, begins no call once its lease is over
--- a/cmd/saffronyard/peerlinks_test.go
+++ b/cmd/saffronyard/peerlinks_test.go
@@ -46,6 +46,7 @@
 // off is taken for dead on both sides, and is there again once the links are sound.
 func TestMembershipThroughLinks(t *testing.T) {
 	t.Parallel()
+	turn(t)
 	s, err := script.Parse("peers.toml", []byte(peersDay))
 	if err != nil {
 		t.Fatal(err)
--- a/internal/calls/permit.go
+++ b/internal/calls/permit.go
@@ -19,7 +19,8 @@
 	Cancel context.CancelFunc // ends the call
 
 	// Enter is what the fleet says of the call at this very moment; nil where senders agree on nothing. left is to be called when the
-	// message is written; over when the call has ended, or with false if it was not written after all.
+	// message is written; over, where it is not nil, when the call has ended, or with false if it was not
+	// written after all.
 	Enter   func() (left func(), over func(written bool), ok bool)
 	over    func(written bool) // of a message that is written
 	against atomic.Bool        // the fleet said no
@@ -39,7 +40,7 @@
 		p.state.CompareAndSwap(granted, takenBack)
 		return nil, false
 	}
-	over := func(bool) {}
+	var over func(bool)
 	if p.Enter != nil {
 		if written, over, ok = p.Enter(); !ok {
 			if p.state.CompareAndSwap(granted, takenBack) {
@@ -50,7 +51,9 @@
 	}
 	if !p.state.CompareAndSwap(granted, used) {
 		written()
-		over(false)
+		if over != nil {
+			over(false)
+		}
 		return nil, false
 	}
 	p.over = over
--- a/internal/fleet/gate.go
+++ b/internal/fleet/gate.go
@@ -22,6 +22,7 @@
 type room struct {
 	view    atomic.Pointer[fleetpolicy.View] // its index moves on while it stays the same to each call
 	inside  atomic.Int64
+	leave   func()        // left, made once
 	empty   chan struct{} // holds a word when it may be empty
 	closing atomic.Bool
 }
@@ -50,10 +51,18 @@
 			r.left()
 			return nil, why
 		}
-		return r.left, ""
+		return r.leave, ""
 	}
 }
 
+// current is what calls go by, whether or not any are begun; nil while nothing is known. It asks no clock.
+func (g *Gate) current() *fleetpolicy.View {
+	if r := g.room.Load(); r != nil {
+		return r.view.Load()
+	}
+	return nil
+}
+
 // acts reports whether the lease lasts, at this very moment; or whether the policy has senders go on without one.
 func (g *Gate) acts(v *fleetpolicy.View, now time.Duration) bool {
 	until := time.Duration(g.until.Load())
@@ -85,6 +94,7 @@
 	was := g.room.Load()
 	if was == nil || drain {
 		r := &room{empty: make(chan struct{}, 1)}
+		r.leave = r.left
 		r.view.Store(v)
 		g.room.Store(r)
 	} else {
--- a/internal/fleet/limits.go
+++ b/internal/fleet/limits.go
@@ -308,16 +308,16 @@
 }
 
 // Enter asks at the moment of writing whether a call may be begun, and takes what it uses of limits. left is to be called when it is
-// written, or will not be; over when it has ended, with whether it was written.
+// written, or will not be; over, if it is not nil, when it has ended, with whether it was written.
 func (n *Node) Enter(c fleetpolicy.Call) (left func(), over func(written bool), why string) {
 	left, why = n.gate.Enter(c)
 	if why != "" {
 		return nil, nil, why
 	}
-	v, _ := n.gate.View()
+	v := n.gate.current()
 	uses := v.Uses(c)
 	if len(uses) == 0 {
-		return left, func(bool) {}, ""
+		return left, nil, ""
 	}
 	if ok, lacks := n.limits.till.Take(uses, n.c.Now()); !ok {
 		left()
@@ -334,7 +334,7 @@
 
 // Waits notes that so many messages more, or fewer, wait to be sent that are under a policy's limits.
 func (n *Node) Waits(c fleetpolicy.Call, messages int64) {
-	v, _ := n.gate.View()
+	v := n.gate.current()
 	if v == nil {
 		return
 	}
@@ -345,7 +345,7 @@
 
 // Recount puts what waits in place of all that was noted.
 func (n *Node) Recount(waiting map[fleetpolicy.Call]int64) {
-	v, _ := n.gate.View()
+	v := n.gate.current()
 	if v == nil {
 		return
 	}
@@ -368,7 +368,7 @@
 
 // Paces are those of destinations whose pace has changed since they were asked for, or all that are limited.
 func (n *Node) Paces(all bool) (paces []Pace) {
-	v, _ := n.gate.View()
+	v := n.gate.current()
 	if v == nil {
 		return nil
 	}
@@ -417,7 +417,7 @@
 
 // Told is that a receiver has told this sender its limit, in calls a second.
 func (n *Node) Told(destination uint32, perSecond float64) {
-	if v, _ := n.gate.View(); v != nil {
+	if v := n.gate.current(); v != nil {
 		if q, ok := v.Policy.Paced(destination); ok && q.Learns {
 			n.limits.till.Told(q.Key, perSecond, n.c.Now())
 		}
@@ -455,7 +455,7 @@
 
 // Limits shows the fleet's limits as this sender has them.
 func (n *Node) Limits(ctx context.Context) ([]LimitReport, error) {
-	v, _ := n.gate.View()
+	v := n.gate.current()
 	if v == nil {
 		return nil, status.Error(codes.Unavailable, "the fleet's policy is not known yet")
 	}
--- a/internal/fleet/verdicts.go
+++ b/internal/fleet/verdicts.go
@@ -195,7 +195,7 @@
 
 // Verdicts shows those that stand here.
 func (n *Node) Verdicts() ([]VerdictReport, error) {
-	v, _ := n.gate.View()
+	v := n.gate.current()
 	if v == nil {
 		return nil, status.Error(codes.Unavailable, "the fleet's policy is not known yet")
 	}
