--- a/cmd/rehearse/fleet.go
+++ b/cmd/rehearse/fleet.go
@@ -51,6 +51,48 @@
 	var mu sync.Mutex
 	var all concord.Verdict
 	failed, played := 0, 0
+	overSeeds(ctx, o.Seed, runs, side, func(seed uint64) {
+		one := o
+		one.Seed = seed
+		one.Senders, one.Voters = manySenders(seed, one.Senders, one.Voters, 3, 4, 5, 6, 7)
+		one.Folder = filepath.Join(logs, fmt.Sprintf("seed-%d", seed))
+		r, err := concord.Run(ctx, one)
+		if ctx.Err() != nil {
+			return
+		}
+		mu.Lock()
+		var v concord.Verdict
+		if r != nil && err == nil {
+			v = concord.Check(r)
+		} else {
+			v.Broken = []string{err.Error()}
+		}
+		played++
+		word := "kept"
+		if len(v.Broken) > 0 {
+			word, failed = "BROKEN", failed+1
+		}
+		fmt.Fprintf(out, "seed %d, %d senders, %d voters: %s; %d calls, changes: %d took hold, %d aborted, %d refused, %d unknown\n", seed, one.Senders, one.Voters, word, v.Calls, v.Commits, v.Aborts, v.Refused, v.Unknown)
+		for _, b := range v.Broken {
+			fmt.Fprintf(out, "  %s\n", b)
+		}
+		all.Calls, all.Commits, all.Aborts, all.Refused, all.Unknown = all.Calls+v.Calls, all.Commits+v.Commits, all.Aborts+v.Aborts, all.Refused+v.Refused, all.Unknown+v.Unknown
+		all.Takes, all.Switches = append(all.Takes, v.Takes...), append(all.Switches, v.Switches...)
+		mu.Unlock()
+	})
+	fmt.Fprintf(out, "%d days, %d broken; %d calls judged; changes: %d took hold, %d aborted, %d refused, %d unknown\n", played, failed, all.Calls, all.Commits, all.Aborts, all.Refused, all.Unknown)
+	fmt.Fprintf(out, "from proposal to in force: %s\nfrom the last call under a version to the first under the next: %s\n", spread(all.Takes), spread(all.Switches))
+	if err := ctx.Err(); err != nil {
+		return 0, err
+	}
+	if failed > 0 {
+		return judge.ExitFail, nil
+	}
+	return 0, nil
+}
+
+// overSeeds plays so many seeds, some side by side, until ctx ends.
+func overSeeds(ctx context.Context, first uint64, runs, side int, play func(seed uint64)) {
 	seeds := make(chan uint64)
 	var work sync.WaitGroup
 	for range side {
@@ -58,61 +100,32 @@
 		go func() {
 			defer work.Done()
 			for seed := range seeds {
-				one := o
-				one.Seed = seed
-				if one.Senders == 0 {
-					one.Senders = 3 + int(seed%5)
-				}
-				if one.Voters == 0 {
-					one.Voters = 3
-					if one.Senders >= 5 && seed%2 == 0 {
-						one.Voters = 5
-					}
-				}
-				one.Folder = filepath.Join(logs, fmt.Sprintf("seed-%d", seed))
-				r, err := concord.Run(ctx, one)
-				if ctx.Err() != nil {
-					return
-				}
-				mu.Lock()
-				var v concord.Verdict
-				if r != nil && err == nil {
-					v = concord.Check(r)
-				} else {
-					v.Broken = []string{err.Error()}
-				}
-				played++
-				word := "kept"
-				if len(v.Broken) > 0 {
-					word, failed = "BROKEN", failed+1
-				}
-				fmt.Fprintf(out, "seed %d, %d senders, %d voters: %s; %d calls, changes: %d took hold, %d aborted, %d refused, %d unknown\n", seed, one.Senders, one.Voters, word, v.Calls, v.Commits, v.Aborts, v.Refused, v.Unknown)
-				for _, b := range v.Broken {
-					fmt.Fprintf(out, "  %s\n", b)
-				}
-				all.Calls, all.Commits, all.Aborts, all.Refused, all.Unknown = all.Calls+v.Calls, all.Commits+v.Commits, all.Aborts+v.Aborts, all.Refused+v.Refused, all.Unknown+v.Unknown
-				all.Takes, all.Switches = append(all.Takes, v.Takes...), append(all.Switches, v.Switches...)
-				mu.Unlock()
+				play(seed)
 			}
 		}()
 	}
 	for i := range runs {
 		select {
-		case seeds <- o.Seed + uint64(i):
+		case seeds <- first + uint64(i):
 		case <-ctx.Done():
 		}
 	}
 	close(seeds)
 	work.Wait()
-	fmt.Fprintf(out, "%d days, %d broken; %d calls judged; changes: %d took hold, %d aborted, %d refused, %d unknown\n", played, failed, all.Calls, all.Commits, all.Aborts, all.Refused, all.Unknown)
-	fmt.Fprintf(out, "from proposal to in force: %s\nfrom the last call under a version to the first under the next: %s\n", spread(all.Takes), spread(all.Switches))
-	if err := ctx.Err(); err != nil {
-		return 0, err
+}
+
+// manySenders are how many senders and voters a seed's day has, unless they are stated.
+func manySenders(seed uint64, senders, voters int, sizes ...int) (int, int) {
+	if senders == 0 {
+		senders = sizes[seed%uint64(len(sizes))]
 	}
-	if failed > 0 {
-		return judge.ExitFail, nil
+	if voters == 0 {
+		voters = 3
+		if senders >= 5 && seed%2 == 0 {
+			voters = 5
+		}
 	}
-	return 0, nil
+	return senders, voters
 }
 
 // spread is the middle, the 99th of a hundred and the longest of some times.
--- a/cmd/rehearse/limits.go
+++ b/cmd/rehearse/limits.go
@@ -57,74 +57,50 @@
 	}
 	o.Command = []string{path}
 	var mu sync.Mutex
-	var work sync.WaitGroup
 	failed, played, calls, full, over := 0, 0, 0, 0, 0
-	seeds := make(chan uint64)
-	for range side {
-		work.Add(1)
-		go func() {
-			defer work.Done()
-			for seed := range seeds {
-				one := o
-				one.Seed = seed
-				if one.Senders == 0 {
-					one.Senders = []int{3, 5, 8}[seed%3]
-				}
-				if one.Voters == 0 {
-					one.Voters = 3
-					if one.Senders >= 5 && seed%2 == 0 {
-						one.Voters = 5
-					}
-				}
-				if !o.Halve && !o.Quiet {
-					one.Halve = seed%4 == 3
-				}
-				one.Folder = filepath.Join(logs, fmt.Sprintf("seed-%d", seed))
-				r, err := ration.Run(ctx, one)
-				if ctx.Err() != nil {
-					return
-				}
-				var v ration.Verdict
-				if err == nil {
-					v, one = ration.Check(r), r.Options
-					if o.Free {
-						v = ration.Verdict{Calls: v.Calls, Refused: v.Refused, Served: v.Served}
-					}
-					if one.Outage > 0 {
-						back := ration.CheckReturn(r)
-						v.Broken = append(v.Broken, back.Broken...)
-						mu.Lock()
-						fmt.Fprintf(out, "seed %d: %d calls under a verdict, %d of them while it was out; %d in the first two seconds of its return, %d in any second of it at most; %v until it serves four fifths again\n", seed, back.Judged, back.Probes, back.Early, back.Most, back.Full.Round(time.Millisecond))
-						mu.Unlock()
-					}
-				} else {
-					v.Broken = []string{err.Error()}
-				}
+	overSeeds(ctx, o.Seed, runs, side, func(seed uint64) {
+		one := o
+		one.Seed = seed
+		one.Senders, one.Voters = manySenders(seed, one.Senders, one.Voters, 3, 5, 8)
+		if !o.Halve && !o.Quiet {
+			one.Halve = seed%4 == 3
+		}
+		one.Folder = filepath.Join(logs, fmt.Sprintf("seed-%d", seed))
+		r, err := ration.Run(ctx, one)
+		if ctx.Err() != nil {
+			return
+		}
+		var v ration.Verdict
+		if err == nil {
+			v, one = ration.Check(r), r.Options
+			if o.Free {
+				v = ration.Verdict{Calls: v.Calls, Refused: v.Refused, Served: v.Served}
+			}
+			if one.Outage > 0 {
+				back := ration.CheckReturn(r)
+				v.Broken = append(v.Broken, back.Broken...)
 				mu.Lock()
-				played, calls, full = played+1, calls+v.Calls, full+v.Spans
-				word := "kept"
-				if len(v.Broken) > 0 {
-					word, failed = "BROKEN", failed+1
-				}
-				over += v.Refused
-				fmt.Fprintf(out, "seed %d, %d senders, %d in %v: %s; %d calls, %d at most in a span, %d spans full; healed, %.3f of it are used; %d served, %d refused\n", seed, one.Senders, one.Units, one.Span, word, v.Calls, v.Most, v.Spans, v.Used, v.Served, v.Refused)
-				for i, b := range v.Broken {
-					if i < 10 {
-						fmt.Fprintf(out, "  %s\n", b)
-					}
-				}
+				fmt.Fprintf(out, "seed %d: %d calls under a verdict, %d of them while it was out; %d in the first two seconds of its return, %d in any second of it at most; %v until it serves four fifths again\n", seed, back.Judged, back.Probes, back.Early, back.Most, back.Full.Round(time.Millisecond))
 				mu.Unlock()
 			}
-		}()
-	}
-	for i := range runs {
-		select {
-		case seeds <- o.Seed + uint64(i):
-		case <-ctx.Done():
+		} else {
+			v.Broken = []string{err.Error()}
 		}
-	}
-	close(seeds)
-	work.Wait()
+		mu.Lock()
+		played, calls, full = played+1, calls+v.Calls, full+v.Spans
+		word := "kept"
+		if len(v.Broken) > 0 {
+			word, failed = "BROKEN", failed+1
+		}
+		over += v.Refused
+		fmt.Fprintf(out, "seed %d, %d senders, %d in %v: %s; %d calls, %d at most in a span, %d spans full; healed, %.3f of it are used; %d served, %d refused\n", seed, one.Senders, one.Units, one.Span, word, v.Calls, v.Most, v.Spans, v.Used, v.Served, v.Refused)
+		for i, b := range v.Broken {
+			if i < 10 {
+				fmt.Fprintf(out, "  %s\n", b)
+			}
+		}
+		mu.Unlock()
+	})
 	fmt.Fprintf(out, "%d days, %d broken; %d calls judged, %d spans were full\n", played, failed, calls, full)
 	if err := ctx.Err(); err != nil {
 		return 0, err
