--- a/internal/fleet/limits.go
+++ b/internal/fleet/limits.go
@@ -44,9 +44,6 @@
 	mu      sync.Mutex
 	changed map[string]struct{} // limits of which this sender may use another share, and nobody has heard so
 	told    func()
-	reports []quota.Report // of those that it is in charge of, as of the lender's last step that showed them
-	showing bool           // somebody wants them
-	epoch   uint64
 }
 
 const (
@@ -245,9 +242,6 @@
 		if v.Roster != d.roster {
 			d.roster = v.Roster
 			d.Roster(v.Roster, d.l.n.c.Now())
-			d.l.mu.Lock()
-			d.l.epoch = v.Roster.GetEpoch()
-			d.l.mu.Unlock()
 		}
 		if v.Version != d.version || v.Verdicts != d.verdicts || !d.known {
 			d.version, d.verdicts, d.known = v.Version, v.Verdicts, true
--- a/internal/quota/asker.go
+++ b/internal/quota/asker.go
@@ -1,7 +1,6 @@
 package quota
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -118,7 +117,7 @@
 		if now-q.at >= a.Patience() {
 			delete(a.out, to)
 			for _, key := range q.keys {
-				a.due[key] = min(a.dueAt(key), now)
+				a.due[key] = now
 			}
 		}
 	}
@@ -180,13 +179,6 @@
 	return keys
 }
 
-func (a *Asker) dueAt(key string) time.Duration {
-	if at, ok := a.due[key]; ok {
-		return at
-	}
-	return Never
-}
-
 func (a *Asker) forget(key string) {
 	delete(a.due, key)
 	delete(a.keeps, key)
@@ -239,6 +231,7 @@
 	switch {
 	case waiting == 0 || lent > 0 && busy*2 >= lent:
 		s.idle = 0
+	case s.limit.Sort == Daily: // what it has used does not show in what it has
 	case lent > q.Piece && s.idle == 0:
 		s.idle = now
 	}
@@ -292,31 +285,20 @@
 		if lent > 0 {
 			a.lapses[l.Key] = q.at + length
 		}
+		if l.Units < before { // it is to let go of some: that it has done so is said at once
+			a.due[l.Key] = now
+			continue
+		}
 		next := calmly
-		switch {
-		case l.Units < before: // it is to let go of some: that it has done so is said at once
-			next = 0
-		case want > lent && waiting > 0:
+		if want > lent && waiting > 0 {
 			next = eagerly
 			if again := time.Duration(l.AgainUs) * time.Microsecond; again > 0 {
 				next = min(max(again, atOnce), calmly)
 			}
 		}
-		if q.at+next <= now && next > 0 {
+		if q.at+next <= now {
 			next = now - q.at + atOnce
 		}
 		a.due[l.Key] = min(q.at+next, max(now, q.at+a.terms.Length/3))
-		if l.Units < before {
-			a.due[l.Key] = now
-		}
-	}
-}
-
-// Holds says, in words, what this sender has asked and of whom, for those who look.
-func (a *Asker) Holds() (epoch uint64, open []string) {
-	for to := range a.out {
-		open = append(open, to)
 	}
-	slices.SortFunc(open, cmp.Compare[string])
-	return a.epoch, open
 }
--- a/internal/quota/book.go
+++ b/internal/quota/book.go
@@ -43,16 +43,15 @@
 
 // account is one process of a sender.
 type account struct {
-	seq    uint64
-	loans  []loan // the one that lapses last comes last, and is the smallest that does not lapse before
-	rests  int64
-	until  time.Duration // of those
-	want   int64
-	piece  int64
-	asked  time.Duration // last
-	since  time.Duration // it waits with less than a piece; 0: it does not
-	got    time.Duration // its turn began
-	wanted time.Duration // it wanted anything last
+	seq   uint64
+	loans []loan // the one that lapses last comes last, and is the smallest that does not lapse before
+	rests int64
+	until time.Duration // of those
+	want  int64
+	piece int64
+	asked time.Duration // last
+	since time.Duration // it waits with less than a piece; 0: it does not
+	got   time.Duration // its turn began
 }
 
 type loan struct {
@@ -61,7 +60,6 @@
 }
 
 const (
-	silent   = 3                     // lengths of an asking round after which who says nothing wants nothing
 	cutEvery = 10 * time.Millisecond // shares are cut anew, at most
 	// turnsFor is how long a loan is where units go by turns, in rests: one that can't use its unit gives way soon.
 	turnsFor = 1
@@ -164,9 +162,6 @@
 		b.stale = true
 	}
 	a.want, a.piece = q.Want, max(1, q.Piece)
-	if q.Want > 0 {
-		a.wanted = now
-	}
 	if q.Holds < a.piece && a.got > 0 { // its turn is over
 		a.got, b.stale = 0, true
 		if q.Want > 0 {
@@ -277,9 +272,6 @@
 // Out is what may be in use or at rest now, at the most; it is what the limit is held against.
 func (b *Book) Out(now time.Duration) int64 { return b.others(nil, now) }
 
-// Quiet is until when the book lends nothing new; in the past if it does.
-func (b *Book) Quiet() time.Duration { return b.quiet }
-
 // Line is one process of a sender in a book.
 type Line struct {
 	lease.Who
--- a/internal/quota/pot_test.go
+++ b/internal/quota/pot_test.go
@@ -133,3 +133,19 @@
 		}
 	}
 }
+
+// A sender with a day's quota goes on to want all that waits, however long it has held some.
+func TestDaysWant(t *testing.T) {
+	t.Parallel()
+	till := NewTill(simTerms.Drift, func(string) {})
+	till.Limits([]Limit{{Key: "x", Sort: Daily, Units: 1000}}, func(Limit) bool { return false }, 0)
+	till.Wait("x", 50, 1)
+	s := till.slot("x")
+	for i := range 5 {
+		now := time.Hour + time.Duration(i)*time.Second
+		s.purse.Lent(20, now, simTerms.Length, now)
+		if q, _ := s.question("x", 20, now); q.Want != 50 {
+			t.Fatalf("after %d s it wants %d of 50", i, q.Want)
+		}
+	}
+}
