A process that restarts knows who was out: cold receivers are not sent all that was taken on

Need: cold servers fall under the sum of all processes; beyond a budget of N calls only 2 roots of N and 2 are chance, also with twenty or thirty processes, and senders restart in the middle of the ramp.

Seen: 1 to 300 senders with even and uneven shares in virtual time (brain, TestTheFleetsRamp, new), an outage of 15 s, calls that fail or hang, ramp of 14 s. Where three or seven in ten restart in the outage or in the ramp, 232 of 240 runs broke it, by up to 204 calls in 3 s: the next process had window, pace and time-outs of one that knows nothing, and sent at once what it found taken on.

At fault: loop.go, resume, which told the module the usual rates only; learn.go, learnHealth, by which each process that learns of an outage has a call at once; bearable, where those who saw an outage add three tenths of what the unaware send.

What a sender learns of its own past has its first call at a drawn time. besideOther is 0.2: with 2 roots of N for 3, two thirds as much.

--- a/brain/api.go
+++ b/brain/api.go
@@ -171,6 +171,7 @@
 
 	Health    Health
 	For       time.Duration // how long ago it came to be so
+	OutFor    time.Duration // of one that is out or warms up: how long ago the outage began; 0: as For
 	HealthAge time.Duration // of the newest evidence for it
 	Rate      float64       // calls a second usually served there for who saw it, before any outage
 	Others    int           // other senders that hold it out just now
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -42,7 +42,7 @@
 	probeFirst  = 300 * time.Millisecond // least spacing of calls in an outage
 	fleetProbes = 24                     // calls in the time to warm that all senders may send anywhere
 	arrivalSpan = time.Minute            // span over which the messages for a destination are counted
-	besideOther = 0.3                    // part of the calls of the unaware that those add who saw failures
+	besideOther = 0.2                    // part of the calls of the unaware that those add who saw failures
 	retryPause  = 150 * time.Millisecond // pause of one message after a failed attempt; doubles
 	paceStep    = 0.1                    // growth of the pace, in our even parts of the limit, by call served
 	paceCut     = 0.7                    // the pace after a refusal, or a second near the end of the limit
@@ -265,6 +265,9 @@
 	return true
 }
 
+// phase is what a route has of its next call, drawn: senders that fail or begin in step do not go on in step.
+func (b *Brain) phase() float64 { return float64(b.draw(1000))/1000 - 0.5 }
+
 // goOut begins an outage. Before a second one the rate was held down by us, so the higher is kept.
 func (b *Brain) goOut(r *route) {
 	if r.state == well {
@@ -274,8 +277,7 @@
 		}
 		r.outAt = b.now
 	}
-	spread := float64(b.draw(1000))/1000 - 0.5 // senders that fail in step do not go on in step
-	r.state, r.since, r.probes, r.tokens, r.filled = out, b.now, 0, spread, b.now
+	r.state, r.since, r.probes, r.tokens, r.filled = out, b.now, 0, b.phase(), b.now
 	r.window = 1
 	b.doubt(r)
 	b.changed(r)
--- a/brain/internal/reference/brain.go
+++ b/brain/internal/reference/brain.go
@@ -41,7 +41,7 @@
 	probeFirst  = 300 * time.Millisecond // least spacing of calls in an outage
 	fleetProbes = 24                     // calls in the time to warm that all senders may send anywhere
 	arrivalSpan = time.Minute            // span over which the messages for a destination are counted
-	besideOther = 0.3                    // part of the calls of the unaware that those add who saw failures
+	besideOther = 0.2                    // part of the calls of the unaware that those add who saw failures
 	retryPause  = 150 * time.Millisecond // pause of one message after a failed attempt; doubles
 	paceStep    = 0.1                    // growth of the pace, in our even parts of the limit, by call served
 	paceCut     = 0.7                    // the pace after a refusal, or a second near the end of the limit
--- a/brain/known.go
+++ b/brain/known.go
@@ -38,6 +38,36 @@
 	return all
 }
 
+// Outages is the routes that are out or warm up, as of now, in the order of destinations: for the sender to keep, as a process
+// that restarts meanwhile would else send all at once what it finds taken on. One whose calls just fail, or are not answered,
+// one after the other is among them: the next process has no window and no failures by which it would hold back there.
+func (b *Brain) Outages() []Learnt {
+	var all []Learnt
+	add := func(r *route, k Learnt) {
+		k.Own, k.Health, k.For, k.OutFor, k.Rate = true, OutOfService, b.now-r.outAt, b.now-r.outAt, r.before
+		switch {
+		case r.state == cold && b.now-r.since <= b.s.Cold:
+			k.Health, k.For = Warming, b.now-r.since
+		case r.state != out && (r.bad >= leastInRow || b.silent(r, 1)):
+			k.For, k.Rate = b.now-r.lastServed, max(b.usual(r.done), b.earlier(r))
+			k.OutFor = k.For
+		case r.state != out:
+			return
+		}
+		all = append(all, k)
+	}
+	for _, d := range b.order {
+		if d.shared != nil {
+			add(d.shared, Learnt{Destination: DestinationID(d.shared.name)})
+			continue
+		}
+		for _, e := range d.endpoints {
+			add(e.route, Learnt{Destination: e.Destination, Endpoint: e.ID})
+		}
+	}
+	return all
+}
+
 // changed notes that a route's health or wait is news.
 func (b *Brain) changed(r *route) {
 	if b.s.TellsNews && !r.news {
--- a/brain/learn.go
+++ b/brain/learn.go
@@ -91,12 +91,17 @@
 		}
 		b.goOut(r)
 		r.before = max(r.before, e.Rate)
-		r.outAt = min(r.outAt, b.now-e.For)
-		r.tokens = 1 // the first message tries it: if it has recovered meanwhile, it is avoided for no longer than that
+		r.outAt = min(r.outAt, b.now-max(e.For, e.OutFor))
+		if !e.Own { // all of a fleet that restarts know of it, and go on in turn
+			r.tokens = 1 // the first message tries it: if it has recovered meanwhile, it is avoided for no longer than that
+		}
 	}
 	if e.Health == Warming && r.state == well && e.For < b.s.Cold {
 		r.before = max(b.usual(r.done), b.evenPart(r.limit), b.earlier(r), e.Rate)
-		r.state, r.since, r.outAt, r.window, r.tokens, r.filled = cold, b.now-e.For, b.now-e.For, 1, 1, b.now
+		r.state, r.since, r.outAt, r.window, r.tokens, r.filled = cold, b.now-e.For, b.now-max(e.For, e.OutFor), 1, 1, b.now
+		if e.Own {
+			r.tokens = b.phase()
+		}
 	}
 }
 
--- /dev/null
+++ b/brain/ramp_test.go
@@ -0,0 +1,313 @@
+package brain
+
+import (
+	"container/heap"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// A destination that has been out returns cold. Each sender of a fleet lets through what it takes for its part; the sum of all
+// is what counts. ramp plays that sum in virtual time.
+type ramp struct {
+	senders  int
+	skew     float64       // shares of the traffic fall with the place of the sender to this power
+	load     float64       // traffic for the destination, in parts of its capacity
+	hangs    bool          // in the outage calls are never answered; else no connection comes up
+	outage   time.Duration // of all its endpoints
+	restarts time.Duration // so long after the outage's begin a part of the senders restarts; 0: none does
+	part     float64       // that part
+	noRates  bool          // and their journals hold no rates
+	idle     bool          // half of the senders has no message for the destination until it is out
+	seed     uint64
+}
+
+const (
+	rampCapacity = 12 // calls a second of the destination when it is warm
+	rampOthers   = 9  // further destinations, with as much traffic each
+	rampWarmUp   = 90 * time.Second
+)
+
+type rampEvent struct {
+	at     time.Duration
+	seq    int
+	sender int
+	life   int
+	event  Event
+}
+
+type rampAgenda []rampEvent
+
+func (a rampAgenda) Len() int { return len(a) }
+func (a rampAgenda) Less(i, j int) bool {
+	return a[i].at < a[j].at || a[i].at == a[j].at && a[i].seq < a[j].seq
+}
+func (a rampAgenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
+func (a *rampAgenda) Push(x any)   { *a = append(*a, x.(rampEvent)) }
+func (a *rampAgenda) Pop() any {
+	last := (*a)[len(*a)-1]
+	*a = (*a)[:len(*a)-1]
+	return last
+}
+
+// rampSender is one sender, and what its journal would hold.
+type rampSender struct {
+	b     *Brain
+	life  int
+	kept  map[MessageID]*rampMessage
+	rates []Earlier
+	outs  []Learnt // as of
+	outAt time.Duration
+	aware bool // it has seen a call fail in the outage
+}
+
+type rampMessage struct {
+	Message
+	tries, ended int // ended: those that surely never ran
+	first        time.Duration
+}
+
+type rampCall struct {
+	at    time.Duration
+	aware bool
+}
+
+// play gives the calls that reached the destination from its return until it was warm.
+func (w ramp) play() (calls []rampCall, s Settings, back time.Duration) {
+	s = settings()
+	s.Senders, s.Slots, s.MostHeld, s.MaxAttempts, s.StartCapacity = w.senders, 10, 400, 12, 0.2
+	s.OverloadFor, s.Cold, s.IdleConnections = 3*time.Second, 14*time.Second, 15*time.Second
+	s.Kinds = []Kind{{PerCall: 1}}
+	list := ListNews{Whole: true}
+	for i := range rampOthers + 1 {
+		list.Endpoints = append(list.Endpoints, Endpoint{ID: EndpointID(i + 1), Destination: DestinationID(i), Ready: true})
+	}
+	rng := rand.New(rand.NewPCG(w.seed, 4))
+	start := time.Hour
+	out := start + rampWarmUp
+	back = out + w.outage
+	end := back + s.Cold + s.OverloadFor
+	var agenda rampAgenda
+	seq := 0
+	add := func(at time.Duration, sender, life int, e Event) {
+		seq++
+		heap.Push(&agenda, rampEvent{at, seq, sender, life, e})
+	}
+	senders := make([]*rampSender, w.senders)
+	weights, sum := make([]float64, w.senders), 0.0
+	for i := range senders {
+		weights[i] = math.Pow(float64(i+1), -w.skew)
+		sum += weights[i]
+	}
+	settingsOf := func(i int) Settings { // twice the slots that its part of the full load keeps busy
+		own := s
+		own.Slots = max(4, int(2*rampCapacity*(rampOthers+1)*0.15*weights[i]/sum))
+		return own
+	}
+	for i := range senders {
+		senders[i] = &rampSender{b: New(settingsOf(i), w.seed<<16+uint64(i)), kept: map[MessageID]*rampMessage{}}
+		add(start, i, 0, list)
+	}
+	draw := func(first int) int {
+		for {
+			x := rng.Float64() * sum
+			for i, weight := range weights {
+				if x -= weight; x < 0 {
+					if i < first {
+						break
+					}
+					return i
+				}
+			}
+		}
+	}
+	id := MessageID(0)
+	for at := start; at < end; at += time.Duration(rng.ExpFloat64() * float64(time.Second) / (rampCapacity * w.load * (rampOthers + 1))) {
+		id++
+		to, first := DestinationID(rng.IntN(rampOthers+1)), 0
+		if w.idle && to == 0 && at < out {
+			first = w.senders / 2
+		}
+		add(at, draw(first), -1, Message{ID: id, Class: 1, Destination: to, Deadline: at + 28*time.Second})
+	}
+	if w.restarts > 0 {
+		for i := range senders {
+			if rng.Float64() < w.part {
+				add(out+w.restarts+time.Duration(rng.Int64N(int64(2*time.Second))), i, -2, nil)
+			}
+		}
+	}
+	for at := start + time.Second; at < end; at += time.Second { // the rates that a journal keeps
+		for i := range senders {
+			add(at, i, -3, nil)
+		}
+	}
+	for len(agenda) > 0 {
+		e := heap.Pop(&agenda).(rampEvent)
+		if e.at >= end {
+			break
+		}
+		n := senders[e.sender]
+		var events []Event
+		switch e.life {
+		case -3:
+			n.rates, n.outs, n.outAt = n.b.Rates(), n.b.Outages(), e.at
+			continue
+		case -2:
+			n.life++
+			n.b = New(settingsOf(e.sender), w.seed<<16+uint64(e.sender)+1<<40)
+			events = append(events, list)
+			if !w.noRates {
+				for _, r := range n.rates {
+					events = append(events, r)
+				}
+			}
+			for _, o := range n.outs {
+				age := e.at - n.outAt
+				o.HealthAge, o.For, o.OutFor = age, o.For+age, o.OutFor+age
+				if w.noRates {
+					o.Rate = 0
+				}
+				events = append(events, o)
+			}
+			for id := range MessageID(id + 1) {
+				if m := n.kept[id]; m != nil {
+					again := m.Message
+					again.Tried, again.MayRun, again.FirstRun = m.tries, m.tries > m.ended, m.first
+					events = append(events, again)
+				}
+			}
+		case -1:
+			m := e.event.(Message)
+			n.kept[m.ID] = &rampMessage{Message: m}
+			events = append(events, m)
+		default:
+			if e.life != n.life {
+				continue
+			}
+			if end, ok := e.event.(AttemptEnd); ok {
+				m := n.kept[end.Message]
+				switch {
+				case m == nil:
+				case end.Outcome == Served:
+					delete(n.kept, end.Message)
+				case end.Outcome == ConnectFailed:
+					m.ended++
+				}
+				if end.Outcome != Served {
+					n.aware = n.aware || e.at < back
+				}
+			}
+			events = append(events, e.event)
+		}
+		for _, a := range n.b.Step(e.at, events) {
+			switch a := a.(type) {
+			case SetAlarm:
+				add(a.At, e.sender, n.life, Alarm{})
+			case Fail:
+				delete(n.kept, a.Message)
+			case Refuse:
+				delete(n.kept, a.Message)
+			case Send:
+				m := n.kept[a.Message]
+				if m == nil {
+					continue
+				}
+				end := AttemptEnd{Message: a.Message, Attempt: len(n.b.byID[a.Message].attempts) - 1, Endpoint: a.Endpoint, Elapsed: 150 * ms, Outcome: Served, Over: true}
+				if m.tries++; m.tries == m.ended+1 {
+					m.first = e.at
+				}
+				if a.Endpoint == 1 && e.at >= out {
+					switch {
+					case e.at >= back:
+						calls = append(calls, rampCall{e.at, n.aware})
+					case w.hangs:
+						end.Outcome, end.Over, end.Elapsed = TimedOut, false, a.Timeout
+					default:
+						end.Outcome, end.Over, end.Elapsed = ConnectFailed, false, 20*ms
+					}
+				}
+				add(e.at+end.Elapsed, e.sender, n.life, end)
+			}
+		}
+	}
+	return calls, s, back
+}
+
+// worst is the window of an overload span in which most comes beyond what the settings allow and chance explains, of those of
+// which two thirds come from senders that saw the outage: by how much, and how much is allowed there.
+func worst(calls []rampCall, s Settings, back time.Duration) (beyond, allowed float64) {
+	beyond = math.Inf(-1)
+	first := 0
+	for i, c := range calls {
+		for calls[first].at <= c.at-s.OverloadFor {
+			first++
+		}
+		begin := max(back, c.at-s.OverloadFor)
+		share := min(1, s.StartCapacity+(1-s.StartCapacity)*(begin-back).Seconds()/s.Cold.Seconds())
+		if c.at >= back+s.Cold {
+			break // it is warm
+		}
+		n := s.FallMultiple * share * rampCapacity * s.OverloadFor.Seconds()
+		most := n + 2*math.Sqrt(n) + 2
+		aware := 0
+		for _, c := range calls[first : i+1] {
+			if c.aware {
+				aware++
+			}
+		}
+		if all := i + 1 - first; 3*aware >= 2*all && float64(all)-most > beyond {
+			beyond, allowed = float64(all)-most, most
+		}
+	}
+	return beyond, allowed
+}
+
+// Beyond a budget of N calls only 2 roots of N and 2 more are chance, for the sum of all senders: one or three hundred, with
+// even or uneven shares, also of senders that had nothing for the destination before, and of those that restart in the outage
+// or in the ramp, with the rates of their journals or without.
+func TestTheFleetsRamp(t *testing.T) {
+	cases := map[string]ramp{
+		"calls fail":                  {},
+		"calls hang":                  {hangs: true},
+		"uneven shares":               {skew: 1},
+		"half had no traffic":         {idle: true},
+		"little traffic":              {load: 0.3},
+		"restarts in the outage":      {restarts: 12 * time.Second, part: 0.7},
+		"restarts in the ramp":        {restarts: 16 * time.Second, part: 0.7},
+		"restarts after a hang":       {restarts: 16 * time.Second, part: 0.7, hangs: true},
+		"some restart late, uneven":   {restarts: 19 * time.Second, part: 0.3, skew: 1},
+		"restarts, journals no rates": {restarts: 16 * time.Second, part: 0.7, noRates: true},
+	}
+	for name, w := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for _, w.senders = range []int{1, 2, 3, 6, 20, 30, 80, 300} {
+				if w.outage = 15 * time.Second; w.load == 0 {
+					w.load = 0.85
+				}
+				for w.seed = range uint64(2) {
+					calls, s, back := w.play()
+					beyond, most := worst(calls, s, back)
+					if beyond > 0 {
+						t.Errorf("%d senders, seed %d: %.1f calls beyond the %.1f that the destination bears", w.senders, w.seed, beyond, most)
+					}
+					if within(calls, back, s.Cold) == 0 {
+						t.Errorf("%d senders, seed %d: nothing reaches it while it warms up", w.senders, w.seed)
+					}
+				}
+			}
+		})
+	}
+}
+
+// within counts the calls that came within a time of the return: a ramp that lets nothing through keeps every bound.
+func within(calls []rampCall, back, span time.Duration) (n int) {
+	for _, c := range calls {
+		if c.at < back+span {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/sender/discovery.go
+++ b/internal/sender/discovery.go
@@ -20,9 +20,9 @@
 	// A change counts as told 6 s after discovery had it and could be reached. A watch that has fallen silent looks like one
 	// without news until its answer is overdue, so both are short: docs/design/ends.md has the sum. One that is renewed in time
 	// is no new call to discovery.
-	watchWait  = 2 * time.Second // a watch call waits so long for news
-	answerTime = 2 * time.Second // and an answer takes no longer than this besides: discovery gives up at 2 s itself
-	inVain     = time.Second     // a call that is refused after so long was worked on in vain
+	watchWait  = 2 * time.Second        // a watch call waits so long for news
+	answerTime = 2 * time.Second        // and an answer takes no longer than this besides: discovery gives up at 2 s itself
+	inVain     = time.Second            // a call that is refused after so long was worked on in vain
 	noticeTime = 500 * time.Millisecond // notices are answered at once, or the connection says nothing any more
 	backOff    = 100 * time.Millisecond // first pause after a failure; doubles
 	backOffTop = 2 * time.Second
--- a/internal/sender/journal.go
+++ b/internal/sender/journal.go
@@ -11,7 +11,6 @@
 	"hash/crc32"
 	"hash/fnv"
 	"io"
-	"math"
 	"os"
 	"path/filepath"
 	"slices"
@@ -34,6 +33,9 @@
 	// ratesMost bounds a record of rates, and ratesRoom what it takes.
 	ratesMost = 100
 	ratesRoom = 32 * ratesMost
+	// outagesRoom is the bytes that receivers out of service may take beside the rates, and a part of the journal's room.
+	outagesRoom = 4 << 10
+	outagesPart = 32
 )
 
 // overhead is what all records on one message's attempts and end may come to, beside its take record.
@@ -77,8 +79,9 @@
 	At   time.Duration `json:"at,omitempty"`
 	Out  string        `json:"out,omitempty"`
 
-	Rates map[uint32]float64 `json:"rates,omitempty"` // rates: by destination, as the module knows them
-	List  *heardList         `json:"list,omitempty"`  // list: what discovery has told, or what that changes
+	Rates   map[uint32]float64 `json:"rates,omitempty"`   // rates: by destination, as the module knows them
+	Outages []outage           `json:"outages,omitempty"` // and who is out, or comes back, as of At
+	List    *heardList         `json:"list,omitempty"`    // list: what discovery has told, or what that changes
 }
 
 // try is an attempt of a message. One without an outcome may have run.
@@ -184,26 +187,29 @@
 
 // journal keeps what was taken on. It belongs to the loop.
 type journal struct {
-	path   string
-	file   journalFile
-	budget int64 // bytes that old and new file may hold together
-	size   int64
-	live   int64 // the sum of costs: an upper bound of a compacted file and all that follows on its messages
-	buf    bytes.Buffer
-	line   []byte    // of the message that is being put in
-	failed bool      // the last write failed: nothing more is written until a compaction succeeds
-	tried  time.Time // the last compaction
-	rates  map[uint32]float64
-	list   keptList
-	spoilt int // lines that could not be read at the start; a last one without its end is a kill's, and not counted
-	byID   map[string]*stored
-	order  []*stored // in the order taken, with some that have ended
-	ended  int       // of those
+	path     string
+	file     journalFile
+	budget   int64 // bytes that old and new file may hold together
+	size     int64
+	live     int64 // the sum of costs: an upper bound of a compacted file and all that follows on its messages
+	buf      bytes.Buffer
+	line     []byte    // of the message that is being put in
+	failed   bool      // the last write failed: nothing more is written until a compaction succeeds
+	tried    time.Time // the last compaction
+	rates    map[uint32]float64
+	outs     outages
+	outsMost int // bytes of those
+	list     keptList
+	spoilt   int // lines that could not be read at the start; a last one without its end is a kill's, and not counted
+	byID     map[string]*stored
+	order    []*stored // in the order taken, with some that have ended
+	ended    int       // of those
 }
 
 // openJournal reads what an earlier process left and begins a compacted file.
 func openJournal(dir string, budget int64) (*journal, error) {
-	j := &journal{path: filepath.Join(dir, journalName), budget: budget, live: ratesRoom + listHead, byID: map[string]*stored{}}
+	j := &journal{path: filepath.Join(dir, journalName), budget: budget, outsMost: int(min(outagesRoom, budget/outagesPart)), byID: map[string]*stored{}}
+	j.live = ratesRoom + listHead + int64(j.outsMost)
 	j.list.most = min(listMost, budget/16)
 	old, err := os.Open(j.path)
 	if err == nil {
@@ -238,7 +244,7 @@
 		}
 		switch m := j.byID[rec.ID]; {
 		case rec.Op == "rates":
-			j.rates = rec.Rates
+			j.rates, j.outs = rec.Rates, outages{rec.At, rec.Outages}
 		case rec.Op == "list":
 			if rec.List != nil {
 				j.live -= j.list.size
@@ -282,7 +288,7 @@
 	begin := len(b)
 	b = append(b, "00000000 "...)
 	text := len(b)
-	if r.Rates != nil || r.List != nil {
+	if r.Rates != nil || r.Outages != nil || r.List != nil {
 		raw, err := json.Marshal(r)
 		if err != nil {
 			return b[:begin], err
@@ -476,19 +482,23 @@
 	}
 }
 
-// keepRates notes the rates of the busiest destinations in place of those noted before.
-func (j *journal) keepRates(rates []brain.Earlier) error {
+// keepRates notes the rates of the busiest destinations, and who is out, in place of those noted before.
+func (j *journal) keepRates(rates []brain.Earlier, outs outages) error {
 	slices.SortFunc(rates, func(a, b brain.Earlier) int { return cmp.Compare(b.Rate, a.Rate) })
-	j.rates = map[uint32]float64{}
+	j.rates, j.outs = map[uint32]float64{}, outs.within(j.outsMost)
 	for _, r := range rates[:min(len(rates), ratesMost)] {
-		j.rates[uint32(r.Destination)] = math.Round(r.Rate*1000) / 1000
+		j.rates[uint32(r.Destination)] = roundRate(r.Rate)
 	}
-	if _, err := encode(&j.buf, &record{Op: "rates", Rates: j.rates}); err != nil {
+	if _, err := encode(&j.buf, j.ratesRecord()); err != nil {
 		j.failed = true
 	}
 	return j.flush()
 }
 
+func (j *journal) ratesRecord() *record {
+	return &record{Op: "rates", Rates: j.rates, At: j.outs.at, Outages: j.outs.all}
+}
+
 // flush writes what was noted. After a failed write the file may lack records, so nothing more is added
 // to it: the way on is a compaction, which writes the state that they led to.
 func (j *journal) flush() error {
@@ -535,8 +545,8 @@
 	}
 	w := bufio.NewWriterSize(f, 1<<16)
 	var size int64
-	if len(j.rates) > 0 {
-		n, err := encode(w, &record{Op: "rates", Rates: j.rates})
+	if len(j.rates) > 0 || len(j.outs.all) > 0 {
+		n, err := encode(w, j.ratesRecord())
 		size += int64(n)
 		if err != nil {
 			f.Close()
--- a/internal/sender/journal_test.go
+++ b/internal/sender/journal_test.go
@@ -75,7 +75,7 @@
 		many = append(many, brain.Earlier{Destination: d, Rate: float64(d) / 7})
 	}
 	for _, rates := range [][]brain.Earlier{{{Destination: 3, Rate: 1}, {Destination: 4, Rate: 2.25}}, many} {
-		if err := j.keepRates(rates); err != nil {
+		if err := j.keepRates(rates, outages{}); err != nil {
 			t.Fatal(err)
 		}
 	}
--- a/internal/sender/loop.go
+++ b/internal/sender/loop.go
@@ -191,8 +191,8 @@
 			looks++ // all rates are walked, so the less often the more there are
 			// Once it is quitting nothing is served as usual.
 			if !s.quitting && looks%(1+len(s.list.ByID)/ratesAtOnce) == 0 {
-				s.journal.keepRates(s.brain.Rates()) // what fails here fails again with the next message
 				now := s.clock.now()
+				s.journal.keepRates(s.brain.Rates(), s.outages(now)) // what fails here fails again with the next message
 				for _, p := range s.parts {
 					p.looked(now)
 				}
@@ -265,6 +265,7 @@
 	for dest, rate := range s.journal.rates {
 		events = append(events, brain.Earlier{Destination: brain.DestinationID(dest), Rate: rate})
 	}
+	events = append(events, s.earlierOutages(now)...)
 	for _, m := range s.journal.held() {
 		if m.how != "" {
 			if !m.told {
--- /dev/null
+++ b/internal/sender/outages.go
@@ -0,0 +1,88 @@
+package sender
+
+import (
+	"cmp"
+	"encoding/json"
+	"math"
+	"slices"
+	"time"
+
+	"dockshift.example/dockshift/brain"
+	"dockshift.example/dockshift/internal/knowledge"
+)
+
+// A process that restarts while a receiver is out, or comes back cold, finds messages for it taken on and knows nothing of
+// that: it would send them all at once, and so would every other process of a release. So the journal keeps, beside the usual
+// rates and as often, who is out and since when, and the next process begins there.
+
+// outage is a receiver that is out of service, or comes back. Times are the clock's.
+type outage struct {
+	Dest     uint32        `json:"dest"`
+	Endpoint string        `json:"endpoint,omitempty"` // of a route apart
+	Began    time.Duration `json:"began"`
+	Back     time.Duration `json:"back,omitempty"` // it has answered again since then
+	Rate     float64       `json:"rate,omitempty"` // calls a second usually served there, by this sender
+}
+
+// outages is all of them as of a time.
+type outages struct {
+	at  time.Duration
+	all []outage
+}
+
+func roundRate(r float64) float64 { return math.Round(r*1000) / 1000 }
+
+// within is those where most is sent, as many as fit into so many bytes.
+func (o outages) within(most int) outages {
+	kept := outages{at: o.at}
+	all := slices.Clone(o.all)
+	slices.SortStableFunc(all, func(x, y outage) int { return cmp.Compare(y.Rate, x.Rate) })
+	for _, out := range all {
+		raw, err := json.Marshal(out) // a rate that is no number is none
+		if most -= len(raw) + 1; err == nil && most < 0 {
+			break
+		}
+		if err == nil {
+			kept.all = append(kept.all, out)
+		}
+	}
+	return kept
+}
+
+// outages is what the journal is to keep.
+func (s *Sender) outages(now time.Duration) outages {
+	o := outages{at: now}
+	for _, k := range s.brain.Outages() {
+		out := outage{Dest: uint32(k.Destination), Began: now - k.OutFor, Rate: roundRate(k.Rate)}
+		if k.Health == brain.Warming {
+			out.Back = now - k.For
+		}
+		if k.Endpoint != 0 {
+			e := s.list.ByNumber[k.Endpoint]
+			if e == nil || len(e.ID) > maxName {
+				continue
+			}
+			out.Endpoint = e.ID
+		}
+		o.all = append(o.all, out)
+	}
+	return o
+}
+
+// earlierOutages tells the module who was out as the earlier process wrote that down last.
+func (s *Sender) earlierOutages(now time.Duration) []brain.Event {
+	var events []brain.Event
+	for _, o := range s.journal.outs.all {
+		k, listed := s.learntOf(knowledge.Subject{Destination: o.Dest, Endpoint: o.Endpoint})
+		if !listed {
+			continue
+		}
+		k.Own, k.Health, k.HealthAge = true, brain.OutOfService, max(0, now-s.journal.outs.at)
+		k.For, k.OutFor, k.Rate = max(0, now-o.Began), max(0, now-o.Began), o.Rate
+		if o.Back != 0 {
+			k.Health, k.For = brain.Warming, max(0, now-o.Back)
+		}
+		events = append(events, k)
+	}
+	return events
+}
--- /dev/null
+++ b/internal/sender/outages_test.go
@@ -0,0 +1,140 @@
+package sender
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"dockshift.example/dockshift/brain"
+	st "dockshift.example/dockshift/internal/sendertest"
+)
+
+// resumed makes a sender over a folder and has it take up what that holds; nobody listens to it.
+func resumed(t *testing.T, p *st.Platform, edit func(*Config)) *Sender {
+	t.Helper()
+	s := newTest(t, p, edit)
+	s.resume(t.Context())
+	return s
+}
+
+// leaves has an earlier process leave messages in a journal, and who was out as it wrote that down last.
+func leaves(t *testing.T, dir string, messages int, outs outages, edit func(n int, r *record)) {
+	t.Helper()
+	j := openTest(t, dir, 1<<20)
+	for n := range messages {
+		r := record{ID: fmt.Sprintf("m%d", n), Class: "keyed", Key: "k", Tenant: "acme", Deadline: newClock().now() + 15*time.Second}
+		if edit != nil {
+			edit(n, &r)
+		}
+		if _, err := j.take(r); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := j.keepRates([]brain.Earlier{{Destination: 0, Rate: 4}}, outs); err != nil {
+		t.Fatal(err)
+	}
+	if err := j.close(); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// A process that was restarted while a receiver was out, or came back, sent all that it found taken on for it at once. Seven in
+// ten of a fleet that did so sent a cold receiver 66 to 204 calls more than its budget allows (brain, TestTheFleetsRamp).
+func TestAnOutageOutlastsTheProcess(t *testing.T) {
+	t.Parallel()
+	now := newClock().now()
+	ago := func(d time.Duration) time.Duration { return now - d }
+	tests := []struct {
+		name string
+		outs outages
+		want brain.Health // of destination 0, as the next process has it
+	}{
+		{"out", outages{ago(time.Second), []outage{{Dest: 0, Began: ago(9 * time.Second), Rate: 4}}}, brain.OutOfService},
+		{"comes back", outages{ago(time.Second), []outage{{Dest: 0, Began: ago(9 * time.Second), Back: ago(2 * time.Second), Rate: 4}}}, brain.Warming},
+		{"came back long ago", outages{ago(time.Second), []outage{{Dest: 0, Began: ago(time.Minute), Back: ago(40 * time.Second), Rate: 4}}}, brain.HealthUnknown},
+		{"written long ago", outages{ago(time.Hour), []outage{{Dest: 0, Began: ago(2 * time.Hour), Rate: 4}}}, brain.HealthUnknown},
+		{"another receiver", outages{ago(time.Second), []outage{{Dest: 9, Began: ago(9 * time.Second), Rate: 4}}}, brain.HealthUnknown},
+		{"an endpoint that is not listed", outages{ago(time.Second), []outage{{Dest: 0, Endpoint: "s-9", Began: ago(9 * time.Second)}}}, brain.HealthUnknown},
+		{"a clock that ran ahead", outages{now + time.Hour, []outage{{Dest: 0, Began: now + time.Hour, Rate: 4}}}, brain.OutOfService},
+		{"none", outages{}, brain.HealthUnknown},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			p := st.NewPlatform(t, st.NewEndpoint(t, st.Silent).Addr)
+			dir := t.TempDir()
+			leaves(t, dir, 12, tt.outs, nil)
+			s := resumed(t, p, func(c *Config) { c.State = dir })
+			if s.held != 12 {
+				t.Fatalf("%d messages are taken up", s.held)
+			}
+			got := brain.HealthUnknown
+			for _, k := range s.brain.Outages() {
+				got = k.Health
+				if k.Destination != 0 || k.Rate < 4 {
+					t.Errorf("%+v", k)
+				}
+			}
+			if got != tt.want {
+				t.Errorf("it is %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
+
+// What the journal keeps of outages is what the module says, through a compaction too, and has a bound.
+func TestOutagesInTheJournal(t *testing.T) {
+	dir := t.TempDir()
+	o := outages{at: 5 * time.Second}
+	for n := range 200 {
+		o.all = append(o.all, outage{Dest: uint32(n), Began: time.Second, Rate: float64(n)})
+	}
+	leaves(t, dir, 0, o, nil)
+	for range 2 { // the second reads what the first has compacted
+		j := openTest(t, dir, 1<<20)
+		n := len(j.outs.all)
+		if j.outs.at != o.at || n == 0 || n == 200 || j.outs.all[7] != o.all[192] || j.rates[0] != 4 {
+			t.Fatalf("%+v, rates %v", j.outs, j.rates)
+		}
+		if raw, _ := json.Marshal(j.outs.all); len(raw) > outagesRoom {
+			t.Errorf("%d bytes are kept", len(raw))
+		}
+		j.close()
+	}
+	if small := openTest(t, t.TempDir(), 12<<10); small.live > 4<<10 {
+		t.Errorf("of 12 KiB %d bytes are put by", small.live)
+	}
+}
+
+// A sender writes down what it sees itself: calls that fail one after the other are enough.
+func TestAnOutageIsWrittenDown(t *testing.T) {
+	t.Parallel()
+	e := st.NewEndpoint(t, st.Reset)
+	p := st.NewPlatform(t, e.Addr)
+	s := newTest(t, p, nil)
+	addr, leave := serving(t, s)
+	for n := range 3 {
+		st.HandIn(t, addr, fmt.Sprintf("m%d", n), "safe", 0, 15*time.Second)
+		e.Next(t)
+	}
+	journal := s.journal.path
+	waitForText(t, journal, `"outages":[{"dest":0,"began":`)
+	leave()
+}
+
+// waitForText waits until a file holds a text.
+func waitForText(t *testing.T, path, text string) {
+	t.Helper()
+	for over := time.Now().Add(st.Wait); ; time.Sleep(10 * time.Millisecond) {
+		raw, err := os.ReadFile(path)
+		if err == nil && strings.Contains(string(raw), text) {
+			return
+		}
+		if time.Now().After(over) {
+			t.Fatalf("%s does not come to hold %s", path, text)
+		}
+	}
+}
