What was taken on goes on by the stricter of two settings, and by a class's name and not its place

Need: a process starts under other settings than the last: classes gone, or with another effect, window or scope.

Seen (classes_test.go, new, with the old lookup in place): a message taken on as unsafe whose class is safe now was called twice; one of a class that was gone would have been given up untried (brain, admit, Fail for a class below 0); one whose window was 1 s when it was taken on was repeated after 3 s under a window of 7.5 s.

At fault: loop.go, resume, which asked the settings of now alone; send.go, repeatWithin, likewise; the zone of an attempt, kept as its place among the zones of that time.

Change: a take record names effect, window and scope; classOf gives the module a class more for each rule that differs, the stricter of both, unsafe where nothing is known; where a key is remembered in its zone only the attempt names its zone. A class that is gone has its messages tried as they were taken on, at the least worth, or ended by a notice.

--- /dev/null
+++ b/internal/sender/classes.go
@@ -0,0 +1,85 @@
+package sender
+
+import (
+	"slices"
+
+	"dockshift.example/dockshift/brain"
+)
+
+// The journal holds names of classes, and a process may start under other settings than the one before it: a class may be
+// gone, or have another effect, another window for repeats, or another scope of it. What a message was taken on under was
+// promised to its client, and what the settings say now holds at its destination: the stricter of both stands. So each message
+// carries the rule that it was taken on by, and the module is given a class more for each that differs.
+
+// ruled writes down what its class says of a message's repeats as it is taken on.
+func (r *record) ruled(c brain.Class) {
+	r.Effect = effectNames[c.Effect]
+	if c.Effect == brain.Keyed {
+		r.Window, r.InZone = c.KeyWindow, c.KeyInZone
+	}
+}
+
+var effectNames = [...]string{brain.Safe: "safe", brain.Keyed: "keyed", brain.Unsafe: "unsafe"}
+
+// effectOf is the effect that a journal names; false if it names none, as those of earlier versions do.
+func effectOf(name string) (brain.Effect, bool) {
+	i := slices.Index(effectNames[:], name)
+	return brain.Effect(max(0, i)), i >= 0
+}
+
+// classOf is the class by which a message from the journal goes on: its own, or one that is put behind those of the settings.
+// Of one whose class is gone and that names no effect nothing is known: it is not repeated.
+func (c *Config) classOf(m *stored) int {
+	var is brain.Class
+	at := place(c.Classes, m.Class, -1)
+	took, known := effectOf(m.Effect)
+	if at >= 0 {
+		is = c.Settings.Classes[at]
+	} else {
+		is = brain.Class{Effect: brain.Safe, Ordered: m.Order != "", Worth: c.leastWorth()}
+		if !known {
+			took, known = brain.Unsafe, true
+		}
+	}
+	if known {
+		if took == brain.Keyed { // a window, or a scope, that is no longer told may still be the one that holds
+			if is.Effect != brain.Keyed || m.Window < is.KeyWindow {
+				is.KeyWindow = m.Window
+			}
+			is.KeyInZone = is.Effect == brain.Keyed && is.KeyInZone || m.InZone
+		}
+		is.Effect = max(is.Effect, took)
+	}
+	if is.Effect == brain.Keyed && m.Key == "" { // taken on where it needed none: nobody drops its repeats
+		is.Effect = brain.Unsafe
+	}
+	if at >= 0 && is == c.Settings.Classes[at] {
+		return at
+	}
+	for i := len(c.Classes); i < len(c.Settings.Classes); i++ {
+		if c.Settings.Classes[i] == is {
+			return i
+		}
+	}
+	c.Settings.Classes = append(slices.Clip(c.Settings.Classes), is)
+	return len(c.Settings.Classes) - 1
+}
+
+func (c *Config) leastWorth() float64 {
+	least := 1.0
+	for i, is := range c.Settings.Classes[:min(len(c.Classes), len(c.Settings.Classes))] {
+		if i == 0 || is.Worth < least {
+			least = is.Worth
+		}
+	}
+	return least
+}
+
+// zoneOf is the number of the zone in which an attempt may have run. It is kept by name where it matters, as a number would be
+// another zone's under other settings; -1 is for one that is gone.
+func (c *Config) zoneOf(t try) int {
+	if t.In == "" {
+		return t.Zone
+	}
+	return place(c.Zones, t.In, -1)
+}
--- /dev/null
+++ b/internal/sender/classes_test.go
@@ -0,0 +1,104 @@
+package sender
+
+import (
+	"testing"
+	"time"
+
+	"dockshift.example/dockshift/brain"
+	st "dockshift.example/dockshift/internal/sendertest"
+)
+
+// What stands in the journal goes on by the stricter of what it was taken on under and what the settings say now, whichever
+// place its class has among them. A class that was gone had its messages given up untried, and one that had become safe to
+// repeat had them repeated.
+func TestClassesOfAnEarlierProcess(t *testing.T) {
+	t.Parallel()
+	const window = 7500 * time.Millisecond // of class keyed in the settings
+	tried := func(ago time.Duration) []try { return []try{{At: newClock().now() - ago, Endpoint: "s-0"}} }
+	tests := []struct {
+		name    string
+		class   string
+		key     string
+		effect  string // as journalled, "" by an earlier version
+		window  time.Duration
+		tries   []try
+		answers int // of the endpoint, to each call
+		calls   int
+		end     string // its notice; "" for none
+	}{
+		{"as it was", "keyed", "k", "keyed", window, nil, 200, 1, ""},
+		{"of an earlier version", "keyed", "k", "", 0, nil, 200, 1, ""},
+		{"gone, and never tried", "gone", "k", "keyed", window, nil, 200, 1, ""},
+		{"gone, of an earlier version, never tried", "gone", "k", "", 0, nil, 200, 1, ""},
+		{"gone, of an earlier version, may have run", "gone", "k", "", 0, tried(time.Second), 200, 0, givenUp},
+		{"gone, keyed, may have run", "gone", "k", "keyed", window, tried(time.Second), 200, 1, ""},
+		{"gone, keyed, its window is over", "gone", "k", "keyed", window, tried(time.Minute), 200, 0, givenUp},
+		{"gone, safe, may have run", "gone", "", "safe", 0, tried(time.Minute), 200, 1, ""},
+		{"unsafe then, safe now", "safe", "k", "unsafe", 0, nil, 500, 1, givenUp},
+		{"unsafe then, safe now, may have run", "safe", "k", "unsafe", 0, tried(time.Second), 200, 0, givenUp},
+		{"keyed then, unsafe now, may have run", "unsafe", "k", "keyed", window, tried(time.Second), 200, 0, givenUp},
+		{"safe then, keyed now, without a key", "keyed", "", "safe", 0, tried(time.Second), 200, 0, givenUp},
+		{"a shorter window then", "keyed", "k", "keyed", time.Second, tried(3 * time.Second), 200, 0, givenUp},
+		{"a longer window then", "keyed", "k", "keyed", time.Hour, tried(time.Minute), 200, 0, givenUp},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			e := st.NewEndpoint(t, st.Status(tt.answers))
+			p := st.NewPlatform(t, e.Addr)
+			dir := t.TempDir()
+			leaves(t, dir, 1, outages{}, func(_ int, r *record) {
+				r.Class, r.Key, r.Effect, r.Window, r.Tries = tt.class, tt.key, tt.effect, tt.window, tt.tries
+			})
+			addr := run(t, p, func(c *Config) { c.State = dir })
+			if tt.end != "" {
+				if n := st.Receive(t, p.Notices); n.Message != "m0" || n.Outcome != tt.end {
+					t.Errorf("notice %+v", n)
+				}
+			}
+			for range tt.calls {
+				e.Next(t)
+			}
+			st.HandIn(t, addr, "next", "keyed", 0, 15*time.Second) // a class of the settings is none of these
+			if c := e.Next(t); c.ID != "next" {
+				t.Errorf("a further call of %s", c.ID)
+			}
+		})
+	}
+}
+
+// Rules that are alike are one class of the module's more, and settings that are given stay as they are.
+func TestClassesMore(t *testing.T) {
+	c := &Config{Classes: []string{"a", "b"}, Zones: []string{"x", "y"}}
+	c.Settings.Classes = []brain.Class{{Effect: brain.Safe, Worth: 2}, {Effect: brain.Keyed, KeyWindow: time.Second, KeyInZone: true, Worth: 3}}
+	given := c.Settings.Classes
+	for i, tt := range []struct {
+		m    record
+		want int
+	}{
+		{record{Class: "a", Effect: "safe"}, 0},
+		{record{Class: "b", Effect: "keyed", Window: time.Second, InZone: true, Key: "k"}, 1},
+		{record{Class: "b", Effect: "keyed", Window: time.Minute, Key: "k"}, 1}, // the scope that holds now is the narrower
+		{record{Class: "gone", Effect: "unsafe"}, 2},
+		{record{Class: "other", Key: "k"}, 2},
+		{record{Class: "a", Effect: "keyed", Window: time.Second, Key: "k"}, 3},
+		{record{Class: "a", Effect: "keyed", Window: time.Second, InZone: true, Key: "k"}, 4},
+		{record{Class: "a", Effect: "keyed", Window: time.Second, Key: "k2"}, 3},
+		{record{Class: "gone", Effect: "unsafe", Order: "o"}, 5},
+	} {
+		if got := c.classOf(&stored{record: tt.m}); got != tt.want {
+			t.Errorf("%d: %+v goes on by class %d, want %d: %+v", i, tt.m, got, tt.want, c.Settings.Classes)
+		}
+	}
+	if len(given) != 2 || given[0].Effect != brain.Safe || c.Settings.Classes[5].Ordered != true {
+		t.Error("the settings that were given have changed")
+	}
+	for _, tt := range []struct {
+		t    try
+		want int
+	}{{try{Zone: 1}, 1}, {try{Zone: 1, In: "x"}, 0}, {try{Zone: 1, In: "y"}, 1}, {try{Zone: 1, In: "gone"}, -1}} {
+		if got := c.zoneOf(tt.t); got != tt.want {
+			t.Errorf("%+v ran in zone %d, want %d", tt.t, got, tt.want)
+		}
+	}
+}
--- a/internal/sender/delivery_test.go
+++ b/internal/sender/delivery_test.go
@@ -198,7 +198,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		id := s.hold(m, nil)
+		id := s.hold(m, nil, 0)
 		s.journal.note(m, record{Op: "send", Sent: &try{At: s.clock.now(), Endpoint: at.ID}})
 		s.send(context.Background(), brain.Send{Message: id, Endpoint: at.Number, Timeout: 5 * time.Second}, true)
 	}
--- a/internal/sender/handin.go
+++ b/internal/sender/handin.go
@@ -55,6 +55,7 @@
 			return nil
 		}
 	}
+	sub.ruled(s.c.Settings.Classes[sub.class])
 	st, err := s.journal.put(sub.record)
 	if err != nil {
 		s.ends.release(sub.Ident)
@@ -62,7 +63,7 @@
 	}
 	s.records.handedIn(sub.Tenant, sub.Key)
 	s.trace("taken on", sub.ID, slog.Uint64("dest", uint64(sub.Dest)), slog.String("tenant", sub.Tenant), slog.Duration("left", sub.Deadline-s.clock.now()))
-	return brain.Message{ID: s.hold(st, sub.answer), Class: sub.class, Tenant: sub.tenant,
+	return brain.Message{ID: s.hold(st, sub.answer, sub.class), Class: sub.class, Tenant: sub.tenant,
 		Destination: brain.DestinationID(sub.Dest), Key: st.orderKey(), Deadline: sub.Deadline}
 }
 
--- a/internal/sender/journal.go
+++ b/internal/sender/journal.go
@@ -54,6 +54,10 @@
 	Dest     uint32        `json:"dest,omitempty"`
 	Deadline time.Duration `json:"deadline,omitempty"`
 	Body     []byte        `json:"body,omitempty"`
+	// What its class said of its repeats: the effect, and of a keyed one for how long a key is remembered, and whether in its zone only.
+	Effect string        `json:"effect,omitempty"`
+	Window time.Duration `json:"window,omitempty"`
+	InZone bool          `json:"in_zone,omitempty"`
 	// Of a message that came as an event: its attributes, its data being the body, and its identity.
 	Event *cloudevents.Event `json:"event,omitempty"`
 	Ident *ident             `json:"ident,omitempty"`
@@ -89,6 +93,7 @@
 	At       time.Duration `json:"at"`
 	Endpoint string        `json:"endpoint"`
 	Zone     int           `json:"zone,omitempty"`
+	In       string        `json:"in,omitempty"` // the zone's name, where a key is remembered in its zone only
 	Never    bool          `json:"never,omitempty"` // it surely never ran
 	Recalled bool          `json:"recalled,omitempty"`
 	Out      string        `json:"out,omitempty"` // how it ended, with a recorder
@@ -324,6 +329,11 @@
 	text(`,"tenant":`, r.Tenant)
 	number(`,"dest":`, int64(r.Dest))
 	number(`,"deadline":`, int64(r.Deadline))
+	text(`,"effect":`, r.Effect)
+	number(`,"window":`, int64(r.Window))
+	if r.InZone {
+		b = append(b, `,"in_zone":true`...)
+	}
 	if len(r.Body) > 0 {
 		b = base64.StdEncoding.AppendEncode(append(b, `,"body":"`...), r.Body)
 		b = append(b, '"')
@@ -377,6 +387,9 @@
 	if t.Zone != 0 {
 		b = strconv.AppendInt(append(b, `,"zone":`...), int64(t.Zone), 10)
 	}
+	if t.In != "" {
+		b = appendText(append(b, `,"in":`...), t.In)
+	}
 	if t.Never {
 		b = append(b, `,"never":true`...)
 	}
--- a/internal/sender/loop.go
+++ b/internal/sender/loop.go
@@ -105,6 +105,11 @@
 		return nil, err
 	}
 	c.Settings.TellsNews = c.Peers != nil || c.Fleet != nil
+	for _, m := range j.held() { // the module is told all classes at its begin
+		if m.how == "" {
+			c.classOf(m)
+		}
+	}
 	s := &Sender{c: c, log: log, clock: newClock(), brain: brain.New(c.Settings, c.Seed), journal: j, pool: calls.NewPool(calls.Config{ConnectTimeout: c.ConnectTimeout, Idle: c.Settings.IdleConnections, Most: c.idleCalls(), Fields: c.Fields, Delivery: c.Delivery}),
 		list: calls.NewList(), disc: newDiscovery(c.Discovery), events: make(chan any, eventRoom),
 		asked: make(chan struct{}, 1), notices: make(chan []notice, 1), messages: map[brain.MessageID]*message{},
@@ -284,9 +289,10 @@
 			continue
 		}
 		first, may := m.firstRun()
-		events = append(events, brain.Message{ID: s.hold(m, nil), Class: place(s.c.Classes, m.Class, -1),
+		class := s.c.classOf(m)
+		events = append(events, brain.Message{ID: s.hold(m, nil, class), Class: class,
 			Tenant: place(s.c.Tenants, m.Tenant, -1), Destination: brain.DestinationID(m.Dest), Key: m.orderKey(), Deadline: m.Deadline,
-			Tried: m.made(), MayRun: may, FirstRun: first.At, RanZone: first.Zone})
+			Tried: m.made(), MayRun: may, FirstRun: first.At, RanZone: s.c.zoneOf(first)})
 	}
 	events, s.learnt = append(events, s.learnt...), s.learnt[:0]
 	for _, p := range s.parts {
@@ -296,9 +302,9 @@
 }
 
 // hold gives a message its number.
-func (s *Sender) hold(st *stored, answer chan answerLine) brain.MessageID {
+func (s *Sender) hold(st *stored, answer chan answerLine, class int) brain.MessageID {
 	s.last++
-	m := &message{stored: st, number: s.last, base: len(st.Tries), answer: answer}
+	m := &message{stored: st, number: s.last, class: class, base: len(st.Tries), answer: answer}
 	s.messages[m.number], s.byID[st.ID] = m, m
 	s.ends.hold(m)
 	s.held++
@@ -393,7 +399,11 @@
 		switch a := a.(type) {
 		case brain.Send:
 			if m, e := s.messages[a.Message], s.list.ByNumber[a.Endpoint]; m != nil && e != nil {
-				s.journal.note(m.stored, record{Op: "send", Sent: &try{At: now, Endpoint: e.ID[:min(len(e.ID), maxName)], Zone: e.Zone}})
+				sent := &try{At: now, Endpoint: e.ID[:min(len(e.ID), maxName)], Zone: e.Zone}
+				if s.c.Settings.Classes[m.class].KeyInZone && e.Zone < len(s.c.Zones) {
+					sent.In = s.c.Zones[e.Zone]
+				}
+				s.journal.note(m.stored, record{Op: "send", Sent: sent})
 			}
 		case brain.Refuse:
 			s.close(a.Message, handedBack, http.StatusServiceUnavailable, a.HoldOff)
--- a/internal/sender/message.go
+++ b/internal/sender/message.go
@@ -11,6 +11,7 @@
 type message struct {
 	*stored
 	number brain.MessageID
+	class  int               // among the module's: its own, or the stricter one that it goes on by
 	base   int               // attempts made by earlier processes
 	sends  int               // and by this one
 	answer chan answerLine   // its client still waits; nil once answered
--- a/internal/sender/resendpart.go
+++ b/internal/sender/resendpart.go
@@ -248,12 +248,13 @@
 	for _, a := range e.Attempts {
 		rec.Tries = append(rec.Tries, try{At: time.Duration(a.At), Endpoint: a.Endpoint, Never: !a.Outcome.Ran(), Out: string(a.Outcome)})
 	}
+	rec.ruled(s.c.Settings.Classes[class])
 	st, err := s.journal.put(rec)
 	if err != nil {
 		return nil, err
 	}
 	first, may := st.firstRun()
-	id := s.hold(st, nil)
+	id := s.hold(st, nil, class)
 	return brain.Message{ID: id, Class: class, Tenant: tenant, Destination: brain.DestinationID(e.Destination), Deadline: rec.Deadline,
-		MayRun: may, FirstRun: first.At, RanZone: first.Zone}, nil
+		MayRun: may, FirstRun: first.At, RanZone: s.c.zoneOf(first)}, nil
 }
--- a/internal/sender/send.go
+++ b/internal/sender/send.go
@@ -47,13 +47,13 @@
 // repeatWithin is how long the n-th attempt of a message may take to be written. The module judges a repeat as of
 // now; a connection may come up much later, when the key of an attempt that may have run is remembered no more.
 func (s *Sender) repeatWithin(m *message, n int, timeout time.Duration) time.Duration {
-	class := place(s.c.Classes, m.Class, -1)
-	if class < 0 || s.c.Settings.Classes[class].Effect != brain.Keyed {
+	class := s.c.Settings.Classes[m.class]
+	if class.Effect != brain.Keyed {
 		return timeout
 	}
 	first, may := m.firstBefore(n)
 	if !may {
 		return timeout
 	}
-	return min(timeout, first.At+s.c.Settings.Classes[class].KeyWindow-keyMargin-s.clock.now())
+	return min(timeout, first.At+class.KeyWindow-keyMargin-s.clock.now())
 }
