Half a first line of an answer is no 200: the message is doubted, not taken for delivered

At fault: answer.go, status: a line without its end counted by the status it seemed to begin with. The protocol's delivery is a first line with 200 that was written.

Change: such a line says nothing, as any other half: the call may have run.

--- a/internal/calls/answer.go
+++ b/internal/calls/answer.go
@@ -44,7 +44,7 @@
 )
 
 // answer reads the answer to a call and says how the call ended, and whether the connection is of further
-// use. A 200 in the first line is true whatever follows. Any other status holds only if the answer is sound
+// use. A 200 in a first line that has come whole is true whatever follows. Any other status holds only if the answer is sound
 // as a whole: a spoilt one, which comes from an endpoint that has run the call, may read as a refusal, and
 // says nothing but that the call may have run. Once it has begun, the rest gets restTime: a body that keeps
 // coming, or a head without end, must not hold the slot and the outcome until the time-out.
@@ -118,11 +118,9 @@
 			return 0, errSpoilt
 		}
 		if _, err := c.r.Peek(len(line) + 1); err != nil {
-			var waited net.Error
-			switch {
-			case ok:
-				return status, nil // cut off behind the status
-			case errors.As(err, &waited) && waited.Timeout():
+			// Half a line tells no status, whatever it begins with: "HTTP/1.1 200" may be that of a spoilt "2000" as well, and a
+			// message that was taken for delivered is lost. Doubted, it has its end: a repeat where its class allows one.
+			if waited := net.Error(nil); errors.As(err, &waited) && waited.Timeout() {
 				return 0, errSpoilt
 			}
 			return 0, err
