Crossings: notices on a silent connection, an address that was left, the last turn, full room

Seen, each by a test that fails without its line: - A notice whose connection had fallen silent took 500 ms to be sent again and arrived 495 ms after its message's time, 300 being allowed (TestANoticeArrivesInTimeThoughItsConnectionIsSilent, in virtual time). discovery.go, tell: now 150 ms, then at once on a new connection; notices share none with the watch. - An endpoint that came back at another address while a connection to its old one came up had its call written there, where another destination's may listen (TestCallToAnAddressThatWasLeft). pool.go, Call: asked again as the connection stands. - An answer that had come to the loop as the process left was not written down, so that the next process ended or repeated the message (TestWhatComesAsTheProcessLeaves; without its line the test does not end). loop.go, leave: what has come is taken first. - With all room taken by what an earlier process had taken on, its newest messages were handed back untried (TestResumedMessagesAreNotRefusedForRoom: 19 of 20 tried). due.go, wait: they are not among those that may be refused.

--- a/brain/api.go
+++ b/brain/api.go
@@ -100,6 +100,7 @@
 	MayRun   bool          // one of them may have run
 	FirstRun time.Duration // and was sent at this clock time, the first of those that may have
 	RanZone  int           // to this zone
+	Resumed  bool          // it was taken on by an earlier process: it is tried, and not refused for want of room
 }
 
 // Outcome is how an attempt ended.
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -494,6 +494,34 @@
 	}
 }
 
+// What a restart finds taken on is tried: with all room taken by it the newest were refused without a call, as if they had come
+// just now.
+func TestResumedMessagesAreNotRefusedForRoom(t *testing.T) {
+	set := settings()
+	set.MostHeld = 20
+	r := newRig(t, set)
+	var events []Event
+	for n := range set.MostHeld {
+		m := r.message(n%3, DestinationID(n%3), 0)
+		m.Resumed = true
+		events = append(events, m)
+	}
+	sends := r.step(events...)
+	fresh := r.message(0, 0, 0)
+	sends = append(sends, r.step(fresh)...)
+	if !r.refused[fresh.ID] {
+		t.Error("a new message is taken on where there is no room")
+	}
+	for n := 0; len(sends) > 0; n++ {
+		s := sends[0]
+		r.now += 20 * ms
+		sends = append(sends[1:], r.step(r.end(s, Served))...)
+	}
+	if want := set.MostHeld; len(r.tries) != want || len(r.refused) != 1 || len(r.failed) != 0 {
+		t.Errorf("%d of %d messages are tried, %d refused, %d given up", len(r.tries), want, len(r.refused), len(r.failed))
+	}
+}
+
 func TestListIsAskedForAndAskedAgain(t *testing.T) {
 	set := settings()
 	set.AsksForList = true
--- a/brain/due.go
+++ b/brain/due.go
@@ -206,7 +206,7 @@
 	}
 	d.last = m
 	d.count++
-	if !m.mayRun {
+	if !m.mayRun && !m.Resumed {
 		l := d.refusables(m.Tenant)
 		m.beforeSame, m.afterSame = l.last, nil
 		if l.last != nil {
@@ -466,7 +466,7 @@
 	var list []*message
 	if d.apart {
 		for m := d.first; m != nil; m = m.after {
-			if !m.mayRun {
+			if !m.mayRun && !m.Resumed {
 				list = append(list, m)
 			}
 		}
--- a/internal/calls/permit_test.go
+++ b/internal/calls/permit_test.go
@@ -97,3 +97,30 @@
 		t.Error("the calls did not go on one connection")
 	}
 }
+
+// An endpoint comes back at another address while a connection to its old one comes up: nothing is written there, as another
+// destination's may listen at it by now, and the next call goes to the new one.
+func TestCallToAnAddressThatWasLeft(t *testing.T) {
+	t.Parallel()
+	old, other := st.NewEndpoint(t, st.Status(200)), st.NewEndpoint(t, st.Status(200))
+	p := NewPool(Config{ConnectTimeout: st.Wait})
+	p.most, p.keep = 10, st.Wait
+	at := &Endpoint{addr: old.Addr}
+	p.Dialer.Control = func(string, string, syscall.RawConn) error {
+		at.mu.Lock()
+		defer at.mu.Unlock()
+		at.addr = other.Addr
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), st.Wait)
+	defer cancel()
+	if end, _ := p.Call(ctx, at, tickets(Message{ID: "m"}, st.Wait), st.Wait); end.Outcome != brain.NotSent {
+		t.Errorf("%+v", end)
+	}
+	if end, _ := p.Call(ctx, at, tickets(Message{ID: "m"}, st.Wait), st.Wait); end.Outcome != brain.Served {
+		t.Errorf("the next: %+v", end)
+	}
+	if other.Next(t); len(old.Calls) != 0 {
+		t.Error("the address that was left got a call")
+	}
+}
--- a/internal/calls/pool.go
+++ b/internal/calls/pool.go
@@ -109,6 +109,13 @@
 	return c, nil
 }
 
+// at reports whether the endpoint is still at an address.
+func (e *Endpoint) at(addr string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.addr == addr
+}
+
 // shortage reports whether a connection failed for want of something of our own machine's.
 func shortage(err error) bool {
 	return slices.ContainsFunc([]error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL},
@@ -239,6 +246,11 @@
 		}
 		return end, false
 	}
+	if !e.at(c.addr) { // the id has come back elsewhere meanwhile, and who listens at its old address may be another destination's
+		c.Close()
+		end.Outcome = brain.NotSent
+		return end, false
+	}
 	m, written := use(tickets, time.Now())
 	if len(m) == 0 {
 		p.put(e, c)
--- a/internal/sender/discovery.go
+++ b/internal/sender/discovery.go
@@ -23,7 +23,8 @@
 	watchWait  = 2 * time.Second        // a watch call waits so long for news
 	answerTime = 2 * time.Second        // and an answer takes no longer than this besides: discovery gives up at 2 s itself
 	inVain     = time.Second            // a call that is refused after so long was worked on in vain
-	noticeTime = 500 * time.Millisecond // notices are answered at once, or the connection says nothing any more
+	noticeSoon = 150 * time.Millisecond // notices are answered at once, or the connection says nothing any more
+	noticeTime = 500 * time.Millisecond // on a new one: it has to come up
 	backOff    = 100 * time.Millisecond // first pause after a failure; doubles
 	backOffTop = 2 * time.Second
 	noticeMost = 256     // notices in one call
@@ -50,10 +51,11 @@
 // registry is one address of discovery and the connections to it. left ends when discovery has moved away:
 // with it end the calls there and the pauses after failures of the old address.
 type registry struct {
-	addr   string
-	client *http.Client
-	left   context.Context
-	leave  context.CancelFunc
+	addr    string
+	client  *http.Client // for the list
+	notices *http.Client // has no connection in common with that, of which only the watch finds out that it is silent
+	left    context.Context
+	leave   context.CancelFunc
 }
 
 func newDiscovery(addr string) *discovery {
@@ -64,12 +66,15 @@
 
 // at is the registry at an address, to which no connection is open yet.
 func (d *discovery) at(addr string) *registry {
-	o := &registry{addr: addr, client: &http.Client{
-		Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 2, ResponseHeaderTimeout: watchWait + answerTime,
-			DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) { return d.dial(ctx, network, addr) }},
-		CheckRedirect: func(*http.Request, []*http.Request) error {
-			return http.ErrUseLastResponse
-		}}}
+	client := func(kept int) *http.Client {
+		return &http.Client{
+			Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: kept, ResponseHeaderTimeout: watchWait + answerTime,
+				DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) { return d.dial(ctx, network, addr) }},
+			CheckRedirect: func(*http.Request, []*http.Request) error {
+				return http.ErrUseLastResponse
+			}}
+	}
+	o := &registry{addr: addr, client: client(2), notices: client(1)}
 	o.left, o.leave = context.WithCancel(context.Background())
 	return o
 }
@@ -92,10 +97,15 @@
 	d.now = d.at(addr)
 	d.mu.Unlock()
 	old.leave()
-	old.client.CloseIdleConnections()
+	old.closeIdle()
 	return true
 }
 
+func (o *registry) closeIdle() {
+	o.client.CloseIdleConnections()
+	o.notices.CloseIdleConnections()
+}
+
 // within gives a call there its context: it ends with ctx, after the limit, or when discovery moves.
 func (o *registry) within(ctx context.Context, limit time.Duration) (context.Context, func()) {
 	ctx, cancel := context.WithTimeout(ctx, limit)
@@ -104,7 +114,7 @@
 		stop()
 		cancel()
 		if o.left.Err() != nil {
-			o.client.CloseIdleConnections() // the connection of a call that was just over
+			o.closeIdle() // the connection of a call that was just over
 		}
 	}
 }
@@ -280,7 +290,8 @@
 	RetryMS *int64 `json:"retry_in_ms,omitempty"`
 }
 
-// tell posts notices until they are taken, wherever discovery is by then.
+// tell posts notices until they are taken, wherever discovery is by then. The connection of the last ones may have fallen silent
+// since; the first failure is made up for at once, on a new one, as a notice has little time.
 func (d *discovery) tell(ctx context.Context, notices <-chan []notice, told func([]notice)) {
 	for {
 		var batch []notice
@@ -296,11 +307,16 @@
 		}
 		for failures := 0; ; {
 			o := d.registry()
-			if o.post(ctx, lines.Bytes()) == nil {
+			limit := noticeTime
+			if failures == 0 {
+				limit = noticeSoon
+			}
+			if o.post(ctx, lines.Bytes(), limit) == nil {
 				told(batch)
 				break
 			}
-			if failures++; !o.pause(ctx, failures) {
+			o.notices.CloseIdleConnections()
+			if failures++; failures > 1 && !o.pause(ctx, failures-1) || ctx.Err() != nil {
 				return
 			}
 			if o.left.Err() != nil {
@@ -310,15 +326,15 @@
 	}
 }
 
-func (o *registry) post(ctx context.Context, lines []byte) error {
-	ctx, done := o.within(ctx, noticeTime)
+func (o *registry) post(ctx context.Context, lines []byte, limit time.Duration) error {
+	ctx, done := o.within(ctx, limit)
 	defer done()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+o.addr+"/v1/notices", bytes.NewReader(lines))
 	if err != nil {
 		return err
 	}
 	req.Header.Set("Content-Type", "application/x-ndjson")
-	resp, err := o.client.Do(req)
+	resp, err := o.notices.Do(req)
 	if err != nil {
 		return err
 	}
--- a/internal/sender/journal.go
+++ b/internal/sender/journal.go
@@ -93,7 +93,7 @@
 	At       time.Duration `json:"at"`
 	Endpoint string        `json:"endpoint"`
 	Zone     int           `json:"zone,omitempty"`
-	In       string        `json:"in,omitempty"` // the zone's name, where a key is remembered in its zone only
+	In       string        `json:"in,omitempty"`    // the zone's name, where a key is remembered in its zone only
 	Never    bool          `json:"never,omitempty"` // it surely never ran
 	Recalled bool          `json:"recalled,omitempty"`
 	Out      string        `json:"out,omitempty"` // how it ended, with a recorder
--- /dev/null
+++ b/internal/sender/leave_test.go
@@ -0,0 +1,42 @@
+package sender
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"dockshift.example/dockshift/brain"
+	st "dockshift.example/dockshift/internal/sendertest"
+)
+
+// What has come to the loop as the process leaves still counts: a message that was answered in that moment is not the next
+// process's to end, and a client whose message waits there hears that it was not taken on.
+func TestWhatComesAsTheProcessLeaves(t *testing.T) {
+	p := st.NewPlatform(t, st.NewEndpoint(t, st.Silent).Addr)
+	s := newTest(t, p, nil)
+	deadline := s.clock.now() + time.Minute
+	for _, id := range []string{"answered", "open"} {
+		m, err := s.journal.take(record{ID: id, Class: "unsafe", Tenant: "acme", Deadline: deadline})
+		if err != nil {
+			t.Fatal(err)
+		}
+		number := s.hold(m, nil, 2)
+		s.journal.note(m, record{Op: "send", Sent: &try{At: s.clock.now(), Endpoint: "s-0"}})
+		s.out++
+		if id == "answered" {
+			s.events <- callEnd{s.messages[number], 0, brain.AttemptEnd{Outcome: brain.Served, Over: true}, false}
+		}
+	}
+	late := submission{record: record{ID: "late", Class: "unsafe", Tenant: "acme", Deadline: deadline}, class: 2, answer: make(chan answerLine, 1)}
+	s.events <- late
+	if err := s.leave(func() {}); err != nil {
+		t.Fatal(err)
+	}
+	if a := st.Receive(t, late.answer); a.status != http.StatusServiceUnavailable {
+		t.Errorf("a message that comes as it leaves is answered %+v", a)
+	}
+	j := openTest(t, s.c.State, 1<<20)
+	if held := j.held(); len(held) != 1 || held[0].ID != "open" || len(held[0].Tries) != 1 {
+		t.Errorf("the next process finds %v", held)
+	}
+}
--- a/internal/sender/loop.go
+++ b/internal/sender/loop.go
@@ -231,8 +231,19 @@
 	}
 }
 
-// leave ends the process's work: what is out is cut off and stays written down as such.
+// leave ends the process's work: what is out is cut off and stays written down as such. What has come by then still counts: a
+// message that was answered just now is not another's to repeat.
 func (s *Sender) leave(stop context.CancelFunc) error {
+	s.quitting = true
+	for more := true; more; {
+		select {
+		case e := <-s.events:
+			s.take(e)
+		default:
+			more = false
+		}
+	}
+	s.flush()
 	stop()
 	s.server.close()
 	s.log.Info("stopped", "held", s.held, "calls", s.out, "notices", len(s.owed))
@@ -292,7 +303,7 @@
 		class := s.c.classOf(m)
 		events = append(events, brain.Message{ID: s.hold(m, nil, class), Class: class,
 			Tenant: place(s.c.Tenants, m.Tenant, -1), Destination: brain.DestinationID(m.Dest), Key: m.orderKey(), Deadline: m.Deadline,
-			Tried: m.made(), MayRun: may, FirstRun: first.At, RanZone: s.c.zoneOf(first)})
+			Tried: m.made(), MayRun: may, FirstRun: first.At, RanZone: s.c.zoneOf(first), Resumed: true})
 	}
 	events, s.learnt = append(events, s.learnt...), s.learnt[:0]
 	for _, p := range s.parts {
--- a/internal/sender/watch_test.go
+++ b/internal/sender/watch_test.go
@@ -36,7 +36,9 @@
 	silent               []time.Duration // all watches that are open then say nothing any more
 	refuseAfter          bool            // the first call after each silence is refused besides
 	latency              time.Duration
-	changes              []time.Duration // the n-th makes version n+1
+	changes              []time.Duration          // the n-th makes version n+1
+	cut                  time.Duration            // connections that are open then say nothing any more
+	notices              map[string]time.Duration // when each came first
 	mu                   *sync.Mutex
 	spared               int // silences whose refusal has come
 }
@@ -90,12 +92,26 @@
 
 func (v *virtualRegistry) serve(c net.Conn) {
 	defer c.Close()
+	opened := v.now()
 	for r := bufio.NewReader(c); ; {
 		req, err := http.ReadRequest(r)
 		if err != nil {
 			return
 		}
-		io.Copy(io.Discard, req.Body)
+		var lines []notice
+		for d := json.NewDecoder(req.Body); err == nil; {
+			var n notice
+			if err = d.Decode(&n); err == nil {
+				lines = append(lines, n)
+			}
+		}
+		if opened < v.cut && v.now() >= v.cut {
+			io.Copy(io.Discard, c)
+			return
+		}
+		for _, n := range lines {
+			v.noticed(n.Message)
+		}
 		switch status, body := v.answer(req); status {
 		case 0:
 			io.Copy(io.Discard, c) // until the other side gives it up
@@ -158,6 +174,17 @@
 	return http.StatusOK, string(raw)
 }
 
+func (v *virtualRegistry) noticed(id string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if _, ok := v.notices[id]; !ok {
+		if v.notices == nil {
+			v.notices = map[string]time.Duration{}
+		}
+		v.notices[id] = v.now()
+	}
+}
+
 // told is when a change counts as told: toldAfter the first moment from which on discovery could be reached for so long.
 func (v *virtualRegistry) told(change time.Duration) time.Duration {
 	from := change
@@ -200,7 +227,7 @@
 }
 
 // hear runs a whole sender against a registry for a while, in virtual time, and tells when it heard of each version.
-func hear(t *testing.T, v *virtualRegistry, senders int, seed uint64, length time.Duration) map[int64]time.Duration {
+func hear(t *testing.T, v *virtualRegistry, senders int, seed uint64, length time.Duration, held ...record) map[int64]time.Duration {
 	heard := &heardLog{Handler: slog.NewTextHandler(io.Discard, &slog.HandlerOptions{Level: slog.LevelDebug}), at: map[int64]time.Duration{}}
 	dir := t.TempDir()
 	synctest.Test(t, func(t *testing.T) {
@@ -213,6 +240,14 @@
 			t.Fatal(err)
 		}
 		c.Known, c.Seed, c.Settings.Senders = Targets{Version: 1, Full: true, Servers: []Target{{ID: "s-0", State: membership.Serving}}}, seed, senders
+		j := openTest(t, dir, 1<<20)
+		for _, r := range held {
+			r.Deadline += newClock().now()
+			if _, err := j.take(r); err != nil {
+				t.Fatal(err)
+			}
+		}
+		j.close()
 		s, err := New(c, slog.New(heard))
 		if err != nil {
 			t.Fatal(err)
@@ -229,7 +264,7 @@
 			t.Error(err)
 		}
 		time.Sleep(time.Minute) // calls that were given up end
-		s.disc.registry().client.CloseIdleConnections()
+		s.disc.registry().closeIdle()
 	})
 	return heard.at
 }
@@ -312,3 +347,23 @@
 		}
 	}
 }
+
+// A message that ends undelivered has 300 ms after its time for its notice to arrive. Where the connection of the notice before
+// had fallen silent it took 500 ms to find out, and a message was lost (short days of fen-readings, seed 3, roll+term+brink).
+func TestANoticeArrivesInTimeThoughItsConnectionIsSilent(t *testing.T) {
+	for _, cut := range []time.Duration{time.Millisecond, 2 * time.Second, 5 * time.Second, 7 * time.Second} {
+		for seed := range uint64(10) {
+			v := &virtualRegistry{cut: cut, latency: 25 * time.Millisecond}
+			var held []record
+			for n := range 10 {
+				held = append(held, record{ID: strconv.Itoa(n), Class: "safe", Tenant: "acme", Dest: 7, Deadline: time.Duration(n+1) * time.Second})
+			}
+			hear(t, v, 1, seed, 15*time.Second, held...)
+			for _, r := range held {
+				if at, ok := v.notices[r.ID]; !ok || at > r.Deadline+300*time.Millisecond {
+					t.Errorf("cut at %v, seed %d: the notice of a message whose time is up at %v arrives at %v (%v)", cut, seed, r.Deadline, at, ok)
+				}
+			}
+		}
+	}
+}
