--- a/cmd/saffronyard/main_test.go
+++ b/cmd/saffronyard/main_test.go
@@ -43,7 +43,12 @@
 // configure writes a configuration's file.
 func configure(t *testing.T, file string, p *st.Platform, state string) {
 	t.Helper()
-	raw, err := json.Marshal(st.Config(p, state))
+	configureWith(t, file, st.Config(p, state))
+}
+
+func configureWith(t *testing.T, file string, c map[string]any) {
+	t.Helper()
+	raw, err := json.Marshal(c)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -54,6 +59,11 @@
 
 // start runs a sender and waits until it is ready.
 func start(t *testing.T, p *st.Platform, state string, args ...string) *process {
+	t.Helper()
+	return startWith(t, st.Config(p, state), state, args...)
+}
+
+func startWith(t *testing.T, settings map[string]any, state string, args ...string) *process {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -62,7 +72,7 @@
 	addr := l.Addr().String()
 	l.Close()
 	config := filepath.Join(t.TempDir(), "config.json")
-	configure(t, config, p, state)
+	configureWith(t, config, settings)
 	c := &process{exec.Command(os.Args[0], args...), addr, config}
 	c.Env = append(os.Environ(), "SAFFRONYARD_TEST_CHILD=1", "GORACE=atexit_sleep_ms=0", "EDGE_CONFIG="+config, "EDGE_LISTEN="+addr, "EDGE_STATE="+state)
 	c.Stderr = os.Stderr
