--- a/internal/sender/discovery.go
+++ b/internal/sender/discovery.go
@@ -1,9 +1,7 @@
 package sender
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -168,69 +166,6 @@
 	return t, nil
 }
 
-// readTargets reads a list line by line: a long one is not held as text as well. The words that its lines share
-// are held once.
-func readTargets(r io.Reader) (Targets, error) {
-	var t Targets
-	words := map[string]string{}
-	once := func(s *string) {
-		if known, ok := words[*s]; ok {
-			*s = known
-		} else if len(words) < 1000 {
-			words[*s] = *s
-		}
-	}
-	d := json.NewDecoder(r)
-	if err := expect(d, json.Delim('{')); err != nil {
-		return t, err
-	}
-	for d.More() {
-		key, err := d.Token()
-		if err != nil {
-			return t, err
-		}
-		switch key {
-		case "version":
-			err = d.Decode(&t.Version)
-		case "full":
-			err = d.Decode(&t.Full)
-		case "servers":
-			var first json.Token
-			if first, err = d.Token(); err != nil || first == nil { // null is an empty list
-				break
-			}
-			if first != json.Delim('[') {
-				return t, fmt.Errorf("servers is no list but %v", first)
-			}
-			for d.More() {
-				var line Target
-				if err := d.Decode(&line); err != nil {
-					return t, fmt.Errorf("line %d: %w", len(t.Servers)+1, err)
-				}
-				once(&line.Zone)
-				once(&line.Kind)
-				once(&line.State)
-				t.Servers = append(t.Servers, line)
-			}
-			err = expect(d, json.Delim(']'))
-		default:
-			err = d.Decode(new(json.RawMessage))
-		}
-		if err != nil {
-			return t, fmt.Errorf("%v: %w", key, err)
-		}
-	}
-	return t, expect(d, json.Delim('}'))
-}
-
-func expect(d *json.Decoder, want json.Delim) error {
-	got, err := d.Token()
-	if err == nil && got != want {
-		err = fmt.Errorf("%v where %v is wanted", got, want)
-	}
-	return err
-}
-
 // watch follows the list at one registry from a version on, -1 for none, until a call fails; then it returns the version
 // that was heard last. The next call goes out as soon as an answer is passed on: a gap would end the watch. The first call
 // waits for nothing, so that one that is never answered is found out the sooner.
@@ -282,66 +217,3 @@
 		}
 	}
 }
-
-// notice is a line on a message that was taken on and not delivered.
-type notice struct {
-	Message string `json:"message"`
-	Outcome string `json:"outcome"`
-	RetryMS *int64 `json:"retry_in_ms,omitempty"`
-}
-
-// tell posts notices until they are taken, wherever discovery is by then. The connection of the last ones may have fallen silent
-// since; the first failure is made up for at once, on a new one, as a notice has little time.
-func (d *discovery) tell(ctx context.Context, notices <-chan []notice, told func([]notice)) {
-	for {
-		var batch []notice
-		select {
-		case batch = <-notices:
-		case <-ctx.Done():
-			return
-		}
-		var lines bytes.Buffer
-		enc := json.NewEncoder(&lines)
-		for _, n := range batch {
-			enc.Encode(n) // strings and numbers only: it cannot fail
-		}
-		for failures := 0; ; {
-			o := d.registry()
-			limit := noticeTime
-			if failures == 0 {
-				limit = noticeSoon
-			}
-			if o.post(ctx, lines.Bytes(), limit) == nil {
-				told(batch)
-				break
-			}
-			o.notices.CloseIdleConnections()
-			if failures++; failures > 1 && !o.pause(ctx, failures-1) || ctx.Err() != nil {
-				return
-			}
-			if o.left.Err() != nil {
-				failures = 0
-			}
-		}
-	}
-}
-
-func (o *registry) post(ctx context.Context, lines []byte, limit time.Duration) error {
-	ctx, done := o.within(ctx, limit)
-	defer done()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+o.addr+"/v1/notices", bytes.NewReader(lines))
-	if err != nil {
-		return err
-	}
-	req.Header.Set("Content-Type", "application/x-ndjson")
-	resp, err := o.notices.Do(req)
-	if err != nil {
-		return err
-	}
-	defer resp.Body.Close()
-	io.Copy(io.Discard, io.LimitReader(resp.Body, maxBody))
-	if resp.StatusCode != http.StatusNoContent {
-		return fmt.Errorf("notices are answered %s", resp.Status)
-	}
-	return nil
-}
--- /dev/null
+++ b/internal/sender/notices.go
@@ -0,0 +1,74 @@
+package sender
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+)
+
+// notice is a line on a message that was taken on and not delivered.
+type notice struct {
+	Message string `json:"message"`
+	Outcome string `json:"outcome"`
+	RetryMS *int64 `json:"retry_in_ms,omitempty"`
+}
+
+// tell posts notices until they are taken, wherever discovery is by then. The connection of the last ones may have fallen silent
+// since; the first failure is made up for at once, on a new one, as a notice has little time.
+func (d *discovery) tell(ctx context.Context, notices <-chan []notice, told func([]notice)) {
+	for {
+		var batch []notice
+		select {
+		case batch = <-notices:
+		case <-ctx.Done():
+			return
+		}
+		var lines bytes.Buffer
+		enc := json.NewEncoder(&lines)
+		for _, n := range batch {
+			enc.Encode(n) // strings and numbers only: it cannot fail
+		}
+		for failures := 0; ; {
+			o := d.registry()
+			limit := noticeTime
+			if failures == 0 {
+				limit = noticeSoon
+			}
+			if o.post(ctx, lines.Bytes(), limit) == nil {
+				told(batch)
+				break
+			}
+			o.notices.CloseIdleConnections()
+			if failures++; failures > 1 && !o.pause(ctx, failures-1) || ctx.Err() != nil {
+				return
+			}
+			if o.left.Err() != nil {
+				failures = 0
+			}
+		}
+	}
+}
+
+func (o *registry) post(ctx context.Context, lines []byte, limit time.Duration) error {
+	ctx, done := o.within(ctx, limit)
+	defer done()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+o.addr+"/v1/notices", bytes.NewReader(lines))
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Content-Type", "application/x-ndjson")
+	resp, err := o.notices.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	io.Copy(io.Discard, io.LimitReader(resp.Body, maxBody))
+	if resp.StatusCode != http.StatusNoContent {
+		return fmt.Errorf("notices are answered %s", resp.Status)
+	}
+	return nil
+}
