--- a/internal/sender/leave_test.go
+++ b/internal/sender/leave_test.go
@@ -42,7 +42,7 @@
 }
 
 // A 200 that comes as a message's time is up may have come too late, and the message counts as lost then if no notice tells of it: seen
-// on three of 96 days (fen-readings, roll+term+brink, seeds 1030, 1056, 1075), each with an answer within 0.2 ms of the end.
+// on three of 96 days (fen-readings, roll+term+brink, seeds 1030, 1056, 1075), each with an answer within half a millisecond of the end.
 func TestAnAnswerAtTheEndOfItsTimeIsToldOf(t *testing.T) {
 	p := st.NewPlatform(t, st.NewEndpoint(t, st.Silent).Addr)
 	for name, tt := range map[string]struct {
--- a/internal/sender/outages_test.go
+++ b/internal/sender/outages_test.go
@@ -42,7 +42,7 @@
 }
 
 // A process that was restarted while a receiver was out, or came back, sent all that it found taken on for it at once. Seven in
-// ten of a fleet that did so sent a cold receiver 66 to 204 calls more than its budget allows (brain, TestTheFleetsRamp).
+// ten of a fleet that did so sent a cold receiver up to 204 calls more than its budget allows (brain, TestTheFleetsRamp).
 func TestAnOutageOutlastsTheProcess(t *testing.T) {
 	t.Parallel()
 	now := newClock().now()
