--- a/proto/generate/main.go
+++ b/proto/generate/main.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 
 	"github.com/bufbuild/protocompile"
@@ -42,15 +43,21 @@
 		return err
 	}
 	parameter := "paths=source_relative"
-	req := &pluginpb.CodeGeneratorRequest{FileToGenerate: names, Parameter: &parameter}
+	req := &pluginpb.CodeGeneratorRequest{Parameter: &parameter}
 	for _, f := range files {
 		req.ProtoFile = append(req.ProtoFile, protoutil.ProtoFromFileDescriptor(f))
 	}
-	in, err := proto.Marshal(req)
-	if err != nil {
-		return err
-	}
-	for _, plugin := range []string{"protoc-gen-go", "protoc-gen-go-grpc"} {
+	tier := func(name string) bool { return strings.HasPrefix(name, "saffronyard/tier/") } // between the tier's processes: twirp
+	for plugin, wants := range map[string]func(string) bool{
+		"protoc-gen-go":      func(string) bool { return true },
+		"protoc-gen-go-grpc": func(name string) bool { return !tier(name) },
+		"protoc-gen-twirp":   tier,
+	} {
+		req.FileToGenerate = slices.DeleteFunc(slices.Clone(names), func(name string) bool { return !wants(name) })
+		in, err := proto.Marshal(req)
+		if err != nil {
+			return err
+		}
 		run := exec.Command("go", "tool", plugin)
 		run.Stdin, run.Stderr = bytes.NewReader(in), os.Stderr
 		out, err := run.Output()
