--- a/brain/brain.go
+++ b/brain/brain.go
@@ -1,7 +1,7 @@
 package brain
 
-// The decisions of a sender, top to bottom: constants, oracle, window and health, Step and its timer,
-// admission and ordering, choice, outcomes. The interface (settings, events, actions) is in api.go.
+// The decisions of a sender, top to bottom: constants, cap and health, Step and its timer, admission and
+// ordering, choice, outcomes. Oracle and window are in brain/restart; the interface is in api.go.
 // docs/design.md tells what is the paper's, what is ours, and when each departure acts.
 
 import (
@@ -10,22 +10,11 @@
 	"slices"
 	"sort"
 	"time"
+
+	"dockshift.example/dockshift/brain/restart"
 )
 
 const (
-	buckets   = 1000             // H: buckets of the latency histogram (paper, table I)
-	tauMax    = 60 * time.Second // the histogram's span (paper, table I)
-	tauFirst  = 4 * time.Second  // time-out before any sample (paper, table I)
-	restartC  = 0.0              // c, s: cost of a restart (paper, table I)
-	exploreIn = 20               // one first attempt in so many runs to its time left
-	exploreW  = 20               // samples: weight of such a run, as it stands for so many
-	ageing    = 1.005            // all samples weigh so much less with each new one: about 200 count
-	tauTie    = 1.1              // bounds within this factor of the least Ê are as good: take the longest
-	answered  = 0.99             // share of the answered calls that a time-out must leave, with
-	spare     = 2                // so many times their time, as the next may be slower than any seen
-	fewTimes  = 20               // samples before a time-out may be under tauFirst
-
-	capShare   = 0.75 // share of the slots that one destination stays under (design)
 	failing    = 0.3  // share of failed calls from which half the cap and a pace hold
 	mostFail   = 0.65 // share of failed calls that is an outage
 	inRow      = 8    // failures in a row that are an outage, where as many calls come in an overload span
@@ -33,7 +22,6 @@
 	recentPer  = 0.1  // weight of the newest call in the recent latency
 	healthPer  = 0.06 // weight of the newest call in the mean of failures
 	silentBy   = 8    // age of unanswered calls over the middle latency, from which slots are taken back
-	windowFade = 0.25 // of the window, by call served while less than half of it is in use
 	slowBy     = 3    // recent latency over the usual, from which a destination is slow
 
 	rateSpan    = 10 * time.Second       // span over which the served rate is seen
@@ -64,111 +52,12 @@
 	never       = time.Duration(math.MaxInt64)
 )
 
-// ---- Oracle: the paper's section III.D for one destination or route
-
-// sample books a first attempt's time, or with late one that was never answered.
-func (o *oracle) sample(d time.Duration, weight float64, late bool) {
-	for k := range o.bucket {
-		o.bucket[k].count /= ageing
-		o.bucket[k].sum /= ageing
-	}
-	o.past /= ageing
-	if late || d >= tauMax {
-		o.past += weight
-	} else {
-		k := int(d * buckets / tauMax)
-		for len(o.bucket) <= k {
-			o.bucket = append(o.bucket, bucket{})
-		}
-		o.seen++
-		o.bucket[k].count += weight
-		o.bucket[k].sum += weight * d.Seconds()
-		if o.quickest == 0 || d < o.quickest {
-			o.quickest = d
-		}
-	}
-	o.dirty = true
-}
-
-// expected is Ê of restarting at bound tau, for the weight and the mean of samples up to it.
-func expected(upTo, all, mean, tau float64) float64 {
-	f := upTo / all
-	return mean/f + (1-f)/f*(tau+restartC)
-}
-
-// optimum is the argmin of Ê. Where the curve is flat its least point is chance and may lie short,
-// so of the bounds that are as good the longest is taken: it restarts less. Nor does it cut calls that
-// come back: a repeat takes as long again, and the first may still run.
-func (o *oracle) optimum() time.Duration {
-	if !o.dirty {
-		return cmp.Or(o.best, tauFirst)
-	}
-	o.dirty = false
-	all := o.past
-	for _, k := range o.bucket {
-		all += k.count
-	}
-	least, longest := math.Inf(1), tauFirst
-	came, floor := all-o.past, time.Duration(0)
-	for pass := range 2 { // first the least Ê, then the longest bound that is as good
-		n, t := 0.0, 0.0
-		for k, at := range o.bucket {
-			if at.count == 0 {
-				continue
-			}
-			n += at.count
-			t += at.sum
-			bound := tauMax * time.Duration(k+1) / buckets
-			e := expected(n, all, t/n, bound.Seconds())
-			if pass == 0 {
-				least = min(least, e)
-			} else {
-				if e <= least*tauTie {
-					longest = bound
-				}
-				if n-at.count < came/2 {
-					o.median = bound
-				}
-				if n-at.count < answered*came {
-					floor = bound * spare
-				}
-			}
-		}
-		if n > 0 {
-			o.mean = t / n
-		}
-	}
-	if o.seen < fewTimes {
-		floor = max(floor, tauFirst)
-	}
-	o.best = min(max(longest, floor), tauMax)
-	return o.best
-}
-
-// tau is the time-out now.
-func (o *oracle) tau() time.Duration {
-	if o.doubled > 0 {
-		return o.doubled
-	}
-	return o.optimum()
-}
-
-// expired doubles the time-out, once for all calls that were out at the last doubling.
-func (o *oracle) expired(sent, now time.Duration) {
-	if o.doubled == 0 || sent >= o.doubledAt {
-		o.doubled, o.doubledAt = min(2*o.tau(), tauMax), now
-	}
-}
-
-// ---- Window and health of a route: a destination, or one endpoint where routes are apart
+// ---- Cap and health of a route: a destination, or one endpoint where routes are apart
 
 // cap is how many calls r may have out. A failing, slow or silent one keeps half.
 func (b *Brain) cap(r *route) int {
-	most := math.Ceil(capShare*float64(b.s.Slots)) - 1
-	if r.fails > failing || r.recent > slowBy*r.mean && r.mean > 0 || b.silent(r, 1) {
-		most = math.Floor(most / 2)
-	}
-	return max(1, int(min(most, r.window)))
+	half := r.fails > failing || r.recent > slowBy*r.Mean && r.Mean > 0 || b.silent(r, 1)
+	return r.window.Room(b.s.Slots, half)
 }
 
 // silent: nothing was served since the oldest of n or more calls went out, long ago.
@@ -177,13 +66,6 @@
 		b.now-r.unanswered[0].sent > r.patience()
 }
 
-// halve cuts the window, once for all calls that were out at the last cut.
-func (b *Brain) halve(r *route, sent time.Duration) {
-	if sent >= r.halvedAt {
-		r.window, r.halvedAt = max(1, r.window/2), b.now
-	}
-}
-
 // rate is how many calls a second r may get now, and how many at once. A window alone does not bound
 // the rate of quick failures, and a cold destination bears few calls, refused ones too.
 func (b *Brain) rate(r *route) (rate, burst float64) {
@@ -278,7 +160,7 @@
 		r.outAt = b.now
 	}
 	r.state, r.since, r.probes, r.tokens, r.filled = out, b.now, 0, b.phase(), b.now
-	r.window = 1
+	r.window.Size = 1
 	b.doubt(r)
 	b.changed(r)
 	b.log(r, "out: calls fail, are refused or go unanswered; one call at a time")
@@ -368,7 +250,7 @@
 	if b.s.MaxAttempts > 0 && m.tries() >= b.s.MaxAttempts {
 		return -never
 	}
-	quickest := m.route().quickest
+	quickest := m.route().Quickest
 	last := m.Deadline - max(quickest, b.s.Step)
 	if m.mayRun && m.class.Effect != Safe {
 		if m.class.Effect != Keyed {
@@ -464,7 +346,7 @@
 // index orders messages for a scarce slot: the worth that a message loses if passed over, and a little of
 // its worth, for the slot time that it is likely to hold. Calls failed since one was served count against it.
 func (b *Brain) index(m *message, r *route) float64 {
-	takes := max(r.recent, r.mean, 0.05)
+	takes := max(r.recent, r.Mean, 0.05)
 	done := b.now + time.Duration(takes*float64(time.Second))
 	w := b.worth(m, done)
 	lost := float64(r.lost) * math.Exp(-(b.now-r.sentAt).Seconds()/passedOver.Seconds())
@@ -569,7 +451,7 @@
 		return m.tries() < than.tries()
 	}
 	if e.route.state == out {
-		slow := time.Duration(slowBy * max(e.route.mean, e.route.recent) * float64(time.Second))
+		slow := time.Duration(slowBy * max(e.route.Mean, e.route.recent) * float64(time.Second))
 		enough := b.now + max(probeFirst, slow)
 		short := m.Deadline < enough
 		if short != (than.Deadline < enough) {
@@ -732,7 +614,7 @@
 func (b *Brain) send(m *message, c *call) {
 	r := c.route
 	left := m.Deadline - b.now
-	tau := r.tau()
+	tau := r.Timeout()
 	if c.probe {
 		tau = max(r.patience(), probeFirst) // doubling would leave an outage unwatched
 	}
@@ -748,14 +630,14 @@
 		if m.mayRun {
 			from = m.firstRun
 		}
-		restartable = b.now+tau+2*b.s.Step+r.quickest < from+m.class.KeyWindow
+		restartable = b.now+tau+2*b.s.Step+r.Quickest < from+m.class.KeyWindow
 	}
 	if b.s.MaxAttempts > 0 && m.tries()+1 >= b.s.MaxAttempts {
 		restartable = false
 	}
 	if restartable && tau < left {
-		if first && !c.probe && b.draw(exploreIn) == 0 {
-			a.weight = exploreW
+		if first && !c.probe && b.draw(restart.ExploreIn) == 0 {
+			a.weight = restart.ExploreWeight
 		} else {
 			a.timeout, a.uncut = tau, false
 		}
@@ -773,18 +655,18 @@
 
 // patience is how old an unanswered call may be before it counts as silence. Calls that came back from
 // a hang lengthen the time-out; silence is judged as if they had not.
-func (r *route) patience() time.Duration { return min(r.optimum(), tauFirst) }
+func (r *route) patience() time.Duration { return min(r.Optimum(), restart.FirstTimeout) }
 
 // haste is the patience for taking slots back: some times the usual latency, which for a route with few
 // samples is that of all routes, if a call sent later was served there already. It doubles with each
 // call taken back there until one is served: what turns slow then gets the time to show it.
 func (b *Brain) haste(c *call) time.Duration {
 	r := c.route
-	b.all.optimum()
-	usual := b.all.median
-	if r.seen >= fewTimes {
-		usual = r.median
-	} else if b.all.seen < fewTimes || r.servedSent <= c.sent {
+	b.all.Optimum()
+	usual := b.all.Median
+	if r.Seen >= restart.FewSamples {
+		usual = r.Median
+	} else if b.all.Seen < restart.FewSamples || r.servedSent <= c.sent {
 		return r.patience()
 	}
 	usual = max(silentBy*usual, time.Duration(slowBy*r.recent*float64(time.Second)), probeFirst)
@@ -895,17 +777,17 @@
 func (b *Brain) learn(m *message, a *attempt, e AttemptEnd) {
 	switch {
 	case e.Outcome == Served && a.weight > 0:
-		first := a.route.quickest == 0
-		a.route.sample(e.Elapsed, a.weight, false)
+		first := a.route.Quickest == 0
+		a.route.Sample(e.Elapsed, a.weight, false)
 		if first { // those that wait have less time from now on
 			b.retime(m.dest)
 		}
-		b.all.sample(e.Elapsed, a.weight, false)
-		a.route.doubled = 0
+		b.all.Sample(e.Elapsed, a.weight, false)
+		a.route.Fresh()
 	case e.Outcome == TimedOut && a.uncut && a.weight > 0:
-		a.route.sample(0, a.weight, true)
+		a.route.Sample(0, a.weight, true)
 	case e.Outcome == TimedOut && !a.uncut:
-		a.route.expired(a.sent, b.now)
+		a.route.Expired(a.sent, b.now)
 	}
 }
 
@@ -960,8 +842,8 @@
 	switch {
 	case e.Outcome == Refused:
 		b.refused(r, a, e)
-	case e.Outcome == TimedOut && r.doubled > 0:
-		b.halve(r, a.sent)
+	case e.Outcome == TimedOut && r.Doubled():
+		r.window.Halve(a.sent, b.now)
 	}
 	// Refusals come in runs where a limit is met, too: there it takes a while without any served.
 	long := e.Outcome != Refused || b.now-r.lastServed > b.s.OverloadFor/2
@@ -991,7 +873,7 @@
 		a.at.room = 0
 	}
 	// Quickly served after a try on a connection that had been idle was not: such are dropped unseen.
-	if n := len(m.attempts); n > 1 && m.attempts[n-2].idle > 0 && m.attempts[n-2].doubt && s < slowBy*r.mean {
+	if n := len(m.attempts); n > 1 && m.attempts[n-2].idle > 0 && m.attempts[n-2].doubt && s < slowBy*r.Mean {
 		*kind = min(*kind, m.attempts[n-2].idle/2)
 		b.crowd(a.at, max(a.at.crowded, b.s.IdleConnections-*kind))
 	}
@@ -999,7 +881,7 @@
 	r.servedSent = max(r.servedSent, a.sent)
 	r.bad, r.lost, r.pause, r.takenBack = 0, 0, 0, 0
 	if r.state == out {
-		r.state, r.since, r.window, r.tokens, r.filled = cold, b.now, 1, 0, b.now
+		r.state, r.since, r.window.Size, r.tokens, r.filled = cold, b.now, 1, 0, b.now
 		if b.enough(r) >= inRow/2 {
 			b.crowd(a.at, 0) // an outage as such: its connects did not fail for a full table
 		}
@@ -1007,13 +889,7 @@
 		b.changed(r)
 		b.log(r, "answers again; warming up")
 	}
-	// A window that is not in use says nothing about what the destination bears: it grows in use only,
-	// and fades out of it, so that a destination that falls silent takes few slots before it is noticed.
-	if used := float64(r.calls + 1); 2*used >= r.window {
-		r.window = min(r.window+1, max(1, math.Ceil(capShare*float64(b.s.Slots))-1))
-	} else {
-		r.window = max(2, r.window-windowFade)
-	}
+	r.window.Served(r.calls, b.s.Slots)
 	if r.limit > 0 && (e.Limit == 0 || e.Left > plenty) {
 		step := paceStep * b.even(r.limit)
 		if e.Limit == 0 {
@@ -1036,7 +912,7 @@
 
 // refused closes the route for the told wait, or for a growing pause if none was told.
 func (b *Brain) refused(r *route, a *attempt, e AttemptEnd) {
-	b.halve(r, a.sent)
+	r.window.Halve(a.sent, b.now)
 	b.slower(r, 1)
 	if e.Wait > 0 {
 		if e.Wait > b.s.OverloadFor && r.state != out {
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -8,6 +8,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"dockshift.example/dockshift/brain/restart"
 )
 
 const ms = time.Millisecond
@@ -106,94 +108,12 @@
 	}
 }
 
-func TestOracleAgainstDirectComputation(t *testing.T) {
-	rnd := rand.New(rand.NewSource(1))
-	for round := range 20 {
-		var o oracle
-		var times, weights []float64
-		late, w := 0.0, 1.0
-		for range 60 + rnd.Intn(200) {
-			w *= ageing
-			if rnd.Intn(12) == 0 {
-				o.sample(0, exploreW, true)
-				late += w * exploreW
-				continue
-			}
-			d := time.Duration(math.Exp(rnd.NormFloat64()-1) * float64(time.Second))
-			o.sample(d, 1, false)
-			times, weights = append(times, d.Seconds()), append(weights, w)
-		}
-		// Ê at each bound from the plain list of samples.
-		all := late
-		for _, x := range weights {
-			all += x
-		}
-		ehat := func(k int) (e, inside, below float64) {
-			bound, prev := float64(k+1)*0.06, float64(k)*0.06
-			n, sum := 0.0, 0.0
-			for i, x := range times {
-				if x < bound {
-					n += weights[i]
-					sum += weights[i] * x
-				}
-				if x < prev {
-					below += weights[i]
-				}
-			}
-			if n == 0 {
-				return math.Inf(1), 0, 0
-			}
-			f := n / all
-			return sum/n/f + (1-f)/f*bound, n, below
-		}
-		least := math.Inf(1)
-		for k := range buckets {
-			e, _, _ := ehat(k)
-			least = min(least, e)
-		}
-		longest, floor := 0.0, 0.0
-		for k := range buckets {
-			e, n, below := ehat(k)
-			if n > below { // a bucket with samples
-				if e <= least*tauTie {
-					longest = float64(k+1) * 0.06
-				}
-				if below < answered*(all-late) {
-					floor = float64(k+1) * 0.06 * spare
-				}
-			}
-		}
-		want := math.Min(math.Max(longest, floor), 60)
-		if got := o.optimum().Seconds(); math.Abs(got-want) > 1e-6 {
-			t.Fatalf("round %d: τ = %v s, directly %v s", round, got, want)
-		}
-	}
-}
-
-func TestOracleFirstTimeoutAndDoubling(t *testing.T) {
-	var o oracle
-	if o.tau() != tauFirst {
-		t.Fatalf("before any sample τ = %v", o.tau())
-	}
-	o.expired(time.Second, 5*time.Second)
-	o.expired(time.Second, 5*time.Second) // was out at the doubling
-	if o.tau() != 2*tauFirst {
-		t.Fatalf("τ after an expiry = %v", o.tau())
-	}
-	for range 10 {
-		o.expired(time.Hour, time.Hour)
-	}
-	if o.tau() != tauMax {
-		t.Fatalf("τ is not held to its span: %v", o.tau())
-	}
-}
-
 // With few samples the argmin lies under the next ordinary call; quiet days then timed out a fifth.
 func TestFewSamplesDoNotCutTheTimeout(t *testing.T) {
 	r := newRig(t, settings())
 	r.serve(3, 0, 50*ms)
 	sends := r.step(r.message(0, 0, 0))
-	if len(sends) != 1 || sends[0].Timeout < tauFirst {
+	if len(sends) != 1 || sends[0].Timeout < restart.FirstTimeout {
 		t.Fatalf("after 3 quick calls: %+v", sends)
 	}
 }
@@ -207,7 +127,7 @@
 	s = r.step(Alarm{})
 	r.now += 100 * ms
 	r.step(r.end(s[0], Served))
-	if n := r.b.dests[0].shared.seen; n != 0 {
+	if n := r.b.dests[0].shared.Seen; n != 0 {
 		t.Fatalf("%d samples from a repeat", n)
 	}
 }
@@ -232,19 +152,19 @@
 			ends = append(ends, r.end(x, Served))
 		}
 		s = r.step(ends...)
-		if n := r.b.dests[0].shared.calls; float64(n) >= capShare*10 {
+		if n := r.b.dests[0].shared.calls; float64(n) >= restart.Share*10 {
 			t.Fatalf("%d of 10 slots at one destination", n)
 		}
 	}
 	route := r.b.dests[0].shared
-	before := route.window
-	r.b.halve(route, r.now)
-	r.b.halve(route, r.now-time.Second) // was out at the cut
-	if route.window != math.Max(1, before/2) {
-		t.Fatalf("window %v after one cut of %v", route.window, before)
-	}
-	route.window, route.fails = 9, 0.9
-	if c := r.b.cap(route); float64(c) > capShare*10/2 {
+	before := route.window.Size
+	route.window.Halve(r.now, r.now)
+	route.window.Halve(r.now-time.Second, r.now) // was out at the cut
+	if route.window.Size != math.Max(1, before/2) {
+		t.Fatalf("window %v after one cut of %v", route.window.Size, before)
+	}
+	route.window.Size, route.fails = 9, 0.9
+	if c := r.b.cap(route); float64(c) > restart.Share*10/2 {
 		t.Fatalf("a failing destination keeps %d slots", c)
 	}
 }
@@ -475,7 +395,7 @@
 	}
 	m := r.message(0, 2, 0)
 	r.step(m)
-	r.now += 2 * tauFirst
+	r.now += 2 * restart.FirstTimeout
 	r.step(Alarm{})
 	if r.cancels != 1 {
 		t.Fatalf("%d calls taken back for one message", r.cancels)
@@ -644,10 +564,10 @@
 	r := newRig(t, settings())
 	r.serve(3, 0, 20*ms)
 	route := r.b.dests[0].shared
-	route.window = 7
+	route.window.Size = 7
 	r.serve(40, 0, 20*ms)
-	if route.window > 3 {
-		t.Fatalf("window %v for one call at a time", route.window)
+	if route.window.Size > 3 {
+		t.Fatalf("window %v for one call at a time", route.window.Size)
 	}
 }
 
--- a/brain/fold.go
+++ b/brain/fold.go
@@ -4,6 +4,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"dockshift.example/dockshift/brain/restart"
 )
 
 // A destination that has been quiet for Settings.FoldAfter, with nothing held and no call out, is folded: what
@@ -113,16 +115,16 @@
 
 func (b *Brain) fold(d *destination) {
 	r := d.shared
-	r.optimum()
+	r.Optimum()
 	rate := r.before
 	if r.state == well {
 		rate = max(b.usual(r.done), b.earlier(r))
 	}
 	f := &folded{id: DestinationID(r.name), place: d.place, routePlace: r.place, at: b.now, closedUntil: r.closedUntil, since: r.since,
 		outAt: r.outAt, lastServed: r.lastServed, sentAt: max(r.sentAt, r.filled), destPast: float32(d.past), before: float32(r.before),
-		past: float32(r.past), limit: float32(r.limit), pace: float32(r.pace), rate: float32(rate), mean: float32(r.mean),
-		recent: float32(r.recent), fails: float32(r.fails), window: float32(r.window), best: micros(r.best), median: micros(r.median),
-		quickest: micros(r.quickest), paused: micros(r.pause), seen: uint16(min(r.seen, math.MaxUint16)), state: r.state}
+		past: float32(r.past), limit: float32(r.limit), pace: float32(r.pace), rate: float32(rate), mean: float32(r.Mean),
+		recent: float32(r.recent), fails: float32(r.fails), window: float32(r.window.Size), best: micros(r.Best), median: micros(r.Median),
+		quickest: micros(r.Quickest), paused: micros(r.pause), seen: uint16(min(r.Seen, math.MaxUint16)), state: r.state}
 	f.endpoints = make([]lean, 0, len(d.endpoints))
 	for _, e := range d.endpoints {
 		f.endpoints = append(f.endpoints, lean{e.ID, int16(e.Kind), int16(e.Zone), float32(e.Rating), float32(e.fails)})
@@ -140,12 +142,12 @@
 func (b *Brain) unfold(f *folded) *destination {
 	delete(b.folded, f.id)
 	t := trust(b.now - f.at)
-	r := &route{name: uint32(f.id), place: f.routePlace, window: max(1, blend(1, float64(f.window), t)), tokens: 1, filled: b.now,
+	r := &route{name: uint32(f.id), place: f.routePlace, window: restart.Window{Size: max(1, blend(1, float64(f.window), t))}, tokens: 1, filled: b.now,
 		closedUntil: f.closedUntil, pause: time.Duration(f.paused) * time.Microsecond, fails: blend(0, float64(f.fails), t),
 		recent: float64(f.recent), lastServed: f.lastServed, sentAt: f.sentAt, before: float64(f.before), past: float64(f.past), outAt: f.outAt,
 		state: f.state, since: f.since, limit: float64(f.limit), logged: -never / 2}
 	if f.seen > 0 {
-		r.assume(int(f.seen), float64(f.mean), time.Duration(f.median)*time.Microsecond, time.Duration(f.quickest)*time.Microsecond,
+		r.Assume(int(f.seen), float64(f.mean), time.Duration(f.median)*time.Microsecond, time.Duration(f.quickest)*time.Microsecond,
 			time.Duration(f.best)*time.Microsecond, t)
 	}
 	if r.limit > 0 {
--- a/brain/fold_test.go
+++ b/brain/fold_test.go
@@ -5,6 +5,8 @@
 	"runtime"
 	"testing"
 	"time"
+
+	"dockshift.example/dockshift/brain/restart"
 )
 
 // sleepy is a rig whose destinations fold after a minute.
@@ -54,7 +56,7 @@
 		sleep          time.Duration
 		tauFrom, tauTo time.Duration
 		window         float64
-	}{{2 * time.Minute, 0, time.Second, 5}, {12 * time.Hour, 3900 * ms, tauFirst, 1}} {
+	}{{2 * time.Minute, 0, time.Second, 5}, {12 * time.Hour, 3900 * ms, restart.FirstTimeout, 1}} {
 		r := sleepy(t)
 		for range 40 {
 			var sends []Send
@@ -67,16 +69,16 @@
 				sends = append(sends[1:], r.step(r.end(s, Served))...)
 			}
 		}
-		was := r.b.dests[0].shared.tau()
+		was := r.b.dests[0].shared.Timeout()
 		if was > time.Second {
 			t.Fatalf("it has learnt a time-out of %v", was)
 		}
 		r.sleep(c.sleep)
 		d := r.b.destination(0)
-		if tau := d.shared.tau(); tau < c.tauFrom || tau > c.tauTo {
+		if tau := d.shared.Timeout(); tau < c.tauFrom || tau > c.tauTo {
 			t.Errorf("after %v the time-out is %v, it was %v", c.sleep, tau, was)
 		}
-		if w := d.shared.window; w < c.window || w > 8 || c.window == 1 && w > 1.1 {
+		if w := d.shared.window.Size; w < c.window || w > 8 || c.window == 1 && w > 1.1 {
 			t.Errorf("after %v the window is %v", c.sleep, w)
 		}
 	}
--- a/brain/known.go
+++ b/brain/known.go
@@ -100,12 +100,12 @@
 	k.Own = true
 	served := r.served > 0 // by this process
 	age := b.now - r.lastServed
-	if served && r.seen > 0 {
-		bound := r.optimum()
-		k.Calls, k.Mean, k.Median, k.Quickest, k.Bound, k.PaceAge = r.seen, time.Duration(r.mean*float64(time.Second)), r.median, r.quickest, bound, age
+	if served && r.Seen > 0 {
+		bound := r.Optimum()
+		k.Calls, k.Mean, k.Median, k.Quickest, k.Bound, k.PaceAge = r.Seen, time.Duration(r.Mean*float64(time.Second)), r.Median, r.Quickest, bound, age
 	}
 	if served && r.state == well {
-		k.Window, k.WindowAge = r.window, age
+		k.Window, k.WindowAge = r.window.Size, age
 	}
 	if r.limit > 0 && r.sentAt > 0 {
 		k.Limit, k.LimitAge = r.limit, b.now-r.sentAt
--- a/brain/learn.go
+++ b/brain/learn.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"dockshift.example/dockshift/brain/restart"
 )
 
 // What is learnt of a destination from other senders, or from this one's earlier process, and what it does. All of it
@@ -48,8 +50,8 @@
 		}
 		b.toWait(r, b.now+e.Wait)
 	}
-	if r.seen == 0 && e.Calls > 0 {
-		r.assume(e.Calls, e.Mean.Seconds(), e.Median, e.Quickest, e.Bound, trust(e.PaceAge))
+	if r.Seen == 0 && e.Calls > 0 {
+		r.Assume(e.Calls, e.Mean.Seconds(), e.Median, e.Quickest, e.Bound, trust(e.PaceAge))
 	}
 	if t := fades(e.LimitAge, limitHalf); r.limit == 0 && t >= limitTrust && positive(e.Limit) {
 		b.learnLimit(r, e.Limit)
@@ -61,7 +63,7 @@
 		if !e.Own {
 			part *= heardWindow
 		}
-		r.window = max(r.window, blend(1, min(e.Window, math.Ceil(capShare*float64(b.s.Slots))-1), part))
+		r.window.Size = max(r.window.Size, blend(1, min(e.Window, restart.Most(b.s.Slots)), part))
 	}
 }
 
@@ -98,7 +100,7 @@
 	}
 	if e.Health == Warming && r.state == well && e.For < b.s.Cold {
 		r.before = max(b.usual(r.done), b.evenPart(r.limit), b.earlier(r), e.Rate)
-		r.state, r.since, r.outAt, r.window, r.tokens, r.filled = cold, b.now-e.For, b.now-max(e.For, e.OutFor), 1, 1, b.now
+		r.state, r.since, r.outAt, r.window.Size, r.tokens, r.filled = cold, b.now-e.For, b.now-max(e.For, e.OutFor), 1, 1, b.now
 		if e.Own {
 			r.tokens = b.phase()
 		}
@@ -110,17 +112,3 @@
 func (b *Brain) alone(r *route) float64 {
 	return 1 / (1 + float64(r.others)*fades(b.now-r.othersAt, healthHalf))
 }
-
-// assume goes by what is remembered of a pace, in as far as it is trusted. Of the histogram a few calls stay, at its
-// middle: enough to go by until there are new ones, and few enough for those to count for more soon. The time-out moves
-// to that of a destination of which nothing is known.
-func (o *oracle) assume(calls int, mean float64, median, quickest, bound time.Duration, t float64) {
-	o.seen = int(min(float64(calls), fewTimes-1) * t)
-	o.quickest = time.Duration(float64(quickest) * t)
-	o.mean, o.median = mean, median
-	if k := int(o.median * buckets / tauMax); o.seen > 0 && k >= 0 && k < buckets {
-		o.bucket = make([]bucket, k+1)
-		o.bucket[k] = bucket{float64(o.seen), float64(o.seen) * mean}
-	}
-	o.best = time.Duration(blend(float64(tauFirst), float64(bound), t))
-}
--- a/brain/learn_test.go
+++ b/brain/learn_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"dockshift.example/dockshift/brain/restart"
 )
 
 // first hands in messages at once and gives how many calls a step makes.
@@ -59,8 +61,8 @@
 	r = newRig(t, settings())
 	r.fallOut()
 	r.step(Learnt{Health: Serving, HealthAge: 0, Window: 20})
-	if d := r.b.destination(0).shared; d.state != out || d.window > 1 {
-		t.Errorf("an outage of one's own ends by hearsay: state %d, window %v", d.state, d.window)
+	if d := r.b.destination(0).shared; d.state != out || d.window.Size > 1 {
+		t.Errorf("an outage of one's own ends by hearsay: state %d, window %v", d.state, d.window.Size)
 	}
 	if n := r.burst(5); n > 1 {
 		t.Errorf("%d calls go there at once, as another says that it serves", n)
@@ -112,13 +114,13 @@
 		l.Health, l.Calls, l.Mean, l.Median, l.Quickest, l.Bound = Serving, 100, 50*ms, 60*ms, 20*ms, 120*ms
 		r.step(l)
 		d := r.b.destination(0).shared
-		if l.PaceAge == 0 && (d.seen == 0 || d.best != 120*ms || d.patience() >= tauFirst) {
-			t.Errorf("%+v: %d calls, bound %v", l, d.seen, d.best)
+		if l.PaceAge == 0 && (d.Seen == 0 || d.Best != 120*ms || d.patience() >= restart.FirstTimeout) {
+			t.Errorf("%+v: %d calls, bound %v", l, d.Seen, d.Best)
 		}
-		if l.PaceAge > 10*time.Hour && d.seen > 0 {
-			t.Errorf("%+v: %d calls", l, d.seen)
+		if l.PaceAge > 10*time.Hour && d.Seen > 0 {
+			t.Errorf("%+v: %d calls", l, d.Seen)
 		}
-		return d.window
+		return d.window.Size
 	}
 	own, heard := window(Learnt{Own: true, Window: 5}), window(Learnt{Window: 5})
 	stale, none := window(Learnt{Window: 5, WindowAge: 30 * time.Minute, PaceAge: 20 * time.Hour}), window(Learnt{})
@@ -129,9 +131,9 @@
 	r := newRig(t, settings())
 	r.widen(3)
 	d := r.b.destination(0).shared
-	before, seen := d.window, d.seen
-	if r.step(Learnt{Health: Serving, Window: 9, Calls: 3, Mean: ms, Median: ms, Bound: ms}); d.window != before || d.seen != seen {
-		t.Errorf("window %v, %d calls; it was %v, %d", d.window, d.seen, before, seen)
+	before, seen := d.window.Size, d.Seen
+	if r.step(Learnt{Health: Serving, Window: 9, Calls: 3, Mean: ms, Median: ms, Bound: ms}); d.window.Size != before || d.Seen != seen {
+		t.Errorf("window %v, %d calls; it was %v, %d", d.window.Size, d.Seen, before, seen)
 	}
 }
 
@@ -171,8 +173,8 @@
 	next.now += time.Second
 	next.step(events...)
 	d, e := next.b.destination(0).shared, next.b.destination(1).shared
-	if d.state != out || e.best < known[1].Bound || e.best > 2*known[1].Bound || e.toldUntil != next.now+3*time.Second {
-		t.Errorf("state %d, bound %v, wait until %v", d.state, e.best, e.toldUntil)
+	if d.state != out || e.Best < known[1].Bound || e.Best > 2*known[1].Bound || e.toldUntil != next.now+3*time.Second {
+		t.Errorf("state %d, bound %v, wait until %v", d.state, e.Best, e.toldUntil)
 	}
 }
 
--- a/brain/state.go
+++ b/brain/state.go
@@ -8,23 +8,9 @@
 	"math"
 	"slices"
 	"time"
-)
-
-// bucket holds the weighted samples of one bucket and their times (s).
-type bucket struct{ count, sum float64 }
 
-type oracle struct {
-	bucket    []bucket      // up to the last in use
-	seen      int           // samples taken
-	past      float64       // weighted calls unanswered past tauMax
-	best      time.Duration // argmin of Ê
-	median    time.Duration // of the samples
-	dirty     bool
-	mean      float64       // of all samples, s
-	quickest  time.Duration // call ever served
-	doubled   time.Duration // the time-out while doubled, 0 if not
-	doubledAt time.Duration
-}
+	"dockshift.example/dockshift/brain/restart"
+)
 
 type state uint8
 
@@ -47,15 +33,14 @@
 func (f *fading) add(now, span time.Duration) { f.n, f.when = f.at(now, span)+1, now }
 
 type route struct {
-	oracle
+	restart.Oracle
 	tried, done fading // calls sent, and served
 	name        uint32
 	of          DestinationID
 	place       uint64 // in the order of making
 	gone        bool
-	window      float64
-	calls       int // out now
-	halvedAt    time.Duration
+	window      restart.Window
+	calls       int           // out now
 	closedUntil time.Duration // told to wait, or paused
 	toldUntil   time.Duration // told to wait
 	others      int           // other senders that hold it out
@@ -93,7 +78,7 @@
 func (b *Brain) newRoute(id uint32, of DestinationID) *route {
 	b.places++
 	b.routes++
-	return &route{name: id, of: of, place: b.places, window: 1, tokens: 1, filled: b.now, lastServed: b.now, logged: -never / 2}
+	return &route{name: id, of: of, place: b.places, window: restart.Window{Size: 1}, tokens: 1, filled: b.now, lastServed: b.now, logged: -never / 2}
 }
 
 type endpoint struct {
@@ -206,12 +191,12 @@
 	turns     map[uint64]*turn
 	resting   []*turn
 	restsKept int
-	rests     []*turn // that rest after doubt, with some whose rest is over
-	calls     int     // slots in use
-	routes    int     // how many there are
-	places    uint64  // given to routes and destinations
-	all       oracle  // of all routes together, for what is usual here
-	takenBack int     // calls called off, without an outcome
+	rests     []*turn        // that rest after doubt, with some whose rest is over
+	calls     int            // slots in use
+	routes    int            // how many there are
+	places    uint64         // given to routes and destinations
+	all       restart.Oracle // of all routes together, for what is usual here
+	takenBack int            // calls called off, without an outcome
 	tenants   []tenant
 	tenantsAt time.Duration
 	askAt     time.Duration
--- /dev/null
+++ b/internal/tier/board/board.go
@@ -0,0 +1,199 @@
+// Package board decides to which endpoint a request goes, for how long it may stay there, and whether it is sent at
+// all. It is pure: times are of one steady clock and are passed in, and nothing here sleeps, reads or writes. It is not
+// safe for concurrent use: its owner locks.
+//
+// Time-outs are those of a restart.Oracle for each route, calls at once those of a restart.Window for each endpoint.
+package board
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"dockshift.example/dockshift/brain/restart"
+)
+
+// Endpoint is a line of the platform's list.
+type Endpoint struct {
+	Instance, Service, Address, Zone string
+	Capacity                         int // requests that it works on at once, 0 if not told
+	Draining                         bool
+	ColdRemaining                    time.Duration // it is slow for so long
+	CacheTokens                      int64         // of an engine's memory, 0 if it is none
+}
+
+// Load is what an endpoint tells of itself.
+type Load struct{ Running, Waiting, Slots int }
+
+// Ask is one attempt of a request.
+type Ask struct {
+	Route, Service string
+	Repeatable     bool          // it may be given up and sent again: idempotent, with attempts left
+	First          bool          // its first attempt
+	Left           time.Duration // until its deadline
+	Aim            time.Duration // within which its answer has its full worth, 0 if not known
+	Priority       int           // 0 is the most urgent
+	Affinity       string        // whose requests share an endpoint's cache, such as a session; empty if none
+	Prefix         []string      // shared parts of the prompt, outermost first
+	Tokens         int64         // that it needs of an engine's memory for itself
+	Tried          []string      // instances that it was sent to
+}
+
+// Verdict is what becomes of an attempt.
+type Verdict uint8
+
+const (
+	Send       Verdict = iota
+	Full               // all endpoints have what they bear; RetryAfter tells when there may be room
+	Hopeless           // less time is left than the quickest call has taken
+	NoEndpoint         // none that may be asked is known
+)
+
+// Choice is the answer to an Ask. Call is to be handed to Done, whatever became of it.
+type Choice struct {
+	Verdict           Verdict
+	Instance, Address string
+	Timeout           time.Duration // after which the attempt is to be given up
+	Explore           bool          // it could be restarted, and runs to its time left all the same
+	RetryAfter        time.Duration
+	Call              *Call
+}
+
+// Call is an attempt that is out.
+type Call struct {
+	at      *endpoint
+	oracle  *restart.Oracle
+	sent    time.Duration
+	weight  float64 // of its sample, 0 if it gives none
+	uncut   bool    // it runs to the time left
+	probe   bool    // sent to an endpoint that is out
+	ended   bool
+	service *service
+}
+
+// Kind is how a call ended.
+type Kind uint8
+
+const (
+	Served    Kind = iota
+	Refused        // it has not run and will not: X-Not-Executed
+	TimedOut       // it was given up at its time-out
+	Broken         // the connection ended after the request was sent
+	Failed         // an answer of the endpoint that is a failure, or none in the protocol
+	Abandoned      // the client gave it up
+	NotSent        // no connection came up, or it was gone before the first byte
+	Gone           // the endpoint is found to be gone for good
+)
+
+// Outcome is the end of a call.
+type Outcome struct {
+	Kind        Kind
+	First       time.Duration // of a served one: to the first piece of a stream, or to the whole answer
+	Load        *Load         // told with the answer, nil if not
+	Misdirected bool          // 421: another endpoint has that address
+}
+
+type service struct {
+	list   []*endpoint // that may be asked: listed and not draining, by instance
+	served meter
+}
+
+// Board is what one sender knows of the endpoints.
+type Board struct {
+	zone      string
+	random    uint64
+	turn      int // of the endpoint that a search starts at
+	endpoints map[string]*endpoint
+	services  map[string]*service
+	routes    map[string]*restart.Oracle
+}
+
+// New makes the board of a sender in that zone.
+func New(zone string) *Board {
+	return &Board{zone: zone, random: hash(zone), endpoints: map[string]*endpoint{}, services: map[string]*service{},
+		routes: map[string]*restart.Oracle{}}
+}
+
+// SetEndpoints takes a whole list. What is known of an instance stays with it; one that has left the list gets nothing
+// new, and is forgotten when no call is out there.
+func (b *Board) SetEndpoints(now time.Duration, list []Endpoint) {
+	for _, e := range b.endpoints {
+		e.listed = false
+	}
+	for _, s := range b.services {
+		s.list = s.list[:0]
+	}
+	for _, line := range list {
+		e := b.endpoints[line.Instance]
+		if e == nil {
+			e = newEndpoint(line, now)
+			b.endpoints[line.Instance] = e
+		}
+		if e.listed { // twice in the list
+			continue
+		}
+		e.Endpoint, e.listed, e.coldUntil = line, true, now+line.ColdRemaining
+		e.local = line.Zone == b.zone
+		if line.Draining {
+			continue
+		}
+		s := b.service(line.Service)
+		s.list = append(s.list, e)
+	}
+	for name, e := range b.endpoints {
+		if !e.listed && e.calls == 0 {
+			delete(b.endpoints, name)
+		}
+	}
+	for name, s := range b.services {
+		if len(s.list) == 0 {
+			delete(b.services, name)
+		}
+		slices.SortFunc(s.list, func(x, y *endpoint) int { return cmp.Compare(x.Instance, y.Instance) })
+	}
+}
+
+// Stands reports whether requests may still go to an instance: it is listed, does not drain, and has its address.
+func (b *Board) Stands(instance string) bool {
+	e := b.endpoints[instance]
+	return e != nil && e.listed && !e.Draining && !e.misdirected
+}
+
+// KeepRoutes forgets what was seen of all other routes, for when the configuration has changed.
+func (b *Board) KeepRoutes(keep func(route string) bool) {
+	for name := range b.routes {
+		if !keep(name) {
+			delete(b.routes, name)
+		}
+	}
+}
+
+func (b *Board) service(name string) *service {
+	s := b.services[name]
+	if s == nil {
+		s = &service{}
+		b.services[name] = s
+	}
+	return s
+}
+
+func (b *Board) oracle(route string) *restart.Oracle {
+	o := b.routes[route]
+	if o == nil {
+		o = &restart.Oracle{}
+		b.routes[route] = o
+	}
+	return o
+}
+
+// draw is the next random number below n (splitmix64).
+func (b *Board) draw(n uint64) uint64 {
+	b.random += 0x9e3779b97f4a7c15
+	return mix(b.random) % n
+}
+
+func mix(z uint64) uint64 {
+	z = (z ^ z>>30) * 0xbf58476d1ce4e5b9
+	z = (z ^ z>>27) * 0x94d049bb133111eb
+	return z ^ z>>31
+}
--- /dev/null
+++ b/internal/tier/board/pick.go
@@ -0,0 +1,268 @@
+package board
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"dockshift.example/dockshift/brain/restart"
+)
+
+const (
+	bounded    = 1.25 // times the mean load that one endpoint takes for the sake of its cache
+	idle       = 0.15 // part of its places up to which it takes any
+	loaded     = 0.7  // part from which our zone's endpoints are notably loaded
+	twice      = 2.0  // times the load of the others, from which they are too,
+	someLoad   = 0.5  // with so much of their own
+	takesPart  = 0.25 // part of the time of a call after which there may be room
+	retryLeast = 20 * time.Millisecond
+	retryMost  = 2 * time.Second
+	retryPart  = 3 // clients wait up to so small a part of their time left
+)
+
+// Pick decides on one attempt.
+func (b *Board) Pick(now time.Duration, a Ask) Choice {
+	o := b.oracle(a.Route)
+	if a.Left <= 0 || o.Seen > 0 && a.Left < o.Quickest {
+		return Choice{Verdict: Hopeless}
+	}
+	s := b.services[a.Service]
+	if s == nil {
+		return Choice{Verdict: NoEndpoint, RetryAfter: b.retryAfter(now, &service{}, &a)}
+	}
+	b.turn++
+	any := false
+	for _, e := range s.list {
+		e.watch(now)
+		any = any || e.fits(&a)
+	}
+	if !any {
+		return Choice{Verdict: NoEndpoint, RetryAfter: b.retryAfter(now, s, &a)}
+	}
+	e := b.place(now, s, &a, o)
+	if e == nil {
+		return Choice{Verdict: Full, RetryAfter: b.retryAfter(now, s, &a)}
+	}
+	return b.send(now, s, e, &a, o)
+}
+
+// send starts an attempt. Its time-out is the oracle's where a restart then is allowed, else the time left.
+func (b *Board) send(now time.Duration, s *service, e *endpoint, a *Ask, o *restart.Oracle) Choice {
+	c := &Call{at: e, oracle: o, service: s, sent: now, uncut: true, probe: e.out}
+	choice := Choice{Instance: e.Instance, Address: e.Address, Timeout: a.Left, Call: c}
+	if a.First {
+		c.weight = 1
+	}
+	timeout := o.Timeout()
+	if c.probe {
+		timeout = patience(o) // doubling would leave an outage unwatched
+		e.probes++
+	}
+	if a.Repeatable && timeout < a.Left {
+		if a.First && !c.probe && b.draw(restart.ExploreIn) == 0 {
+			c.weight, choice.Explore = restart.ExploreWeight, true
+		} else {
+			choice.Timeout, c.uncut = timeout, false
+		}
+	}
+	e.calls++
+	e.unanswered = append(e.unanswered, c)
+	if a.Tokens > 0 {
+		if e.tokens == 0 {
+			e.tokens = float64(a.Tokens)
+		}
+		e.tokens += recentPer * (float64(a.Tokens) - e.tokens)
+	}
+	return choice
+}
+
+// fits reports whether that request may go there at all.
+func (e *endpoint) fits(a *Ask) bool {
+	return !e.misdirected && (e.CacheTokens == 0 || a.Tokens <= e.CacheTokens)
+}
+
+func times(list []string, x string) (n int) {
+	for _, y := range list {
+		if y == x {
+			n++
+		}
+	}
+	return n
+}
+
+// place finds the endpoint, nil if all are full: one that is out and due to be tried, else a well one that was not
+// tried yet, else the least bad.
+func (b *Board) place(now time.Duration, s *service, a *Ask, o *restart.Oracle) *endpoint {
+	if a.First && (a.Left > 2*patience(o) || !a.Repeatable) {
+		for i := range s.list {
+			e := s.list[(i+b.turn)%len(s.list)]
+			if e.fits(a) && e.due(now, a) && now >= e.pausedUntil && !slices.Contains(a.Tried, e.Instance) {
+				return e
+			}
+		}
+	}
+	fresh := func(e *endpoint) bool {
+		return !e.out && e.fits(a) && !slices.Contains(a.Tried, e.Instance) && e.room(now, a.Priority)
+	}
+	if e := b.choose(now, s, a, fresh); e != nil {
+		return e
+	}
+	if len(a.Tried) > 0 { // once more where it was: a window may have opened, a connection been lost
+		again := func(e *endpoint) bool {
+			return !e.out && e.fits(a) && times(a.Tried, e.Instance) < 2 && e.room(now, a.Priority)
+		}
+		if e := b.choose(now, s, a, again); e != nil {
+			return e
+		}
+	}
+	for _, e := range s.list {
+		if !e.out && e.fits(a) { // a well one is full, and soon has room
+			return nil
+		}
+	}
+	var best *endpoint
+	for i := range s.list { // all are out
+		e := s.list[(i+b.turn)%len(s.list)]
+		if !e.fits(a) || !e.room(now, a.Priority) || times(a.Tried, e.Instance) > 1 {
+			continue
+		}
+		if best == nil || e.lessBad(best, a) {
+			best = e
+		}
+	}
+	return best
+}
+
+// lessBad compares two that are out: the one not tried by this request, the one of which most was heard lately.
+func (e *endpoint) lessBad(than *endpoint, a *Ask) bool {
+	if x, y := times(a.Tried, e.Instance), times(a.Tried, than.Instance); x != y {
+		return x < y
+	}
+	if e.calls != than.calls && max(e.calls, than.calls) > 2*min(e.calls, than.calls) {
+		return e.calls < than.calls
+	}
+	if e.bad != than.bad {
+		return e.bad < than.bad
+	}
+	return e.heardAt > than.heardAt
+}
+
+// pool sums up some endpoints.
+type pool struct {
+	n     int
+	load  float64 // sum of their costs
+	best  *endpoint
+	least float64 // cost of the best
+}
+
+func (p *pool) add(e *endpoint, cost float64) {
+	p.n++
+	p.load += cost
+	if p.best == nil || cost < p.least {
+		p.best, p.least = e, cost
+	}
+}
+
+func (p *pool) mean() float64 { return p.load / float64(max(1, p.n)) }
+
+// choose picks among the endpoints that are allowed: in our zone unless it is notably loaded, by rendezvous where
+// requests share a cache and the least loaded else.
+func (b *Board) choose(now time.Duration, s *service, a *Ask, allowed func(*endpoint) bool) *endpoint {
+	var own, far pool
+	for i := range s.list {
+		e := s.list[(i+b.turn)%len(s.list)]
+		if !allowed(e) {
+			continue
+		}
+		if e.local {
+			own.add(e, e.cost(now))
+		} else {
+			far.add(e, e.cost(now))
+		}
+	}
+	switch {
+	case own.n == 0 && far.n == 0:
+		return nil
+	case far.n == 0:
+		return b.within(now, s, a, allowed, &own, true, own.mean())
+	case own.n == 0:
+		return b.within(now, s, a, allowed, &far, false, far.mean())
+	}
+	crowded := own.mean() > loaded && far.least < own.mean() ||
+		own.mean() > someLoad && own.mean() > twice*far.mean()
+	if !crowded {
+		return b.within(now, s, a, allowed, &own, true, own.mean())
+	}
+	if key, sticky := affinity(a); sticky {
+		all := (own.load + far.load) / float64(own.n+far.n)
+		if e := b.rendezvous(now, s, key, allowed, true, all); e != nil {
+			return e
+		}
+		return b.within(now, s, a, allowed, &far, false, all)
+	}
+	if far.least < own.least {
+		return far.best
+	}
+	return own.best
+}
+
+// within picks in one of the pools.
+func (b *Board) within(now time.Duration, s *service, a *Ask, allowed func(*endpoint) bool, p *pool, local bool, mean float64) *endpoint {
+	if key, sticky := affinity(a); sticky {
+		if e := b.rendezvous(now, s, key, allowed, local, mean); e != nil {
+			return e
+		}
+	}
+	return p.best
+}
+
+// affinity is the key of the requests that share a cache with this one.
+func affinity(a *Ask) (key uint64, ok bool) {
+	if a.Affinity != "" {
+		return hash(a.Affinity), true
+	}
+	if n := len(a.Prefix); n > 0 {
+		return hash(a.Prefix[n-1]), true
+	}
+	return 0, false
+}
+
+// rendezvous is the endpoint with the highest weight for the key (highest random weight hashing, by capacity), of those
+// in our zone or outside it whose load is within bounds of the mean. One that comes or goes moves only its own keys.
+func (b *Board) rendezvous(now time.Duration, s *service, key uint64, allowed func(*endpoint) bool, local bool, mean float64) *endpoint {
+	bound := max(bounded*mean, idle)
+	var best *endpoint
+	most := 0.0
+	for _, e := range s.list {
+		if e.local != local || !allowed(e) || e.cost(now) > bound {
+			continue
+		}
+		unit := (float64(mix(key^e.key)>>11) + 0.5) / (1 << 53)
+		if weight := float64(e.capacity()) / -math.Log(unit); weight > most {
+			best, most = e, weight
+		}
+	}
+	return best
+}
+
+// retryAfter is when there may be room: a part of the time that a call takes, by Little's law from those out and the
+// rate of those served, spread so that those refused together don't come together. It is kept within the aim, so that
+// the new try may be in time, and within what clients wait.
+func (b *Board) retryAfter(now time.Duration, s *service, a *Ask) time.Duration {
+	calls, paused := 0, retryMost
+	for _, e := range s.list {
+		calls += e.calls
+		paused = min(paused, max(0, e.pausedUntil-now))
+	}
+	takes := float64(calls) / max(s.served.at(now)/meterSpan.Seconds(), 1)
+	wait := time.Duration(takes * takesPart * float64(time.Second))
+	if len(s.list) > 0 {
+		wait = max(wait, paused)
+	}
+	wait = wait/2 + time.Duration(b.draw(uint64(wait)+1))
+	most := min(retryMost, a.Left/retryPart)
+	if a.Aim > 0 {
+		most = min(most, a.Aim)
+	}
+	return max(min(wait, most), retryLeast)
+}
--- /dev/null
+++ b/internal/tier/clearing/mend.go
@@ -0,0 +1,248 @@
+package clearing
+
+import (
+	"cmp"
+	"slices"
+
+	tierv1 "dockshift.example/dockshift/proto/saffronyard/tier/v1"
+)
+
+// mend brings one partition in line: its primary is alive, and it has its copies on vaults that stay.
+func (a *assignment) mend(p *tierv1.Partition) {
+	if a.dead(p.Primary) && !a.succeed(p, func(folder string) bool { return a.alive(folder) }) {
+		return // its return is waited for: nobody else has all that was acknowledged
+	}
+	if a.Leaving[p.Primary] {
+		a.succeed(p, a.usable)
+	}
+	for _, c := range slices.Clone(p.Backups) {
+		if !a.dead(c.Folder) {
+			continue
+		}
+		before := slices.Clone(p.Backups)
+		a.drop(p, c.Folder)
+		if a.staying(p) > a.Losses {
+			continue
+		}
+		if next := a.pick(p); next != "" {
+			p.Backups = append(p.Backups, &tierv1.Copy{Folder: next})
+		} else if !a.gone[c.Folder] && a.lost > a.Losses {
+			p.Backups = before // more is lost than is borne: nothing goes on without it
+		}
+	}
+	for a.staying(p) <= a.Losses {
+		moves := false // an order to retire is followed at the pace of moves
+		for _, folder := range members(p) {
+			moves = moves || a.retiring(folder) && !a.dead(folder)
+		}
+		if moves && a.moving() >= a.most() {
+			break
+		}
+		next := a.pick(p)
+		if next == "" {
+			break
+		}
+		p.Backups = append(p.Backups, &tierv1.Copy{Folder: next})
+	}
+	a.trim(p)
+}
+
+// staying counts a partition's copies on vaults that are not to be emptied.
+func (a *assignment) staying(p *tierv1.Partition) int {
+	n := 0
+	for _, folder := range members(p) {
+		if !a.retiring(folder) {
+			n++
+		}
+	}
+	return n
+}
+
+// whole tells whether a member of a partition is there and has all that was acknowledged.
+func (a *assignment) whole(p *tierv1.Partition, folder string) bool {
+	c := backup(p, folder)
+	return a.alive(folder) && (folder == p.Primary || c != nil && c.Synced)
+}
+
+// succeed gives a partition another primary, out of its synced backups. The former is a synced backup then.
+func (a *assignment) succeed(p *tierv1.Partition, may func(folder string) bool) bool {
+	load := a.primaries()
+	best := ""
+	for _, c := range p.Backups {
+		if !c.Synced || !may(c.Folder) {
+			continue
+		}
+		if best == "" || cmp.Or(
+			-compareBool(a.usable(c.Folder), a.usable(best)),
+			cmp.Compare(load[c.Folder], load[best]),
+			cmp.Compare(c.Folder, best)) < 0 {
+			best = c.Folder
+		}
+	}
+	if best == "" {
+		return false
+	}
+	a.promote(p, best)
+	return true
+}
+
+func compareBool(x, y bool) int {
+	switch {
+	case x == y:
+		return 0
+	case x:
+		return 1
+	}
+	return -1
+}
+
+func (a *assignment) promote(p *tierv1.Partition, folder string) {
+	c := backup(p, folder)
+	c.Folder, c.Synced, p.Primary = p.Primary, true, folder
+}
+
+func (a *assignment) drop(p *tierv1.Partition, folder string) {
+	p.Backups = slices.DeleteFunc(p.Backups, func(c *tierv1.Copy) bool { return c.Folder == folder })
+}
+
+// trim drops what a partition has beyond its copies, once enough others are whole.
+func (a *assignment) trim(p *tierv1.Partition) {
+	enough := func(without string) bool {
+		n := 0
+		for _, folder := range members(p) {
+			if folder != without && a.whole(p, folder) && !a.retiring(folder) {
+				n++
+			}
+		}
+		return n > a.Losses
+	}
+	for _, folder := range members(p) {
+		if a.retiring(folder) && enough(folder) {
+			a.release(p, folder)
+		}
+	}
+	for a.staying(p) > a.Losses+1 {
+		victim := a.victim(p)
+		if !enough(victim) || !a.release(p, victim) {
+			break
+		}
+	}
+}
+
+// release drops a member, after its duty as the primary has gone to another.
+func (a *assignment) release(p *tierv1.Partition, folder string) bool {
+	if folder == p.Primary && !a.succeed(p, a.usable) {
+		return false
+	}
+	a.drop(p, folder)
+	return true
+}
+
+// victim is the copy that goes when a partition has one too many: the one before that which takes its place. Where that
+// is not to be told any more, it is the one that shares its domain with most others, then the one whose vault has most copies.
+func (a *assignment) victim(p *tierv1.Partition) string {
+	all := members(p)
+	for i, c := range p.Backups {
+		if !c.Synced && !a.retiring(all[i]) {
+			return all[i]
+		}
+	}
+	if v := a.victims[p]; slices.Contains(all, v) && !a.retiring(v) {
+		return v
+	}
+	load := map[string]int{}
+	for _, other := range a.m.Partitions {
+		for _, folder := range members(other) {
+			load[folder]++
+		}
+	}
+	best, shared := "", 0
+	for _, folder := range all {
+		if a.retiring(folder) {
+			continue
+		}
+		n := a.conflicts(all, folder)
+		if best == "" || cmp.Or(cmp.Compare(n, shared), cmp.Compare(load[folder], load[best])) > 0 {
+			best, shared = folder, n
+		}
+	}
+	return best
+}
+
+// conflicts counts the others among folders that share a domain with one.
+func (a *assignment) conflicts(folders []string, one string) int {
+	n := 0
+	for _, folder := range folders {
+		if folder != one && folder != "" && a.domain(folder) == a.domain(one) {
+			n++
+		}
+	}
+	return n
+}
+
+// copies counts the copies of each usable vault, those left out that go when their successor is whole.
+func (a *assignment) copies() map[string]int {
+	load := map[string]int{}
+	for folder := range a.Alive {
+		if a.usable(folder) {
+			load[folder] = 0
+		}
+	}
+	for _, p := range a.m.Partitions {
+		for _, folder := range members(p) {
+			if folder != "" {
+				load[folder]++
+			}
+		}
+	}
+	for _, p := range a.m.Partitions {
+		if a.staying(p) > a.Losses+1 {
+			load[a.victim(p)]--
+		}
+	}
+	return load
+}
+
+func (a *assignment) primaries() map[string]int {
+	load := map[string]int{}
+	for _, p := range a.m.Partitions {
+		load[p.Primary]++
+	}
+	return load
+}
+
+// pick chooses a vault for another copy of a partition, or for its primary where there is none yet; empty if there is none.
+func (a *assignment) pick(p *tierv1.Partition) string {
+	load, first := a.copies(), a.primaries()
+	all := members(p)
+	best := ""
+	for _, folder := range sorted(a.Alive) {
+		if !a.usable(folder) || slices.Contains(all, folder) {
+			continue
+		}
+		if best == "" {
+			best = folder
+			continue
+		}
+		order := cmp.Or(cmp.Compare(a.conflicts(all, folder), a.conflicts(all, best)), cmp.Compare(load[folder], load[best]),
+			cmp.Compare(a.near(all, folder), a.near(all, best)))
+		if p.Primary == "" {
+			order = cmp.Or(cmp.Compare(first[folder], first[best]), order)
+		}
+		if order < 0 {
+			best = folder
+		}
+	}
+	return best
+}
+
+// near counts the others among folders in the zone of one: where it costs nothing, copies lie in different zones.
+func (a *assignment) near(folders []string, one string) int {
+	n := 0
+	for _, folder := range folders {
+		if k := a.keepers[folder]; k != nil && folder != one && k.Zone == a.keepers[one].Zone {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/tier/clearing/pace.go
@@ -0,0 +1,159 @@
+package clearing
+
+import (
+	"cmp"
+	"slices"
+
+	tierv1 "dockshift.example/dockshift/proto/saffronyard/tier/v1"
+)
+
+// most is the number of partitions that may move at a time.
+func (a *assignment) most() int { return max(1, len(a.m.Partitions)/paceShare) }
+
+// moving counts the partitions of which a copy is under way, and can get on.
+func (a *assignment) moving() int {
+	n := 0
+	for _, p := range a.m.Partitions {
+		if a.alive(p.Primary) && slices.ContainsFunc(p.Backups, func(c *tierv1.Copy) bool { return !c.Synced }) {
+			n++
+		}
+	}
+	return n
+}
+
+// calm tells whether each partition has its copies whole, on vaults that stay, or is under way to another.
+func (a *assignment) calm() bool {
+	for _, p := range a.m.Partitions {
+		n := 0
+		for _, folder := range members(p) {
+			if a.retiring(folder) || !a.alive(folder) {
+				return false
+			}
+			if a.whole(p, folder) {
+				n++
+			}
+		}
+		if n <= a.Losses {
+			return false
+		}
+	}
+	return true
+}
+
+// pace makes copies and primaries even, a few partitions at a time.
+func (a *assignment) pace() {
+	if !a.calm() {
+		return
+	}
+	for a.moving() < a.most() && a.move() {
+	}
+	for range a.most() {
+		if !a.even() {
+			return
+		}
+	}
+}
+
+// move begins a copy that, once whole, takes the place of another. It is one that parts copies of the same domain, or
+// that makes the vaults' shares more even.
+func (a *assignment) move() bool {
+	load := a.copies()
+	var usable []string
+	for _, folder := range sorted(a.Alive) {
+		if a.usable(folder) {
+			usable = append(usable, folder)
+		}
+	}
+	slices.SortStableFunc(usable, func(x, y string) int { return cmp.Compare(load[x], load[y]) })
+	for _, p := range a.m.Partitions {
+		all := members(p)
+		if a.staying(p) != a.Losses+1 {
+			continue
+		}
+		for _, to := range usable {
+			if slices.Contains(all, to) {
+				continue
+			}
+			for _, from := range all {
+				if a.conflicts(all, from) > a.conflictsWithout(all, from, to) {
+					return a.begin(p, from, to)
+				}
+			}
+		}
+	}
+	for i := len(usable) - 1; i > 0; i-- {
+		for _, to := range usable[:i] {
+			from := usable[i]
+			if load[from]-load[to] < 2 {
+				break
+			}
+			for _, p := range a.m.Partitions {
+				all := members(p)
+				if a.staying(p) == a.Losses+1 && slices.Contains(all, from) && !slices.Contains(all, to) &&
+					a.conflictsWithout(all, from, to) <= a.conflicts(all, from) {
+					return a.begin(p, from, to)
+				}
+			}
+		}
+	}
+	return false
+}
+
+// conflictsWithout counts the conflicts of one that takes the place of another.
+func (a *assignment) conflictsWithout(all []string, from, to string) int {
+	n := a.conflicts(all, to)
+	if a.domain(from) == a.domain(to) {
+		n--
+	}
+	return n
+}
+
+// begin adds a copy right behind the one whose place it takes.
+func (a *assignment) begin(p *tierv1.Partition, from, to string) bool {
+	at := slices.Index(members(p), from)
+	p.Backups = slices.Insert(p.Backups, at, &tierv1.Copy{Folder: to})
+	return true
+}
+
+// even hands one primary on, from a vault that has at least two more than another, if need be by way of others whose
+// number stays the same.
+func (a *assignment) even() bool {
+	load := a.primaries()
+	var from []string
+	for folder := range a.Alive {
+		if a.usable(folder) {
+			from = append(from, folder)
+		}
+	}
+	slices.SortFunc(from, func(x, y string) int { return cmp.Or(cmp.Compare(load[y], load[x]), cmp.Compare(x, y)) })
+	for _, start := range from {
+		type step struct {
+			p    *tierv1.Partition
+			back string
+		}
+		came := map[string]step{start: {}}
+		for queue := []string{start}; len(queue) > 0; queue = queue[1:] {
+			at := queue[0]
+			if load[start]-load[at] >= 2 {
+				for at != start {
+					s := came[at]
+					a.promote(s.p, at)
+					at = s.back
+				}
+				return true
+			}
+			for _, p := range a.m.Partitions {
+				if p.Primary != at || a.staying(p) != a.Losses+1 {
+					continue
+				}
+				for _, c := range p.Backups {
+					if _, seen := came[c.Folder]; !seen && c.Synced && a.usable(c.Folder) {
+						came[c.Folder] = step{p, at}
+						queue = append(queue, c.Folder)
+					}
+				}
+			}
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/tier/clearing/platform.go
@@ -0,0 +1,203 @@
+package clearing
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"io"
+	"math"
+	"net/http"
+	"net/url"
+	"slices"
+	"strconv"
+	"time"
+
+	tierv1 "dockshift.example/dockshift/proto/saffronyard/tier/v1"
+	"github.com/joomcode/errorx"
+	"google.golang.org/protobuf/proto"
+)
+
+const (
+	pollPart   = 3                      // of the drain time: the list is asked for so often
+	rateShare  = 4                      // of the calls that the platform takes, one in so many is used
+	callLimit  = 500 * time.Millisecond // for one page
+	backoff    = 1.5                    // longer after each failure in a row
+	backoffMax = 3                      // failures that count
+	pageBytes  = 16 << 20
+	pagesMost  = 10_000
+)
+
+// poll asks the platform for its list while this process is the primary.
+func (k *Clearing) poll(ctx context.Context) {
+	if k.Settings.CloudAddress == "" {
+		return
+	}
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	failures := 0
+	for {
+		pause := time.Hour // until this process is the primary
+		v, ok := k.primary()
+		if v.ready {
+			pause = k.interval(1, 0)
+		}
+		if ok {
+			began := time.Now()
+			list, pages, wait, err := k.instances(ctx)
+			pause = k.interval(pages, failures)
+			if err != nil {
+				if ctx.Err() == nil && failures == 0 {
+					k.Log.Warn().Str("event", "platform_silent").Str("error", err.Error()).Msg("")
+				}
+				failures++
+				pause = max(wait, k.interval(pages, failures))
+			} else {
+				if failures > 0 {
+					k.Log.Info().Str("event", "platform_answers").Int("failures", failures).Msg("")
+				}
+				failures = 0
+				k.show(v.epoch, list)
+			}
+			pause = max(pause-time.Since(began), 50*time.Millisecond)
+		}
+		timer.Reset(pause)
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		case <-k.polled:
+		}
+	}
+}
+
+// interval is the time from one reading of the list to the next.
+func (k *Clearing) interval(pages, failures int) time.Duration {
+	d := k.Settings.DrainTimeout / pollPart
+	if rate := k.Settings.CloudRate; rate > 0 {
+		d = max(d, time.Duration(float64(max(pages, 1)*rateShare)/rate*float64(time.Second)))
+	}
+	return time.Duration(float64(max(d, 50*time.Millisecond)) * math.Pow(backoff, float64(min(failures, backoffMax))))
+}
+
+// show publishes a list that differs from the one before in more than how long endpoints remain cold.
+func (k *Clearing) show(epoch uint64, list []*tierv1.Endpoint) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.view.epoch != epoch {
+		return
+	}
+	if before := k.view.endpoints; before != nil && slices.EqualFunc(before.List, list, sameEndpoint) {
+		// Nobody has to hear of it, but who comes next gets the newer figures.
+		next := *k.view
+		next.endpoints = &tierv1.Endpoints{Version: before.Version, List: list}
+		k.view = &next
+		return
+	}
+	k.replace(func(v *view) {
+		v.endpoints = &tierv1.Endpoints{Version: version(epoch, &k.counter.endpoints), List: list}
+	})
+}
+
+func sameEndpoint(a, b *tierv1.Endpoint) bool {
+	if b.ColdRemainingMs > a.ColdRemainingMs {
+		return false
+	}
+	if a.ColdRemainingMs == b.ColdRemainingMs {
+		return proto.Equal(a, b)
+	}
+	c := proto.Clone(a).(*tierv1.Endpoint)
+	c.ColdRemainingMs = b.ColdRemainingMs
+	return proto.Equal(c, b)
+}
+
+// page is one page of the platform's answer.
+type page struct {
+	Instances []struct {
+		Instance  string  `json:"instance_id"`
+		Service   string  `json:"service_name"`
+		Address   string  `json:"address"`
+		Zone      string  `json:"zone"`
+		Revision  string  `json:"revision"`
+		Capacity  float64 `json:"capacity"`
+		State     string  `json:"lifecycle_state"`
+		ColdForMs float64 `json:"cold_remaining_ms"`
+		Phase     string  `json:"phase"`
+		Models    []struct {
+			Name     string  `json:"name"`
+			Revision float64 `json:"revision"`
+		} `json:"models"`
+	} `json:"instances"`
+	Next *string `json:"next_page_token"`
+}
+
+// instances reads the whole list, in the order of ids. A list of which a page is lacking is an error. It tells how many
+// calls that took, and how long the platform asks to wait after a refusal.
+func (k *Clearing) instances(ctx context.Context) (list []*tierv1.Endpoint, calls int, wait time.Duration, err error) {
+	token := ""
+	seen := map[string]bool{}
+	for calls < pagesMost {
+		calls++
+		var p page
+		if wait, err = k.page(ctx, token, &p); err != nil {
+			return nil, calls, wait, err
+		}
+		for _, i := range p.Instances {
+			if i.Instance == "" || i.Address == "" {
+				continue
+			}
+			one := &tierv1.Endpoint{Instance: i.Instance, Service: i.Service, Address: i.Address, Zone: i.Zone,
+				Capacity: whole32(i.Capacity), Draining: i.State == "draining", ColdRemainingMs: whole32(i.ColdForMs),
+				Revision: i.Revision, Phase: i.Phase}
+			for _, m := range i.Models {
+				one.Models = append(one.Models, &tierv1.Model{Name: m.Name, Revision: whole32(m.Revision)})
+			}
+			list = append(list, one)
+		}
+		if p.Next == nil || *p.Next == "" {
+			slices.SortStableFunc(list, func(a, b *tierv1.Endpoint) int { return cmp.Compare(a.Instance, b.Instance) })
+			// Pages are read one after the other: one that moved between them may come twice.
+			list = slices.CompactFunc(list, func(a, b *tierv1.Endpoint) bool { return a.Instance == b.Instance })
+			return list, calls, 0, nil
+		}
+		token = *p.Next
+		if seen[token] {
+			return nil, calls, 0, errorx.IllegalFormat.New("page %q leads back to itself", token)
+		}
+		seen[token] = true
+	}
+	return nil, calls, 0, errorx.IllegalFormat.New("the list has no end")
+}
+
+func whole32(f float64) uint32 { return uint32(min(max(f, 0), math.MaxUint32)) }
+
+func (k *Clearing) page(ctx context.Context, token string, p *page) (wait time.Duration, err error) {
+	ctx, cancel := context.WithTimeout(ctx, callLimit)
+	defer cancel()
+	at := url.URL{Scheme: "http", Host: k.Settings.CloudAddress, Path: "/instances"}
+	if token != "" {
+		at.RawQuery = url.Values{"page_token": {token}}.Encode()
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, at.String(), nil)
+	if err != nil {
+		return 0, err
+	}
+	resp, err := k.Cloud.Do(req)
+	if err != nil {
+		return 0, err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, pageBytes))
+	if resp.StatusCode != http.StatusOK {
+		if s, bad := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); bad == nil && s > 0 {
+			wait = time.Duration(min(s, k.Settings.DrainTimeout.Seconds()) * float64(time.Second))
+		}
+		return wait, errorx.ExternalError.New("the platform answered %d", resp.StatusCode)
+	}
+	if err != nil {
+		return 0, err
+	}
+	if err := json.Unmarshal(body, p); err != nil {
+		return 0, errorx.IllegalFormat.Wrap(err, "list of the platform")
+	}
+	return 0, nil
+}
--- /dev/null
+++ b/internal/tier/clearing/retire.go
@@ -0,0 +1,153 @@
+package clearing
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"time"
+
+	tierv1 "dockshift.example/dockshift/proto/saffronyard/tier/v1"
+	"google.golang.org/protobuf/proto"
+)
+
+// createRetire takes the order to empty a storage machine.
+func (k *Clearing) createRetire(w http.ResponseWriter, r *http.Request, node string) {
+	body, ok := whole(w, r, orderBytes)
+	if !ok {
+		return
+	}
+	if _, ok := k.primary(); !ok {
+		k.pass(w, r)
+		return
+	}
+	var order struct {
+		Duration float64 `json:"duration_s"`
+	}
+	if len(body) > 0 && json.Unmarshal(body, &order) != nil {
+		refuse(w, http.StatusBadRequest, "the body is no JSON object with duration_s")
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.Context()), writeLimit)
+	defer cancel()
+	if err := k.lock(ctx); err != nil {
+		later(w, "another write is under way")
+		return
+	}
+	defer k.unlock()
+	v, ok := k.primary()
+	if !ok {
+		k.pass(w, r)
+		return
+	}
+	if slices.Contains(v.vaults.GetRetiring(), node) {
+		if err := k.confirm.wait(ctx, v.epoch); err != nil {
+			later(w, "the backups do not confirm it")
+			return
+		}
+		answer(w, http.StatusOK, map[string]string{"lifecycle_state": lifecycle(v.vaults, node, k.spread.Losses)})
+		return
+	}
+	known, remain := k.remaining(v.vaults, node)
+	if !known || remain < k.spread.Losses+1 {
+		if err := k.confirm.wait(ctx, v.epoch); err != nil {
+			later(w, "the backups do not confirm it")
+			return
+		}
+		if !known {
+			refuse(w, http.StatusNotFound, "no storage machine of that name is known")
+		} else {
+			refuse(w, http.StatusConflict, "too few storage machines would remain")
+		}
+		return
+	}
+	next := &tierv1.Vaults{}
+	if v.vaults != nil {
+		next = proto.Clone(v.vaults).(*tierv1.Vaults)
+	}
+	next.Retiring = append(next.Retiring, node)
+	if err := k.putVaults(ctx, v.epoch, next); err != nil {
+		later(w, "the outcome is unknown")
+		return
+	}
+	wake(k.kick)
+	k.Log.Info().Str("event", "retire").Str("node", node).Float64("duration_s", order.Duration).Msg("")
+	answer(w, http.StatusOK, map[string]string{"lifecycle_state": lifecycle(next, node, k.spread.Losses)})
+}
+
+// remaining tells whether a node is known to keep data, and how many vaults would be left without it.
+func (k *Clearing) remaining(m *tierv1.Vaults, node string) (known bool, remain int) {
+	k.mu.Lock()
+	alive, leaving, _ := k.sessions.keepers(time.Now())
+	for at := range k.sessions.of {
+		known = known || at.role == roleVault && at.node == node
+	}
+	k.mu.Unlock()
+	for _, one := range m.GetKeepers() {
+		known = known || one.Node == node
+	}
+	for folder, one := range alive {
+		if one.Node != node && !leaving[folder] && !slices.Contains(m.GetRetiring(), one.Node) {
+			remain++
+		}
+	}
+	return known, remain
+}
+
+func (k *Clearing) describeRetire(w http.ResponseWriter, r *http.Request, node string) {
+	drain(r)
+	v, ok := k.confirmed(w, r)
+	if !ok {
+		return
+	}
+	if !slices.Contains(v.vaults.GetRetiring(), node) {
+		refuse(w, http.StatusNotFound, "that machine is not asked to be emptied")
+		return
+	}
+	answer(w, http.StatusOK, map[string]string{"lifecycle_state": lifecycle(v.vaults, node, k.spread.Losses)})
+}
+
+// lifecycle tells whether a node that is to be emptied may be taken away with its disk: no partition has a copy there,
+// and each has its synced copies elsewhere.
+func lifecycle(m *tierv1.Vaults, node string, losses int) string {
+	mine := map[string]bool{}
+	for _, one := range m.Keepers {
+		if one.Node == node {
+			mine[one.Folder] = true
+		}
+	}
+	for _, p := range m.Partitions {
+		synced := 1
+		if mine[p.Primary] {
+			return "in_progress"
+		}
+		for _, c := range p.Backups {
+			if mine[c.Folder] {
+				return "in_progress"
+			}
+			if c.Synced {
+				synced++
+			}
+		}
+		if synced < losses+1 {
+			return "in_progress"
+		}
+	}
+	return "completed"
+}
+
+// putVaults writes a vault map and shows it. The caller has the right to write.
+func (k *Clearing) putVaults(ctx context.Context, epoch uint64, m *tierv1.Vaults) error {
+	m.Version = 0
+	body, err := proto.MarshalOptions{Deterministic: true}.Marshal(m)
+	if err != nil {
+		return err
+	}
+	version, err := k.put(ctx, epoch, map[string][]byte{keyVaults: body})
+	if err != nil {
+		return err
+	}
+	m.Version = version
+	k.change(epoch, func(v *view) { v.vaults = m })
+	return nil
+}
--- /dev/null
+++ b/internal/tier/clearing/sessions.go
@@ -0,0 +1,130 @@
+package clearing
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	tierv1 "dockshift.example/dockshift/proto/saffronyard/tier/v1"
+)
+
+// Roles of those who hold sessions.
+const (
+	roleCounter = "counter"
+	roleVault   = "vault"
+)
+
+// Sessions is the service that counters, vaults and the command line call.
+func (k *Clearing) Sessions() tierv1.Clearing { return &sessions{k} }
+
+type sessions struct{ k *Clearing }
+
+// Watch answers at once where there is news for the caller, else when its time is over.
+func (s *sessions) Watch(ctx context.Context, req *tierv1.WatchRequest) (*tierv1.News, error) {
+	k := s.k
+	if _, ok := k.Store.Primary(); !ok {
+		return k.elsewhere(), nil
+	}
+	k.mu.Lock()
+	me, fresh := k.sessions.enter(time.Now(), req)
+	k.mu.Unlock()
+	if me != nil {
+		if fresh && req.Role == roleVault {
+			wake(k.kick)
+		}
+		defer func() {
+			broken := ctx.Err() != nil
+			k.mu.Lock()
+			k.sessions.leave(time.Now(), me, broken)
+			k.mu.Unlock()
+			if broken && req.Role == roleVault && req.Leaving {
+				wake(k.kick)
+			}
+		}()
+	}
+	hold := time.NewTimer(min(time.Duration(req.HoldMs)*time.Millisecond, k.window(holdPart)))
+	defer hold.Stop()
+	confirmed := req.Catalog != 0
+	over := false
+	for {
+		v, changed := k.snapshot()
+		epoch, ok := k.Store.Primary()
+		if !ok {
+			return k.elsewhere(), nil
+		}
+		if v.ready && v.epoch == epoch {
+			if !confirmed { // the first of a life: it has nothing to compare with
+				if err := k.confirm.wait(ctx, epoch); err != nil {
+					return k.elsewhere(), nil
+				}
+				confirmed = true
+				continue
+			}
+			if n, some := v.newsFor(req); some || over || req.HoldMs == 0 {
+				n.Hint = k.Store.Hint()
+				return n, nil
+			}
+		} else if over || req.HoldMs == 0 {
+			return k.elsewhere(), nil
+		}
+		select {
+		case <-changed:
+		case <-hold.C:
+			over = true
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// elsewhere is the answer of one that is not the primary, or can't be sure of it.
+func (k *Clearing) elsewhere() *tierv1.News { return &tierv1.News{Hint: k.Store.Hint()} }
+
+func (v *view) newsFor(req *tierv1.WatchRequest) (n *tierv1.News, some bool) {
+	n = &tierv1.News{Primary: true, Epoch: v.epoch}
+	if v.catalog != nil && v.catalog.Version > req.Catalog {
+		n.Catalog, some = v.catalog, true
+	}
+	if v.endpoints != nil && v.endpoints.Version > req.Endpoints {
+		n.Endpoints, some = v.endpoints, true
+	}
+	if v.vaults != nil && v.vaults.Version > req.Vaults {
+		n.Vaults, some = v.vaults, true
+	}
+	if v.members != nil && v.members.Version > req.Members {
+		n.Members, some = v.members, true
+	}
+	return n, some
+}
+
+// Status tells operators what this process is and knows.
+func (s *sessions) Status(context.Context, *tierv1.StatusRequest) (*tierv1.StatusReply, error) {
+	k := s.k
+	v, primary := k.primary()
+	r := &tierv1.StatusReply{Self: k.Store.Self(), Primary: primary, Record: k.Store.Record()}
+	r.Highest = r.Record.GetEpoch()
+	for _, key := range []string{keyCatalog, keyVaults, keySettled} {
+		_, sequence := k.Store.Get(key)
+		r.Sequence = max(r.Sequence, sequence)
+	}
+	if !primary {
+		return r, nil
+	}
+	r.Vaults, r.Catalog, r.Endpoints, r.Revision = v.vaults, v.catalog.GetVersion(), v.endpoints.GetVersion(), v.revision
+	now := time.Now()
+	k.mu.Lock()
+	for _, one := range k.sessions.of {
+		t := &tierv1.Session{Node: one.node, Role: one.role, Address: one.address, Catalog: one.catalog,
+			Endpoints: one.endpoints, Vaults: one.vaults}
+		if one.held == 0 {
+			t.SilentMs = now.Sub(one.ended).Milliseconds()
+		}
+		r.Sessions = append(r.Sessions, t)
+	}
+	k.mu.Unlock()
+	slices.SortFunc(r.Sessions, func(a, b *tierv1.Session) int {
+		return strings.Compare(a.Role+" "+a.Node, b.Role+" "+b.Node)
+	})
+	return r, nil
+}
--- /dev/null
+++ b/internal/tier/clearing/store.go
@@ -0,0 +1,34 @@
+package clearing
+
+import (
+	"context"
+
+	tierv1 "dockshift.example/dockshift/proto/saffronyard/tier/v1"
+)
+
+// Store is the replicated control state, as package control keeps it.
+type Store interface {
+	// Primary tells whether this process is the primary and in touch with all backups, and its epoch.
+	Primary() (epoch uint64, ok bool)
+	// Get gives a key's value here and the sequence of the write that set it.
+	Get(key string) (value []byte, sequence uint64)
+	// Put is nil only when the keys are synced here and at all backups under this epoch. A nil value removes its key.
+	// Whatever else it returns, the outcome is unknown.
+	Put(ctx context.Context, epoch uint64, sets map[string][]byte) (sequence uint64, err error)
+	// Confirm is nil after a round trip to all backups under this epoch that began after the call.
+	Confirm(ctx context.Context, epoch uint64) error
+	// Changed is closed at the next change of role, record or state.
+	Changed() <-chan struct{}
+	// Hint is the internal address of the primary as known, empty if it is not.
+	Hint() string
+	Record() *tierv1.Record
+	Members() []*tierv1.Member
+	Self() *tierv1.Member
+}
+
+// Keys of the control state.
+const (
+	keyCatalog = "catalog" // the operator's configuration, the bytes that came
+	keyVaults  = "vaults"  // tierv1.Vaults
+	keySettled = "settled" // epoch in which the state was last written through
+)
--- /dev/null
+++ b/internal/tier/clearing/tend.go
@@ -0,0 +1,74 @@
+package clearing
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// tender is what the loop that tends the vault map remembers within an epoch.
+type tender struct {
+	last string // what the map was made from
+	done bool   // and nothing was to be changed
+}
+
+// tend brings the vault map in line with the vaults that are alive.
+func (k *Clearing) tend(ctx context.Context, epoch uint64, t *tender) {
+	now := time.Now()
+	v, ready := k.primary()
+	if !ready || v.epoch != epoch {
+		return
+	}
+	k.mu.Lock()
+	alive, leaving, reports := k.sessions.keepers(now)
+	arrived := k.sessions.arrived
+	k.mu.Unlock()
+	in := Input{Spread: k.spread, Alive: alive, Leaving: leaving, Reports: reports}
+	in.Certain = now.Sub(v.since) >= k.window(gracePart)
+	in.Create = now.Sub(arrived) >= k.window(settlePart)
+	seen := strconv.FormatUint(v.vaults.GetVersion(), 10) + ";" + in.signature()
+	if t.done && t.last == seen && v.vaults != nil {
+		return
+	}
+	if _, changed := Assign(v.vaults, in); !changed {
+		t.last, t.done = seen, v.vaults != nil
+		return
+	}
+	t.done = false
+	ctx, cancel := context.WithTimeout(ctx, k.window(writePart))
+	defer cancel()
+	if k.lock(ctx) != nil {
+		return
+	}
+	defer k.unlock()
+	v, ready = k.primary() // an order to retire may have come meanwhile
+	if !ready || v.epoch != epoch {
+		return
+	}
+	if next, changed := Assign(v.vaults, in); changed {
+		k.putVaults(ctx, epoch, next) // what follows from it waits for the next tick: moves are paced
+	}
+}
+
+// signature is the same for inputs that lead to the same.
+func (in Input) signature() string {
+	var parts []string
+	for folder, one := range in.Alive {
+		mark := "="
+		if in.Leaving[folder] {
+			mark = "-"
+		}
+		parts = append(parts, folder+mark+one.Address)
+	}
+	for _, r := range in.Reports {
+		parts = append(parts, fmt.Sprint(r.From, "/", r.Copy.Partition, "/", r.Copy.Epoch, "/", r.Copy.Folder))
+	}
+	slices.Sort(parts)
+	if in.Certain {
+		parts = append(parts, "certain")
+	}
+	return strings.Join(parts, ";")
+}
--- /dev/null
+++ b/internal/tier/control/durable.go
@@ -0,0 +1,151 @@
+package control
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"maps"
+	"slices"
+
+	"github.com/joomcode/errorx"
+	"google.golang.org/protobuf/proto"
+
+	tierv1 "dockshift.example/dockshift/proto/saffronyard/tier/v1"
+)
+
+// identity is drawn when a folder is made and synced before anything is answered.
+type identity struct {
+	Folder  string
+	Genesis bool     // made while bootstrap was true, at a seed's address
+	Seeds   []string // internal addresses of the genesis members
+}
+
+// durable is what a folder must not forget. It is changed in memory and on disk in the same step; nothing that rests on
+// it leaves the process before it is synced.
+type durable struct {
+	identity
+	promised   uint64
+	promisedTo string
+	accepted   *tierv1.Record
+	chosen     *tierv1.Record // may be forgotten
+	data       map[string]*tierv1.Entry
+	sequence   uint64
+	copyEpoch  uint64 // under which the copy is held
+}
+
+// Kinds of records in the file: the first byte of each.
+const (
+	kindIdentity = 'I' // JSON
+	kindPromise  = 'P' // uvarint epoch, folder
+	kindAccepted = 'A' // Record
+	kindChosen   = 'C' // Record
+	kindWrite    = 'W' // WriteRequest
+	kindMark     = 'M' // uvarint epoch: the copy is held under it
+)
+
+func encodeIdentity(id identity) []byte {
+	b, _ := json.Marshal(id)
+	return append([]byte{kindIdentity}, b...)
+}
+
+func encodePromise(epoch uint64, to string) []byte {
+	return append(binary.AppendUvarint([]byte{kindPromise}, epoch), to...)
+}
+
+func encodeMark(epoch uint64) []byte { return binary.AppendUvarint([]byte{kindMark}, epoch) }
+
+func encodeMessage(kind byte, m proto.Message) []byte {
+	b, err := proto.MarshalOptions{}.MarshalAppend([]byte{kind}, m)
+	if err != nil {
+		panic(err) // only a string that is not UTF-8
+	}
+	return b
+}
+
+// replay takes one record of the file.
+func (d *durable) replay(record []byte) error {
+	if len(record) == 0 {
+		return errorx.IllegalFormat.New("control: empty record")
+	}
+	body := record[1:]
+	switch record[0] {
+	case kindIdentity:
+		return json.Unmarshal(body, &d.identity)
+	case kindPromise:
+		epoch, n := binary.Uvarint(body)
+		if n <= 0 {
+			return errorx.IllegalFormat.New("control: promise")
+		}
+		d.promised, d.promisedTo = epoch, string(body[n:])
+	case kindMark:
+		epoch, n := binary.Uvarint(body)
+		if n <= 0 {
+			return errorx.IllegalFormat.New("control: mark")
+		}
+		d.copyEpoch = epoch
+	case kindAccepted, kindChosen:
+		r := new(tierv1.Record)
+		if err := proto.Unmarshal(body, r); err != nil {
+			return err
+		}
+		if record[0] == kindAccepted {
+			d.accepted = r
+		} else {
+			d.chosen = r
+		}
+	case kindWrite:
+		w := new(tierv1.WriteRequest)
+		if err := proto.Unmarshal(body, w); err != nil {
+			return err
+		}
+		d.apply(w)
+	default:
+		return errorx.IllegalFormat.New("control: record of kind %q", record[0])
+	}
+	return nil
+}
+
+// apply makes the copy what a write says. The map is replaced, never changed: others may hold the former one.
+func (d *durable) apply(w *tierv1.WriteRequest) {
+	data := make(map[string]*tierv1.Entry, len(w.Entries))
+	if !w.Whole {
+		data = maps.Clone(d.data)
+		if data == nil {
+			data = make(map[string]*tierv1.Entry)
+		}
+	}
+	for _, e := range w.Entries {
+		if len(e.Value) == 0 {
+			delete(data, e.Key)
+		} else {
+			data[e.Key] = e
+		}
+	}
+	d.data, d.sequence, d.copyEpoch = data, w.Sequence, w.Epoch
+}
+
+// whole is the write that makes another copy the same as this one.
+func (d *durable) whole(epoch uint64) *tierv1.WriteRequest {
+	w := &tierv1.WriteRequest{Epoch: epoch, Sequence: d.sequence, Whole: true, From: d.Folder}
+	for _, k := range slices.Sorted(maps.Keys(d.data)) {
+		w.Entries = append(w.Entries, d.data[k])
+	}
+	return w
+}
+
+// snapshot gives the records from which replay makes the same state.
+func (d *durable) snapshot() (records [][]byte) {
+	records = append(records, encodeIdentity(d.identity))
+	if d.promised > 0 {
+		records = append(records, encodePromise(d.promised, d.promisedTo))
+	}
+	if d.accepted != nil {
+		records = append(records, encodeMessage(kindAccepted, d.accepted))
+	}
+	if d.chosen != nil {
+		records = append(records, encodeMessage(kindChosen, d.chosen))
+	}
+	if d.copyEpoch > 0 {
+		records = append(records, encodeMessage(kindWrite, d.whole(d.copyEpoch)))
+	}
+	return records
+}
--- /dev/null
+++ b/internal/tier/control/machine.go
@@ -0,0 +1,385 @@
+package control
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	tierv1 "dockshift.example/dockshift/proto/saffronyard/tier/v1"
+)
+
+// timing are the spans that the machine goes by, all from the settings.
+type timing struct {
+	beat    time.Duration // between two beats of a primary to one node
+	call    time.Duration // after which a call counts as failed
+	sticky  time.Duration // a primary heard this recently is not passed over
+	silence time.Duration // of a primary, after which others try to take over
+	fresh   time.Duration // a confirmation this old still counts
+	swap    time.Duration // of a member, after which a joiner takes its place
+	join    time.Duration // between two calls to join
+}
+
+func timings(window, heartbeat time.Duration) timing {
+	beat := window / 12
+	if heartbeat > 0 {
+		beat = min(beat, heartbeat/4)
+	}
+	return timing{beat: beat, call: window / 6, sticky: window / 6, silence: window / 4, fresh: window / 3,
+		swap: window * 2 / 5, join: window / 6}
+}
+
+// The events of Step.
+type (
+	// request is a call of another node; it is answered by a reply with its token.
+	request struct {
+		token uint64
+		body  proto.Message
+	}
+	// answer ends a call of this node. The body is nil where it failed.
+	answer struct {
+		id   uint64
+		body proto.Message
+	}
+	put struct {
+		token uint64
+		epoch uint64
+		sets  map[string][]byte
+	}
+	confirm struct {
+		token uint64
+		epoch uint64
+	}
+	tick  struct{}
+	event any
+)
+
+// What is to be done after a step, in the order of the fields. Calls in early need not wait for the disk.
+type (
+	call struct {
+		id      uint64
+		address string
+		body    proto.Message
+		timeout time.Duration
+	}
+	reply struct {
+		token uint64
+		body  proto.Message
+	}
+	outcome struct {
+		token    uint64
+		sequence uint64
+		err      error
+	}
+	actions struct {
+		early    []call
+		records  [][]byte
+		sync     bool
+		calls    []call
+		replies  []reply
+		outcomes []outcome
+		changed  bool
+		news     []string // for the log
+	}
+)
+
+// peer is another clearing process, known by its address.
+type peer struct {
+	member   *tierv1.Member // as it last told
+	first    time.Duration  // when its address was learnt
+	answered time.Duration  // when the call began that it answered last
+	replied  bool           // it has answered
+	met      bool           // it has called or answered
+	asking   bool           // a beat is under way
+	voter    bool           // it told that it is a member of the record in force
+}
+
+// machine decides. It does no I/O: all of what it needs comes in by Step, all that it wants done goes out.
+type machine struct {
+	durable
+	self    *tierv1.Member
+	seeds   []string
+	losses  int
+	timing  timing
+	random  *rand.Rand
+	now     time.Duration
+	out     *actions
+	nextID  uint64
+	pending map[uint64]func(proto.Message)
+
+	peers    map[string]*peer
+	heardAt  time.Duration // from the primary of the newest chosen record
+	heard    bool
+	granted  time.Duration // when the newest promise was given
+	hint     string
+	tryAt    time.Duration
+	joinAt   time.Duration
+	highest  uint64 // epoch heard of
+	proposal *proposal
+	primary  *reign // nil where this process is not primary
+	quirks   quirks
+}
+
+// quirks make a machine wrong. Only tests of the checker set them.
+type quirks struct {
+	forgetPromise  bool // at the next start
+	neglectPromise bool // at once
+	earlyAck       bool // before the backups have synced
+	skipBackup     bool // that does not answer
+	countEmpty     bool // folder for the member at its address
+}
+
+func newMachine(d durable, self *tierv1.Member, seeds []string, losses int, t timing, seed uint64) *machine {
+	m := &machine{durable: d, seeds: seeds, losses: losses, timing: t, random: rand.New(rand.NewPCG(seed, 1)),
+		pending: make(map[uint64]func(proto.Message)), peers: make(map[string]*peer)}
+	m.self = proto.CloneOf(self)
+	m.self.Folder = d.Folder
+	m.highest = max(d.promised, epochOf(d.accepted), epochOf(d.chosen))
+	m.tryAt = m.jitter(t.beat)
+	m.joinAt = m.jitter(t.beat)
+	return m
+}
+
+func (m *machine) jitter(d time.Duration) time.Duration {
+	return time.Duration(m.random.Int64N(int64(d) + 1))
+}
+
+// Step takes events at now, a steady time, and gives what is to be done. What it says must be written and synced
+// before the next step.
+func (m *machine) Step(now time.Duration, events ...event) *actions {
+	m.now, m.out = now, new(actions)
+	for _, e := range events {
+		switch e := e.(type) {
+		case request:
+			m.out.replies = append(m.out.replies, reply{e.token, m.serve(e.body)})
+		case answer:
+			if f := m.pending[e.id]; f != nil {
+				delete(m.pending, e.id)
+				f(e.body)
+			}
+		case put:
+			m.put(e)
+		case confirm:
+			m.confirm(e)
+		case tick:
+		}
+	}
+	m.timers()
+	return m.out
+}
+
+func (m *machine) serve(body proto.Message) proto.Message {
+	switch q := body.(type) {
+	case *tierv1.PromiseRequest:
+		return m.promise(q)
+	case *tierv1.AcceptRequest:
+		return m.accept(q)
+	case *tierv1.BeatRequest:
+		return m.beat(q)
+	case *tierv1.WriteRequest:
+		return m.write(q)
+	case *tierv1.JoinRequest:
+		return m.join(q)
+	}
+	return nil
+}
+
+func (m *machine) store(record []byte, sync bool) {
+	m.out.records = append(m.out.records, record)
+	m.out.sync = m.out.sync || sync
+}
+
+// call asks another node; then is called with its answer, or nil where there is none.
+func (m *machine) call(address string, body proto.Message, early bool, then func(proto.Message)) {
+	m.nextID++
+	m.pending[m.nextID] = then
+	c := call{m.nextID, address, body, m.timing.call}
+	if early {
+		m.out.early = append(m.out.early, c)
+	} else {
+		m.out.calls = append(m.out.calls, c)
+	}
+}
+
+func (m *machine) peer(address string) *peer {
+	p := m.peers[address]
+	if p == nil {
+		p = &peer{first: m.now}
+		m.peers[address] = p
+	}
+	return p
+}
+
+// met notes a node that called: one way, so it proves nothing about the way back.
+func (m *machine) met(member *tierv1.Member) *peer {
+	if member == nil || member.Address == "" || member.Folder == "" || member.Address == m.self.Address {
+		return nil
+	}
+	p := m.peer(member.Address)
+	if p.member == nil || !proto.Equal(p.member, member) {
+		p.member, m.out.changed = member, true
+	}
+	p.met = true
+	return p
+}
+
+// replied notes that a node answered a call that began at that time.
+func (m *machine) replied(member *tierv1.Member, began time.Duration) *peer {
+	p := m.met(member)
+	if p != nil {
+		p.answered, p.replied = max(p.answered, began), true
+	}
+	return p
+}
+
+// silent is how long a node has not answered.
+func (m *machine) silent(address string) time.Duration {
+	p := m.peer(address)
+	since := max(p.answered, p.first)
+	if m.primary != nil {
+		since = max(since, m.primary.began)
+	}
+	return m.now - since
+}
+
+// alive tells whether the folder of a member, or the one at its address where it has none, answered within d.
+func (m *machine) alive(member *tierv1.Member, d time.Duration) bool {
+	p := m.peers[member.Address]
+	return p != nil && p.replied && (member.Folder == "" || p.member.Folder == member.Folder) && m.now-p.answered <= d
+}
+
+// base is the newest record that this folder accepted or knows to be chosen; the genesis record where there is none
+// and the folder was made at the first start; else nil.
+func (m *machine) base() *tierv1.Record {
+	if r := newest(m.accepted, m.chosen); r != nil {
+		return r
+	}
+	return m.genesis()
+}
+
+// known is the newest chosen record known, the genesis record included.
+func (m *machine) known() *tierv1.Record {
+	if m.chosen != nil {
+		return m.chosen
+	}
+	return m.genesis()
+}
+
+func (m *machine) genesis() *tierv1.Record {
+	if !m.Genesis {
+		return nil
+	}
+	r := &tierv1.Record{}
+	for _, a := range m.Seeds {
+		r.Members = append(r.Members, &tierv1.Member{Address: a})
+	}
+	return r
+}
+
+// isVoter tells whether this folder is among members.
+func (m *machine) isVoter(members []*tierv1.Member) bool {
+	return slices.ContainsFunc(members, func(v *tierv1.Member) bool {
+		return voter(v, m.Folder, m.self.Address, m.Genesis)
+	})
+}
+
+// learn takes a record that another node knows to be chosen.
+func (m *machine) learn(r *tierv1.Record) {
+	if r == nil || r.Epoch <= epochOf(m.chosen) {
+		return
+	}
+	m.chosen = r
+	m.highest = max(m.highest, r.Epoch)
+	m.store(encodeMessage(kindChosen, r), false)
+	m.out.changed = true
+	if m.primary != nil && r.Epoch > m.primary.record.Epoch {
+		m.stepDown("passed over")
+	}
+	if m.proposal != nil && r.Epoch >= m.proposal.epoch && m.proposal.epoch > 0 {
+		m.abandon("passed over")
+	}
+}
+
+// addresses are all other clearing processes that are known.
+func (m *machine) addresses() (list []string) {
+	add := func(a string) {
+		if a != "" && a != m.self.Address && !slices.Contains(list, a) {
+			list = append(list, a)
+		}
+	}
+	for _, set := range configurations(m.known()) {
+		for _, v := range set {
+			add(v.Address)
+		}
+	}
+	for _, a := range m.seeds {
+		add(a)
+	}
+	for a, p := range m.peers {
+		if p.met {
+			add(a)
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
+// timers does what is due.
+func (m *machine) timers() {
+	m.advanceAll()
+	if m.primary != nil {
+		m.reignTimers()
+	}
+	if m.primary == nil && m.proposal == nil && m.now >= m.tryAt {
+		m.candidate()
+	}
+	m.advanceAll()
+	if m.primary == nil && m.now >= m.joinAt {
+		m.joinAt = m.now + m.timing.join + m.jitter(m.timing.beat)
+		if !m.hearing() { // a primary that beats knows this node
+			m.askToJoin()
+		}
+	}
+}
+
+// advanceAll lets the proposal, and one that follows it, go as far as they can without an answer.
+func (m *machine) advanceAll() {
+	for m.proposal != nil {
+		p, phase := m.proposal, m.proposal.phase
+		m.advance()
+		if m.proposal == p && p.phase == phase {
+			return
+		}
+	}
+}
+
+func (m *machine) knownMembers() []*tierv1.Member {
+	if r := m.known(); r != nil {
+		return r.Members
+	}
+	return nil
+}
+
+// hearing tells whether the primary was heard of late.
+func (m *machine) hearing() bool { return m.heard && m.now-m.heardAt < m.timing.silence }
+
+// wake is when the next step is due at the latest.
+func (m *machine) wake() time.Duration {
+	var at time.Duration
+	if m.primary != nil {
+		at = m.primary.next
+		if m.primary.retryAt > m.now {
+			at = min(at, m.primary.retryAt)
+		}
+	} else {
+		at = m.joinAt
+		if m.proposal == nil {
+			at = min(at, m.tryAt)
+		}
+	}
+	if m.proposal != nil {
+		at = min(at, m.proposal.wake())
+	}
+	return at
+}
--- /dev/null
+++ b/internal/tier/control/machine_test.go
@@ -0,0 +1,183 @@
+package control
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func (w *world) boot() {
+	for _, s := range w.sites {
+		w.after(time.Duration(w.random.Int64N(int64(300*time.Millisecond))), func() { s.start(true) })
+	}
+}
+
+func (w *world) tail() string {
+	return strings.Join(w.trace[max(0, len(w.trace)-60):], "\n")
+}
+
+// storm plays random trouble.
+func (w *world) storm(until time.Duration, wipes bool) {
+	if w.now >= until {
+		return
+	}
+	s := w.sites[w.random.IntN(len(w.sites))]
+	o := w.sites[w.random.IntN(len(w.sites))]
+	again := func() {
+		w.after(time.Duration(w.random.Int64N(int64(1500*time.Millisecond))), func() { s.start(false) })
+	}
+	switch w.random.IntN(9) {
+	case 0:
+		w.cuts[[2]string{s.member.Address, o.member.Address}] = true
+	case 1:
+		for _, x := range w.sites {
+			w.cuts[[2]string{s.member.Address, x.member.Address}] = true
+			w.cuts[[2]string{x.member.Address, s.member.Address}] = true
+		}
+	case 2, 3, 4:
+		clear(w.cuts)
+	case 5:
+		s.stop(false)
+		again()
+	case 6:
+		s.stop(true)
+		again()
+	case 7:
+		if wipes && w.mayWipe() {
+			s.wipe()
+			w.logf("wiped %s", s.member.Address)
+			again()
+		}
+	case 8:
+		if w.random.IntN(6) == 0 {
+			for _, x := range w.sites {
+				x.stop(true)
+				w.after(time.Duration(w.random.Int64N(int64(time.Second))), func() { x.start(false) })
+			}
+		}
+	}
+	w.after(time.Duration(w.random.Int64N(int64(600*time.Millisecond))), func() { w.storm(until, wipes) })
+}
+
+// seedsOr is how many seeds a test plays: few, unless CONTROL_SEEDS asks for more.
+func seedsOr(few int) int {
+	if n, err := strconv.Atoi(os.Getenv("CONTROL_SEEDS")); err == nil {
+		return n
+	}
+	return few
+}
+
+func play(seed uint64, n, losses int, q quirks) *world {
+	w := newWorld(seed, n, losses)
+	w.quirks = q
+	w.boot()
+	w.trouble = []float64{0, 0.02, 0.2}[seed%3]
+	end := 25 * time.Second
+	w.load(end)
+	w.after(3*time.Second, func() { w.storm(end, true) })
+	w.run(end)
+	return w
+}
+
+func TestStorms(t *testing.T) {
+	seeds := seedsOr(12)
+	var worst time.Duration
+	acked := 0
+	for _, size := range [][2]int{{3, 1}, {4, 1}, {5, 1}, {5, 2}, {6, 2}} {
+		for seed := range uint64(seeds) {
+			w := play(seed, size[0], size[1], quirks{})
+			took, ok := w.calm(8 * time.Second)
+			worst = max(worst, took)
+			acked += len(w.acked)
+			assert.Assert(t, len(w.faults) == 0, "size %v seed %d: %v\n%s", size, seed, w.faults, w.tail())
+			assert.Assert(t, ok, "size %v seed %d: serves no more\n%s", size, seed, w.tail())
+			w.run(w.now + 4*time.Second)
+			assert.Assert(t, len(w.faults) == 0, "size %v seed %d: %v", size, seed, w.faults)
+			assert.Assert(t, w.whole(), "size %v seed %d: not whole again: %v\n%s", size, seed, w.top, w.tail())
+		}
+	}
+	t.Logf("acknowledged %d, worst return %v", acked, worst)
+}
+
+// One message of a good exchange is changed, each in turn; then all lose power.
+func TestOneMutation(t *testing.T) {
+	step := 9 // every message where CONTROL_SEEDS is set
+	if seedsOr(0) > 0 {
+		step = 1
+	}
+	for kind := lost; kind < mutations; kind++ {
+		for n := 1 + int(kind)%3; n < 240; n += step {
+			w := newWorld(uint64(n), 4, 1)
+			w.mutate = func(i int) mutation {
+				if i == n {
+					return kind
+				}
+				return none
+			}
+			w.boot()
+			w.load(4 * time.Second)
+			w.run(4 * time.Second)
+			where := fmt.Sprintf("kind %d message %d", kind, n)
+			w.mutate = nil
+			for _, s := range w.sites {
+				s.stop(true)
+			}
+			_, ok := w.calm(6 * time.Second)
+			assert.Assert(t, len(w.faults) == 0, "%s: %v\n%s", where, w.faults, w.tail())
+			assert.Assert(t, ok, "%s: serves no more\n%s", where, w.tail())
+			assert.Assert(t, len(w.acked) > 1, where)
+		}
+	}
+}
+
+func TestPlanted(t *testing.T) {
+	for name, q := range map[string]quirks{
+		"forgets a promise at once":           {neglectPromise: true},
+		"forgets a promise at a restart":      {forgetPromise: true},
+		"acknowledges before the backup's":    {earlyAck: true},
+		"skips a dead backup":                 {skipBackup: true},
+		"counts an empty folder for a member": {countEmpty: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if q.forgetPromise && seedsOr(0) == 0 {
+				t.Skip("found once in a thousand storms or so: set CONTROL_SEEDS")
+			}
+			for seed := range uint64(max(3000, seedsOr(0))) {
+				if w := play(seed, 3+int(seed%2), 1, q); len(w.faults) > 0 {
+					t.Logf("seed %d: %v", seed, w.faults[0])
+					return
+				}
+			}
+			t.Fatal("not found")
+		})
+	}
+}
+
+// A killed primary is followed within a good second, where the contact window is three.
+func TestFailover(t *testing.T) {
+	var worst time.Duration
+	for seed := range uint64(50) {
+		w := newWorld(seed, 3, 1)
+		w.boot()
+		w.run(3 * time.Second)
+		var old *site
+		for _, s := range w.sites {
+			if s.m.primary != nil {
+				old = s
+			}
+		}
+		assert.Assert(t, old != nil, w.tail())
+		old.stop(false)
+		old.gone = true
+		took, ok := w.calm(5 * time.Second)
+		assert.Assert(t, ok, "seed %d\n%s", seed, w.tail())
+		worst = max(worst, took)
+	}
+	t.Logf("worst %v", worst)
+	assert.Assert(t, worst < 1500*time.Millisecond, worst)
+}
--- /dev/null
+++ b/internal/tier/control/reign.go
@@ -0,0 +1,343 @@
+package control
+
+import (
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	tierv1 "dockshift.example/dockshift/proto/saffronyard/tier/v1"
+)
+
+// reign is what a process holds while it is primary, over all records that it had chosen in one go.
+type reign struct {
+	began     time.Duration
+	first     uint64                   // epoch of its first record: who writes under it or a later one has seen no other primary between
+	record    *tierv1.Record           // in force
+	confirmed map[string]time.Duration // when the newest round trip began that a backup answered under the record
+	lost      map[string]bool          // backups that failed a call
+	renew     bool                     // a backup has promised a higher epoch
+	next      time.Duration            // beat
+	retryAt   time.Duration            // of the next proposal
+	visible   map[string]*tierv1.Entry // what all copies hold
+	queue     []waiter
+	round     *round
+}
+
+// waiter is a put, or a confirm where there are no sets.
+type waiter struct {
+	token    uint64
+	sets     map[string][]byte
+	sequence uint64
+}
+
+// round is a write on its way to all backups: one at a time, with all that waited when it began.
+type round struct {
+	waiters []waiter
+	need    map[string]bool // folders of backups
+}
+
+// reign begins or goes on with a record that was chosen. All its backups hold this copy: what was under way stands.
+func (m *machine) reign(p *proposal) {
+	m.proposal = nil
+	m.chosen = p.target
+	m.store(encodeMessage(kindChosen, p.target), false)
+	r := m.primary
+	if r == nil {
+		r = &reign{first: p.epoch, began: m.now}
+		m.primary = r
+	}
+	r.record, r.renew, r.next, r.retryAt = p.target, false, m.now, 0
+	r.lost, r.confirmed = make(map[string]bool), make(map[string]time.Duration)
+	for _, b := range p.target.Backups {
+		r.confirmed[b] = p.copied[b]
+	}
+	m.heard, m.hint = false, m.self.Address
+	m.out.changed = true
+	m.out.news = append(m.out.news, "primary")
+	m.commit()
+}
+
+// stepDown ends the reign. What was on its way to the backups has an unknown outcome; what waited was not written.
+func (m *machine) stepDown(why string) {
+	r := m.primary
+	m.primary, m.proposal = nil, nil
+	if r.round != nil {
+		for _, w := range r.round.waiters {
+			err := ErrUnknown
+			if w.sets == nil {
+				err = ErrNotPrimary
+			}
+			m.out.outcomes = append(m.out.outcomes, outcome{w.token, 0, err})
+		}
+	}
+	for _, w := range r.queue {
+		m.out.outcomes = append(m.out.outcomes, outcome{w.token, 0, ErrNotPrimary})
+	}
+	m.hint, m.heard = "", false
+	m.tryAt = m.now + m.timing.beat + m.jitter(m.timing.beat)
+	m.joinAt = m.now + m.jitter(m.timing.beat)
+	m.out.changed = true
+	m.out.news = append(m.out.news, "stepped down: "+why)
+}
+
+// confirmedAt is when the oldest of the newest round trips to the backups began. Without backups it is now: nobody else
+// may take over.
+func (m *machine) confirmedAt() time.Duration {
+	at := m.now
+	for _, b := range m.primary.record.Backups {
+		at = min(at, m.primary.confirmed[b])
+	}
+	return at
+}
+
+func (m *machine) confirmedWithin(d time.Duration) bool { return m.now-m.confirmedAt() < d }
+
+func (m *machine) put(e put) {
+	m.enqueue(e.epoch, waiter{token: e.token, sets: e.sets})
+}
+
+func (m *machine) confirm(e confirm) { m.enqueue(e.epoch, waiter{token: e.token}) }
+
+func (m *machine) enqueue(epoch uint64, w waiter) {
+	r := m.primary
+	if r == nil || epoch < r.first || epoch > r.record.Epoch {
+		m.out.outcomes = append(m.out.outcomes, outcome{w.token, 0, ErrNotPrimary})
+		return
+	}
+	r.queue = append(r.queue, w)
+	m.startRound()
+}
+
+// startRound writes what waits, here and at all backups at once.
+func (m *machine) startRound() {
+	r := m.primary
+	if r == nil || r.round != nil || m.proposal != nil || len(r.queue) == 0 || m.promised != r.record.Epoch {
+		return // after a promise of its own for a higher epoch only a record of that epoch or above lets it write again
+	}
+	q := &tierv1.WriteRequest{Epoch: r.record.Epoch, Base: m.sequence, Sequence: m.sequence, From: m.Folder}
+	rd := &round{waiters: r.queue, need: make(map[string]bool)}
+	r.queue, r.round = nil, rd
+	for i := range rd.waiters {
+		w := &rd.waiters[i]
+		if w.sets == nil {
+			continue
+		}
+		q.Sequence++
+		w.sequence = q.Sequence
+		for k, v := range w.sets {
+			q.Entries = append(q.Entries, &tierv1.Entry{Key: k, Value: v, Sequence: q.Sequence})
+		}
+	}
+	if q.Sequence > q.Base {
+		m.apply(q)
+		m.store(encodeMessage(kindWrite, q), true)
+	}
+	for _, b := range r.record.Backups {
+		rd.need[b] = true
+	}
+	for _, b := range r.record.Backups {
+		m.sendWrite(r.record, b, q)
+	}
+	if len(rd.need) == 0 || m.quirks.earlyAck {
+		m.commit()
+	}
+}
+
+func (m *machine) sendWrite(record *tierv1.Record, folder string, q *tierv1.WriteRequest) {
+	i := slices.IndexFunc(record.Members, func(v *tierv1.Member) bool { return v.Folder == folder })
+	if i < 0 {
+		return
+	}
+	began := m.now
+	rd := m.primary.round
+	m.call(record.Members[i].Address, q, true, func(body proto.Message) {
+		a, _ := body.(*tierv1.WriteReply)
+		r := m.primary
+		if r == nil || r.record != record {
+			return
+		}
+		if a == nil && m.quirks.skipBackup {
+			a = &tierv1.WriteReply{Taken: true}
+		}
+		switch {
+		case a == nil:
+			r.lost[folder] = true
+		case a.Taken:
+			r.confirmed[folder] = max(r.confirmed[folder], began)
+			if r.round == rd && rd != nil {
+				delete(rd.need, folder)
+				if len(rd.need) == 0 {
+					m.commit()
+				}
+			}
+		case a.Behind:
+			m.sendWrite(record, folder, m.whole(record.Epoch))
+		default: // it has promised another, or it is another folder
+			m.highest = max(m.highest, a.Highest)
+			r.renew = r.renew || a.Highest > record.Epoch
+			r.lost[folder] = r.lost[folder] || a.Highest < record.Epoch
+		}
+	})
+}
+
+// commit ends the round: all copies hold the data.
+func (m *machine) commit() {
+	r := m.primary
+	r.visible = m.data
+	if rd := r.round; rd != nil {
+		for _, w := range rd.waiters {
+			m.out.outcomes = append(m.out.outcomes, outcome{w.token, w.sequence, nil})
+		}
+		r.round = nil
+		m.out.changed = true
+	}
+	m.startRound()
+}
+
+func (m *machine) reignTimers() {
+	r := m.primary
+	if m.proposal == nil && !m.confirmedWithin(m.timing.fresh) {
+		m.stepDown("backups are silent")
+		return
+	}
+	if m.now >= r.next {
+		r.next = m.now + m.timing.beat
+		for _, address := range m.addresses() {
+			member := slices.ContainsFunc(r.record.Members, func(v *tierv1.Member) bool { return v.Address == address })
+			if member || m.silent(address) < 5*m.timing.swap { // others join again when they are back
+				m.sendBeat(address)
+			}
+		}
+	}
+	if m.proposal == nil && m.now >= r.retryAt {
+		if want, ok := m.maintain(); ok {
+			m.propose(want)
+		}
+	}
+}
+
+func (m *machine) sendBeat(address string) {
+	p := m.peer(address)
+	if p.asking {
+		return
+	}
+	p.asking = true
+	began := m.now
+	m.call(address, &tierv1.BeatRequest{Record: m.primary.record, From: m.self}, false, func(body proto.Message) {
+		p.asking = false
+		a, _ := body.(*tierv1.BeatReply)
+		if a == nil || a.Self == nil {
+			return
+		}
+		m.replied(a.Self, began)
+		p.voter = a.Member
+		m.highest = max(m.highest, a.Highest)
+		r := m.primary
+		if r == nil || !slices.Contains(r.record.Backups, a.Self.Folder) {
+			return
+		}
+		// Under a proposal of its own its backups have promised to none other.
+		if a.Highest == r.record.Epoch || m.proposal != nil && a.Highest == m.proposal.epoch {
+			r.confirmed[a.Self.Folder] = max(r.confirmed[a.Self.Folder], began)
+		} else if a.Highest > r.record.Epoch {
+			r.renew = true
+		}
+	})
+}
+
+// maintain tells what record the primary wants next: lost backups replaced, a swap of members settled, copies and
+// members added, silent members swapped for joiners, one at a time.
+func (m *machine) maintain() (plan, bool) {
+	r := m.primary
+	drop := make(map[string]bool)
+	for _, b := range r.record.Backups {
+		if r.lost[b] || m.now-r.confirmed[b] > m.timing.call+m.timing.beat/2 || m.replaced(b) {
+			drop[b] = true
+		}
+	}
+	if len(drop) > 0 || r.renew || m.promised > r.record.Epoch {
+		return plan{drop: drop}, true
+	}
+	if len(r.record.Former) > 0 {
+		return plan{}, true
+	}
+	members := r.record.Members
+	should, _ := m.wanted(len(members))
+	if len(r.record.Backups) < should && slices.ContainsFunc(members, func(v *tierv1.Member) bool {
+		return v.Folder != m.Folder && !slices.Contains(r.record.Backups, v.Folder) && m.alive(v, m.timing.call) && m.peers[v.Address].voter
+	}) {
+		return plan{}, true
+	}
+	joiners := m.joiners(members)
+	if len(joiners) == 0 {
+		return plan{}, false
+	}
+	var out *tierv1.Member
+	for _, v := range members {
+		if v.Folder == m.Folder || slices.Contains(r.record.Backups, v.Folder) {
+			continue
+		}
+		// A folder made anew at a member's address is the proof that the member is gone.
+		if i := slices.IndexFunc(joiners, func(j *tierv1.Member) bool { return j.Address == v.Address }); i >= 0 {
+			return plan{in: joiners[i], out: v}, true
+		}
+		if out == nil && (m.replaced(v.Folder) || m.silent(v.Address) > m.timing.swap) {
+			out = v
+		}
+	}
+	joiners = slices.DeleteFunc(joiners, func(j *tierv1.Member) bool { // these wait for their own predecessor's place
+		return slices.ContainsFunc(members, func(v *tierv1.Member) bool { return v.Address == j.Address })
+	})
+	if len(joiners) == 0 {
+		return plan{}, false
+	}
+	if out != nil {
+		rest := slices.DeleteFunc(slices.Clone(members), func(o *tierv1.Member) bool { return same(o, out) })
+		return plan{in: m.best(rest, joiners), out: out}, true
+	}
+	if len(members) < 2*m.losses+1 {
+		return plan{in: m.best(members, joiners)}, true
+	}
+	return plan{}, false
+}
+
+// replaced tells whether another folder answers at a member's address.
+func (m *machine) replaced(folder string) bool {
+	i := slices.IndexFunc(m.primary.record.Members, func(v *tierv1.Member) bool { return v.Folder == folder })
+	if i < 0 {
+		return false
+	}
+	p := m.peers[m.primary.record.Members[i].Address]
+	return p != nil && p.replied && p.member.Folder != folder
+}
+
+// joiners are the folders that answer and are no members. One that lost its disk is there at its member's address.
+func (m *machine) joiners(members []*tierv1.Member) (list []*tierv1.Member) {
+	for _, a := range m.addresses() {
+		p := m.peers[a]
+		if p == nil || !p.replied || p.voter || m.now-p.answered > m.timing.call {
+			continue
+		}
+		if !slices.ContainsFunc(members, func(v *tierv1.Member) bool { return v.Folder == p.member.Folder }) {
+			list = append(list, p.member)
+		}
+	}
+	return list
+}
+
+// best is the joiner whose region, then zone, holds the fewest of the members.
+func (m *machine) best(members, joiners []*tierv1.Member) *tierv1.Member {
+	score := func(j *tierv1.Member) (n int) {
+		for _, v := range members {
+			if v.Region == j.Region {
+				n += 100
+			}
+			if v.Zone == j.Zone {
+				n++
+			}
+		}
+		return n
+	}
+	return slices.MinFunc(joiners, func(a, b *tierv1.Member) int { return score(a) - score(b) })
+}
--- /dev/null
+++ b/internal/tier/control/server.go
@@ -0,0 +1,95 @@
+package control
+
+import (
+	"context"
+
+	"github.com/twitchtv/twirp"
+	"google.golang.org/protobuf/proto"
+
+	tierv1 "dockshift.example/dockshift/proto/saffronyard/tier/v1"
+)
+
+// server hands what other nodes ask to the loop.
+type server struct{ n *Node }
+
+// serve waits for the machine's reply, which leaves the loop when what it rests on is synced.
+func serve[T proto.Message](ctx context.Context, n *Node, body proto.Message) (T, error) {
+	var none T
+	c := make(chan proto.Message, 1)
+	n.mu.Lock()
+	n.token++
+	token := n.token
+	n.replies[token] = c
+	if !n.postLocked(request{token, body}) {
+		delete(n.replies, token)
+		n.mu.Unlock()
+		return none, twirp.NewError(twirp.Unavailable, "ending")
+	}
+	n.mu.Unlock()
+	select {
+	case r, ok := <-c:
+		if t, is := r.(T); ok && is {
+			return t, nil
+		}
+		return none, twirp.NewError(twirp.Unavailable, "ending")
+	case <-ctx.Done():
+		n.mu.Lock()
+		delete(n.replies, token)
+		n.mu.Unlock()
+		return none, twirp.NewError(twirp.Canceled, "the caller is gone")
+	}
+}
+
+func (s server) Promise(ctx context.Context, q *tierv1.PromiseRequest) (*tierv1.PromiseReply, error) {
+	return serve[*tierv1.PromiseReply](ctx, s.n, q)
+}
+
+func (s server) Accept(ctx context.Context, q *tierv1.AcceptRequest) (*tierv1.AcceptReply, error) {
+	return serve[*tierv1.AcceptReply](ctx, s.n, q)
+}
+
+func (s server) Beat(ctx context.Context, q *tierv1.BeatRequest) (*tierv1.BeatReply, error) {
+	return serve[*tierv1.BeatReply](ctx, s.n, q)
+}
+
+func (s server) Write(ctx context.Context, q *tierv1.WriteRequest) (*tierv1.WriteReply, error) {
+	return serve[*tierv1.WriteReply](ctx, s.n, q)
+}
+
+func (s server) Join(ctx context.Context, q *tierv1.JoinRequest) (*tierv1.JoinReply, error) {
+	return serve[*tierv1.JoinReply](ctx, s.n, q)
+}
+
+// send makes a call of the machine. Its end, whatever it is, is an event.
+func (n *Node) send(ctx context.Context, c call) {
+	client := n.clients[c.address]
+	if client == nil {
+		client = n.config.Dial(c.address)
+		n.clients[c.address] = client
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, c.timeout)
+		defer cancel()
+		body, err := invoke(ctx, client, c.body)
+		if err != nil {
+			body = nil
+		}
+		n.post(answer{c.id, body})
+	}()
+}
+
+func invoke(ctx context.Context, client tierv1.Register, body proto.Message) (proto.Message, error) {
+	switch q := body.(type) {
+	case *tierv1.PromiseRequest:
+		return client.Promise(ctx, q)
+	case *tierv1.AcceptRequest:
+		return client.Accept(ctx, q)
+	case *tierv1.BeatRequest:
+		return client.Beat(ctx, q)
+	case *tierv1.WriteRequest:
+		return client.Write(ctx, q)
+	case *tierv1.JoinRequest:
+		return client.Join(ctx, q)
+	}
+	return nil, twirp.NewError(twirp.Unimplemented, "no such call")
+}
--- /dev/null
+++ b/internal/tier/control/store.go
@@ -0,0 +1,42 @@
+// Package control keeps the control state of the tier: a small set of keys that the primary of a view writes and syncs
+// here and at all backups of the view before it answers. Members decide on views (register.go); they keep only epochs
+// and records. There is no log that a majority replicates.
+package control
+
+import (
+	"context"
+	"errors"
+
+	tierv1 "dockshift.example/dockshift/proto/saffronyard/tier/v1"
+)
+
+// Store is what the clearing role uses of this package.
+type Store interface {
+	// Primary tells the epoch of this process's view, and whether it is primary and a round trip to all backups began
+	// less than a third of the contact window ago.
+	Primary() (epoch uint64, ok bool)
+	// Get gives the value of a key as it is at all copies, and the sequence of the write that set it.
+	Get(key string) (value []byte, sequence uint64)
+	// Put is nil only when the sets are synced here and at all backups. Keys with an empty value are removed.
+	// ErrNotPrimary: nothing was written, and the epoch is over; any other error: the outcome is unknown.
+	Put(ctx context.Context, epoch uint64, sets map[string][]byte) (sequence uint64, err error)
+	// Confirm makes a round trip to all backups that begins after the call. ErrNotPrimary where the epoch is over.
+	Confirm(ctx context.Context, epoch uint64) error
+	// Changed is closed at the next change of role, record or state.
+	Changed() <-chan struct{}
+	// Hint is the internal address of the primary as known, or empty.
+	Hint() string
+	// Record is the newest record known to be chosen, or nil.
+	Record() *tierv1.Record
+	// Members are all clearing folders that are known and alive, or members of the record.
+	Members() []*tierv1.Member
+	// Self is this folder.
+	Self() *tierv1.Member
+}
+
+var (
+	// ErrNotPrimary says that the epoch is over and that nothing was written.
+	ErrNotPrimary = errors.New("control: not the primary of this epoch")
+	// ErrUnknown says that the write may or may not stand.
+	ErrUnknown = errors.New("control: the outcome is unknown")
+)
--- /dev/null
+++ b/internal/tier/control/world_test.go
@@ -0,0 +1,395 @@
+package control
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	tierv1 "dockshift.example/dockshift/proto/saffronyard/tier/v1"
+)
+
+// world is a network, disks and clocks in virtual time for machines, and the checker of what they promise.
+type world struct {
+	now     time.Duration
+	random  *rand.Rand
+	queue   moments
+	order   int
+	sites   []*site
+	cuts    map[[2]string]bool
+	losses  int
+	seeds   []string
+	window  time.Duration
+	quirks  quirks
+	trouble float64 // part of the messages that are lost, doubled or held
+	mutate  func(n int) mutation
+	count   int // messages sent
+	folders int
+	token   uint64
+	waiting map[uint64]*operation
+	acked   map[string]uint64 // key to sequence
+	ackedAt map[string]time.Duration
+	refused map[string]bool
+	chosen  map[uint64]*tierv1.Record
+	top     *tierv1.Record
+	wiped   map[string]bool
+	faults  []string
+	trace   []string
+}
+
+type mutation int
+
+const (
+	none mutation = iota
+	lost
+	doubled
+	held
+	replyLost
+	receiverKilled
+	receiverUnpowered
+	receiverWiped
+	senderKilled
+	senderUnpowered
+	senderWiped
+	mutations
+)
+
+type operation struct {
+	key   string // empty: a confirm
+	began time.Duration
+	site  *site
+}
+
+type moment struct {
+	at    time.Duration
+	order int
+	do    func()
+}
+type moments []moment
+
+func (q moments) Len() int { return len(q) }
+func (q moments) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].order < q[j].order
+}
+func (q moments) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *moments) Push(x any)   { *q = append(*q, x.(moment)) }
+func (q *moments) Pop() any {
+	o := *q
+	x := o[len(o)-1]
+	*q = o[:len(o)-1]
+	return x
+}
+
+// site is a machine's place: its address, its disk and the process that runs there.
+type site struct {
+	world    *world
+	member   *tierv1.Member
+	m        *machine // nil: no process
+	life     int
+	synced   [][]byte
+	unsynced [][]byte
+	busy     bool
+	inbox    []event
+	wakeAt   time.Duration
+	gone     bool
+	seen     *tierv1.Record
+	calls    int
+}
+
+func newWorld(seed uint64, n, losses int) *world {
+	w := &world{random: rand.New(rand.NewPCG(seed, 7)), cuts: make(map[[2]string]bool), losses: losses, window: 3 * time.Second,
+		waiting: make(map[uint64]*operation), acked: make(map[string]uint64), ackedAt: make(map[string]time.Duration),
+		refused: make(map[string]bool), chosen: make(map[uint64]*tierv1.Record), wiped: make(map[string]bool), now: time.Millisecond}
+	for i := range n {
+		w.sites = append(w.sites, &site{world: w, member: &tierv1.Member{Address: fmt.Sprint("a", i), Zone: fmt.Sprint("z", i%3), Region: "r"}})
+		if i < 3 {
+			w.seeds = append(w.seeds, fmt.Sprint("a", i))
+		}
+	}
+	return w
+}
+
+func (w *world) after(d time.Duration, do func()) {
+	w.order++
+	heap.Push(&w.queue, moment{w.now + d, w.order, do})
+}
+
+func (w *world) run(until time.Duration) {
+	for len(w.queue) > 0 && w.queue[0].at <= until && len(w.faults) == 0 {
+		m := heap.Pop(&w.queue).(moment)
+		w.now = m.at
+		m.do()
+	}
+	if len(w.faults) == 0 {
+		w.now = until
+	}
+}
+
+func (w *world) fault(format string, args ...any) {
+	w.faults = append(w.faults, fmt.Sprintf("%v: ", w.now)+fmt.Sprintf(format, args...))
+}
+
+func (w *world) logf(format string, args ...any) {
+	w.trace = append(w.trace, fmt.Sprintf("%v: ", w.now)+fmt.Sprintf(format, args...))
+}
+
+func (w *world) site(address string) *site {
+	for _, s := range w.sites {
+		if s.member.Address == address {
+			return s
+		}
+	}
+	return nil
+}
+
+func (w *world) delay() time.Duration {
+	return time.Millisecond + time.Duration(w.random.Int64N(int64(3*time.Millisecond)))
+}
+
+// start starts a process, with a new folder where the disk is empty.
+func (s *site) start(bootstrap bool) {
+	w := s.world
+	if s.m != nil || s.gone {
+		return
+	}
+	var d durable
+	for _, r := range s.synced {
+		if err := d.replay(r); err != nil {
+			w.fault("replay: %v", err)
+		}
+	}
+	if d.Folder == "" {
+		w.folders++
+		d.identity = identity{Folder: fmt.Sprintf("f%d@%s", w.folders, s.member.Address), Seeds: w.seeds,
+			Genesis: bootstrap && slices.Contains(w.seeds, s.member.Address)}
+		s.synced = append(s.synced, encodeIdentity(d.identity))
+	}
+	s.life++
+	s.m = newMachine(d, s.member, w.seeds, w.losses, timings(w.window, 1200*time.Millisecond), w.random.Uint64())
+	s.m.now = w.now
+	s.m.tryAt += w.now
+	s.m.joinAt += w.now
+	s.m.quirks = w.quirks
+	s.busy, s.inbox, s.seen = false, nil, nil
+	w.logf("start %s", d.Folder)
+	s.wake()
+}
+
+// stop ends the process: what it wrote stays unless the power goes, then unsynced records are lost, all or a tail.
+func (s *site) stop(power bool) {
+	if s.m == nil {
+		return
+	}
+	w := s.world
+	w.logf("stop %s power=%v", s.m.Folder, power)
+	for t, o := range w.waiting {
+		if o.site == s {
+			delete(w.waiting, t)
+		}
+	}
+	s.m = nil
+	s.life++
+	if power && len(s.unsynced) > 0 {
+		s.unsynced = s.unsynced[:w.random.IntN(len(s.unsynced))]
+	}
+	s.synced, s.unsynced = append(s.synced, s.unsynced...), nil
+}
+
+// mayWipe tells whether the loss of one more disk is within what is to be borne.
+func (w *world) mayWipe() bool {
+	if w.top == nil || len(w.top.Members) < 2*w.losses+1 || len(w.top.Former) > 0 || len(w.top.Backups) < w.losses {
+		return false
+	}
+	records := []*tierv1.Record{w.top}
+	for _, s := range w.sites {
+		if s.m == nil {
+			return false
+		}
+		if epochOf(s.m.accepted) > w.top.Epoch {
+			records = append(records, s.m.accepted)
+		}
+	}
+	for _, set := range configurations(records...) {
+		for _, v := range set {
+			if v.Folder == "" || w.wiped[v.Folder] {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+func (s *site) wipe() {
+	if s.m == nil {
+		return
+	}
+	s.world.wiped[s.m.Folder] = true
+	s.stop(true)
+	s.synced, s.unsynced = nil, nil
+}
+
+func (s *site) wake() {
+	if s.m == nil {
+		return
+	}
+	at, life := max(s.m.wake(), s.world.now+time.Millisecond), s.life
+	s.wakeAt = at
+	s.world.after(at-s.world.now, func() {
+		if s.life == life && s.wakeAt == at && s.m != nil {
+			s.step(tick{})
+		}
+	})
+}
+
+func (s *site) step(events ...event) {
+	s.inbox = append(s.inbox, events...)
+	if s.busy || s.m == nil {
+		return
+	}
+	events, s.inbox = s.inbox, nil
+	w := s.world
+	out := s.m.Step(w.now, events...)
+	for _, n := range out.news {
+		w.logf("%s %s promised=%d chosen=%d seq=%d", s.m.Folder, n, s.m.promised, epochOf(s.m.chosen), s.m.sequence)
+	}
+	life := s.life
+	for _, c := range out.early {
+		s.send(c)
+		if s.life != life {
+			return
+		}
+	}
+	s.unsynced = append(s.unsynced, out.records...)
+	rest := func() {
+		s.busy = false
+		w.check(s)
+		for _, o := range out.outcomes {
+			w.outcome(s, o)
+		}
+		for _, r := range out.replies {
+			replyTo := w.replies(r.token)
+			replyTo(r.body)
+			if s.life != life {
+				return
+			}
+		}
+		for _, c := range out.calls {
+			s.send(c)
+			if s.life != life {
+				return
+			}
+		}
+		if len(s.inbox) > 0 {
+			s.step()
+		} else {
+			s.wake()
+		}
+	}
+	if !out.sync {
+		rest()
+		return
+	}
+	s.busy = true
+	w.after(time.Millisecond+time.Duration(w.random.Int64N(int64(8*time.Millisecond))), func() {
+		if s.life != life {
+			return
+		}
+		s.synced, s.unsynced = append(s.synced, s.unsynced...), nil
+		rest()
+	})
+}
+
+var replyTable = map[*world]map[uint64]func(proto.Message){}
+
+func (w *world) replies(token uint64) func(proto.Message) {
+	f := replyTable[w][token]
+	delete(replyTable[w], token)
+	if f == nil {
+		return func(proto.Message) {}
+	}
+	return f
+}
+
+// send carries a call: it always ends in an answer, empty where nothing came within the time-out.
+func (s *site) send(c call) {
+	w := s.world
+	life, ended := s.life, false
+	end := func(body proto.Message) {
+		if s.life == life && !ended {
+			ended = true
+			s.step(answer{c.id, body})
+		}
+	}
+	w.after(c.timeout, func() { end(nil) })
+	w.count++
+	to := w.site(c.address)
+	kind := none
+	if w.mutate != nil {
+		kind = w.mutate(w.count)
+	} else if w.random.Float64() < w.trouble {
+		kind = mutation(1 + w.random.IntN(int(replyLost)))
+	}
+	again := func(x *site) { w.after(700*time.Millisecond, func() { x.start(false) }) }
+	if to == nil || kind == lost || w.cuts[[2]string{s.member.Address, c.address}] {
+		return
+	}
+	toLife := to.life
+	deliver := func() {
+		if to.m == nil || to.life != toLife { // a connection does not outlast its ends
+			end(nil)
+			return
+		}
+		w.token++
+		token := w.token
+		if replyTable[w] == nil {
+			replyTable[w] = make(map[uint64]func(proto.Message))
+		}
+		replyTable[w][token] = func(body proto.Message) {
+			if kind == replyLost || w.cuts[[2]string{c.address, s.member.Address}] {
+				return
+			}
+			w.after(w.delay(), func() { end(proto.Clone(body)) })
+		}
+		to.step(request{token, proto.Clone(c.body)})
+		switch kind {
+		case receiverKilled:
+			to.stop(false)
+			again(to)
+		case receiverUnpowered:
+			to.stop(true)
+			again(to)
+		case receiverWiped:
+			if w.mayWipe() {
+				to.wipe()
+				again(to)
+			}
+		}
+	}
+	if to.m == nil {
+		w.after(w.delay(), func() { end(nil) })
+		return
+	}
+	d := w.delay()
+	if kind == held {
+		d += time.Duration(w.random.Int64N(int64(2 * time.Second)))
+	}
+	w.after(d, deliver)
+	switch kind {
+	case doubled:
+		w.after(d+time.Duration(w.random.Int64N(int64(time.Second))), deliver)
+	case senderKilled:
+		s.stop(false)
+		again(s)
+	case senderUnpowered:
+		s.stop(true)
+		again(s)
+	case senderWiped:
+		if w.mayWipe() {
+			s.wipe()
+			again(s)
+		}
+	}
+}
--- /dev/null
+++ b/internal/tier/counter/serve.go
@@ -0,0 +1,215 @@
+package counter
+
+import (
+	"context"
+	"hash/fnv"
+	"strconv"
+	"strings"
+	"time"
+
+	"dockshift.example/dockshift/internal/tier/board"
+	"dockshift.example/dockshift/internal/tier/catalog"
+	"dockshift.example/dockshift/internal/tier/front"
+	tierv1 "dockshift.example/dockshift/proto/saffronyard/tier/v1"
+)
+
+// work is one request on its way.
+type work struct {
+	k        *Counter
+	x        *front.Exchange
+	route    *catalog.Route
+	service  string
+	attempt  string
+	until    time.Time // by then it is answered, or given up
+	tokens   int64     // of its prompt
+	most     uint64    // tokens out
+	perEvent uint64
+	affinity string
+	prefix   []string
+	body     []byte
+	tried    []string
+	sent     int       // endpoints that it was sent to
+	began    time.Time // of the last send
+}
+
+// handle answers one request.
+func (k *Counter) handle(x *front.Exchange) {
+	c := k.catalog.Load()
+	if c == nil {
+		k.refuse(x, 500*time.Millisecond)
+		return
+	}
+	route := c.Match(x.Host, x.Path)
+	if route == nil {
+		x.Respond(404, nil, []byte("no route\n"))
+		return
+	}
+	w := &work{k: k, x: x, route: route, attempt: x.Header.Get("X-Attempt-Id"), body: x.Body, perEvent: 1}
+	if w.attempt == "" {
+		x.Respond(400, nil, []byte("no X-Attempt-Id\n"))
+		return
+	}
+	if route.Kind == catalog.Streaming && !x.CanStream() {
+		x.Respond(505, nil, nil)
+		return
+	}
+	left := route.Timeout
+	if v := x.Header.Get("X-Deadline-Ms"); v != "" {
+		ms, err := strconv.ParseFloat(v, 64)
+		if err != nil || ms < 0 {
+			x.Respond(400, nil, []byte("X-Deadline-Ms is no number of milliseconds\n"))
+			return
+		}
+		left = min(left, time.Duration(ms*float64(time.Millisecond)))
+	}
+	w.until = x.Arrived.Add(left)
+	if v := x.Header.Get("X-Token-Usage"); v != "" {
+		in, out, _ := strings.Cut(v, ",")
+		w.tokens, _ = strconv.ParseInt(strings.TrimSpace(in), 10, 64)
+		w.most, _ = strconv.ParseUint(strings.TrimSpace(out), 10, 64)
+	}
+	if v := x.Header.Get("X-Prompt-Prefix"); v != "" {
+		for part := range strings.SplitSeq(v, ",") {
+			id, _, _ := strings.Cut(strings.TrimSpace(part), ":")
+			w.prefix = append(w.prefix, id)
+		}
+		w.affinity = w.prefix[len(w.prefix)-1]
+	}
+	if v := x.Header.Get("Session"); v != "" {
+		w.affinity = v
+	}
+	sticky := w.affinity
+	if sticky == "" || !route.Sticky {
+		sticky = w.attempt
+	}
+	h := fnv.New64a()
+	h.Write([]byte(sticky))
+	w.service = route.Pick(h.Sum64())
+	if s := c.Services[w.service]; s != nil && s.Engine != nil {
+		w.perEvent = max(1, uint64(s.Engine.TokensPerEvent))
+	}
+	switch {
+	case route.Persisted:
+		w.turn()
+	case route.Kind == catalog.Streaming:
+		w.stream(nil)
+	default:
+		w.whole()
+	}
+}
+
+// refuse says that the request has not run and never will, and when to come back.
+func (k *Counter) refuse(x *front.Exchange, after time.Duration) {
+	seconds := strconv.FormatFloat(max(after, time.Millisecond).Seconds(), 'f', 3, 64)
+	x.Respond(503, []front.Field{{Name: "Retry-After", Value: seconds}}, nil)
+}
+
+// turn takes a turn through its vault: what it goes on from and room in its budget before it is sent, its text after.
+func (w *work) turn() {
+	k, x := w.k, w.x
+	program := x.Header.Get("Program")
+	if program == "" {
+		program = w.attempt
+	}
+	req := &tierv1.BeginRequest{Program: program, Attempt: w.attempt, Previous: x.Header.Get("Previous"), Most: w.most, RetentionMs: uint32(w.route.Retention.Milliseconds())}
+	if v := x.Header.Get("Budget"); v != "" {
+		n, err := strconv.ParseUint(v, 10, 64)
+		if err != nil {
+			x.Respond(400, nil, []byte("Budget is no number of tokens\n"))
+			return
+		}
+		req.Limited, req.Budget = true, n
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), w.until)
+	verdict, chain := k.keeping.begin(ctx, req)
+	cancel()
+	switch verdict {
+	case tierv1.Verdict_OK:
+	case tierv1.Verdict_SPENT:
+		x.Respond(402, nil, nil)
+		return
+	case tierv1.Verdict_UNKNOWN:
+		x.Respond(404, nil, []byte("no such turn\n"))
+		return
+	default:
+		w.drop(program, 0) // it may have been taken
+		k.refuse(x, k.keeping.wait)
+		return
+	}
+	size := len(x.Body)
+	for _, t := range chain {
+		size += len(t.Input) + len(t.Output)
+	}
+	if size > len(x.Body) {
+		w.body = make([]byte, 0, size)
+		for _, t := range chain {
+			w.body = append(append(w.body, t.Input...), t.Output...)
+		}
+		w.body = append(w.body, x.Body...)
+	}
+	w.stream(&kept{program: program, previous: req.Previous, retention: req.RetentionMs})
+}
+
+// kept is what becomes of a turn's answer.
+type kept struct {
+	program, previous string
+	retention         uint32
+	output            []byte
+}
+
+// drop ends a reservation behind the request: tokens were handed out of a turn that is not kept.
+func (w *work) drop(program string, tokens uint64) {
+	k := w.k
+	k.settling.Add(1)
+	go func() {
+		defer k.settling.Done()
+		ctx, cancel := context.WithTimeout(context.Background(), k.c.Settings.ContactWindow*2)
+		defer cancel()
+		k.keeping.settle(ctx, &tierv1.SettleRequest{Program: program, Attempt: w.attempt, Tokens: tokens})
+	}()
+}
+
+// keep makes a whole turn durable.
+func (w *work) keep(t *kept, tokens uint64) bool {
+	ctx, cancel := context.WithDeadline(context.Background(), w.until)
+	defer cancel()
+	return w.k.keeping.settle(ctx, &tierv1.SettleRequest{Program: t.program, Attempt: w.attempt, Kept: true, Tokens: tokens,
+		Turn: &tierv1.Turn{Attempt: w.attempt, Previous: t.previous, Program: t.program, Input: w.x.Body, Output: t.output, RetentionMs: t.retention}})
+}
+
+// choose picks an endpoint for the next send, waiting a little for a place where all are taken.
+func (w *work) choose() board.Choice {
+	k := w.k
+	// A request that waits is refused within its aim, so that its client's new try may still be in time.
+	give := time.Now().Add(min(w.route.Aim/4, time.Until(w.until)/3))
+	for {
+		k.mu.Lock()
+		choice := k.board.Pick(k.now(), board.Ask{Route: w.route.Name, Service: w.service, Repeatable: w.route.Kind == catalog.Idempotent && w.sent+1 < w.route.MaxAttempts,
+			First: w.sent == 0, Left: time.Until(w.until), Priority: w.route.Priority, Affinity: w.affinity, Prefix: w.prefix,
+			Tokens: w.tokens, Tried: w.tried})
+		if choice.Verdict == board.Send || choice.Verdict == board.Hopeless {
+			k.mu.Unlock()
+			return choice
+		}
+		k.waiting++
+		freed := k.freed
+		k.mu.Unlock()
+		left := time.Until(give)
+		if left <= 0 {
+			return choice
+		}
+		t := time.NewTimer(left)
+		select {
+		case <-freed:
+		case <-t.C:
+		}
+		t.Stop()
+	}
+}
+
+func (k *Counter) done(call *board.Call, o board.Outcome) {
+	k.mu.Lock()
+	k.board.Done(k.now(), call, o)
+	k.wake()
+	k.mu.Unlock()
+}
--- /dev/null
+++ b/internal/tier/counter/turns.go
@@ -0,0 +1,202 @@
+package counter
+
+import (
+	"context"
+	"hash/fnv"
+	"sync"
+	"time"
+
+	"dockshift.example/dockshift/internal/tier/settings"
+	tierv1 "dockshift.example/dockshift/proto/saffronyard/tier/v1"
+	"github.com/phuslu/log"
+)
+
+// keeping is the counter's side of the vaults: which one keeps a program's turns, and how long its answer is waited for.
+// A vault that falls silent is another's part to replace: the calls are repeated by the newest map until their time is over.
+type keeping struct {
+	dial func(address string) tierv1.Vault
+	log  *log.Logger
+	try  time.Duration // one call's time
+	wait time.Duration // longest pause between two tries; a new map ends it
+
+	mu      sync.Mutex
+	vaults  *tierv1.Vaults
+	at      map[string]string // folder to address
+	changed chan struct{}     // closed when a new map comes
+}
+
+func newKeeping(s settings.Settings, dial func(string) tierv1.Vault, l *log.Logger) *keeping {
+	return &keeping{dial: dial, log: l, try: s.ContactWindow / 4, wait: s.ContactWindow / 40, changed: make(chan struct{}), at: map[string]string{}}
+}
+
+// apply takes a newer map in.
+func (k *keeping) apply(v *tierv1.Vaults) {
+	at := make(map[string]string, len(v.Keepers))
+	for _, one := range v.Keepers {
+		at[one.Folder] = one.Address
+	}
+	k.mu.Lock()
+	k.vaults, k.at = v, at
+	close(k.changed)
+	k.changed = make(chan struct{})
+	k.mu.Unlock()
+}
+
+func (k *keeping) ready() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.vaults != nil && len(k.vaults.Partitions) > 0
+}
+
+// partitionOf is the partition of a program's turns, of n.
+func partitionOf(program string, n int) uint32 {
+	h := fnv.New64a()
+	h.Write([]byte(program))
+	x := h.Sum64()
+	x ^= x >> 32
+	return uint32(x % uint64(n))
+}
+
+// primary is the address of a program's primary by the newest map, and a channel closed when there is a newer one.
+func (k *keeping) primary(program string) (partition uint32, address string, changed <-chan struct{}) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.vaults == nil || len(k.vaults.Partitions) == 0 {
+		return 0, "", k.changed
+	}
+	partition = partitionOf(program, len(k.vaults.Partitions))
+	return partition, k.at[k.vaults.Partitions[partition].Primary], k.changed
+}
+
+// each makes a call at the program's primary again and again, until it gives an answer that stands or ctx ends.
+func (k *keeping) each(ctx context.Context, program string, call func(ctx context.Context, v tierv1.Vault, partition uint32) (done bool)) bool {
+	pause := k.wait / 8
+	for ctx.Err() == nil {
+		partition, address, changed := k.primary(program)
+		if address != "" {
+			one, cancel := context.WithTimeout(ctx, k.try)
+			over := make(chan struct{})
+			go func() { // a newer map ends a call to one that may be gone
+				select {
+				case <-changed:
+					if _, now, _ := k.primary(program); now != address {
+						cancel()
+					}
+				case <-over:
+				}
+			}()
+			done := call(one, k.dial(address), partition)
+			close(over)
+			cancel()
+			if done {
+				return true
+			}
+		}
+		t := time.NewTimer(pause)
+		select {
+		case <-t.C:
+		case <-changed:
+		case <-ctx.Done():
+		}
+		t.Stop()
+		pause = min(2*pause, k.wait)
+	}
+	return false
+}
+
+// begin asks for a turn: OK with its chain, SPENT, UNKNOWN for sure, or BUSY where nothing is sure in time.
+func (k *keeping) begin(ctx context.Context, req *tierv1.BeginRequest) (verdict tierv1.Verdict, chain []*tierv1.Turn) {
+	verdict = tierv1.Verdict_BUSY
+	k.each(ctx, req.Program, func(ctx context.Context, v tierv1.Vault, partition uint32) bool {
+		req.Partition = partition
+		reply, err := v.Begin(ctx, req)
+		if err != nil {
+			return false
+		}
+		switch reply.Verdict {
+		case tierv1.Verdict_OK, tierv1.Verdict_SPENT, tierv1.Verdict_UNKNOWN:
+			verdict, chain = reply.Verdict, reply.Chain
+			return true
+		}
+		return false
+	})
+	if verdict != tierv1.Verdict_UNKNOWN || len(req.Adopt) > 0 {
+		return verdict, chain
+	}
+	// The program goes on from a turn of another one, which may lie in any partition.
+	found, certain := k.find(ctx, req.Previous)
+	switch {
+	case len(found) > 0:
+		req.Adopt, req.ChainHeld = found, true
+		verdict, _ = k.begin(ctx, req)
+		if verdict == tierv1.Verdict_UNKNOWN {
+			verdict = tierv1.Verdict_BUSY
+		}
+		return verdict, found
+	case certain:
+		return tierv1.Verdict_UNKNOWN, nil
+	}
+	return tierv1.Verdict_BUSY, nil
+}
+
+// find asks all vaults for a turn. certain: none has it, and each partition's primary has said so.
+func (k *keeping) find(ctx context.Context, attempt string) (chain []*tierv1.Turn, certain bool) {
+	pause := k.wait / 8
+	for ctx.Err() == nil {
+		k.mu.Lock()
+		vaults, changed := k.vaults, k.changed
+		addresses := map[string]bool{}
+		for _, p := range vaults.GetPartitions() {
+			addresses[k.at[p.Primary]] = true
+		}
+		k.mu.Unlock()
+		one, cancel := context.WithTimeout(ctx, k.try)
+		replies := make(chan *tierv1.FindReply, len(addresses))
+		for a := range addresses {
+			go func() {
+				if a == "" {
+					replies <- nil
+					return
+				}
+				reply, err := k.dial(a).Find(one, &tierv1.FindRequest{Attempt: attempt})
+				if err != nil {
+					reply = nil
+				}
+				replies <- reply
+			}()
+		}
+		sure := map[uint32]bool{}
+		for range addresses {
+			reply := <-replies
+			if len(reply.GetChain()) > 0 {
+				cancel()
+				return reply.Chain, false
+			}
+			for _, p := range reply.GetPartitions() {
+				sure[p] = true
+			}
+		}
+		cancel()
+		if len(vaults.GetPartitions()) > 0 && len(sure) == len(vaults.Partitions) {
+			return nil, true
+		}
+		t := time.NewTimer(pause)
+		select {
+		case <-t.C:
+		case <-changed:
+		case <-ctx.Done():
+		}
+		t.Stop()
+		pause = min(2*pause, k.wait)
+	}
+	return nil, false
+}
+
+// settle ends a reservation, and reports whether that is durable.
+func (k *keeping) settle(ctx context.Context, req *tierv1.SettleRequest) bool {
+	return k.each(ctx, req.Program, func(ctx context.Context, v tierv1.Vault, partition uint32) bool {
+		req.Partition = partition
+		reply, err := v.Settle(ctx, req)
+		return err == nil && reply.Verdict == tierv1.Verdict_OK
+	})
+}
--- /dev/null
+++ b/internal/tier/front/ends_test.go
@@ -0,0 +1,286 @@
+package front
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"runtime"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// until waits for a state that has to come.
+func until(t testing.TB, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !ok(); runtime.Gosched() {
+		assert.Assert(t, time.Now().Before(end), what)
+	}
+}
+
+func TestShutdownClosesIdleAndFinishesTheRest(t *testing.T) {
+	begun, finish := make(chan bool), make(chan bool)
+	s := &Server{Linger: 50 * time.Millisecond, Handler: func(x *Exchange) {
+		if x.Path == "/held" {
+			begun <- true
+			<-finish
+		}
+		echo(x)
+	}}
+	addr := start(t, s)
+	idle, fresh, held, stream := dial(t, addr), dial(t, addr), dial(t, addr), dial(t, addr)
+	idle.send(get)
+	idle.answer()
+	held.send("GET /held HTTP/1.1\r\nHost: a\r\n\r\n")
+	<-begun
+	stream.send("GET /held HTTP/1.1\r\nHost: a\r\n\r\n" + get) // with one behind it that was read already
+	<-begun
+	until(t, "idle connections", func() bool { _, n := s.Conns(); return n == 2 })
+	done := make(chan error, 1)
+	go func() { done <- s.Shutdown(context.Background()) }()
+	idle.over()
+	fresh.over()
+	finish <- true
+	finish <- true
+	a, body := held.answer()
+	assert.Equal(t, body, "GET /held ")
+	assert.Assert(t, a.Close)
+	held.over()
+	_, body = stream.answer()
+	assert.Equal(t, body, "GET /held ")
+	a, body = stream.answer()
+	assert.Equal(t, body, "GET /a ")
+	assert.Assert(t, a.Close)
+	stream.over()
+	assert.NilError(t, <-done)
+	n, _ := s.Conns()
+	assert.Equal(t, n, 0)
+}
+
+// What lies in the listener's queue when the shutdown begins is accepted and served.
+func TestShutdownServesTheQueue(t *testing.T) {
+	s := &Server{Handler: echo, Limits: func() Limits { return testLimits }, Linger: patience}
+	l, err := Listen("127.0.0.1:0")
+	assert.NilError(t, err)
+	var conns []*client
+	for range 20 {
+		c := dial(t, l.Addr().String())
+		c.send(get)
+		conns = append(conns, c)
+	}
+	s.mu.Lock() // Serve stands before its first Accept
+	served := make(chan error, 1)
+	go func() { served <- s.Serve(l) }()
+	done := make(chan error, 1)
+	s.mu.Unlock()
+	until(t, "listener", func() bool { s.mu.Lock(); defer s.mu.Unlock(); return len(s.listeners) == 1 })
+	go func() { done <- s.Shutdown(context.Background()) }()
+	for _, c := range conns {
+		_, body := c.answer()
+		assert.Equal(t, body, "GET /a ")
+		c.Close()
+	}
+	assert.NilError(t, <-done)
+	assert.NilError(t, <-served)
+}
+
+func TestShutdownEndsWithItsContext(t *testing.T) {
+	begun, finish := make(chan bool), make(chan bool)
+	s := &Server{Handler: func(x *Exchange) { begun <- true; <-finish; echo(x) }}
+	addr := start(t, s)
+	conn := dial(t, addr)
+	conn.send(get)
+	<-begun
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	assert.Assert(t, s.Shutdown(ctx) == context.Canceled)
+	finish <- true
+	conn.answer()
+	conn.over()
+}
+
+func TestDrain(t *testing.T) {
+	s := &Server{Handler: echo, Linger: 30 * time.Millisecond}
+	addr := start(t, s)
+	idle := dial(t, addr)
+	idle.send(get)
+	a, _ := idle.answer()
+	assert.Assert(t, !a.Close)
+	s.Drain()
+	idle.over()
+	late := dial(t, addr)
+	late.send(get)
+	a, _ = late.answer()
+	assert.Assert(t, a.Close)
+	late.over()
+}
+
+// A connection is closed between requests only while no byte of one has come: whoever is closed by a shutdown has had no
+// request read, and each request that was read is answered.
+func TestRequestsThatCrossAShutdown(t *testing.T) {
+	for range 30 {
+		read := make(chan bool, 16)
+		s := &Server{Handler: func(x *Exchange) { read <- true; echo(x) }}
+		addr := start(t, s)
+		conns := make([]*client, 8)
+		for i := range conns {
+			conns[i] = dial(t, addr)
+			conns[i].send(get)
+			conns[i].answer()
+			<-read
+		}
+		done := make(chan error, 1)
+		go func() { done <- s.Shutdown(context.Background()) }()
+		answered := 0
+		for _, c := range conns {
+			stopping := s.stopping.Load()
+			io.WriteString(c, get)
+			if a, err := http.ReadResponse(c.r, nil); err == nil {
+				assert.Assert(t, a.Close || !stopping)
+				_, err = io.ReadAll(a.Body)
+				assert.NilError(t, err)
+				answered++
+			}
+		}
+		assert.NilError(t, <-done)
+		assert.Equal(t, len(read), answered)
+	}
+}
+
+func TestGone(t *testing.T) {
+	check, result, told := make(chan bool), make(chan bool), make(chan bool, 1)
+	addr := start(t, &Server{Handler: func(x *Exchange) {
+		if x.Path == "/a" {
+			echo(x)
+			return
+		}
+		if x.Path == "/watch" {
+			x.OnGone(0, func() { told <- true })
+		}
+		for <-check {
+			result <- x.Gone()
+		}
+		echo(x)
+	}})
+	conn := dial(t, addr)
+	conn.send("GET /check HTTP/1.1\r\nHost: a\r\n\r\n")
+	check <- true
+	assert.Assert(t, !<-result)
+	conn.send(get) // bytes of a next request are no end
+	conn.CloseWrite()
+	check <- true
+	assert.Assert(t, !<-result)
+	check <- false
+	conn.answer()
+	conn.answer()
+	for _, reset := range []bool{false, true} {
+		conn = dial(t, addr)
+		conn.send("GET /watch HTTP/1.1\r\nHost: a\r\n\r\n")
+		check <- true
+		assert.Assert(t, !<-result)
+		if reset {
+			conn.SetLinger(0)
+		}
+		conn.Close()
+		<-told
+		check <- true
+		assert.Assert(t, <-result)
+		check <- false
+	}
+}
+
+// A watch takes nothing from the requests that follow, and is not told of an end after its exchange.
+func TestWatchLeavesTheConnectionWhole(t *testing.T) {
+	for _, after := range []time.Duration{0, time.Hour} {
+		begun, finish := make(chan bool), make(chan bool)
+		addr := start(t, &Server{Handler: func(x *Exchange) {
+			x.OnGone(after, func() { t.Error("gone") })
+			begun <- true
+			<-finish
+			echo(x)
+		}})
+		conn := dial(t, addr)
+		for range 50 {
+			conn.send(get)
+			<-begun
+			finish <- true
+			_, body := conn.answer()
+			assert.Equal(t, body, "GET /a ")
+			conn.send(get)
+			<-begun
+			conn.send("POST /b HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\n") // behind, while it is watched
+			finish <- true
+			conn.answer()
+			conn.send("abc")
+			<-begun
+			finish <- true
+			_, body = conn.answer()
+			assert.Equal(t, body, "POST /b abc")
+		}
+	}
+}
+
+func TestFullServerClosesTheLongestIdle(t *testing.T) {
+	s := &Server{Handler: echo, MaxConns: 4} // three in usual times
+	addr := start(t, s)
+	conns := make([]*client, 4)
+	for i := range conns {
+		conns[i] = dial(t, addr)
+		conns[i].send(get)
+		_, body := conns[i].answer()
+		assert.Equal(t, body, "GET /a ")
+		if i < 3 {
+			until(t, "idle", func() bool { _, n := s.Conns(); return n == i+1 })
+		}
+	}
+	conns[0].over()
+	for _, c := range conns[1:] {
+		c.send(get)
+		c.answer()
+	}
+}
+
+func TestFullServerRefuses(t *testing.T) {
+	begun, finish := make(chan bool), make(chan bool)
+	s := &Server{MaxConns: 3, RetryAfter: 300 * time.Millisecond, Handler: func(x *Exchange) { begun <- true; <-finish; echo(x) }}
+	addr := start(t, s)
+	conns := make([]*client, 2)
+	for i := range conns {
+		conns[i] = dial(t, addr)
+		conns[i].send(get)
+		<-begun
+	}
+	more := dial(t, addr)
+	until(t, "connection", func() bool { n, _ := s.Conns(); return n == 3 })
+	more.send(get)
+	a, _ := more.answer()
+	assert.Equal(t, a.StatusCode, 503)
+	assert.Equal(t, a.Header.Get("Retry-After"), "0.3")
+	assert.Assert(t, a.Close)
+	more.over()
+	for _, c := range conns {
+		finish <- true
+		_, body := c.answer()
+		assert.Equal(t, body, "GET /a ")
+	}
+}
+
+// Connections that wait hold no buffers.
+func TestIdleConnectionsAreSmall(t *testing.T) {
+	s := &Server{Handler: echo}
+	addr := start(t, s)
+	for range 20 {
+		c := dial(t, addr)
+		c.send(get)
+		c.answer()
+	}
+	until(t, "idle", func() bool { _, n := s.Conns(); return n == 20 })
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.mu.Lock()
+		assert.Assert(t, c.state == waiting && c.in == nil)
+		c.mu.Unlock()
+	}
+}
--- /dev/null
+++ b/internal/tier/front/gone.go
@@ -0,0 +1,91 @@
+package front
+
+import (
+	"errors"
+	"os"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+type peeked uint8
+
+const (
+	quiet   peeked = iota // nothing has come
+	pending               // bytes are to be read
+	gone                  // closed or reset
+)
+
+// peek looks at what a socket has to read, without waiting and without taking it.
+func peek(raw syscall.RawConn) peeked {
+	p := gone
+	raw.Control(func(fd uintptr) { p = peekAt(fd) })
+	return p
+}
+
+func peekAt(fd uintptr) peeked {
+	var b [1]byte
+	for {
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		switch {
+		case err == syscall.EINTR:
+			continue
+		case err == syscall.EAGAIN:
+			return quiet
+		case err == nil && n > 0:
+			return pending
+		}
+		return gone
+	}
+}
+
+// watch waits for the end of a connection beside its goroutine.
+type watch struct {
+	timer *time.Timer
+	done  chan struct{}
+	gone  atomic.Bool
+}
+
+// Gone reports whether the client has closed or reset its connection (one that has only ended its own side counts too).
+// While bytes of a next request lie unread it is not gone. It costs one call to the system.
+func (x *Exchange) Gone() bool {
+	return x.c == nil || x.broken || x.watch != nil && x.watch.gone.Load() || peek(x.c.raw) == gone
+}
+
+// OnGone has f called, from another goroutine and at most once, when the client closes or resets its connection before the
+// handler returns. Watching begins after a time, so that a short exchange costs a timer and no goroutine; it stops where
+// the bytes of a next request have come. f must not block. It may be asked for once an exchange.
+func (x *Exchange) OnGone(after time.Duration, f func()) {
+	if x.watch != nil || x.c == nil {
+		return
+	}
+	c := x.c
+	c.nc.SetReadDeadline(time.Time{})
+	w := &watch{done: make(chan struct{})}
+	x.watch = w
+	w.timer = time.AfterFunc(max(0, after), func() {
+		defer close(w.done)
+		found := quiet
+		err := c.raw.Read(func(fd uintptr) bool {
+			found = peekAt(fd)
+			return found != quiet
+		})
+		if err == nil && found == gone || err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+			w.gone.Store(true)
+			f()
+		}
+	})
+}
+
+// stop ends a watch before anything else reads the connection.
+func (w *watch) stop(c *conn) {
+	if w == nil || w.timer.Stop() {
+		return
+	}
+	select {
+	case <-w.done:
+	default:
+		c.nc.SetReadDeadline(time.Unix(1, 0))
+		<-w.done
+	}
+}
--- /dev/null
+++ b/internal/tier/front/parse.go
@@ -0,0 +1,308 @@
+package front
+
+import "strings"
+
+// Field is a header field: its name as sent, its value without the white space around.
+type Field struct{ Name, Value string }
+
+// Header is header fields in the order in which they came.
+type Header []Field
+
+// Get is the value of the first field of a name, in any case, or "".
+func (h Header) Get(name string) string {
+	for i := range h {
+		if len(h[i].Name) == len(name) && strings.EqualFold(h[i].Name, name) {
+			return h[i].Value
+		}
+	}
+	return ""
+}
+
+const (
+	tokenChar  = 1 << iota // RFC 9110, 5.6.2
+	valueChar              // of a field's value: visible, obs-text, space and tab
+	targetChar             // of a request target
+	hostChar               // of a host with its port
+)
+
+var classes = func() (t [256]uint8) {
+	for c := range 256 {
+		alnum := c >= '0' && c <= '9' || c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z'
+		if alnum || c < 128 && strings.IndexByte("!#$%&'*+-.^_`|~", byte(c)) >= 0 {
+			t[c] |= tokenChar
+		}
+		if c >= ' ' && c != 127 || c == '\t' {
+			t[c] |= valueChar
+		}
+		if c > ' ' && c < 127 && c != '#' {
+			t[c] |= targetChar
+		}
+		if alnum || c < 128 && strings.IndexByte("-._~!$&'()*+,;=:[]%", byte(c)) >= 0 {
+			t[c] |= hostChar
+		}
+	}
+	return
+}()
+
+// all reports whether s is made of one or more characters of a class.
+func all(s string, class uint8) bool {
+	for i := 0; i < len(s); i++ {
+		if classes[s[i]]&class == 0 {
+			return false
+		}
+	}
+	return s != ""
+}
+
+// scanHead looks for the empty line that ends a head, from an offset on, line being where the line there begins. It returns
+// the length of the head or 0, where to go on, and whether a line ended in a bare LF.
+func scanHead(b []byte, from, line int) (end, next, lineNext int, bad bool) {
+	for i := from; i < len(b); i++ {
+		if b[i] != '\n' {
+			continue
+		}
+		if i == line || b[i-1] != '\r' {
+			return 0, 0, 0, true
+		}
+		if i == line+1 {
+			return i + 1, 0, 0, false
+		}
+		line = i + 1
+	}
+	return 0, len(b), line, false
+}
+
+// cutLine cuts a line with its CRLF off a head.
+func cutLine(h string) (line, rest string) {
+	i := strings.IndexByte(h, '\n')
+	return h[:i-1], h[i+1:]
+}
+
+// parseField reads a field line; no line may be folded.
+func parseField(line string) (f Field, ok bool) {
+	name, value, ok := strings.Cut(line, ":")
+	if !ok || !all(name, tokenChar) {
+		return f, false
+	}
+	for value != "" && (value[0] == ' ' || value[0] == '\t') {
+		value = value[1:]
+	}
+	for value != "" && (value[len(value)-1] == ' ' || value[len(value)-1] == '\t') {
+		value = value[:len(value)-1]
+	}
+	return Field{name, value}, value == "" || all(value, valueChar)
+}
+
+// framing is what a head says of its body and its connection.
+type framing struct {
+	length  int64 // of the body; -1: none told
+	chunked bool
+	close   bool
+	expect  bool // 100-continue
+}
+
+// parseHead reads a head, which ends with an empty line, into x. It returns the status of the refusal, 0 if there is none.
+func parseHead(h string, x *Exchange) (f framing, status int) {
+	f.length = -1
+	line, h := cutLine(h)
+	if status = parseLine(line, x); status != 0 {
+		return f, status
+	}
+	x.Header = x.fields[:0]
+	hosts, ids, deadlines, lengths, codings := 0, 0, 0, 0, 0
+	for {
+		if line, h = cutLine(h); line == "" {
+			break
+		}
+		field, ok := parseField(line)
+		if !ok {
+			return f, 400
+		}
+		x.Header = append(x.Header, field)
+		switch n := field.Name; len(n) {
+		case 4:
+			if strings.EqualFold(n, "Host") {
+				if hosts++; hosts > 1 || !all(field.Value, hostChar) || x.Host != "" && !strings.EqualFold(x.Host, field.Value) {
+					return f, 400
+				}
+				x.Host = field.Value
+			}
+		case 6:
+			if strings.EqualFold(n, "Expect") {
+				if f.expect = strings.EqualFold(field.Value, "100-continue"); !f.expect {
+					return f, 417
+				}
+			}
+		case 10:
+			if strings.EqualFold(n, "Connection") && hasToken(field.Value, "close") {
+				f.close = true
+			}
+		case 12:
+			if strings.EqualFold(n, "X-Attempt-Id") {
+				ids++
+			}
+		case 13:
+			if strings.EqualFold(n, "X-Deadline-Ms") {
+				deadlines++
+			}
+		case 14:
+			if strings.EqualFold(n, "Content-Length") {
+				lengths++
+				if f.length, ok = parseLength(field.Value); !ok {
+					return f, 400
+				}
+			}
+		case 17:
+			if strings.EqualFold(n, "Transfer-Encoding") {
+				codings++
+				if f.chunked = strings.EqualFold(field.Value, "chunked"); !f.chunked {
+					return f, 501
+				}
+			}
+		}
+	}
+	if hosts != 1 || ids > 1 || deadlines > 1 || lengths > 1 || codings > 1 || lengths > 0 && codings > 0 || f.chunked && x.http10 {
+		return f, 400
+	}
+	f.close = f.close || x.http10
+	f.expect = f.expect && !x.http10
+	return f, 0
+}
+
+// parseLine reads a request line.
+func parseLine(line string, x *Exchange) int {
+	method, rest, ok := strings.Cut(line, " ")
+	target, version, ok2 := strings.Cut(rest, " ")
+	if !ok || !ok2 || !all(method, tokenChar) || !all(target, targetChar) {
+		return 400
+	}
+	if len(version) != 8 || version[:5] != "HTTP/" || version[6] != '.' || version[5]-'0' > 9 || version[7]-'0' > 9 {
+		return 400
+	}
+	switch version[5:] {
+	case "1.1":
+	case "1.0":
+		x.http10 = true
+	default:
+		return 505
+	}
+	if target[0] != '/' && target != "*" {
+		const scheme = "http://"
+		if len(target) < len(scheme) || !strings.EqualFold(target[:len(scheme)], scheme) {
+			return 400
+		}
+		authority := target[len(scheme):]
+		target = "/"
+		if i := strings.IndexAny(authority, "/?"); i >= 0 {
+			if authority[i] == '?' { // it would have to be changed to be sent on
+				return 400
+			}
+			authority, target = authority[:i], authority[i:]
+		}
+		if !all(authority, hostChar) {
+			return 400
+		}
+		x.Host = authority
+	}
+	if target == "*" && method != "OPTIONS" {
+		return 400
+	}
+	x.Method, x.Target = method, target
+	x.Path, _, _ = strings.Cut(target, "?")
+	x.head = method == "HEAD"
+	return 0
+}
+
+// parseLength reads a Content-Length; one beyond all bounds is the largest number.
+func parseLength(s string) (int64, bool) {
+	n := int64(0)
+	for i := 0; i < len(s); i++ {
+		d := s[i] - '0'
+		if d > 9 {
+			return 0, false
+		}
+		if n > (1<<63-1-9)/10 {
+			n = 1<<63 - 1
+			continue
+		}
+		n = 10*n + int64(d)
+	}
+	return n, s != ""
+}
+
+// parseChunkSize reads the line of a chunk, extensions being dropped. Sizes have up to 15 digits.
+func parseChunkSize(line string) (int64, bool) {
+	size, ext, has := strings.Cut(line, ";")
+	if len(size) > 15 || has && !all(ext, valueChar) {
+		return 0, false
+	}
+	n := int64(0)
+	for i := 0; i < len(size); i++ {
+		d := size[i]
+		switch {
+		case d >= '0' && d <= '9':
+			d -= '0'
+		case d >= 'a' && d <= 'f':
+			d -= 'a' - 10
+		case d >= 'A' && d <= 'F':
+			d -= 'A' - 10
+		default:
+			return 0, false
+		}
+		n = n<<4 | int64(d)
+	}
+	return n, size != ""
+}
+
+// hasToken reports whether a comma-separated list holds a token, in any case.
+func hasToken(list, token string) bool {
+	for list != "" {
+		var item string
+		item, list, _ = strings.Cut(list, ",")
+		if strings.EqualFold(strings.Trim(item, " \t"), token) {
+			return true
+		}
+	}
+	return false
+}
+
+// hop reports whether a field concerns one connection only, or the framing on it.
+func hop(name string) bool {
+	switch len(name) {
+	case 2:
+		return strings.EqualFold(name, "TE")
+	case 7:
+		return strings.EqualFold(name, "Trailer") || strings.EqualFold(name, "Upgrade")
+	case 10:
+		return strings.EqualFold(name, "Connection") || strings.EqualFold(name, "Keep-Alive")
+	case 14:
+		return strings.EqualFold(name, "Content-Length")
+	case 16:
+		return strings.EqualFold(name, "Proxy-Connection")
+	case 17:
+		return strings.EqualFold(name, "Transfer-Encoding")
+	}
+	return false
+}
+
+// AppendEndToEnd appends the fields that are to be passed on: without those that concern the connection only, those that
+// Connection names, Expect (answered here), and Host and Content-Length, which stand in the exchange.
+func (h Header) AppendEndToEnd(to []Field) []Field {
+	for _, f := range h {
+		if hop(f.Name) || strings.EqualFold(f.Name, "Host") || strings.EqualFold(f.Name, "Expect") || h.named(f.Name) {
+			continue
+		}
+		to = append(to, f)
+	}
+	return to
+}
+
+// named reports whether a Connection field names a field.
+func (h Header) named(name string) bool {
+	for _, f := range h {
+		if len(f.Name) == 10 && strings.EqualFold(f.Name, "Connection") && hasToken(f.Value, name) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/tier/ledger/fs.go
@@ -0,0 +1,111 @@
+package ledger
+
+import (
+	"errors"
+	"io/fs"
+	"os"
+	"path/filepath"
+)
+
+// FS is what a ledger needs of a file system. Errors for missing names match fs.ErrNotExist.
+type FS interface {
+	// Open opens a file that exists, for reading and writing.
+	Open(name string) (Handle, error)
+	// Create makes an empty file, or empties the one that stands there.
+	Create(name string) (Handle, error)
+	Rename(from, to string) error
+	Remove(name string) error
+	// List gives the names of the entries of a folder, without its path, sorted.
+	List(dir string) ([]string, error)
+	// SyncDir makes creations, renames and removals in a folder last.
+	SyncDir(dir string) error
+	// MkdirAll makes a folder with its parents, lasting; one that exists is no error.
+	MkdirAll(dir string) error
+}
+
+// Handle is one open file.
+type Handle interface {
+	ReadAt(p []byte, off int64) (int, error)
+	WriteAt(p []byte, off int64) (int, error)
+	Truncate(size int64) error
+	Sync() error
+	Size() (int64, error)
+	Close() error
+}
+
+// OS is the file system of the machine.
+type OS struct{}
+
+type osFile struct{ *os.File }
+
+func (f osFile) Size() (int64, error) {
+	info, err := f.Stat()
+	if err != nil {
+		return 0, err
+	}
+	return info.Size(), nil
+}
+
+// Open opens an existing file for reading and writing.
+func (OS) Open(name string) (Handle, error) { return osOpen(name, os.O_RDWR) }
+
+// Create makes an empty file.
+func (OS) Create(name string) (Handle, error) { return osOpen(name, os.O_RDWR|os.O_CREATE|os.O_TRUNC) }
+
+func osOpen(name string, flag int) (Handle, error) {
+	f, err := os.OpenFile(name, flag, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	return osFile{f}, nil
+}
+
+// Rename replaces to by from.
+func (OS) Rename(from, to string) error { return os.Rename(from, to) }
+
+// Remove removes a file.
+func (OS) Remove(name string) error { return os.Remove(name) }
+
+// List gives the sorted names in a folder.
+func (OS) List(dir string) ([]string, error) {
+	entries, err := os.ReadDir(dir)
+	if err != nil {
+		return nil, err
+	}
+	names := make([]string, len(entries))
+	for i, e := range entries {
+		names[i] = e.Name()
+	}
+	return names, nil
+}
+
+// SyncDir syncs a folder.
+func (OS) SyncDir(dir string) error {
+	d, err := os.Open(dir)
+	if err != nil {
+		return err
+	}
+	return errors.Join(d.Sync(), d.Close())
+}
+
+// MkdirAll makes the folder and its missing parents, each synced into its own parent.
+func (o OS) MkdirAll(dir string) error {
+	switch info, err := os.Stat(dir); {
+	case err == nil && info.IsDir():
+		return nil
+	case err == nil:
+		return &fs.PathError{Op: "mkdir", Path: dir, Err: fs.ErrExist}
+	case !errors.Is(err, fs.ErrNotExist):
+		return err
+	}
+	parent := filepath.Dir(dir)
+	if parent != dir {
+		if err := o.MkdirAll(parent); err != nil {
+			return err
+		}
+	}
+	if err := os.Mkdir(dir, 0o700); err != nil && !errors.Is(err, fs.ErrExist) {
+		return err
+	}
+	return o.SyncDir(parent)
+}
--- /dev/null
+++ b/internal/tier/ledger/ledger_test.go
@@ -0,0 +1,270 @@
+package ledger
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/joomcode/errorx"
+	"github.com/phuslu/log"
+	"gotest.tools/v3/assert"
+)
+
+func init() { log.DefaultLogger.SetLevel(log.ErrorLevel) } // some hundreds of tails are cut
+
+const dir, name = "/data/core", "control"
+
+// open opens the ledger and gives its records.
+func open(t testing.TB, files FS) (*File, []string) {
+	t.Helper()
+	f, got, err := tryOpen(files)
+	assert.NilError(t, err)
+	return f, got
+}
+
+func tryOpen(files FS) (f *File, got []string, err error) {
+	f, err = Open(files, dir, name, func(r []byte) error {
+		got = append(got, string(r))
+		return nil
+	})
+	return f, got, err
+}
+
+// caused tells whether target lies at the bottom of err.
+func caused(err, target error) bool {
+	for e := errorx.Cast(err); e != nil; e = errorx.Cast(err) {
+		err = e.Cause()
+	}
+	return errors.Is(err, target)
+}
+
+func add(t testing.TB, f *File, records ...string) {
+	t.Helper()
+	assert.NilError(t, f.Append(all(records)...))
+	assert.NilError(t, f.Sync())
+}
+
+func all(records []string) [][]byte {
+	out := make([][]byte, len(records))
+	for i, r := range records {
+		out[i] = []byte(r)
+	}
+	return out
+}
+
+func rewrite(f *File, records ...string) error {
+	return f.Rewrite(func(add func([]byte) error) error {
+		for _, r := range records {
+			if err := add([]byte(r)); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+}
+
+func TestReplaysInOrder(t *testing.T) {
+	systems := map[string]func(t *testing.T) (FS, string){
+		"memory": func(*testing.T) (FS, string) { return NewMemory(), dir },
+		"os":     func(t *testing.T) (FS, string) { return OS{}, filepath.Join(t.TempDir(), "a", "b") },
+	}
+	for label, system := range systems {
+		t.Run(label, func(t *testing.T) {
+			files, dir := system(t)
+			var got []string
+			keep := func(r []byte) error { got = append(got, string(r)); return nil }
+			f, err := Open(files, dir, name, keep)
+			assert.NilError(t, err)
+			long := string(bytes.Repeat([]byte("x"), 3*rewriteChunk))
+			add(t, f, "one", "", long)
+			add(t, f, "four")
+			assert.NilError(t, f.Close())
+			assert.NilError(t, f.Close())
+			assert.Check(t, errorx.IsOfType(f.Append([]byte("late")), Misuse))
+			assert.Check(t, errorx.IsOfType(f.Sync(), Misuse))
+			f, err = Open(files, dir, name, keep)
+			assert.NilError(t, err)
+			assert.DeepEqual(t, got, []string{"one", "", long, "four"})
+			size := f.Size()
+			assert.NilError(t, rewrite(f, long, "four", "", long))
+			add(t, f, "five")
+			assert.Check(t, f.Size() > size)
+			assert.NilError(t, f.Close())
+			got = nil
+			f, err = Open(files, dir, name, keep)
+			assert.NilError(t, err)
+			assert.DeepEqual(t, got, []string{long, "four", "", long, "five"})
+			names, err := files.List(dir)
+			assert.NilError(t, err)
+			assert.DeepEqual(t, names, []string{name})
+			assert.NilError(t, f.Close())
+		})
+	}
+}
+
+func TestSizeOnTheDisk(t *testing.T) {
+	folder := t.TempDir()
+	f, err := Open(OS{}, folder, name, nil)
+	assert.NilError(t, err)
+	add(t, f, "one", "two")
+	info, err := os.Stat(filepath.Join(folder, name))
+	assert.NilError(t, err)
+	assert.Equal(t, info.Size(), f.Size())
+	assert.NilError(t, f.Close())
+}
+
+// Every cut and every damaged byte of the file leaves a prefix of the records, never another one, and the file goes on from there.
+func TestCutAndDamage(t *testing.T) {
+	records := []string{"alpha", "", "gamma gamma", "delta"}
+	m := NewMemory()
+	f, _ := open(t, m)
+	ends := []int64{f.Size()}
+	for _, r := range records {
+		add(t, f, r)
+		ends = append(ends, f.Size())
+	}
+	m.Kill()
+	sound := bytes.Clone(m.live[f.path].live)
+	want := func(upTo int64) (n int) {
+		for n < len(records) && ends[n+1] <= upTo {
+			n++
+		}
+		return n
+	}
+	try := func(data []byte, want int) {
+		t.Helper()
+		m := NewMemory()
+		f, _ := open(t, m)
+		m.live[f.path].live, m.live[f.path].disk = bytes.Clone(data), bytes.Clone(data)
+		m.Kill()
+		f, got := open(t, m)
+		assert.Equal(t, fmt.Sprint(got), fmt.Sprint(records[:want]))
+		add(t, f, "next")
+		m.Crash(nil)
+		_, got = open(t, m)
+		assert.Equal(t, fmt.Sprint(got), fmt.Sprint(append(records[:want:want], "next")))
+	}
+	for n := range len(sound) + 1 {
+		try(sound[:n], want(int64(n)))
+		if n >= len(header) { // the rest a hole
+			try(append(bytes.Clone(sound[:n]), make([]byte, len(sound)-n)...), want(int64(n)))
+		}
+	}
+}
+
+func TestDamagedByte(t *testing.T) {
+	records := []string{"alpha", "beta", "gamma"}
+	m := NewMemory()
+	f, _ := open(t, m)
+	ends := []int64{f.Size()}
+	for _, r := range records {
+		add(t, f, r)
+		ends = append(ends, f.Size())
+	}
+	for at := range m.live[f.path].live {
+		for bit := range 8 {
+			m.Kill()
+			data := m.live[f.path].live
+			data[at] ^= 1 << bit
+			_, got, err := tryOpen(m)
+			if at < len(header) {
+				assert.Check(t, errorx.IsOfType(err, Foreign), "byte %d", at)
+				assert.Equal(t, len(m.live[f.path].live), int(ends[3]), "a foreign file was touched")
+				data[at] ^= 1 << bit
+				continue
+			}
+			assert.NilError(t, err)
+			want := 0
+			for want < len(records) && ends[want+1] <= int64(at) {
+				want++
+			}
+			assert.Equal(t, fmt.Sprint(got), fmt.Sprint(records[:want]))
+			m.Wipe()
+			f, _ := open(t, m)
+			add(t, f, records...)
+		}
+	}
+}
+
+func TestReplayErrorLeavesTheFile(t *testing.T) {
+	m := NewMemory()
+	f, _ := open(t, m)
+	add(t, f, "one", "two")
+	m.Kill()
+	stop := errors.New("stop")
+	_, err := Open(m, dir, name, func([]byte) error { return stop })
+	assert.ErrorIs(t, err, stop)
+	_, got := open(t, m)
+	assert.DeepEqual(t, got, []string{"one", "two"})
+}
+
+func TestTooLongRecordIsRefusedAlone(t *testing.T) {
+	m := NewMemory()
+	f, _ := open(t, m)
+	size := f.Size()
+	long := make([]byte, MaxRecord+1)
+	assert.Check(t, errorx.IsOfType(f.Append([]byte("first"), long), Misuse))
+	assert.Equal(t, f.Size(), size)
+	err := f.Rewrite(func(add func([]byte) error) error { _ = add(long); return nil })
+	assert.Check(t, errorx.IsOfType(err, Misuse))
+	add(t, f, "after")
+	m.Crash(nil)
+	_, got := open(t, m)
+	assert.DeepEqual(t, got, []string{"after"})
+}
+
+func TestFailedWriteOrSyncSticks(t *testing.T) {
+	full := errors.New("disk is full")
+	for label, break1 := range map[string]func(m *Memory, f *File) error{
+		"write": func(m *Memory, f *File) error { m.FailAt(1, full); return f.Append([]byte("lost")) },
+		"sync": func(m *Memory, f *File) error {
+			if err := f.Append([]byte("lost")); err != nil {
+				return err
+			}
+			m.FailAt(1, full)
+			return f.Sync()
+		},
+		"rename":      func(m *Memory, f *File) error { m.FailAt(4, full); return rewrite(f, "one") },
+		"sync folder": func(m *Memory, f *File) error { m.FailAt(5, full); return rewrite(f, "one") },
+	} {
+		t.Run(label, func(t *testing.T) {
+			m := NewMemory()
+			f, _ := open(t, m)
+			add(t, f, "one")
+			err := break1(m, f)
+			assert.Check(t, caused(err, full), "%v", err)
+			for range 2 {
+				assert.Check(t, errorx.IsOfType(f.Append([]byte("no")), Broken))
+				assert.Check(t, errorx.IsOfType(f.Sync(), Broken))
+			}
+			assert.NilError(t, rewrite(f, "one", "two"))
+			add(t, f, "three")
+			m.Crash(nil)
+			_, got := open(t, m)
+			assert.DeepEqual(t, got, []string{"one", "two", "three"})
+		})
+	}
+}
+
+// A rewrite that fails before its file took the place leaves the old one in use.
+func TestFailedRewriteLeavesTheOldFile(t *testing.T) {
+	full := errors.New("disk is full")
+	for n := 1; n <= 3; n++ { // create, write, sync
+		m := NewMemory()
+		f, _ := open(t, m)
+		add(t, f, "one")
+		m.FailAt(n, full)
+		assert.Check(t, caused(rewrite(f, "new"), full))
+		assert.ErrorIs(t, f.Rewrite(func(func([]byte) error) error { return full }), full)
+		add(t, f, "two")
+		m.Crash(nil)
+		_, got := open(t, m)
+		assert.DeepEqual(t, got, []string{"one", "two"})
+		names, err := m.List(dir)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, names, []string{name})
+	}
+}
--- /dev/null
+++ b/internal/tier/session/session.go
@@ -0,0 +1,283 @@
+// Package session holds a process's session with the control primary: one held call after the other (Watch), each of which
+// acknowledges what the last one brought. It finds the primary among seeds and members, and moves on when it falls silent.
+package session
+
+import (
+	"context"
+	"math"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"dockshift.example/dockshift/internal/tier/link"
+	"dockshift.example/dockshift/internal/tier/settings"
+	tierv1 "dockshift.example/dockshift/proto/saffronyard/tier/v1"
+	"github.com/phuslu/log"
+	"google.golang.org/protobuf/proto"
+)
+
+// Parts of the contact window: a session must be found again well inside it.
+const (
+	holdPart  = 6  // a held call lasts so long at most
+	graceOver = 10 // and its answer is waited for so much longer
+	lookPart  = 8  // one asked whether it is the primary answers within it
+	pausePart = 60 // between rounds of asking
+)
+
+// Config is what a session is told.
+type Config struct {
+	Settings settings.Settings
+	Role     string // counter or vault
+	Folder   string // a vault's identity
+	Address  string // of this process's internal listener, empty if none
+	Empty    bool   // the folder was empty at the start
+	Dial     func(address string) tierv1.Clearing
+	Synced   func() ([]*tierv1.SyncedCopy, <-chan struct{}) // of a vault: copies that are whole, and a channel closed at the next change
+	Log      *log.Logger
+
+	// Told of newer views, one after the other. They must not block.
+	Catalog   func(*tierv1.Catalog)
+	Endpoints func(*tierv1.Endpoints)
+	Vaults    func(*tierv1.Vaults)
+}
+
+// Client is a session.
+type Client struct {
+	c     Config
+	life  string
+	seeds []string
+
+	mu      sync.Mutex
+	have    tierv1.WatchRequest // versions taken
+	members []string            // addresses
+	hint    string
+	stands  bool
+	heard   time.Time
+	leaving bool
+}
+
+// New makes a session that Run begins.
+func New(c Config) *Client {
+	s := &Client{c: c, life: link.Life(), seeds: c.Settings.SeedInternal()}
+	return s
+}
+
+// Stands tells whether the session stands, and how long ago the primary answered last.
+func (s *Client) Stands() (bool, time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.heard.IsZero() {
+		return false, time.Hour
+	}
+	return s.stands, time.Since(s.heard)
+}
+
+// Primary is the address of the control primary as last known.
+func (s *Client) Primary() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.hint
+}
+
+// Leave tells control from the next call on that the process is leaving.
+func (s *Client) Leave() {
+	s.mu.Lock()
+	s.leaving = true
+	s.mu.Unlock()
+}
+
+// Run keeps the session until ctx ends.
+func (s *Client) Run(ctx context.Context) {
+	window := s.c.Settings.ContactWindow
+	for ctx.Err() == nil {
+		at := s.look(ctx)
+		if at == "" {
+			s.lost("no primary found")
+			pause(ctx, window/pausePart+rand.N(window/pausePart+1))
+			continue
+		}
+		for ctx.Err() == nil && s.hold(ctx, at) {
+		}
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+func (s *Client) lost(why string) {
+	s.mu.Lock()
+	was := s.stands
+	s.stands = false
+	s.mu.Unlock()
+	if was {
+		s.c.Log.Warn().Str("event", "session_lost").Str("why", why).Msg("")
+	}
+}
+
+// candidates are all that may be or know the primary, the hint first.
+func (s *Client) candidates() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var all []string
+	seen := map[string]bool{"": true}
+	for _, list := range [][]string{{s.hint}, s.members, s.seeds} {
+		for _, a := range list {
+			if !seen[a] {
+				seen[a] = true
+				all = append(all, a)
+			}
+		}
+	}
+	return all
+}
+
+// look asks all candidates at once who is the primary, and gives the address of the first that says that it is.
+func (s *Client) look(ctx context.Context) string {
+	all := s.candidates()
+	ctx, cancel := context.WithTimeout(ctx, s.c.Settings.ContactWindow/lookPart)
+	defer cancel()
+	type answer struct {
+		at   string
+		news *tierv1.News
+	}
+	answers := make(chan answer, 2*len(all)+8)
+	asked := map[string]bool{}
+	out := 0
+	ask := func(at string) {
+		if asked[at] || at == "" || out >= cap(answers) {
+			return
+		}
+		asked[at] = true
+		out++
+		go func() {
+			// It claims to hold all: what is new is brought by the held call.
+			news, err := s.c.Dial(at).Watch(ctx, &tierv1.WatchRequest{Node: s.c.Settings.Node, Life: s.life,
+				Catalog: math.MaxUint64, Endpoints: math.MaxUint64, Vaults: math.MaxUint64, Members: math.MaxUint64})
+			if err != nil {
+				news = nil
+			}
+			answers <- answer{at, news}
+		}()
+	}
+	for _, a := range all {
+		ask(a)
+	}
+	for ; out > 0; out-- {
+		var got answer
+		select {
+		case got = <-answers:
+		case <-ctx.Done():
+			return ""
+		}
+		if got.news == nil {
+			continue
+		}
+		if got.news.Primary {
+			return got.at
+		}
+		ask(got.news.Hint)
+	}
+	return ""
+}
+
+// hold makes one held call, and reports whether the session goes on there.
+func (s *Client) hold(ctx context.Context, at string) bool {
+	window := s.c.Settings.ContactWindow
+	s.mu.Lock()
+	req := proto.Clone(&s.have).(*tierv1.WatchRequest)
+	req.Leaving = s.leaving
+	s.mu.Unlock()
+	set := s.c.Settings
+	req.Node, req.Role, req.Folder, req.Address = set.Node, s.c.Role, s.c.Folder, s.c.Address
+	req.Zone, req.Region, req.Life, req.IdleDisk = set.Zone, set.Region, s.life, s.c.Empty
+	req.HoldMs = uint32((window / holdPart).Milliseconds())
+	ctx, cancel := context.WithTimeout(ctx, window/holdPart+window/graceOver)
+	defer cancel()
+	var renewed atomic.Bool
+	if s.c.Synced != nil {
+		reports, changed := s.c.Synced()
+		req.Synced = reports
+		done := make(chan struct{})
+		defer close(done)
+		go func() {
+			select {
+			case <-changed: // tell it at once
+				renewed.Store(true)
+				cancel()
+			case <-done:
+			}
+		}()
+	}
+	news, err := s.c.Dial(at).Watch(ctx, req)
+	if err != nil {
+		if renewed.Load() && ctx.Err() != nil {
+			return true
+		}
+		s.lost(err.Error())
+		return false
+	}
+	if !news.Primary {
+		s.mu.Lock()
+		if news.Hint != "" {
+			s.hint = news.Hint
+		}
+		s.mu.Unlock()
+		s.lost("no longer primary")
+		return false
+	}
+	s.take(at, news)
+	return true
+}
+
+func (s *Client) take(at string, news *tierv1.News) {
+	s.mu.Lock()
+	if !s.stands {
+		s.c.Log.Info().Str("event", "session").Str("primary", at).Uint64("epoch", news.Epoch).Msg("")
+	}
+	s.stands, s.heard, s.hint = true, time.Now(), at
+	if m := news.Members; m != nil && m.Version > s.have.Members {
+		s.have.Members = m.Version
+		s.members = s.members[:0]
+		for _, one := range m.List {
+			s.members = append(s.members, one.Address)
+		}
+	}
+	catalog, endpoints, vaults := news.Catalog, news.Endpoints, news.Vaults
+	if catalog != nil && catalog.Version <= s.have.Catalog {
+		catalog = nil
+	}
+	if endpoints != nil && endpoints.Version <= s.have.Endpoints {
+		endpoints = nil
+	}
+	if vaults != nil && vaults.Version <= s.have.Vaults {
+		vaults = nil
+	}
+	s.mu.Unlock()
+	if catalog != nil && s.c.Catalog != nil {
+		s.c.Catalog(catalog)
+	}
+	if endpoints != nil && s.c.Endpoints != nil {
+		s.c.Endpoints(endpoints)
+	}
+	if vaults != nil && s.c.Vaults != nil {
+		s.c.Vaults(vaults)
+	}
+	s.mu.Lock() // acknowledged once it has been taken in
+	if catalog != nil {
+		s.have.Catalog = catalog.Version
+	}
+	if endpoints != nil {
+		s.have.Endpoints = endpoints.Version
+	}
+	if vaults != nil {
+		s.have.Vaults = vaults.Version
+	}
+	s.mu.Unlock()
+}
--- /dev/null
+++ b/internal/tier/upstream/answer.go
@@ -0,0 +1,260 @@
+package upstream
+
+import (
+	"bufio"
+	"errors"
+	"math"
+	"strconv"
+	"strings"
+	"time"
+)
+
+const (
+	maxHead    = 16 << 10 // bytes of a head
+	maxFields  = 100      // lines of a head
+	maxInterim = 4        // 1xx ahead of an answer
+	maxForeign = 3        // answers to former requests that are read over
+	maxLength  = 1 << 40  // bytes that a body may claim
+)
+
+var (
+	errNoRoom   = errors.New("as many connections as there may be")
+	errEnded    = errors.New("the endpoint ended the connection")
+	errSpoilt   = errors.New("no sound answer to the request")
+	errTooLong  = errors.New("an answer of unknown length is too long")
+	errOverdue  = errors.New("no time is left")
+	errNoPermit = errors.New("not permitted any longer")
+)
+
+// Load is what an endpoint tells in X-Instance-Load.
+type Load struct{ Running, Waiting, Slots int }
+
+// Answer is the head of an endpoint's answer.
+type Answer struct {
+	Status      int
+	Reason      string
+	Header      []Field // without those that concern one connection and the body's framing
+	Length      int64   // of the body as told; -1: not told
+	AttemptID   string
+	Signature   string // X-Response-Signature
+	NotExecuted bool   // X-Not-Executed
+	Events      bool   // the body is text/event-stream
+	RetryAfter  time.Duration
+	Load        Load
+	Loaded      bool   // Load was told
+	Versions    string // of the weights, as told
+
+	last    bool // no further answer comes on the connection
+	told    bool // Connection: close stands there
+	chunked bool
+	encoded bool
+	alive   time.Duration
+}
+
+// Field is the value of the first field of that name, in any case; empty if there is none.
+func (a *Answer) Field(name string) string {
+	for _, f := range a.Header {
+		if strings.EqualFold(f.Name, name) {
+			return f.Value
+		}
+	}
+	return ""
+}
+
+// readHead reads one head, whole. What is no head gives errSpoilt, anything else is the connection's.
+func readHead(r *bufio.Reader, scratch []byte) (*Answer, []byte, error) {
+	head := scratch[:0]
+	// What can't become a status line is not waited for: behind noise the connection may stay open and silent.
+	if _, err := r.Peek(1); err != nil {
+		return nil, head, err
+	}
+	if first, _ := r.Peek(r.Buffered()); !begins(first) {
+		return nil, head, errSpoilt
+	}
+	for {
+		line, err := r.ReadSlice('\n')
+		if err == bufio.ErrBufferFull {
+			return nil, head, errSpoilt
+		}
+		if len(head) == 0 && !begins(line) {
+			return nil, head, errSpoilt // whatever the connection does next
+		}
+		if err != nil {
+			return nil, head, err
+		}
+		if len(line) < 2 || line[len(line)-2] != '\r' || len(head)+len(line) > maxHead {
+			return nil, head, errSpoilt
+		}
+		head = append(head, line...)
+		if len(line) == 2 {
+			break
+		}
+	}
+	a, ok := parseHead(string(head))
+	if !ok {
+		return nil, head, errSpoilt
+	}
+	return a, head, nil
+}
+
+func begins(line []byte) bool {
+	const begin = "HTTP/1."
+	n := min(len(line), len(begin))
+	return string(line[:n]) == begin[:n]
+}
+
+// parseHead reads lines that end with CRLF, the last of them empty.
+func parseHead(head string) (*Answer, bool) {
+	line, head, _ := strings.Cut(head, "\r\n")
+	if len(line) < 12 || line[7] != '0' && line[7] != '1' || line[8] != ' ' || len(line) > 12 && line[12] != ' ' || !plain(line) {
+		return nil, false
+	}
+	status, ok := digits(line[9:12], 599)
+	if !ok || status < 100 {
+		return nil, false
+	}
+	a := &Answer{Status: int(status), Length: -1, last: line[7] == '0', Header: make([]Field, 0, 12)}
+	if len(line) > 13 {
+		a.Reason = line[13:]
+	}
+	var connection string
+	var seen uint16
+	for n := 0; ; n++ {
+		line, head, _ = strings.Cut(head, "\r\n")
+		if line == "" {
+			break
+		}
+		name, value, ok := strings.Cut(line, ":")
+		value = strings.Trim(value, " \t")
+		if !ok || n == maxFields || !token(name) || !plain(value) {
+			return nil, false
+		}
+		pass, ok := a.field(name, value, &seen, &connection)
+		if !ok {
+			return nil, false
+		}
+		if pass {
+			a.Header = append(a.Header, Field{name, value})
+		}
+	}
+	for connection != "" {
+		var option string
+		option, connection, _ = strings.Cut(connection, ",")
+		option = strings.Trim(option, " \t")
+		if strings.EqualFold(option, "close") {
+			a.last, a.told = true, true
+		}
+		for i := len(a.Header) - 1; i >= 0 && option != ""; i-- {
+			if strings.EqualFold(a.Header[i].Name, option) {
+				a.Header = append(a.Header[:i], a.Header[i+1:]...)
+			}
+		}
+	}
+	return a, !(a.chunked && a.Length >= 0)
+}
+
+// field takes one field in and says whether it is passed on, and whether it can stand there: fields that the outcome
+// rests on stand once.
+func (a *Answer) field(name, value string, seen *uint16, connection *string) (pass, ok bool) {
+	once := func(bit int) bool {
+		was := *seen & (1 << bit)
+		*seen |= 1 << bit
+		return was == 0
+	}
+	var room [32]byte // the longest name that is looked for is shorter
+	if len(name) > len(room) {
+		return true, true
+	}
+	lower := room[:len(name)]
+	for i := range lower {
+		lower[i] = name[i]
+		if 'A' <= name[i] && name[i] <= 'Z' {
+			lower[i] |= 0x20
+		}
+	}
+	switch string(lower) {
+	case "connection":
+		*connection += value + ","
+		return false, true
+	case "keep-alive":
+		a.alive = keepAlive(value)
+		return false, true
+	case "proxy-connection", "te", "trailer", "upgrade":
+		return false, true
+	case "content-length":
+		n, ok := digits(value, maxLength)
+		a.Length = n
+		return false, ok && once(0)
+	case "transfer-encoding":
+		a.chunked = true
+		return false, strings.EqualFold(value, "chunked") && once(1)
+	case "content-encoding":
+		a.encoded = true
+	case "x-attempt-id":
+		a.AttemptID = value
+		return true, once(2)
+	case "x-response-signature":
+		a.Signature = value
+		return true, once(3)
+	case "x-not-executed":
+		a.NotExecuted = true
+	case "content-type":
+		kind, _, _ := strings.Cut(value, ";")
+		a.Events = strings.EqualFold(strings.TrimSpace(kind), "text/event-stream")
+		return true, once(4)
+	case "retry-after":
+		if s, err := strconv.ParseFloat(value, 64); err == nil && s > 0 && s <= 3600 {
+			a.RetryAfter = time.Duration(s * float64(time.Second))
+		}
+	case "x-instance-load":
+		a.Load, a.Loaded = parseLoad(value)
+	case "versions":
+		a.Versions = value
+	}
+	return true, true
+}
+
+// parseLoad reads running,waiting,slots. With a figure that can't be there is none.
+func parseLoad(text string) (l Load, ok bool) {
+	for i, to := range []*int{&l.Running, &l.Waiting, &l.Slots} {
+		var part string
+		var more bool
+		part, text, more = strings.Cut(text, ",")
+		n, ok := digits(strings.Trim(part, " \t"), math.MaxInt32)
+		if !ok || more == (i == 2) {
+			return Load{}, false
+		}
+		*to = int(n)
+	}
+	return l, true
+}
+
+// keepAlive reads the seconds of "timeout=5, max=100" or "5".
+func keepAlive(text string) time.Duration {
+	for text != "" {
+		var part string
+		part, text, _ = strings.Cut(text, ",")
+		name, value, named := strings.Cut(strings.Trim(part, " \t"), "=")
+		if !named {
+			name, value = "timeout", name
+		}
+		if n, ok := digits(strings.Trim(value, " \t"), 86400); ok && n > 0 && strings.EqualFold(strings.Trim(name, " \t"), "timeout") {
+			return time.Duration(n) * time.Second
+		}
+	}
+	return 0
+}
+
+// digits reads a number of digits only, most at most.
+func digits(s string, most int64) (int64, bool) {
+	n := int64(0)
+	for i := range len(s) {
+		if s[i] < '0' || s[i] > '9' {
+			return 0, false
+		}
+		if n = n*10 + int64(s[i]-'0'); n > most {
+			return 0, false
+		}
+	}
+	return n, s != ""
+}
--- /dev/null
+++ b/internal/tier/upstream/call.go
@@ -0,0 +1,348 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"io"
+	"os"
+	"time"
+)
+
+const (
+	aftermath   = 200 * time.Millisecond // an answer that came before the request had been written whole is at hand within it
+	keepScratch = 8 << 10                // bytes that a connection keeps for heads to be put together in
+)
+
+// Result is how a call went.
+type Result struct {
+	End     End
+	Written bool    // a byte of the request may have left
+	Opened  bool    // a connection was opened for it
+	Answer  *Answer // nil if no sound head with the request's id came
+	Body    []byte  // the whole body, where End is Whole
+	Stream  *Stream // the body, where End is Streaming; it must be closed
+	Err     error   // where End is neither Whole nor Streaming
+	turn    bool
+}
+
+// Observation is what Classify takes. Begun says that a part of the answer has gone to the client.
+func (r *Result) Observation(begun bool) Observation {
+	o := Observation{End: r.End, Written: r.Written, Begun: begun, Turn: r.turn}
+	if r.Stream != nil {
+		o.End = r.Stream.End()
+	}
+	if a := r.Answer; a != nil {
+		o.Status, o.Stamped, o.NotExecuted = a.Status, a.Signature != "", a.NotExecuted
+	}
+	return o
+}
+
+// Verdict is what follows from how it went.
+func (r *Result) Verdict(begun bool) Verdict { return Classify(r.Observation(begun)) }
+
+// Call sends a request once. timeout counts from now, connecting included; a Stream takes it over until it is told
+// another. ctx ends the call early, and with it its connection.
+func (p *Pool) Call(ctx context.Context, t Target, q *Request, timeout time.Duration) *Result {
+	now := time.Now()
+	until := now.Add(timeout)
+	r := &Result{turn: q.Turn}
+	switch {
+	case ctx.Err() != nil:
+		return r.end(ended(ctx, ctx.Err()), ctx.Err())
+	case timeout <= 0 || !q.Deadline.IsZero() && !now.Before(q.Deadline):
+		return r.end(TimedOut, errOverdue)
+	case !q.sound(t):
+		return r.end(NotSent, errRequest)
+	}
+	c, opened, end, err := p.get(ctx, t, q.AttemptID, until)
+	r.Opened = opened
+	if end != Whole {
+		return r.end(end, err)
+	}
+	size := 0
+	for _, part := range q.Body {
+		size += len(part)
+	}
+	now = time.Now()
+	if !q.Deadline.IsZero() && !now.Before(q.Deadline) || !now.Before(until) {
+		p.unused(c)
+		return r.end(TimedOut, errOverdue)
+	}
+	out := q.appendHead(c.scratch[:0], t, size, now)
+	if err := c.SetDeadline(until); err != nil {
+		p.drop(c)
+		return r.end(ConnectFailed, err)
+	}
+	stop := func() bool { return true }
+	if ctx.Done() != nil {
+		stop = context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
+	}
+	if q.Permit != nil && !q.Permit() {
+		if stop() {
+			p.unused(c)
+		} else {
+			p.drop(c)
+		}
+		return r.end(NotSent, errNoPermit)
+	}
+	c.last = q.AttemptID
+	n, out, err := write(c.TCPConn, out, q.Body, size)
+	r.Written = n > 0
+	if cap(out) <= keepScratch {
+		c.scratch = out
+	}
+	x := &exchange{pool: p, conn: c, ctx: ctx, stop: stop}
+	if err != nil {
+		end := ended(ctx, err)
+		if n > 0 && end == Broken && x.early(q, r) {
+			return r
+		}
+		x.finish(false, 0)
+		return r.end(end, err)
+	}
+	x.answer(q, r)
+	return r
+}
+
+func (r *Result) end(e End, err error) *Result {
+	r.End, r.Err = e, err
+	return r
+}
+
+// ended tells why reading or writing ended.
+func ended(ctx context.Context, err error) End {
+	switch {
+	case errors.Is(err, errSpoilt), errors.Is(err, errTooLong):
+		return Spoilt
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return TimedOut
+	case ctx.Err() != nil:
+		return Abandoned
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return TimedOut
+	}
+	return Broken
+}
+
+// exchange is a request that was written, and its connection.
+type exchange struct {
+	pool    *Pool
+	conn    *conn
+	ctx     context.Context
+	stop    func() bool
+	foreign bool // an answer to a former request came first
+}
+
+// finish gives the connection back or closes it.
+func (x *exchange) finish(reusable bool, alive time.Duration) {
+	if x.conn == nil {
+		return
+	}
+	c := x.conn
+	x.conn = nil
+	// After a stop that came too late, the connection's deadline may be set at any time.
+	if x.stop() && reusable && !x.foreign && c.r.Buffered() == 0 {
+		x.pool.put(c, alive)
+		return
+	}
+	x.pool.drop(c)
+}
+
+// answer reads the answer to q into r.
+func (x *exchange) answer(q *Request, r *Result) {
+	fail := func(err error) {
+		end := ended(x.ctx, err)
+		x.finish(false, 0)
+		r.end(end, err)
+	}
+	a, err := x.head(q)
+	if err != nil {
+		fail(err)
+		return
+	}
+	r.Answer = a
+	success := a.Status/100 == 2
+	if a.encoded || success && (a.NotExecuted || a.Signature == "" && !q.Unstamped) {
+		fail(errSpoilt)
+		return
+	}
+	b := newBody(x.conn.r, a, q.Method)
+	large := b.framing == byLength && b.left > int64(x.pool.config.Body)
+	if success && (a.Events || q.Stream || large) {
+		r.End = Streaming
+		r.Stream = &Stream{x: x, body: b, answer: a, cut: a.Events, end: Streaming}
+		r.Stream.events.last = q.After
+		return
+	}
+	if b.framing == byClose && !a.told { // its end would be any end
+		fail(errSpoilt)
+		return
+	}
+	body, err := b.all(x.pool.config.Body)
+	if err != nil {
+		fail(err)
+		return
+	}
+	r.Body, r.End = body, Whole
+	x.finish(!a.last, a.alive)
+}
+
+// head reads up to the head of the answer to q: over interim answers, and over late ones to former requests, after
+// which the connection is of no further use.
+func (x *exchange) head(q *Request) (*Answer, error) {
+	c := x.conn
+	for interim, foreign := 0, 0; ; {
+		var a *Answer
+		var err error
+		if a, c.scratch, err = readHead(c.r, c.scratch); err != nil {
+			return nil, unexpected(err)
+		}
+		switch {
+		case a.Status == 101:
+			return nil, errSpoilt
+		case a.Status < 200:
+			if interim++; interim > maxInterim {
+				return nil, errSpoilt
+			}
+		case a.AttemptID == q.AttemptID:
+			return a, nil
+		default:
+			x.foreign = true
+			b := newBody(c.r, a, "")
+			if foreign++; foreign > maxForeign || a.AttemptID == "" || a.last || b.framing == byClose {
+				return nil, errSpoilt
+			}
+			if err := b.skip(x.pool.config.Body); err != nil {
+				return nil, err
+			}
+		}
+	}
+}
+
+// early looks for an answer that came while the request was being written: an endpoint that rejects it need not read it.
+func (x *exchange) early(q *Request, r *Result) bool {
+	if err := x.conn.SetReadDeadline(time.Now().Add(aftermath)); err != nil {
+		return false
+	}
+	x.foreign = true // of no further use, whatever comes
+	early := *q
+	early.Stream = false
+	got := &Result{Written: true, Opened: r.Opened, turn: r.turn}
+	x.answer(&early, got)
+	if got.Stream != nil {
+		got.Stream.Close()
+	}
+	if got.End != Whole || got.Answer.Status/100 == 2 {
+		r.end(Broken, errEnded)
+		return true
+	}
+	*r = *got
+	return true
+}
+
+// Stream is the body of an answer as it comes. It is for one goroutine.
+type Stream struct {
+	x      *exchange
+	body   body
+	answer *Answer
+	cut    bool // into events
+	events events
+	raw    []byte
+	err    error // of the body; io.EOF: it is whole
+	end    End
+}
+
+// Next waits for the next piece. io.EOF says that the body has come whole; after any other error it has not, and End
+// tells why.
+func (s *Stream) Next() (Piece, error) {
+	for s.end == Streaming {
+		if s.cut {
+			p, ok, sound := s.events.next()
+			if !sound {
+				s.close(Spoilt, errSpoilt)
+				break
+			}
+			if ok {
+				return p, nil
+			}
+		} else if len(s.raw) > 0 {
+			p := Piece{Raw: s.raw}
+			s.raw = s.raw[:0]
+			return p, nil
+		}
+		s.more()
+	}
+	return Piece{}, s.err
+}
+
+// more reads on, or ends the stream.
+func (s *Stream) more() {
+	if s.err != nil {
+		switch {
+		case s.err != io.EOF:
+			s.close(ended(s.x.ctx, s.err), s.err)
+		case s.cut && s.events.unfinished():
+			s.close(Spoilt, errSpoilt)
+		case s.body.framing == byClose: // a cut would look the same
+			s.close(Broken, io.ErrUnexpectedEOF)
+		default:
+			s.end = Whole
+			s.x.finish(!s.answer.last, s.answer.alive)
+		}
+		return
+	}
+	if s.cut {
+		s.events.compact()
+		s.events.buf, s.err = s.body.more(s.events.buf)
+		return
+	}
+	s.raw, s.err = s.body.more(s.raw[:0])
+}
+
+// Last reports whether the end of the body has come already, whole: no piece comes but those at hand.
+func (s *Stream) Last() bool {
+	return s.end == Whole || s.end == Streaming && s.err == io.EOF && s.body.framing != byClose
+}
+
+// AtHand reports whether Next gives a piece, or the end, without waiting. The slices of the last piece stay good.
+func (s *Stream) AtHand() bool {
+	switch {
+	case s.end != Streaming || s.err != nil:
+		return true
+	case !s.cut:
+		return len(s.raw) > 0
+	}
+	rest := s.events.buf[s.events.begin:]
+	for i, c := range rest {
+		if c == '\n' && (i == 0 || rest[i-1] == '\n' || i > 1 && rest[i-1] == '\r' && rest[i-2] == '\n' || i == 1 && rest[0] == '\r') {
+			return true
+		}
+	}
+	return false
+}
+
+// SetDeadline sets the time by which the next pieces must have come; a stream that misses it ends as TimedOut.
+func (s *Stream) SetDeadline(t time.Time) {
+	if s.x.conn == nil {
+		return
+	}
+	s.x.conn.SetReadDeadline(t)
+	if s.x.ctx.Err() != nil { // its end may have set the deadline just before
+		s.x.conn.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
+// End tells how the stream ended; Streaming while it hasn't.
+func (s *Stream) End() End { return s.end }
+
+// Close ends a stream that isn't at its end, and its connection, as Abandoned.
+func (s *Stream) Close() {
+	if s.end == Streaming {
+		s.close(Abandoned, context.Canceled)
+	}
+}
+
+func (s *Stream) close(end End, err error) {
+	s.end, s.err = end, err
+	s.x.finish(false, 0)
+}
