--- /dev/null
+++ b/internal/tier/upstream/call_test.go
@@ -0,0 +1,433 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"io"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestRequestIsWrittenAsTheClientSentIt(t *testing.T) {
+	got := make(chan string, 1)
+	target := endpoint(t, func(_ int, l *line) {
+		var text strings.Builder
+		for !strings.HasSuffix(text.String(), "the body") {
+			b, err := l.r.ReadByte()
+			if err != nil {
+				return
+			}
+			text.WriteByte(b)
+		}
+		got <- text.String()
+		l.say(sound("a1", "x"))
+		l.drain()
+	})
+	p := pool(t)
+	q := &Request{Method: "PUT", Target: "/a//b/../%2f?x=1&&y=%20", Host: "H.example", AttemptID: "a1", Priority: 3,
+		Header: []Field{{"X-Model", "m"}, {"x-model", "n"}, {"X-Deadline-Ms", "99999"}, {"x-target-instance", "other"}, {"X-Attempt-Id", "a1"},
+			{"Content-Length", "8"}, {"Host", "H.example"}, {"Priority", "9"}, {"Transfer-Encoding", "chunked"}, {"Expect-Version", "4"}},
+		Body: [][]byte{[]byte("the "), nil, []byte("body")}, Deadline: time.Now().Add(10 * time.Second)}
+	r := p.Call(context.Background(), target, q, long)
+	assert.Equal(t, r.End, Whole, "%v", r.Err)
+	lines := strings.Split(<-got, "\r\n")
+	ms, err := strconv.Atoi(strings.TrimPrefix(lines[6], "X-Deadline-Ms: "))
+	assert.NilError(t, err)
+	assert.Assert(t, ms > 0 && ms <= 10000)
+	lines[6] = "X-Deadline-Ms: N"
+	assert.DeepEqual(t, lines, []string{"PUT /a//b/../%2f?x=1&&y=%20 HTTP/1.1", "Host: H.example", "X-Model: m", "x-model: n", "Expect-Version: 4",
+		"X-Attempt-Id: a1", "X-Deadline-Ms: N", "X-Target-Instance: i-1", "Priority: 3", "Content-Length: 8", "", "the body"})
+}
+
+func TestLargeBodies(t *testing.T) {
+	sent := strings.Repeat("0123456789abcdef", 1<<16)
+	back := strings.Repeat("fedcba9876543210", 1<<17) // beyond what is held whole
+	target := endpoint(t, func(_ int, l *line) {
+		for q, body := l.read(); q != nil; q, body = l.read() {
+			assert.Check(t, body == sent)
+			l.say(sound(q.Header.Get("X-Attempt-Id"), back))
+		}
+	})
+	p := pool(t)
+	q := post("a", "")
+	q.Body = [][]byte{[]byte(sent[:40000]), []byte(sent[40000:])}
+	r := p.Call(context.Background(), target, q, long)
+	assert.Equal(t, r.End, Streaming)
+	got, err := pieces(r.Stream)
+	assert.Equal(t, err, io.EOF)
+	assert.Assert(t, strings.Join(got, "") == back)
+	assert.Equal(t, r.Verdict(true), Verdict{Ran: Yes, Reply: PassOn})
+	_, idle := p.Open(target)
+	assert.Equal(t, idle, 1)
+}
+
+func TestSmugglingIsNotSent(t *testing.T) {
+	target := endpoint(t, func(_ int, l *line) { t.Error("a connection") })
+	p := pool(t)
+	for _, spoil := range []func(*Request){
+		func(q *Request) { q.Target = "/a b" },
+		func(q *Request) { q.Target = "/a\r\nX: y" },
+		func(q *Request) { q.Target = "" },
+		func(q *Request) { q.Method = "GET /x HTTP/1.1\r\n" },
+		func(q *Request) { q.Host = "a\r\nb" },
+		func(q *Request) { q.AttemptID = "a\nb" },
+		func(q *Request) { q.Header = []Field{{"A", "b\r\n\r\nGET / HTTP/1.1"}} },
+		func(q *Request) { q.Header = []Field{{"A: b\r\nC", "d"}} },
+		func(q *Request) { q.Deadline = time.Now().Add(-time.Second) },
+	} {
+		q := post("a", "")
+		spoil(q)
+		r := p.Call(context.Background(), target, q, long)
+		assert.Assert(t, !r.Written && r.Answer == nil && r.Err != nil && !r.Opened)
+		assert.Equal(t, r.Verdict(false).Ran, No)
+	}
+}
+
+// TestAnswers sends one answer, then ends the connection or keeps it open.
+func TestAnswers(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nX-Attempt-Id: a\r\nX-Response-Signature: s\r\n"
+	for _, tc := range []struct {
+		name, text string
+		close      bool
+		end        End
+		kept       int
+	}{
+		{"whole", head + "Content-Length: 2\r\n\r\nok", false, Whole, 1},
+		{"whole by chunks", head + "Transfer-Encoding: chunked\r\n\r\n1\r\no\r\n1\r\nk\r\n0\r\n\r\n", false, Whole, 1},
+		{"interim", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nX-Attempt-Id: z\r\n\r\n" + head + "Content-Length: 2\r\n\r\nok", false, Whole, 1},
+		{"interim without end", strings.Repeat("HTTP/1.1 100 Continue\r\n\r\n", 9), false, Spoilt, 0},
+		{"switch", "HTTP/1.1 101 Switching Protocols\r\n\r\n", false, Spoilt, 0},
+		{"told to close", head + "Connection: Foo, Close\r\nContent-Length: 2\r\n\r\nok", false, Whole, 0},
+		{"old protocol", strings.Replace(head, "1.1", "1.0", 1) + "Content-Length: 2\r\n\r\nok", false, Whole, 0},
+		{"more behind it", head + "Content-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n", false, Whole, 0},
+		{"ended by close as told", head + "Connection: close\r\n\r\nok", true, Whole, 0},
+		{"ended by close untold", head + "\r\nok", true, Spoilt, 0},
+		{"without stamp", "HTTP/1.1 200 OK\r\nX-Attempt-Id: a\r\nContent-Length: 2\r\n\r\nok", false, Spoilt, 0},
+		{"both ways", head + "X-Not-Executed: 1\r\nContent-Length: 2\r\n\r\nok", false, Spoilt, 0},
+		{"encoded", head + "Content-Encoding: gzip\r\nContent-Length: 2\r\n\r\nok", false, Spoilt, 0},
+		{"short", head + "Content-Length: 3\r\n\r\nok", true, Broken, 0},
+		{"cut before the last chunk", head + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n", true, Broken, 0},
+		{"nothing", "", true, Broken, 0},
+		{"half a line", "HTTP/1.1 200", true, Broken, 0},
+		{"noise", "\x16\x03\x01", false, Spoilt, 0},
+		{"noise like a head", "HTTP/2 200 OK\r\n\r\n", false, Spoilt, 0},
+		{"status", "HTTP/1.1 2000 OK\r\n\r\n", false, Spoilt, 0},
+		{"two lengths", head + "Content-Length: 2\r\nContent-Length: 2\r\n\r\nok", false, Spoilt, 0},
+		{"length and chunks", head + "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\nok", false, Spoilt, 0},
+		{"no length", head + "Content-Length: +2\r\n\r\nok", false, Spoilt, 0},
+		{"two ids", "HTTP/1.1 200 OK\r\nX-Attempt-Id: b\r\n" + head[17:] + "Content-Length: 2\r\n\r\nok", false, Spoilt, 0},
+		{"no id", "HTTP/1.1 200 OK\r\nX-Response-Signature: s\r\nContent-Length: 2\r\n\r\nok", false, Spoilt, 0},
+		{"folded", head + " more\r\nContent-Length: 2\r\n\r\nok", false, Spoilt, 0},
+		{"bare line feeds", "HTTP/1.1 200 OK\nX-Attempt-Id: a\n\n", false, Spoilt, 0},
+		{"long line", head + "A: " + strings.Repeat("a", 5000) + "\r\n\r\n", false, Spoilt, 0},
+		{"long head", head + strings.Repeat("A: "+strings.Repeat("a", 2000)+"\r\n", 9), false, Spoilt, 0},
+		{"many fields", head + strings.Repeat("A: a\r\n", 101) + "\r\n", false, Spoilt, 0},
+		{"another's", strings.Replace(head, "Id: a", "Id: b", 1) + "Content-Length: 2\r\n\r\nNO" + head + "Content-Length: 2\r\n\r\nok", false, Whole, 0},
+		{"another's by chunks", strings.Replace(head, "Id: a", "Id: b", 1) + "Transfer-Encoding: chunked\r\n\r\n2\r\nNO\r\n0\r\n\r\n" + head + "Content-Length: 2\r\n\r\nok", false, Whole, 0},
+		{"only another's", strings.Replace(head, "Id: a", "Id: b", 1) + "Content-Length: 2\r\n\r\nNO", true, Broken, 0},
+		{"many others'", strings.Repeat(strings.Replace(head, "Id: a", "Id: b", 1)+"Content-Length: 2\r\n\r\nNO", 5), false, Spoilt, 0},
+		{"too long by chunks", head + "Transfer-Encoding: chunked\r\n\r\n200000\r\n" + strings.Repeat("x", 1<<21) + "\r\n0\r\n\r\n", false, Spoilt, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			target := endpoint(t, func(_ int, l *line) {
+				l.read()
+				l.say(tc.text)
+				if !tc.close {
+					l.drain()
+				}
+			})
+			p := pool(t)
+			r := call(t, p, target, "a")
+			assert.Equal(t, r.End, tc.end, "%v", r.Err)
+			assert.Assert(t, r.Written && r.Opened)
+			if tc.end == Whole {
+				assert.Equal(t, string(r.Body), "ok")
+				assert.Equal(t, r.Verdict(false), Verdict{Ran: Yes, Reply: PassOn})
+			} else {
+				assert.Assert(t, r.Err != nil && r.Body == nil)
+				assert.Equal(t, r.Verdict(false).Reply, BadGateway)
+				assert.Equal(t, r.Verdict(false).Once, false)
+			}
+			open, idle := p.Open(target)
+			assert.Equal(t, idle, tc.kept)
+			assert.Equal(t, open, tc.kept)
+		})
+	}
+}
+
+// TestAnswerCutAnywhere ends or resets the connection at each byte of an answer: none of them may look whole.
+func TestAnswerCutAnywhere(t *testing.T) {
+	texts := []string{sound("a", "ok"), "HTTP/1.1 503 Full\r\nX-Attempt-Id: a\r\nX-Not-Executed: 1\r\nContent-Length: 4\r\n\r\nfull"}
+	for _, text := range texts {
+		for _, reset := range []bool{false, true} {
+			target := endpoint(t, func(n int, l *line) {
+				l.read()
+				l.say(text[:n])
+				if reset {
+					l.reset()
+				}
+			})
+			p := pool(t)
+			for n := range len(text) {
+				r := call(t, p, target, "a")
+				assert.Equal(t, r.End, Broken, "%d: %v", n, r.Err)
+				v := r.Verdict(false)
+				assert.Assert(t, r.Written && v.Ran != No && v.Reply == BadGateway && !v.Once, "%d", n)
+			}
+			r := call(t, p, target, "a")
+			assert.Assert(t, r.End == Whole || reset && r.End == Broken)
+		}
+	}
+}
+
+func TestStream(t *testing.T) {
+	for _, tc := range []struct {
+		name, text string
+		close      bool
+		want       []string
+		end        End
+	}{
+		{"several at once", streamHead + chunk("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\n\n") + "0\r\n\r\n", false,
+			[]string{"id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n", "id: 3\n\n"}, Whole},
+		{"none", streamHead + "0\r\n\r\n", false, nil, Whole},
+		{"no last chunk", streamHead + chunk("id: 1\n\n") + chunk("id: 2\n\n"), true, []string{"id: 1\n\n", "id: 2\n\n"}, Broken},
+		{"cut in an event", streamHead + chunk("id: 1\n\nid: 2\nda"), true, []string{"id: 1\n\n"}, Broken},
+		{"event without end", streamHead + chunk("id: 1\n\nid: 2\nda") + "0\r\n\r\n", false, []string{"id: 1\n\n"}, Spoilt},
+		{"repeated", streamHead + chunk("id: 1\n\nid: 1\n\n") + "0\r\n\r\n", false, []string{"id: 1\n\n"}, Spoilt},
+		{"noise between", streamHead + chunk("id: 1\n\n") + "HTTP/1.1 200 OK\r\n", false, []string{"id: 1\n\n"}, Spoilt},
+		{"by close", strings.Replace(streamHead, "Transfer-Encoding: chunked", "Connection: close", 1) + "id: 1\n\n", true, []string{"id: 1\n\n"}, Broken},
+		{"by length", strings.Replace(streamHead, "Transfer-Encoding: chunked", "Content-Length: 14", 1) + "id: 1\n\nid: 2\n\n", false,
+			[]string{"id: 1\n\n", "id: 2\n\n"}, Whole},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			target := endpoint(t, func(_ int, l *line) {
+				l.read()
+				l.say(tc.text)
+				if !tc.close {
+					l.drain()
+				}
+			})
+			p := pool(t)
+			r := call(t, p, target, "a")
+			assert.Equal(t, r.End, Streaming, "%v", r.Err)
+			assert.Equal(t, r.Verdict(false).Reply, PassOn)
+			got, err := pieces(r.Stream)
+			assert.DeepEqual(t, got, tc.want)
+			assert.Equal(t, r.Stream.End(), tc.end)
+			assert.Equal(t, r.Stream.Last(), tc.end == Whole)
+			assert.Equal(t, err == io.EOF, tc.end == Whole)
+			assert.Assert(t, r.Stream.AtHand())
+			if tc.end == Whole {
+				assert.Equal(t, r.Verdict(true).Reply, PassOn)
+			} else {
+				assert.Equal(t, r.Verdict(true), Verdict{Ran: Yes, Reply: BreakOff})
+			}
+			open, idle := p.Open(target)
+			assert.Equal(t, open, idle)
+			assert.Equal(t, idle == 1, tc.end == Whole)
+		})
+	}
+}
+
+// TestStreamCutAnywhere: pieces are whole events from the start on, and the end is never taken for whole.
+func TestStreamCutAnywhere(t *testing.T) {
+	all := []string{"id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n", "id: 3\ndata: c\n\n"}
+	text := streamHead + chunk(all[0]+all[1][:5]) + chunk(all[1][5:]) + chunk(all[2]) + "0\r\n\r\n"
+	target := endpoint(t, func(n int, l *line) {
+		l.read()
+		l.say(text[:len(streamHead)+n])
+		if n%2 == 1 {
+			l.reset()
+		}
+	})
+	p := pool(t)
+	for n := range len(text) - len(streamHead) {
+		r := call(t, p, target, "a")
+		if n%2 == 1 && r.End == Broken { // the reset took the head with it
+			continue
+		}
+		assert.Equal(t, r.End, Streaming)
+		got, err := pieces(r.Stream)
+		assert.Assert(t, err != nil && err != io.EOF)
+		assert.Equal(t, r.Stream.End(), Broken)
+		assert.Assert(t, len(got) <= 3)
+		for i := range got {
+			assert.Equal(t, got[i], all[i])
+		}
+	}
+}
+
+func TestStreamAsItComes(t *testing.T) {
+	step := make(chan string)
+	target := endpoint(t, func(_ int, l *line) {
+		l.read()
+		for text := range step {
+			l.say(text)
+		}
+		l.drain()
+	})
+	p := pool(t)
+	go func() { step <- streamHead }()
+	q := post("a", "")
+	q.After = "4"
+	r := p.Call(context.Background(), target, q, long)
+	s := r.Stream
+	assert.Assert(t, !s.AtHand() && !s.Last())
+	go func() { step <- chunk("id: 5\ndata: x\n\nid: 6\n\nid: 7\n") }()
+	piece, err := s.Next()
+	assert.NilError(t, err)
+	assert.Equal(t, piece.ID+string(piece.Data), "5x")
+	assert.Assert(t, s.AtHand() && !s.Last())
+	piece, err = s.Next()
+	assert.NilError(t, err)
+	assert.Equal(t, piece.ID, "6")
+	assert.Assert(t, !s.AtHand())
+	go func() { step <- chunk("\n") + "0\r\n\r\n"; close(step) }()
+	piece, err = s.Next()
+	assert.NilError(t, err)
+	assert.Equal(t, piece.ID, "7")
+	_, err = s.Next()
+	assert.Equal(t, err, io.EOF)
+	assert.Assert(t, s.Last())
+	s.Close() // of no effect any more
+	assert.Equal(t, s.End(), Whole)
+}
+
+func TestResumedStreamRisesAboveWhatWasHeard(t *testing.T) {
+	target := answering(t, streamHead+chunk("id: 4\n\n")+"0\r\n\r\n")
+	q := post("a", "")
+	q.After = "4"
+	r := pool(t).Call(context.Background(), target, q, long)
+	_, err := r.Stream.Next()
+	assert.Equal(t, err, errSpoilt)
+}
+
+func TestTimeOutsAndCancels(t *testing.T) {
+	for _, text := range []string{"", streamHead, sound("a", "whole")[:60]} {
+		come, ended := make(chan bool, 1), make(chan bool, 1)
+		target := endpoint(t, func(_ int, l *line) {
+			if q, _ := l.read(); q == nil {
+				return // the time was over before the request was written
+			}
+			l.say(text)
+			come <- true
+			l.drain() // until ours ends the connection
+			ended <- true
+		})
+		p := pool(t)
+		finish := func(want End, call func(time.Duration) *Result) {
+			t.Helper()
+			for within := 20 * time.Millisecond; ; within *= 2 {
+				r := call(within)
+				if r.Stream != nil {
+					_, err := r.Stream.Next()
+					assert.Assert(t, err != nil)
+				}
+				o := r.Observation(false)
+				assert.Equal(t, o.End, want, "%v", r.Err)
+				open, _ := p.Open(target)
+				assert.Equal(t, open, 0)
+				if !o.Written { // a busy machine
+					assert.Equal(t, r.Verdict(false).Ran, No)
+					continue
+				}
+				<-ended
+				return
+			}
+		}
+		finish(TimedOut, func(within time.Duration) *Result {
+			return p.Call(context.Background(), target, post("a", ""), within)
+		})
+		<-come
+		finish(TimedOut, func(within time.Duration) *Result {
+			ctx, cancel := context.WithTimeout(context.Background(), within)
+			t.Cleanup(cancel)
+			return p.Call(ctx, target, post("a", ""), long)
+		})
+		<-come
+		ctx, cancel := context.WithCancel(context.Background())
+		finish(Abandoned, func(time.Duration) *Result {
+			go func() {
+				<-come
+				cancel()
+			}()
+			return p.Call(ctx, target, post("a", ""), long)
+		})
+		r := p.Call(ctx, target, post("a", ""), long)
+		assert.Assert(t, r.End == Abandoned && !r.Written)
+	}
+}
+
+func TestStreamOfItsOwnTime(t *testing.T) {
+	ended := make(chan bool, 1)
+	target := endpoint(t, func(_ int, l *line) {
+		l.read()
+		l.say(streamHead + chunk("id: 1\n\n"))
+		l.drain()
+		ended <- true
+	})
+	p := pool(t)
+	r := call(t, p, target, "a")
+	_, err := r.Stream.Next()
+	assert.NilError(t, err)
+	r.Stream.SetDeadline(time.Now().Add(20 * time.Millisecond))
+	_, err = r.Stream.Next()
+	assert.Assert(t, err != nil)
+	assert.Equal(t, r.Stream.End(), TimedOut)
+	<-ended
+	r = call(t, p, target, "a")
+	r.Stream.Close()
+	assert.Equal(t, r.Stream.End(), Abandoned)
+	<-ended
+	_, err = r.Stream.Next()
+	assert.Assert(t, errors.Is(err, context.Canceled))
+}
+
+func TestRejectedBeforeItWasRead(t *testing.T) {
+	target := endpoint(t, func(_ int, l *line) {
+		l.say("HTTP/1.1 503 Full\r\nX-Attempt-Id: a\r\nX-Not-Executed: 1\r\nRetry-After: 0.25\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+		l.CloseWrite()
+		l.drain()
+	})
+	q := post("a", strings.Repeat("x", 8<<20))
+	r := pool(t).Call(context.Background(), target, q, long)
+	// The connection may have been seen to be ended before a byte was written.
+	v := r.Verdict(false)
+	assert.Equal(t, v.Ran, No, "%v %v", r.End, r.Err)
+	if r.Answer != nil {
+		assert.Equal(t, r.Answer.RetryAfter, 250*time.Millisecond)
+	}
+}
+
+func TestAnswerFigures(t *testing.T) {
+	target := answering(t, "HTTP/1.1 503 Too Full\r\nX-Attempt-Id: a\r\nX-Not-Executed: 1\r\nX-Instance-Load: 3, 0,8\r\nVersions: 7\r\nRetry-After: 1.5\r\n"+
+		"Keep-Alive: timeout=7\r\nConnection: X-Private\r\nX-Private: p\r\nx-other: o\r\nContent-Length: 0\r\n\r\n")
+	r := call(t, pool(t), target, "a")
+	assert.Equal(t, r.End, Whole)
+	a := r.Answer
+	assert.Equal(t, a.Load, Load{3, 0, 8})
+	assert.Assert(t, a.Loaded && a.NotExecuted)
+	assert.Equal(t, a.Versions+a.Reason, "7Too Full")
+	assert.Equal(t, a.RetryAfter, 1500*time.Millisecond)
+	assert.Equal(t, a.alive, 7*time.Second)
+	assert.Equal(t, a.Field("X-Other")+a.Field("x-private"), "o")
+	for _, text := range []string{"", "1,2", "1,2,3,4", "1,2,", "-1,0,8", "a,b,c"} {
+		_, ok := parseLoad(text)
+		assert.Assert(t, !ok, text)
+	}
+	for text, want := range map[string]time.Duration{"5": 5, "timeout=4, max=9": 4, "max=9,Timeout = 3": 3, "max=9": 0, "timeout=0": 0, "x": 0, "timeout=99999999": 0} {
+		assert.Equal(t, keepAlive(text), want*time.Second, text)
+	}
+}
+
+func TestProbe(t *testing.T) {
+	target := answering(t, "HTTP/1.1 200 OK\r\nX-Instance-Id: i-1\r\nContent-Length: 0\r\n\r\n")
+	q := &Request{Method: "GET", Target: "/health", Host: "h", Unstamped: true, Priority: -1}
+	r := pool(t).Call(context.Background(), target, q, long)
+	assert.Equal(t, r.End, Whole, "%v", r.Err)
+	assert.Equal(t, r.Answer.Field("X-Instance-Id"), "i-1")
+}
--- /dev/null
+++ b/internal/tier/upstream/endpoint_test.go
@@ -0,0 +1,133 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"dockshift.example/dockshift/internal/calls"
+)
+
+// line is one connection of a stand-in endpoint.
+type line struct {
+	*net.TCPConn
+	t *testing.T
+	r *bufio.Reader
+}
+
+// read takes one request whole. It is nil where the connection ended.
+func (l *line) read() (*http.Request, string) {
+	q, err := http.ReadRequest(l.r)
+	if err != nil {
+		return nil, ""
+	}
+	body, err := io.ReadAll(q.Body)
+	if err != nil {
+		return nil, ""
+	}
+	return q, string(body)
+}
+
+func (l *line) say(text string) { io.WriteString(l, text) }
+
+func (l *line) reset() {
+	l.SetLinger(0)
+	l.Close()
+}
+
+// drain waits until the other side has ended the connection.
+func (l *line) drain() { io.Copy(io.Discard, l.r) }
+
+func endpoint(t *testing.T, script func(n int, l *line)) Target {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for n := 0; ; n++ {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				script(n, &line{TCPConn: c.(*net.TCPConn), t: t, r: bufio.NewReader(c)})
+			}()
+		}
+	}()
+	t.Cleanup(func() {
+		listener.Close()
+		<-done
+	})
+	return Target{Address: listener.Addr().String(), Instance: "i-1"}
+}
+
+// answering gives every request the same answer, and then waits for the end.
+func answering(t *testing.T, text string) Target {
+	return endpoint(t, func(_ int, l *line) {
+		for q, _ := l.read(); q != nil; q, _ = l.read() {
+			l.say(text)
+		}
+	})
+}
+
+func pool(t *testing.T) *Pool {
+	p := NewPool(Config{})
+	t.Cleanup(func() {
+		p.Close()
+		counts := p.Counts()
+		assert.Equal(t, counts.Open, 0)
+		assert.Equal(t, counts.Idle, 0)
+	})
+	return p
+}
+
+const long = 20 * time.Second // no test comes near it
+
+func post(id, body string) *Request {
+	return &Request{Method: "POST", Target: "/a/b?c=%20d", Host: "h.example", AttemptID: id, Priority: -1, Body: [][]byte{[]byte(body)}}
+}
+
+func call(t *testing.T, p *Pool, target Target, id string) *Result {
+	t.Helper()
+	return p.Call(context.Background(), target, post(id, "body"), long)
+}
+
+// sound is a whole answer to id.
+func sound(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Response-Signature: s.%s\r\nContent-Length: %d\r\n\r\n%s", id, id, len(body), body)
+}
+
+const streamHead = "HTTP/1.1 200 OK\r\nX-Attempt-Id: a\r\nX-Response-Signature: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+func chunk(s string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(s), s) }
+
+// pieces reads a stream to its end.
+func pieces(s *Stream) (raw []string, err error) {
+	for {
+		p, err := s.Next()
+		if err != nil {
+			return raw, err
+		}
+		raw = append(raw, string(p.Raw))
+	}
+}
+
+// waitNoise waits until something, or the end, has come on the idle connection to a target.
+func waitNoise(p *Pool, target Target) {
+	p.mu.Lock()
+	c := p.hosts[key{target.Address, target.Instance}].idle[0]
+	p.mu.Unlock()
+	for calls.Quiet(c.TCPConn) {
+		runtime.Gosched()
+	}
+}
--- /dev/null
+++ b/internal/tier/upstream/outcome.go
@@ -0,0 +1,134 @@
+package upstream
+
+import "net/http"
+
+// End is how a call ended.
+type End uint8
+
+// The ends of a call.
+const (
+	NotSent       End = iota // the permit was refused, or the request or its time didn't allow a send; no byte was written
+	NoRoom                   // no connection was idle and none may be opened; no byte was written
+	ConnectFailed            // no connection came up; no byte was written
+	Whole                    // the answer came whole
+	Streaming                // the head of an answer came, its body is read by Stream.Next
+	Broken                   // the connection ended before the answer had
+	Spoilt                   // what came is no sound answer to the request
+	TimedOut                 // the time of the call was over
+	Abandoned                // the context was cancelled
+)
+
+func (e End) String() string {
+	return [...]string{"not_sent", "no_room", "connect_failed", "whole", "streaming", "broken", "spoilt", "timed_out", "abandoned"}[e]
+}
+
+// Ran says whether the endpoint has begun to work on the request, or may yet.
+type Ran uint8
+
+// What is known of it.
+const (
+	Unknown Ran = iota
+	No          // it has not run there and never will
+	Yes
+)
+
+func (r Ran) String() string { return [...]string{"unknown", "no", "yes"}[r] }
+
+// Reply is what the client hears if nothing is left to try.
+type Reply uint8
+
+// The replies.
+const (
+	PassOn         Reply = iota // the endpoint's own answer, or what is left of it
+	Refuse                      // 503 with Retry-After: it has not run
+	BadGateway                  // 502: it may have run
+	GatewayTimeout              // 504: it may have run, and the time is over
+	BreakOff                    // the connection ends with the answer visibly not whole
+	Nothing                     // the client is no longer there
+)
+
+func (r Reply) String() string {
+	return [...]string{"pass_on", "refuse", "bad_gateway", "gateway_timeout", "break_off", "nothing"}[r]
+}
+
+// Observation is all that the outcome of a call rests on.
+type Observation struct {
+	End         End
+	Written     bool // a byte of the request may have left
+	Status      int  // of an answer that carries the request's id and whose head is sound; 0: none came
+	Stamped     bool // it has X-Response-Signature
+	NotExecuted bool // it has X-Not-Executed
+	Begun       bool // a part of the answer has gone to the client
+	Turn        bool // the request is a turn of a program, whose 402, 404 and 410 are the system's to say
+}
+
+// Verdict is what follows from an Observation.
+type Verdict struct {
+	Ran   Ran
+	Reply Reply
+	Again bool // an idempotent request may be sent again
+	Once  bool // one that isn't may be sent again, too
+}
+
+// Retry reports whether the request may be sent again, as far as its kind goes.
+func (v Verdict) Retry(idempotent bool) bool { return v.Once || idempotent && v.Again }
+
+// Classify is the table of outcomes. Only X-Not-Executed and 421 on a whole answer say that what was written has not run;
+// 408, 429, 503 (and 402) promise that to the client and are never passed on without.
+func Classify(o Observation) Verdict {
+	switch {
+	case o.End == Abandoned && !o.Written:
+		return Verdict{Ran: No, Reply: Nothing}
+	case o.End == Abandoned:
+		return Verdict{Ran: Unknown, Reply: Nothing}
+	case !o.Written:
+		return Verdict{Ran: No, Reply: Refuse, Again: true, Once: true}
+	case o.End == Whole || o.End == Streaming:
+		return answered(o)
+	case o.Begun:
+		return Verdict{Ran: ranAtLeast(o), Reply: BreakOff}
+	case o.End == TimedOut:
+		return Verdict{Ran: ranAtLeast(o), Reply: GatewayTimeout, Again: true}
+	}
+	return Verdict{Ran: ranAtLeast(o), Reply: BadGateway, Again: true}
+}
+
+// ranAtLeast is for an answer that didn't come whole: a sound head of a success says that the request has run.
+func ranAtLeast(o Observation) Ran {
+	if o.Status/100 == 2 && o.Stamped && !o.NotExecuted {
+		return Yes
+	}
+	return Unknown
+}
+
+// answered is for answers that are whole, or whole as yet.
+func answered(o Observation) Verdict {
+	unsure := Verdict{Ran: Unknown, Reply: BadGateway, Again: true}
+	switch success := o.Status/100 == 2; {
+	case success && o.Stamped && !o.NotExecuted:
+		return Verdict{Ran: Yes, Reply: PassOn}
+	case o.Begun: // only successes are passed on piece by piece
+		return Verdict{Ran: Unknown, Reply: BreakOff}
+	case success || o.Status < 200 || o.Status > 599 || o.End == Streaming:
+		return unsure
+	case o.NotExecuted && o.Status == http.StatusBadRequest: // it has no id, and would have none elsewhere
+		return Verdict{Ran: No, Reply: PassOn}
+	case o.NotExecuted || o.Status == http.StatusMisdirectedRequest:
+		return Verdict{Ran: No, Reply: Refuse, Again: true, Once: true}
+	}
+	switch o.Status {
+	case http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusPaymentRequired:
+		return unsure
+	case http.StatusNotFound, http.StatusGone:
+		if o.Turn {
+			return unsure
+		}
+	}
+	v := Verdict{Ran: Yes, Reply: PassOn, Again: true}
+	switch o.Status {
+	case http.StatusBadRequest, http.StatusUnauthorized, http.StatusNotFound, http.StatusRequestEntityTooLarge,
+		http.StatusRequestHeaderFieldsTooLarge:
+		v.Again = false // it would be the same elsewhere
+	}
+	return v
+}
--- /dev/null
+++ b/internal/tier/upstream/pool_test.go
@@ -0,0 +1,289 @@
+package upstream
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// echoing answers each request with its id, on connections that it counts.
+func echoing(t *testing.T, extra string) Target {
+	return endpoint(t, func(n int, l *line) {
+		for q, _ := l.read(); q != nil; q, _ = l.read() {
+			id := q.Header.Get("X-Attempt-Id")
+			l.say(fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Response-Signature: s\r\nX-Line: %d\r\n%sContent-Length: 0\r\n\r\n", id, n, extra))
+		}
+	})
+}
+
+func TestReuse(t *testing.T) {
+	target := echoing(t, "")
+	p := pool(t)
+	for i := range 5 {
+		r := call(t, p, target, fmt.Sprint(i))
+		assert.Equal(t, r.End, Whole, "%v", r.Err)
+		assert.Equal(t, r.Opened, i == 0)
+	}
+	assert.Equal(t, p.Counts(), Counts{Open: 1, Idle: 1, Opened: 1, Reused: 4})
+	other := target
+	other.Instance = "i-2" // the same address, another instance
+	assert.Assert(t, call(t, p, other, "x").Opened)
+	p.Forget(target.Address, target.Instance)
+	open, idle := p.Open(target)
+	assert.Equal(t, open+idle, 0)
+	assert.Assert(t, call(t, p, target, "y").Opened)
+}
+
+// TestNotWhereItsLastSendWent: a late second answer to the first send must not be taken for that to the second.
+func TestNotWhereItsLastSendWent(t *testing.T) {
+	target := echoing(t, "")
+	p := pool(t)
+	assert.Equal(t, call(t, p, target, "a").Answer.Field("X-Line"), "0")
+	assert.Equal(t, call(t, p, target, "a").Answer.Field("X-Line"), "1")
+	assert.Equal(t, call(t, p, target, "b").Answer.Field("X-Line"), "1") // the one used last
+	target.Connections = 2
+	r := call(t, p, target, "b")
+	assert.Equal(t, r.Answer.Field("X-Line"), "0")
+	target.Connections = 1 // as many as there are: it is closed for the new one
+	r = call(t, p, target, "b")
+	assert.Equal(t, r.End, Whole)
+}
+
+func TestLateExtraAnswer(t *testing.T) {
+	target := endpoint(t, func(n int, l *line) {
+		last := ""
+		for q, _ := l.read(); q != nil; q, _ = l.read() {
+			id := q.Header.Get("X-Attempt-Id")
+			if last != "" {
+				l.say(sound(last, "of "+last))
+			}
+			l.say(sound(id, "of "+id))
+			last = id
+		}
+	})
+	p := pool(t)
+	for i := range 10 {
+		id := fmt.Sprint(i)
+		r := call(t, p, target, id)
+		assert.Equal(t, r.End, Whole)
+		assert.Equal(t, string(r.Body), "of "+id)
+	}
+	assert.Equal(t, p.Counts().Opened, uint64(5))
+}
+
+func TestStaleConnection(t *testing.T) {
+	for _, noise := range []string{"", "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\n\r\n"} {
+		target := endpoint(t, func(n int, l *line) {
+			q, _ := l.read()
+			l.say(sound(q.Header.Get("X-Attempt-Id"), "ok"))
+			if noise != "" {
+				l.read0(noise)
+			}
+		})
+		p := pool(t)
+		assert.Equal(t, call(t, p, target, "a").End, Whole)
+		if _, idle := p.Open(target); idle == 1 {
+			waitNoise(p, target)
+			r := call(t, p, target, "b")
+			assert.Equal(t, r.End, Whole)
+			assert.Assert(t, r.Opened)
+			assert.Equal(t, p.Counts().Stale, uint64(1))
+		}
+	}
+}
+
+// read0 sends noise and waits for the end.
+func (l *line) read0(noise string) {
+	l.say(noise)
+	l.drain()
+}
+
+// TestCloseRacesWithSend: the endpoint ends an idle connection just as a request is on its way.
+func TestCloseRacesWithSend(t *testing.T) {
+	for _, reset := range []bool{false, true} {
+		target := endpoint(t, func(n int, l *line) {
+			q, _ := l.read()
+			l.say(sound(q.Header.Get("X-Attempt-Id"), "ok"))
+			l.r.ReadByte() // the next one has begun to come
+			if reset {
+				l.reset()
+			}
+		})
+		p := pool(t)
+		assert.Equal(t, call(t, p, target, "a").End, Whole)
+		r := call(t, p, target, "b")
+		assert.Assert(t, r.End == Broken && r.Written && !r.Opened, "%v", r.End)
+		assert.Equal(t, r.Verdict(false), Verdict{Ran: Unknown, Reply: BadGateway, Again: true})
+	}
+}
+
+func TestPermitIsAskedLast(t *testing.T) {
+	target := echoing(t, "")
+	p := pool(t)
+	q := post("a", "")
+	asked := 0
+	q.Permit = func() bool {
+		asked++
+		open, _ := p.Open(target)
+		assert.Equal(t, open, 1) // the connection stands
+		return asked > 2
+	}
+	for range 2 {
+		r := p.Call(context.Background(), target, q, long)
+		assert.Assert(t, r.End == NotSent && !r.Written && r.Answer == nil)
+		assert.Equal(t, r.Verdict(false), Verdict{Ran: No, Reply: Refuse, Again: true, Once: true})
+		_, idle := p.Open(target)
+		assert.Equal(t, idle, 1) // it is kept
+	}
+	r := p.Call(context.Background(), target, q, long)
+	assert.Equal(t, r.End, Whole)
+	assert.Equal(t, p.Counts().Opened, uint64(1))
+	assert.Equal(t, asked, 3)
+}
+
+func TestNobodyListens(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	target := Target{Address: listener.Addr().String()}
+	listener.Close()
+	p := pool(t)
+	r := call(t, p, target, "a")
+	assert.Assert(t, r.End == ConnectFailed && !r.Written)
+	assert.Equal(t, r.Verdict(false).Ran, No)
+	assert.Equal(t, p.Counts(), Counts{Failed: 1})
+}
+
+func TestLimits(t *testing.T) {
+	hold := make(chan bool)
+	slow := func() Target {
+		return endpoint(t, func(_ int, l *line) {
+			for q, _ := l.read(); q != nil; q, _ = l.read() {
+				if q.Header.Get("X-Attempt-Id") == "held" {
+					<-hold
+				}
+				l.say(sound(q.Header.Get("X-Attempt-Id"), ""))
+			}
+		})
+	}
+	one, two := slow(), slow()
+	one.Connections = 1
+	p := NewPool(Config{Connections: 2})
+	defer p.Close()
+	var done sync.WaitGroup
+	sent := make(chan bool)
+	done.Go(func() {
+		q := post("held", "")
+		q.Permit = func() bool { close(sent); return true }
+		assert.Check(t, p.Call(context.Background(), one, q, long).End == Whole)
+	})
+	<-sent
+	r := call(t, p, one, "b")
+	assert.Assert(t, r.End == NoRoom && !r.Written && r.Verdict(false).Ran == No)
+	assert.Equal(t, call(t, p, two, "c").End, Whole)
+	three := slow()
+	assert.Equal(t, call(t, p, three, "d").End, Whole) // the idle one to two gives way
+	open, _ := p.Open(two)
+	assert.Equal(t, open, 0)
+	close(hold)
+	done.Wait()
+	assert.Equal(t, p.Counts().Open, 2)
+}
+
+func TestSpans(t *testing.T) {
+	p := NewPool(Config{IdleTimeout: 10 * time.Second})
+	defer p.Close()
+	span := func(target Target) time.Duration {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		c := p.hosts[key{target.Address, target.Instance}].idle[0]
+		return c.expires.Sub(c.since)
+	}
+	plain, told := echoing(t, ""), echoing(t, "Keep-Alive: timeout=2\r\n")
+	assert.Equal(t, call(t, p, plain, "a").End, Whole)
+	assert.Equal(t, call(t, p, told, "a").End, Whole)
+	assert.Equal(t, span(plain), 8*time.Second)
+	assert.Equal(t, span(told), 1600*time.Millisecond)
+
+	// One that the endpoint ended first teaches.
+	p.mu.Lock()
+	h := p.hosts[key{plain.Address, plain.Instance}]
+	c := h.idle[0]
+	c.since = time.Now().Add(-time.Second)
+	c.CloseRead() // reads as its end
+	p.mu.Unlock()
+	assert.Assert(t, call(t, p, plain, "b").Opened)
+	assert.Assert(t, span(plain) >= 800*time.Millisecond && span(plain) < 8*time.Second, "%v", span(plain))
+
+	// What is over its time is closed by the sweep, and not used before that.
+	for _, target := range []Target{plain, told} {
+		p.mu.Lock()
+		c := p.hosts[key{target.Address, target.Instance}].idle[0]
+		c.expires = time.Now()
+		p.mu.Unlock()
+	}
+	assert.Assert(t, call(t, p, told, "c").Opened)
+	p.Sweep()
+	open, _ := p.Open(plain)
+	assert.Equal(t, open, 0)
+	open, _ = p.Open(told)
+	assert.Equal(t, open, 1)
+}
+
+func TestManyAtOnce(t *testing.T) {
+	target := echoing(t, "")
+	p := pool(t)
+	var done sync.WaitGroup
+	for g := range 8 {
+		done.Go(func() {
+			for i := range 50 {
+				id := fmt.Sprintf("%d-%d", g, i)
+				ctx, cancel := context.WithCancel(context.Background())
+				r := p.Call(ctx, target, post(id, "x"), long)
+				cancel()
+				assert.Check(t, r.End == Whole && r.Answer.AttemptID == id)
+			}
+		})
+	}
+	done.Wait()
+	counts := p.Counts()
+	assert.Equal(t, counts.Open, counts.Idle)
+	assert.Assert(t, counts.Opened <= 8, "%d", counts.Opened)
+}
+
+func BenchmarkCall(b *testing.B) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(b, err)
+	defer listener.Close()
+	go func() {
+		c, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		in := make([]byte, 4096)
+		answer := []byte(sound("a", "ok"))
+		for {
+			if _, err := c.Read(in); err != nil {
+				return
+			}
+			c.Write(answer)
+		}
+	}()
+	p := NewPool(Config{})
+	defer p.Close()
+	target := Target{Address: listener.Addr().String(), Instance: "i"}
+	q := post("a", "body")
+	b.ReportAllocs()
+	for b.Loop() {
+		r := p.Call(context.Background(), target, q, long)
+		if r.End != Whole {
+			b.Fatal(r.End, r.Err)
+		}
+		p.hosts[key{target.Address, target.Instance}].idle[0].last = ""
+	}
+}
--- /dev/null
+++ b/internal/tier/upstream/request.go
@@ -0,0 +1,151 @@
+package upstream
+
+import (
+	"errors"
+	"net"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Field is one line of a head.
+type Field struct{ Name, Value string }
+
+// Request is a request as the client sent it.
+type Request struct {
+	Method    string
+	Target    string // path and query, byte by byte as they came
+	Host      string
+	Header    []Field // as they came, without those that concern one connection
+	AttemptID string  // X-Attempt-Id; empty if there was none
+	Body      [][]byte
+	Deadline  time.Time // what is left until then goes out as X-Deadline-Ms; zero: none
+	Priority  int       // 0 to 9; below 0: the client's own stays
+	Stream    bool      // a success is given piece by piece, whatever its type
+	After     string    // the id above which the ids of events must rise; empty: any
+	Turn      bool      // the request is a turn of a program
+	Unstamped bool      // a success needs no X-Response-Signature: health checks and reports
+
+	// Permit is asked at the last moment before the first byte is written; false: the call ends as NotSent. Nil: written.
+	Permit func() bool
+}
+
+const copyBody = 32 << 10 // bytes of a body that are copied so that one plain write does
+
+var errRequest = errors.New("a request that can't be written as it is")
+
+// replaced reports whether the field is written here rather than passed on, or concerns one connection only.
+func (q *Request) replaced(name string) bool {
+	switch len(name) {
+	case 2:
+		return strings.EqualFold(name, "TE")
+	case 4:
+		return strings.EqualFold(name, "Host")
+	case 6:
+		return strings.EqualFold(name, "Expect")
+	case 7:
+		return strings.EqualFold(name, "Trailer") || strings.EqualFold(name, "Upgrade")
+	case 8:
+		return q.Priority >= 0 && strings.EqualFold(name, "Priority")
+	case 10:
+		return strings.EqualFold(name, "Connection") || strings.EqualFold(name, "Keep-Alive")
+	case 12:
+		return strings.EqualFold(name, "X-Attempt-Id")
+	case 13:
+		return strings.EqualFold(name, "X-Deadline-Ms")
+	case 14:
+		return strings.EqualFold(name, "Content-Length")
+	case 16:
+		return strings.EqualFold(name, "Proxy-Connection")
+	case 17:
+		return strings.EqualFold(name, "X-Target-Instance") || strings.EqualFold(name, "Transfer-Encoding")
+	}
+	return false
+}
+
+// sound reports whether nothing in the request could be read as the end of a line.
+func (q *Request) sound(t Target) bool {
+	if !token(q.Method) || q.Target == "" || !plain(q.Host) || !plain(q.AttemptID) || !plain(t.Instance) {
+		return false
+	}
+	for i := range len(q.Target) {
+		if c := q.Target[i]; c <= ' ' || c == 0x7f {
+			return false
+		}
+	}
+	for _, f := range q.Header {
+		if !token(f.Name) || !plain(f.Value) {
+			return false
+		}
+	}
+	return true
+}
+
+// appendHead renders the head. size is that of the body.
+func (q *Request) appendHead(b []byte, t Target, size int, now time.Time) []byte {
+	b = append(append(append(append(b, q.Method...), ' '), q.Target...), " HTTP/1.1\r\nHost: "...)
+	b = append(append(b, q.Host...), "\r\n"...)
+	for _, f := range q.Header {
+		if !q.replaced(f.Name) {
+			b = appendField(b, f.Name, f.Value)
+		}
+	}
+	if q.AttemptID != "" {
+		b = appendField(b, "X-Attempt-Id", q.AttemptID)
+	}
+	if !q.Deadline.IsZero() {
+		b = strconv.AppendInt(append(b, "X-Deadline-Ms: "...), max(1, q.Deadline.Sub(now).Milliseconds()), 10)
+		b = append(b, "\r\n"...)
+	}
+	if t.Instance != "" {
+		b = appendField(b, "X-Target-Instance", t.Instance)
+	}
+	if q.Priority >= 0 {
+		b = strconv.AppendInt(append(b, "Priority: "...), int64(q.Priority), 10)
+		b = append(b, "\r\n"...)
+	}
+	if size > 0 || q.Method != "GET" && q.Method != "HEAD" {
+		b = strconv.AppendInt(append(b, "Content-Length: "...), int64(size), 10)
+		b = append(b, "\r\n"...)
+	}
+	return append(b, "\r\n"...)
+}
+
+func appendField(b []byte, name, value string) []byte {
+	return append(append(append(append(b, name...), ": "...), value...), "\r\n"...)
+}
+
+// write sends a request and tells how many bytes of it the system took, and where head is now.
+func write(c net.Conn, head []byte, body [][]byte, size int) (int64, []byte, error) {
+	if size <= copyBody {
+		for _, part := range body {
+			head = append(head, part...)
+		}
+		n, err := c.Write(head)
+		return int64(n), head, err
+	}
+	parts := make(net.Buffers, 0, 1+len(body))
+	parts = append(append(parts, head), body...)
+	n, err := parts.WriteTo(c)
+	return n, head, err
+}
+
+func token(s string) bool {
+	for i := range len(s) {
+		c := s[i]
+		if c <= ' ' || c >= 0x7f || strings.IndexByte("\"(),/:;<=>?@[\\]{}", c) >= 0 {
+			return false
+		}
+	}
+	return s != ""
+}
+
+// plain reports whether s may be the value of a field.
+func plain(s string) bool {
+	for i := range len(s) {
+		if c := s[i]; c < ' ' && c != '\t' || c == 0x7f {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/tier/vault/backup.go
@@ -0,0 +1,113 @@
+package vault
+
+import (
+	"context"
+
+	"google.golang.org/protobuf/proto"
+
+	tierv1 "dockshift.example/dockshift/proto/saffronyard/tier/v1"
+)
+
+// Replicate takes facts from the primary of an epoch that is not older than the one known here, and answers when they
+// are synced. Before the first map in this life nothing is taken: an epoch could be known that this process forgot.
+func (v *Vault) Replicate(ctx context.Context, req *tierv1.ReplicateRequest) (*tierv1.ReplicateReply, error) {
+	v.mu.Lock()
+	if !v.mapped || v.closed || req.From == v.folder || v.commit.broken() {
+		v.mu.Unlock()
+		return &tierv1.ReplicateReply{}, nil
+	}
+	p := v.store.partition(req.Partition)
+	if !v.admits(p, req.Epoch, req.From) {
+		v.mu.Unlock()
+		return &tierv1.ReplicateReply{Stale: true}, nil
+	}
+	if len(req.Facts) == 0 {
+		v.mu.Unlock()
+		return &tierv1.ReplicateReply{Taken: true}, nil
+	}
+	fresh := make([]*tierv1.Fact, 0, len(req.Facts))
+	now := v.cfg.Now()
+	for _, f := range req.Facts {
+		if f.Partition == req.Partition && v.store.add(f, now) {
+			fresh = append(fresh, f)
+		}
+	}
+	b := v.commit.add(fresh...)
+	v.mu.Unlock()
+	select {
+	case <-b.done:
+		return &tierv1.ReplicateReply{Taken: b.err == nil}, nil
+	case <-ctx.Done():
+		return nil, context.Cause(ctx)
+	}
+}
+
+// admits tells whether a primary may write here in an epoch, and learns newer epochs. An empty primary is not known.
+// The lock is held.
+func (v *Vault) admits(p *partition, epoch uint64, primary string) bool {
+	switch {
+	case epoch < p.known:
+		return false
+	case epoch > p.known:
+		v.learn(p, epoch, primary)
+		return true
+	}
+	if p.primary == "" {
+		p.primary = primary
+	}
+	return p.backup && (primary == "" || p.primary == primary)
+}
+
+// Held tells the keys of a partition's facts, all synced here.
+func (v *Vault) Held(ctx context.Context, req *tierv1.HeldRequest) (*tierv1.HeldReply, error) {
+	v.mu.Lock()
+	if !v.mapped || v.closed || v.commit.broken() {
+		v.mu.Unlock()
+		return &tierv1.HeldReply{}, nil
+	}
+	p := v.store.partition(req.Partition)
+	if !v.admits(p, req.Epoch, "") {
+		v.mu.Unlock()
+		return &tierv1.HeldReply{}, nil
+	}
+	keys := make([]string, 0, 3*len(p.entries))
+	for _, e := range p.entries {
+		keys = e.keys(keys)
+	}
+	b := v.commit.add()
+	v.mu.Unlock()
+	select {
+	case <-b.done:
+		return &tierv1.HeldReply{Ok: b.err == nil, Keys: keys}, nil
+	case <-ctx.Done():
+		return nil, context.Cause(ctx)
+	}
+}
+
+// Fetch gives facts by their keys, as many as fit one message.
+func (v *Vault) Fetch(_ context.Context, req *tierv1.FetchRequest) (*tierv1.FetchReply, error) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	p := v.store.partitions[req.Partition]
+	if p == nil || v.closed {
+		return &tierv1.FetchReply{}, nil
+	}
+	reply := &tierv1.FetchReply{Ok: true}
+	seen := make(map[string]struct{}, len(req.Keys))
+	size := 0
+	for _, key := range req.Keys {
+		if len(key) < 3 || size > chunk {
+			continue
+		}
+		e := p.entries[key[2:]]
+		if _, again := seen[key[2:]]; e == nil || again {
+			continue
+		}
+		seen[key[2:]] = struct{}{}
+		for _, f := range p.facts(e) {
+			reply.Facts = append(reply.Facts, f)
+			size += proto.Size(f)
+		}
+	}
+	return reply, nil
+}
--- /dev/null
+++ b/internal/tier/vault/exchange.go
@@ -0,0 +1,183 @@
+package vault
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	tierv1 "dockshift.example/dockshift/proto/saffronyard/tier/v1"
+)
+
+// exchange makes a backup and this vault hold the same facts, once in each term, while requests go on.
+func (s *sender) exchange() {
+	defer s.v.loops.Done()
+	for fails := 0; ; fails++ {
+		select {
+		case s.v.slots <- struct{}{}:
+		case <-s.t.over:
+			return
+		case <-s.v.ctx.Done():
+			return
+		}
+		marker := s.merge()
+		<-s.v.slots
+		if marker != nil {
+			s.conclude(marker)
+			return
+		}
+		if !pause(s.v.ctx, s.t.over, min(50*time.Millisecond<<min(fails, 5), time.Second)) {
+			return
+		}
+	}
+}
+
+// conclude waits for the round that was made when the lists were compared.
+func (s *sender) conclude(marker *round) {
+	select {
+	case <-marker.done:
+		s.v.mu.Lock()
+		s.exchanged = true
+		s.v.signal()
+		s.v.mu.Unlock()
+	case <-s.t.over:
+	case <-s.v.ctx.Done():
+	}
+}
+
+// merge compares and evens out what the two hold. The backup holds all that stood here at its begin when the round that
+// it gives is done. It gives nil where it has to be tried again.
+func (s *sender) merge() *round {
+	v := s.v
+	client := v.client(s.folder)
+	if client == nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(v.ctx, 8*v.cfg.Reply)
+	reply, err := client.Held(ctx, &tierv1.HeldRequest{Partition: s.p.id, Epoch: s.t.epoch})
+	cancel()
+	if err != nil || !reply.Ok {
+		return nil
+	}
+	held := make(map[string]struct{}, len(reply.Keys))
+	for _, key := range reply.Keys {
+		held[key] = struct{}{}
+	}
+	v.mu.Lock()
+	if s.t.ended {
+		v.mu.Unlock()
+		return nil
+	}
+	var lacks []*entry
+	for _, e := range s.p.entries {
+		if e.lacks(held) {
+			lacks = append(lacks, e)
+		}
+	}
+	var missing []string
+	for _, key := range reply.Keys {
+		if !s.p.has(key) {
+			missing = append(missing, key)
+		}
+	}
+	// What was added in this term before the list was made has gone, or goes, in rounds before this one.
+	marker := s.enqueue(nil, 0)
+	v.mu.Unlock()
+	if !s.fetch(client, missing) || !s.give(lacks) {
+		return nil
+	}
+	return marker
+}
+
+// fetch takes in facts that the backup holds and this vault lacks, and hands them on to the other backups.
+func (s *sender) fetch(client tierv1.Vault, missing []string) bool {
+	const most = 512 // keys of one request
+	v := s.v
+	for len(missing) > 0 {
+		began := time.Now()
+		ask := missing[:min(len(missing), most)]
+		ctx, cancel := context.WithTimeout(v.ctx, v.allowance(2*chunk, 2))
+		reply, err := client.Fetch(ctx, &tierv1.FetchRequest{Partition: s.p.id, Keys: ask})
+		cancel()
+		if err != nil || !reply.Ok {
+			return false
+		}
+		v.mu.Lock()
+		if s.t.ended {
+			v.mu.Unlock()
+			return true
+		}
+		var fresh []*tierv1.Fact
+		size := 0
+		for _, f := range reply.Facts {
+			if f.Partition == s.p.id && v.store.add(f, v.cfg.Now()) {
+				fresh = append(fresh, f)
+				size += proto.Size(f)
+			}
+		}
+		if len(fresh) > 0 {
+			v.commit.add(fresh...)
+			for _, other := range s.t.senders {
+				if other != s {
+					other.enqueue(fresh, size)
+				}
+			}
+		}
+		rest := make([]string, 0, len(missing))
+		for _, key := range missing {
+			if !s.p.has(key) {
+				rest = append(rest, key)
+			}
+		}
+		v.mu.Unlock()
+		if len(rest) == len(missing) { // dropped there meanwhile
+			rest = rest[len(ask):]
+		}
+		missing = rest
+		if !s.yield(began) {
+			return true
+		}
+	}
+	return true
+}
+
+// give sends what the backup lacks, a chunk at a time.
+func (s *sender) give(lacks []*entry) bool {
+	v := s.v
+	for len(lacks) > 0 {
+		began := time.Now()
+		var facts []*tierv1.Fact
+		size, n := 0, 0
+		v.mu.Lock()
+		for n < len(lacks) && size < chunk {
+			e := lacks[n]
+			n++
+			if s.p.entries[e.attempt] != e {
+				continue
+			}
+			facts = append(facts, s.p.facts(e)...)
+			size += int(e.size)
+			if e.turn != nil {
+				size += len(e.turn.Attempt)
+			}
+		}
+		v.mu.Unlock()
+		if len(facts) > 0 {
+			for fails := 0; !s.replicate(facts, size, fails); fails++ {
+				if fails == 3 || !pause(v.ctx, s.t.over, 50*time.Millisecond) {
+					return false
+				}
+			}
+		}
+		lacks = lacks[n:]
+		if !s.yield(began) {
+			return false
+		}
+	}
+	return true
+}
+
+// yield pauses for as long as the last step took, so that requests have half of the link and the disks at least.
+func (s *sender) yield(began time.Time) bool {
+	return pause(s.v.ctx, s.t.over, min(time.Since(began), 250*time.Millisecond))
+}
--- /dev/null
+++ b/internal/tier/vault/mutation_test.go
@@ -0,0 +1,186 @@
+package vault
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	tierv1 "dockshift.example/dockshift/proto/saffronyard/tier/v1"
+)
+
+// script plays three turns of one program against a cluster that control repairs after each failure.
+type script struct {
+	c       *cluster
+	k       *checker
+	primary string
+	backup  string
+	spare   string
+	replace bool // machines that went down are replaced; otherwise they come back
+}
+
+func newScript(t *testing.T, replace bool) *script {
+	c := newCluster(t, "a", "b", "c")
+	c.assign("a", "b")
+	c.push()
+	return &script{c: c, k: newChecker(c), primary: "a", backup: "b", spare: "c", replace: replace}
+}
+
+// repair does what control does: brings machines back, or assigns others.
+func (s *script) repair() {
+	c := s.c
+	for _, n := range []string{s.primary, s.backup} {
+		c.mu.Lock()
+		v, down := c.nodes[n].vault, c.nodes[n].down
+		c.mu.Unlock()
+		if !down && !v.commit.broken() {
+			continue
+		}
+		if !down {
+			c.crash(n, false)
+		}
+		c.restart(n)
+		fresh := c.nodes[n].vault.WasEmpty()
+		if !fresh && !s.replace {
+			continue
+		}
+		if n == s.primary {
+			s.primary, s.backup, s.spare = s.backup, s.spare, n
+		} else {
+			s.backup, s.spare = s.spare, n
+		}
+		c.assign(s.primary, "?"+s.backup)
+		c.push()
+		c.synced(s.primary, parts)
+		c.assign(s.primary, s.backup)
+		c.push()
+	}
+}
+
+func (s *script) until(what string, try func() tierv1.Verdict) {
+	for range 100 {
+		v := try()
+		if v == tierv1.Verdict_OK {
+			return
+		}
+		assert.Assert(s.c.t, v != tierv1.Verdict_UNKNOWN && v != tierv1.Verdict_SPENT, "%s: %v", what, v)
+		s.repair()
+	}
+	s.c.t.Fatalf("%s: never done", what)
+}
+
+func (s *script) play() {
+	previous := ""
+	for i := range 3 {
+		a := name(i)
+		s.until("begin "+a, func() tierv1.Verdict { return s.k.begin(s.primary, ask(a, previous)) })
+		s.until("settle "+a, func() tierv1.Verdict { return s.k.settle(s.primary, "p", a, previous, 20) })
+		previous = a
+	}
+}
+
+// after checks what must stand: here, after late messages, and after the loss of the primary with its disk.
+func (s *script) after() {
+	c := s.c
+	c.mu.Lock()
+	c.at = 0
+	late := c.late
+	c.late = nil
+	c.mu.Unlock()
+	s.repair()
+	for _, deliver := range late {
+		deliver()
+	}
+	check := func(round string) {
+		for i, a := range s.k.kept {
+			s.until("go on from "+a, func() tierv1.Verdict {
+				r := ask(fmt.Sprintf("%s-%d", round, i), a)
+				r.Program, r.Budget = round+a, 1_000
+				return s.k.begin(s.primary, r)
+			})
+		}
+		// 60 tokens are told: 40 are left, and not 41.
+		for range 100 {
+			r := ask("more-"+round, "")
+			r.Most = 41
+			v := s.k.begin(s.primary, r)
+			assert.Assert(c.t, v != tierv1.Verdict_OK, "the budget is forgotten")
+			if v == tierv1.Verdict_SPENT {
+				return
+			}
+			s.repair()
+		}
+		c.t.Fatal("never spent")
+	}
+	check("one")
+	c.crash(s.primary, true)
+	s.repair()
+	check("two")
+	c.crash(s.primary, false)
+	c.crash(s.backup, false)
+	s.replace = false
+	s.repair()
+	check("three")
+}
+
+func TestOneMessageAtATime(t *testing.T) {
+	for _, replace := range []bool{false, true} {
+		for f := lostRequest; f < faults; f++ {
+			for at := 1; at <= 16; at++ {
+				t.Run(fmt.Sprintf("replace=%v/fault=%d/message=%d", replace, f, at), func(t *testing.T) {
+					t.Parallel()
+					s := newScript(t, replace)
+					s.c.mu.Lock()
+					s.c.fault, s.c.at = f, s.c.calls+at
+					s.c.mu.Unlock()
+					s.play()
+					s.after()
+				})
+			}
+		}
+	}
+}
+
+func TestPowerLossAtEachOperationOfADisk(t *testing.T) {
+	for _, both := range []bool{false, true} {
+		for _, victim := range []string{"a", "b"} {
+			for at := 1; at <= 14; at++ {
+				t.Run(fmt.Sprintf("both=%v/%s/%d", both, victim, at), func(t *testing.T) {
+					t.Parallel()
+					s := newScript(t, false)
+					s.c.nodes[victim].disk.DieAt(at)
+					if both {
+						s.c.nodes["a"].disk.DieAt(at)
+						s.c.nodes["b"].disk.DieAt(at)
+					}
+					s.play()
+					s.after()
+				})
+			}
+		}
+	}
+}
+
+func TestCompactionWithPowerLoss(t *testing.T) {
+	for at := 0; at <= 14; at++ {
+		t.Run(fmt.Sprint(at), func(t *testing.T) {
+			t.Parallel()
+			s := newScript(t, false)
+			s.play()
+			if at > 0 {
+				s.c.nodes["b"].disk.DieAt(at)
+			}
+			v := s.c.nodes["b"].vault
+			err := v.Compact(s.c.ctx, true)
+			if err == nil {
+				err = v.Compact(s.c.ctx, true) // and back into the first file
+			}
+			assert.Assert(t, at > 0 || err == nil)
+			if err != nil {
+				s.c.crash("b", false)
+				s.repair()
+			}
+			s.after()
+		})
+	}
+}
--- /dev/null
+++ b/internal/tier/vault/serve.go
@@ -0,0 +1,250 @@
+package vault
+
+import (
+	"context"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	tierv1 "dockshift.example/dockshift/proto/saffronyard/tier/v1"
+)
+
+// decision is what a primary makes of a Begin, before anyone is asked.
+type decision struct {
+	verdict tierv1.Verdict
+	chain   []*entry       // up to previous
+	facts   []*tierv1.Fact // that are to be held here and at the backups
+}
+
+// decide looks at a Begin. Nothing is changed.
+func (v *Vault) decide(p *partition, req *tierv1.BeginRequest, now time.Time) decision {
+	e := p.entries[req.Attempt]
+	if e != nil && e.settled {
+		return decision{verdict: tierv1.Verdict_BUSY} // a late copy: it must not run once more on what is not reserved
+	}
+	known := e != nil && e.reserved
+	var d decision
+	if req.Previous != "" {
+		var stands standing
+		d.chain, stands = p.chain(req.Previous, known, v.cfg.Slack, now)
+		switch {
+		case stands == whole:
+			d.facts = v.resend(p, d.chain, now)
+		case len(req.Adopt) > 0:
+			for _, t := range req.Adopt {
+				d.facts = append(d.facts, &tierv1.Fact{Partition: p.id, Program: t.Program, Attempt: t.Attempt,
+					Of: &tierv1.Fact_Adopted{Adopted: t}})
+			}
+		case stands == broken:
+			return decision{verdict: tierv1.Verdict_BUSY}
+		default:
+			return decision{verdict: tierv1.Verdict_UNKNOWN}
+		}
+	}
+	// An attempt whose budget was looked at in this term stands; one that came from elsewhere is looked at again, as
+	// it may never have been answered.
+	if req.Limited && !(known && e.term == p.term.id) {
+		var own uint64
+		if known && e.program.name == req.Program {
+			own = e.charge()
+		}
+		if !p.room(req.Program, req.Budget, req.Most, own) {
+			return decision{verdict: tierv1.Verdict_SPENT}
+		}
+	}
+	if !known && (v.full() || p.term.waiting() > queueMax) {
+		return decision{verdict: tierv1.Verdict_BUSY}
+	}
+	d.verdict = tierv1.Verdict_OK
+	d.facts = append(d.facts, &tierv1.Fact{Partition: p.id, Program: req.Program, Attempt: req.Attempt,
+		Of: &tierv1.Fact_Reserved{Reserved: &tierv1.Reservation{Limited: req.Limited, Budget: req.Budget, Most: req.Most}}})
+	return d
+}
+
+// resend gives those facts of a chain that the backups may lack, or may be about to drop: adopted ones that came before
+// this term, and all of a turn that is older than it seems here.
+func (v *Vault) resend(p *partition, chain []*entry, now time.Time) []*tierv1.Fact {
+	last := chain[len(chain)-1]
+	old := last.replayed || now.Sub(last.at) > retention(last.turn)
+	var list []*tierv1.Fact
+	for _, e := range chain {
+		if e.term != p.term.id && (old || e.adopted && !p.term.exchanged()) || old && e == last && !last.replayed {
+			list = append(list, p.facts(e)...)
+		}
+	}
+	return list
+}
+
+func (t *term) exchanged() bool {
+	for _, s := range t.senders {
+		if !s.exchanged {
+			return false
+		}
+	}
+	return true
+}
+
+// Begin asks whether a turn may be sent, and reserves its most.
+func (v *Vault) Begin(ctx context.Context, req *tierv1.BeginRequest) (*tierv1.BeginReply, error) {
+	if req.Attempt == "" {
+		return nil, twirp.RequiredArgumentError("attempt")
+	}
+	if err := linked(req.Adopt, req.Previous); err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, v.cfg.Patience)
+	defer cancel()
+	for {
+		v.mu.Lock()
+		p, verdict := v.serving(req.Partition)
+		if verdict != tierv1.Verdict_OK {
+			v.mu.Unlock()
+			return &tierv1.BeginReply{Verdict: verdict}, nil
+		}
+		now := v.cfg.Now()
+		d := v.decide(p, req, now)
+		reply := &tierv1.BeginReply{Verdict: d.verdict}
+		if d.verdict == tierv1.Verdict_BUSY {
+			v.mu.Unlock()
+			return reply, nil
+		}
+		t := p.term
+		var b *batch
+		if d.verdict == tierv1.Verdict_OK {
+			b = v.take(p, d.facts, now)
+			if req.Previous != "" {
+				if d.chain, _ = p.chain(req.Previous, true, 0, now); d.chain == nil {
+					v.mu.Unlock()
+					return &tierv1.BeginReply{Verdict: tierv1.Verdict_BUSY}, nil
+				}
+				d.chain[len(d.chain)-1].used = now
+			}
+			if !req.ChainHeld {
+				reply.Chain = turns(d.chain)
+			}
+		}
+		rounds := t.enqueue(d.facts...)
+		v.mu.Unlock()
+		switch t.wait(ctx, b, rounds) {
+		case done:
+			return reply, nil
+		case late, failed:
+			return &tierv1.BeginReply{Verdict: tierv1.Verdict_BUSY}, nil
+		}
+	}
+}
+
+// take adds facts and gives the batch after which they are synced. The lock is held.
+func (v *Vault) take(p *partition, facts []*tierv1.Fact, now time.Time) *batch {
+	fresh := make([]*tierv1.Fact, 0, len(facts))
+	for _, f := range facts {
+		if v.store.add(f, now) {
+			fresh = append(fresh, f)
+		}
+		p.entries[f.Attempt].term = p.term.id
+	}
+	return v.commit.add(fresh...)
+}
+
+// linked tells what is wrong with a chain that is brought along, if anything.
+func linked(adopt []*tierv1.Turn, previous string) error {
+	if len(adopt) == 0 {
+		return nil
+	}
+	before := ""
+	for _, t := range adopt {
+		if t.Attempt == "" || t.Previous != before {
+			return twirp.InvalidArgumentError("adopt", "is no chain")
+		}
+		before = t.Attempt
+	}
+	if before != previous {
+		return twirp.InvalidArgumentError("adopt", "doesn't end in previous")
+	}
+	return nil
+}
+
+func turns(chain []*entry) []*tierv1.Turn {
+	list := make([]*tierv1.Turn, len(chain))
+	for i, e := range chain {
+		list[i] = e.turn
+	}
+	return list
+}
+
+// Settle ends what Begin reserved. A reservation that is not known here is no matter: it may lie with an older primary.
+func (v *Vault) Settle(ctx context.Context, req *tierv1.SettleRequest) (*tierv1.SettleReply, error) {
+	if req.Attempt == "" {
+		return nil, twirp.RequiredArgumentError("attempt")
+	}
+	settlement := &tierv1.Settlement{Tokens: req.Tokens}
+	if req.Kept {
+		if req.Turn == nil || req.Turn.Attempt != req.Attempt {
+			return nil, twirp.InvalidArgumentError("turn", "must be that of the attempt")
+		}
+		settlement.Turn = req.Turn
+	}
+	f := &tierv1.Fact{Partition: req.Partition, Program: req.Program, Attempt: req.Attempt,
+		Of: &tierv1.Fact_Settled{Settled: settlement}}
+	ctx, cancel := context.WithTimeout(ctx, v.cfg.Patience)
+	defer cancel()
+	for {
+		v.mu.Lock()
+		p, verdict := v.serving(req.Partition)
+		if verdict != tierv1.Verdict_OK {
+			v.mu.Unlock()
+			return &tierv1.SettleReply{Verdict: verdict}, nil
+		}
+		t := p.term
+		b := v.take(p, []*tierv1.Fact{f}, v.cfg.Now())
+		rounds := t.enqueue(f)
+		v.mu.Unlock()
+		switch t.wait(ctx, b, rounds) {
+		case done:
+			return &tierv1.SettleReply{Verdict: tierv1.Verdict_OK}, nil
+		case late, failed:
+			return &tierv1.SettleReply{Verdict: tierv1.Verdict_BUSY}, nil
+		}
+	}
+}
+
+// Find looks for a turn in all partitions whose primary this vault is. What it finds needs no confirmation; that it is
+// not there is certain for those partitions whose backups have said since that the epoch stands.
+func (v *Vault) Find(ctx context.Context, req *tierv1.FindRequest) (*tierv1.FindReply, error) {
+	type asked struct {
+		id     uint32
+		t      *term
+		rounds []*round
+	}
+	var list []asked
+	v.mu.Lock()
+	now := v.cfg.Now()
+	for id := range v.store.partitions {
+		p, verdict := v.serving(id)
+		if verdict != tierv1.Verdict_OK {
+			continue
+		}
+		chain, stands := p.chain(req.Attempt, false, v.cfg.Slack, now)
+		switch stands {
+		case whole:
+			reply := &tierv1.FindReply{Chain: turns(chain)}
+			v.mu.Unlock()
+			return reply, nil
+		case absent:
+			list = append(list, asked{id: id, t: p.term})
+		}
+	}
+	for i := range list {
+		list[i].rounds = list[i].t.enqueue()
+	}
+	v.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, v.cfg.Patience)
+	defer cancel()
+	reply := &tierv1.FindReply{}
+	for _, a := range list {
+		if a.t.wait(ctx, nil, a.rounds) == done {
+			reply.Partitions = append(reply.Partitions, a.id)
+		}
+	}
+	return reply, nil
+}
--- /dev/null
+++ b/internal/tier/vault/store.go
@@ -0,0 +1,266 @@
+package vault
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	tierv1 "dockshift.example/dockshift/proto/saffronyard/tier/v1"
+)
+
+// overhead is what one entry costs in memory besides its body and names, in bytes.
+const overhead = 320
+
+// framing is what one record costs on disk besides its bytes, at most.
+const framing = 16
+
+// store holds the facts of all partitions. It is pure: the time is passed in, and its caller locks.
+type store struct {
+	partitions map[uint32]*partition
+	memory     int64         // estimated bytes held
+	disk       int64         // estimated bytes that a rewritten ledger has
+	longest    time.Duration // longest retention seen
+	generation uint32        // of the ledger file that is appended to
+}
+
+// partition is the facts of one partition, and this vault's role in it.
+type partition struct {
+	id       uint32
+	entries  map[string]*entry   // by attempt
+	programs map[string]*program // by name
+	mark     uint32              // of the last sweep
+	role
+}
+
+// program is a budget and what is charged to it.
+type program struct {
+	name    string
+	charged uint64 // tokens told of settled turns + the most of unsettled ones
+	entries int
+	last    time.Time
+}
+
+// entry is what is known of an attempt: its reservation, its settlement, its turn.
+type entry struct {
+	attempt           string
+	program           *program // nil for a turn that is only adopted
+	turn              *tierv1.Turn
+	budget, most      uint64
+	tokens            uint64
+	at                time.Time // when its turn came to be known here, in this life
+	used              time.Time // when its turn was gone on from, or sent here again, last
+	term              uint64    // number of the term in which its facts went to the backups, and its budget was looked at
+	size              int32     // on disk
+	mark              uint32
+	generation        uint32
+	reserved, settled bool
+	limited, adopted  bool
+	replayed          bool // at is not the end of the turn, but the start of this process
+}
+
+func newStore() *store { return &store{partitions: map[uint32]*partition{}} }
+
+func (s *store) partition(id uint32) *partition {
+	p := s.partitions[id]
+	if p == nil {
+		p = &partition{id: id, entries: map[string]*entry{}, programs: map[string]*program{}}
+		s.partitions[id] = p
+	}
+	return p
+}
+
+// charge is what an attempt costs its budget.
+func (e *entry) charge() uint64 {
+	switch {
+	case e.settled:
+		return e.tokens
+	case e.reserved:
+		return e.most
+	}
+	return 0
+}
+
+func retention(t *tierv1.Turn) time.Duration { return time.Duration(t.RetentionMs) * time.Millisecond }
+
+func bodySize(t *tierv1.Turn) int64 {
+	return int64(len(t.Input) + len(t.Output) + len(t.Attempt) + len(t.Previous) + len(t.Program))
+}
+
+// add merges a fact into its partition and tells whether anything changed. A turn wins over none, and the most tokens
+// told win; otherwise the first one stands, so that copies that hold the same facts agree whatever the order.
+func (s *store) add(f *tierv1.Fact, now time.Time) bool {
+	if f.Attempt == "" {
+		return false
+	}
+	p := s.partition(f.Partition)
+	e := p.entries[f.Attempt]
+	if e != nil && e.turn != nil {
+		e.used = now
+	}
+	switch of := f.Of.(type) {
+	case *tierv1.Fact_Reserved:
+		if of.Reserved == nil || e != nil && e.reserved {
+			return false
+		}
+		e = s.entry(p, f, true, now)
+		before := e.charge()
+		e.reserved, e.limited, e.budget, e.most = true, of.Reserved.Limited, of.Reserved.Budget, of.Reserved.Most
+		e.program.charged += e.charge() - before
+	case *tierv1.Fact_Settled:
+		if of.Settled == nil {
+			return false
+		}
+		if e != nil && e.settled && (e.turn != nil || of.Settled.Turn == nil) && of.Settled.Tokens <= e.tokens {
+			return false
+		}
+		e = s.entry(p, f, true, now)
+		before := e.charge()
+		e.settled, e.tokens = true, max(e.tokens, of.Settled.Tokens)
+		e.program.charged += e.charge() - before
+		s.body(e, of.Settled.Turn, now)
+	case *tierv1.Fact_Adopted:
+		if of.Adopted == nil || e != nil && e.turn != nil {
+			return false
+		}
+		e = s.entry(p, f, false, now)
+		e.adopted = true
+		s.body(e, of.Adopted, now)
+	default:
+		return false
+	}
+	size := int32(proto.Size(f)) + framing
+	e.size += size
+	s.disk += int64(size)
+	return true
+}
+
+// entry gives the entry of a fact's attempt, made where there is none, charged to its program where charged is true.
+func (s *store) entry(p *partition, f *tierv1.Fact, charged bool, now time.Time) *entry {
+	e := p.entries[f.Attempt]
+	if e == nil {
+		e = &entry{attempt: f.Attempt, generation: s.generation}
+		p.entries[f.Attempt] = e
+		s.memory += overhead + int64(len(f.Attempt))
+	}
+	if charged && e.program == nil {
+		g := p.programs[f.Program]
+		if g == nil {
+			g = &program{name: f.Program}
+			p.programs[f.Program] = g
+			s.memory += overhead
+		}
+		g.entries++
+		e.program = g
+	}
+	if e.program != nil {
+		e.program.last = now
+	}
+	return e
+}
+
+func (s *store) body(e *entry, t *tierv1.Turn, now time.Time) {
+	if t == nil || e.turn != nil {
+		return
+	}
+	e.turn, e.at = t, now
+	s.longest = max(s.longest, retention(t))
+	s.memory += bodySize(t)
+}
+
+// facts are an entry's facts as a ledger or another copy gets them.
+func (p *partition) facts(e *entry) []*tierv1.Fact {
+	list := make([]*tierv1.Fact, 0, 2)
+	if e.reserved {
+		list = append(list, &tierv1.Fact{Partition: p.id, Program: e.program.name, Attempt: e.attempt,
+			Of: &tierv1.Fact_Reserved{Reserved: &tierv1.Reservation{Limited: e.limited, Budget: e.budget, Most: e.most}}})
+	}
+	if e.settled {
+		list = append(list, &tierv1.Fact{Partition: p.id, Program: e.program.name, Attempt: e.attempt,
+			Of: &tierv1.Fact_Settled{Settled: &tierv1.Settlement{Tokens: e.tokens, Turn: e.turn}}})
+	} else if e.turn != nil {
+		list = append(list, &tierv1.Fact{Partition: p.id, Program: e.turn.Program, Attempt: e.attempt,
+			Of: &tierv1.Fact_Adopted{Adopted: e.turn}})
+	}
+	return list
+}
+
+// keys are what a copy tells of an entry: "r/" and "s/" for reservation and settlement, "a/" for a body held, whichever
+// fact brought it.
+func (e *entry) keys(list []string) []string {
+	if e.reserved {
+		list = append(list, "r/"+e.attempt)
+	}
+	if e.settled {
+		list = append(list, "s/"+e.attempt)
+	}
+	if e.turn != nil {
+		list = append(list, "a/"+e.attempt)
+	}
+	return list
+}
+
+// lacks tells whether a copy that holds these keys lacks something of the entry.
+func (e *entry) lacks(held map[string]struct{}) bool {
+	has := func(kind string) bool { _, ok := held[kind+e.attempt]; return ok }
+	return e.reserved && !has("r/") || e.settled && !has("s/") || e.turn != nil && !has("a/")
+}
+
+// has tells whether the partition holds what a key names.
+func (p *partition) has(key string) bool {
+	if len(key) < 3 {
+		return true
+	}
+	e := p.entries[key[2:]]
+	if e == nil {
+		return false
+	}
+	switch key[:2] {
+	case "r/":
+		return e.reserved
+	case "s/":
+		return e.settled
+	case "a/":
+		return e.turn != nil
+	}
+	return true
+}
+
+// standing is how a turn stands in a partition.
+type standing int
+
+const (
+	absent standing = iota // no such turn, or one past its retention
+	broken                 // the turn stands, but not all that came before it is here
+	whole
+)
+
+// chain gives a turn and all before it, oldest first. Turns past their retention by more than slack are absent, unless
+// expired ones are asked for.
+func (p *partition) chain(attempt string, expired bool, slack time.Duration, now time.Time) ([]*entry, standing) {
+	e := p.entries[attempt]
+	if e == nil || e.turn == nil || !expired && now.Sub(e.at) > retention(e.turn)+slack {
+		return nil, absent
+	}
+	n := 1
+	for at := e; at.turn.Previous != ""; n++ {
+		at = p.entries[at.turn.Previous]
+		if at == nil || at.turn == nil || n > len(p.entries) {
+			return nil, broken
+		}
+	}
+	list := make([]*entry, n)
+	for i := n - 1; i >= 0; i-- {
+		list[i] = e
+		e = p.entries[e.turn.Previous]
+	}
+	return list, whole
+}
+
+// room tells whether a program's budget bears most tokens more, own being what is charged for this attempt already.
+func (p *partition) room(program string, budget, most, own uint64) bool {
+	var charged uint64
+	if g := p.programs[program]; g != nil {
+		charged = g.charged - own
+	}
+	return charged <= budget && most <= budget-charged
+}
--- /dev/null
+++ b/internal/tier/vault/term.go
@@ -0,0 +1,241 @@
+package vault
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	tierv1 "dockshift.example/dockshift/proto/saffronyard/tier/v1"
+)
+
+// role is what this vault is for a partition, as known in this life of the process.
+type role struct {
+	known   uint64    // newest epoch heard of
+	primary string    // its primary's folder; empty if not known
+	backup  bool      // this folder is a backup in it
+	term    *term     // where this folder is its primary
+	aside   time.Time // since when the partition is assigned elsewhere; zero while it is assigned here
+}
+
+// term is the time for which this vault is primary of a partition in one epoch.
+type term struct {
+	id      uint64
+	epoch   uint64
+	senders []*sender
+	over    chan struct{} // closed when it ends: by a newer epoch
+	ended   bool
+}
+
+// end closes the term in force, if any. The lock is held.
+func (p *partition) end() {
+	if t := p.term; t != nil && !t.ended {
+		t.ended = true
+		close(t.over)
+		for _, s := range t.senders {
+			s.rounds = nil
+		}
+	}
+}
+
+// sender brings facts to one backup in one term.
+type sender struct {
+	v         *Vault
+	p         *partition
+	t         *term
+	folder    string
+	rounds    []*round // the first may be under way
+	running   bool
+	exchanged bool // the backup holds all that this vault held when its term began
+	unsynced  bool // says the map
+}
+
+// round is facts that go to a backup in one message; none: only the epoch is asked for.
+type round struct {
+	facts  []*tierv1.Fact
+	size   int
+	sealed bool
+	done   chan struct{} // closed when the backup has taken it
+}
+
+// queueMax is how many bytes may wait for one backup before new turns are turned away.
+const queueMax = 8 << 20
+
+// enqueue brings facts to all backups. A round that it gives begins after the call. The lock is held.
+func (t *term) enqueue(facts ...*tierv1.Fact) []*round {
+	if len(t.senders) == 0 {
+		return nil
+	}
+	size := 0
+	for _, f := range facts {
+		size += proto.Size(f)
+	}
+	rounds := make([]*round, len(t.senders))
+	for i, s := range t.senders {
+		rounds[i] = s.enqueue(facts, size)
+	}
+	return rounds
+}
+
+func (s *sender) enqueue(facts []*tierv1.Fact, size int) *round {
+	var r *round
+	if n := len(s.rounds); n > 0 {
+		r = s.rounds[n-1]
+	}
+	if r == nil || r.sealed || r.size > 0 && r.size+size > chunk {
+		r = &round{done: make(chan struct{})}
+		s.rounds = append(s.rounds, r)
+	}
+	r.facts = append(r.facts, facts...)
+	r.size += size
+	if !s.running && !s.v.closed {
+		s.running = true
+		s.v.loops.Add(1)
+		go s.run()
+	}
+	return r
+}
+
+// waiting is how many bytes wait for the slowest backup.
+func (t *term) waiting() int {
+	most := 0
+	for _, s := range t.senders {
+		n := 0
+		for _, r := range s.rounds {
+			n += r.size
+		}
+		most = max(most, n)
+	}
+	return most
+}
+
+// run sends rounds until there are none, or the term ends. A round without an answer is sent again.
+func (s *sender) run() {
+	defer s.v.loops.Done()
+	fails := 0
+	for {
+		s.v.mu.Lock()
+		if s.t.ended || len(s.rounds) == 0 {
+			s.running = false
+			s.v.mu.Unlock()
+			return
+		}
+		r := s.rounds[0]
+		r.sealed = true
+		s.v.mu.Unlock()
+		if !s.replicate(r.facts, r.size, fails) {
+			fails++
+			if !pause(s.v.ctx, s.t.over, min(20*time.Millisecond<<min(fails, 5), 400*time.Millisecond)) {
+				continue // the term is over, or the vault
+			}
+			continue
+		}
+		fails = 0
+		s.v.mu.Lock()
+		if !s.t.ended {
+			s.rounds = s.rounds[1:]
+			close(r.done)
+		}
+		s.v.mu.Unlock()
+	}
+}
+
+// replicate tells whether the backup has taken the facts. A stale epoch ends the term.
+func (s *sender) replicate(facts []*tierv1.Fact, size, fails int) bool {
+	client := s.v.client(s.folder)
+	if client == nil {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(s.v.ctx, s.v.allowance(size, fails))
+	defer cancel()
+	reply, err := client.Replicate(ctx, &tierv1.ReplicateRequest{
+		Partition: s.p.id, Epoch: s.t.epoch, From: s.v.folder, Facts: facts})
+	if err != nil {
+		return false
+	}
+	if reply.Stale {
+		s.v.mu.Lock()
+		if s.p.term == s.t && !s.t.ended {
+			s.p.end()
+			s.v.cfg.Log.Info().Str("event", "vault_deposed").Uint32("partition", s.p.id).Uint64("epoch", s.t.epoch).
+				Str("by", s.folder).Msg("")
+		}
+		s.v.mu.Unlock()
+		return false
+	}
+	return reply.Taken
+}
+
+// allowance is how long an answer is waited for: more for what is large, and after time-outs.
+func (v *Vault) allowance(size, fails int) time.Duration {
+	d := v.cfg.Reply + time.Duration(size)*time.Microsecond // a megabyte a second
+	return d << min(fails, 3)
+}
+
+// client gives the vault of a folder, nil where its address is not known.
+func (v *Vault) client(folder string) tierv1.Vault {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	address := v.keepers[folder]
+	if address == "" || v.closed {
+		return nil
+	}
+	c := v.clients[address]
+	if c == nil {
+		c = v.cfg.Dial(address)
+		v.clients[address] = c
+	}
+	return c
+}
+
+// serving gives the partition where this vault may speak for it. The lock is held.
+func (v *Vault) serving(id uint32) (*partition, tierv1.Verdict) {
+	if !v.mapped || v.closed || v.commit.broken() {
+		return nil, tierv1.Verdict_BUSY
+	}
+	p := v.store.partitions[id]
+	if p == nil || p.term == nil || p.term.ended {
+		return nil, tierv1.Verdict_MOVED
+	}
+	return p, tierv1.Verdict_OK
+}
+
+// outcome is how a wait ended.
+type outcome int
+
+const (
+	done   outcome = iota
+	over           // the term ended: to be looked at again
+	late           // the time is over
+	failed         // the disk is
+)
+
+// wait returns when facts are synced here, where b is given, and taken by all backups.
+func (t *term) wait(ctx context.Context, b *batch, rounds []*round) outcome {
+	for _, r := range rounds {
+		select {
+		case <-r.done: // also where the time is over
+			continue
+		default:
+		}
+		select {
+		case <-r.done:
+		case <-t.over:
+			return over
+		case <-ctx.Done():
+			return late
+		}
+	}
+	if b == nil {
+		return done
+	}
+	select {
+	case <-b.done:
+		if b.err != nil {
+			return failed
+		}
+		return done
+	case <-ctx.Done():
+		return late
+	}
+}
