--- a/internal/tier/clearing/assign.go
+++ b/internal/tier/clearing/assign.go
@@ -47,6 +47,7 @@
 	Reports []Report
 	Certain bool // whoever is not alive is dead; else it may only not have come yet
 	Create  bool // the first map may be made
+	Move    bool // copies and primaries may move only to make shares even
 }
 
 // Assign brings the map in line with the vaults, and tells whether anything changed. It gives up no copy that may be the
@@ -75,7 +76,7 @@
 	for _, p := range m.Partitions {
 		a.mend(p)
 	}
-	if a.Certain {
+	if a.Certain && a.Move {
 		a.pace()
 	}
 	a.forget()
--- a/internal/tier/clearing/clearing.go
+++ b/internal/tier/clearing/clearing.go
@@ -30,6 +30,9 @@
 	settlePart = 10 // the first vault map is made when no vault has come for so long
 )
 
+// retryPause is from a failed write of the primary's own to the next.
+const retryPause = 100 * time.Millisecond
+
 // Config is what a Clearing is made of.
 type Config struct {
 	Settings settings.Settings
@@ -160,19 +163,22 @@
 	for {
 		changed := k.Store.Changed()
 		pause := k.window(tickPart)
+		kick := k.kick
 		if epoch, ok := k.Store.Primary(); ok {
-			k.serve(ctx, epoch, &tender)
+			if !k.serve(ctx, epoch, &tender) { // a failed write is a change, too: it must not wake the next at once
+				changed, kick, pause = nil, nil, retryPause
+			}
 		} else {
 			k.standDown()
 			pause = k.window(writePart)
 		}
-		timer.Reset(max(pause, 100*time.Millisecond))
+		timer.Reset(max(pause, retryPause))
 		select {
 		case <-ctx.Done():
 			k.standDown()
 			return
 		case <-changed:
-		case <-k.kick:
+		case <-kick:
 		case <-timer.C:
 		}
 	}
@@ -188,19 +194,19 @@
 	}
 }
 
-// serve brings view and vault map up to date.
-func (k *Clearing) serve(ctx context.Context, epoch uint64, t *tender) {
+// serve brings view and vault map up to date, and tells whether that went well.
+func (k *Clearing) serve(ctx context.Context, epoch uint64, t *tender) bool {
 	v, _ := k.snapshot()
 	if v.epoch != epoch || !v.ready {
 		if err := k.settle(ctx, epoch); err != nil {
 			k.Log.Warn().Str("event", "settle_failed").Uint64("epoch", epoch).Str("error", err.Error()).Msg("")
-			return
+			return false
 		}
 		*t = tender{}
 		wake(k.polled)
 	}
 	k.gather(epoch)
-	k.tend(ctx, epoch, t)
+	return k.tend(ctx, epoch, t)
 }
 
 // settle writes the whole state through to all backups and shows it.
--- a/internal/tier/clearing/operators_test.go
+++ b/internal/tier/clearing/operators_test.go
@@ -27,9 +27,9 @@
 		status(t, w, 200)
 		assert.Equal(t, w.Body.String(), string(configuration(3, "s")))
 		assert.Equal(t, w.Header().Get("Content-Type"), "application/json")
-		confirms := r.s.confirms
+		confirms := r.s.confirmed()
 		status(t, r.replace(0, 3), 200) // the very same again
-		assert.Equal(t, r.s.confirms, confirms+1)
+		assert.Equal(t, r.s.confirmed(), confirms+1)
 		status(t, r.replaceBody(0, configuration(3, "other")), 412)
 		status(t, r.replace(1, 4), 412)
 		status(t, r.replace(3, 3), 200)
@@ -115,14 +115,15 @@
 			assert.Assert(t, w.Header().Get("Retry-After") != "")
 			status(t, r.replace(3, 4), 503) // of its own, never 412
 			r.pass(300 * time.Millisecond)
-			assert.DeepEqual(t, c.bodies, []string{string(configuration(3, "s"))})
+			bodies, _ := c.came()
+			assert.DeepEqual(t, bodies, []string{string(configuration(3, "s"))})
 			assert.Assert(t, r.describe().Code == 503)
 			r.s.set(func() { r.s.unclear = nil })
 			r.pass(300 * time.Millisecond)
 			status(t, r.replace(3, 4), 200)
 			assert.Equal(t, r.describe().Body.String(), string(configuration(4, "s")))
 			r.pass(time.Second)
-			assert.Equal(t, len(c.bodies), 2)
+			assert.Equal(t, taken(c), 2)
 		})
 	}
 }
@@ -138,7 +139,8 @@
 		status(t, r.replaceBody(3, configuration(5, "b")), 200)
 		status(t, r.replace(3, 4), 412)
 		r.pass(time.Second)
-		assert.DeepEqual(t, c.bodies, []string{string(configuration(3, "s")), string(configuration(5, "b"))})
+		bodies, _ := c.came()
+		assert.DeepEqual(t, bodies, []string{string(configuration(3, "s")), string(configuration(5, "b"))})
 	})
 }
 
@@ -180,11 +182,10 @@
 		status(t, r.replace(3, 4), 200)
 		took := time.Since(began)
 		assert.Assert(t, took >= 200*time.Millisecond && took < 300*time.Millisecond, "%v", took)
-		slow.mu.Lock()
-		assert.Equal(t, slow.req.Catalog, r.s.at[keyCatalog])
-		slow.mu.Unlock()
+		_, version := r.s.Get(keyCatalog)
+		assert.Equal(t, slow.has().Catalog, version)
 		// The same again is answered when they have it too.
-		assert.Equal(t, len(fast.bodies), 2)
+		assert.Equal(t, taken(fast), 2)
 		began = time.Now()
 		status(t, r.replace(3, 4), 200)
 		assert.Assert(t, time.Since(began) < 50*time.Millisecond)
@@ -202,7 +203,8 @@
 		r.join(roleCounter, "e1", func(p *process) { p.slow = time.Hour })
 		r.join(roleCounter, "e2", nil)
 		service := r.k.Sessions()
-		go service.Watch(r.ctx, &tierv1.WatchRequest{Node: "e3", Role: roleCounter, Life: "x", Catalog: r.s.at[keyCatalog], HoldMs: 500})
+		_, version := r.s.Get(keyCatalog)
+		go service.Watch(r.ctx, &tierv1.WatchRequest{Node: "e3", Role: roleCounter, Life: "x", Catalog: version, HoldMs: 500})
 		synctest.Wait()
 		began := time.Now()
 		status(t, r.replace(3, 4), 200)
--- a/internal/tier/clearing/rig_test.go
+++ b/internal/tier/clearing/rig_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -261,6 +262,32 @@
 	}
 }
 
+// has gives the versions taken.
+func (p *process) has() *tierv1.WatchRequest {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return cloneWatch(p.req)
+}
+
+// came gives the configurations that came, and how often this was said not to be the primary.
+func (p *process) came() (bodies []string, lost int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.bodies), p.lost
+}
+
+func taken(p *process) int {
+	bodies, _ := p.came()
+	return len(bodies)
+}
+
+func lost(p *process) int {
+	_, n := p.came()
+	return n
+}
+
+func (s *store) confirmed() int { s.mu.Lock(); defer s.mu.Unlock(); return s.confirms }
+
 func (p *process) end() {
 	p.cancel()
 	<-p.done
--- a/internal/tier/clearing/tend.go
+++ b/internal/tier/clearing/tend.go
@@ -11,16 +11,17 @@
 
 // tender is what the loop that tends the vault map remembers within an epoch.
 type tender struct {
-	last string // what the map was made from
-	done bool   // and nothing was to be changed
+	last  string // what the map was made from
+	done  bool   // and nothing was to be changed
+	wrote time.Time
 }
 
-// tend brings the vault map in line with the vaults that are alive.
-func (k *Clearing) tend(ctx context.Context, epoch uint64, t *tender) {
+// tend brings the vault map in line with the vaults that are alive, and tells whether that went well.
+func (k *Clearing) tend(ctx context.Context, epoch uint64, t *tender) bool {
 	now := time.Now()
 	v, ready := k.primary()
 	if !ready || v.epoch != epoch {
-		return
+		return true
 	}
 	k.mu.Lock()
 	alive, leaving, reports := k.sessions.keepers(now)
@@ -29,28 +30,31 @@
 	in := Input{Spread: k.spread, Alive: alive, Leaving: leaving, Reports: reports}
 	in.Certain = now.Sub(v.since) >= k.window(gracePart)
 	in.Create = now.Sub(arrived) >= k.window(settlePart)
+	in.Move = now.Sub(t.wrote) >= k.window(tickPart)
 	seen := strconv.FormatUint(v.vaults.GetVersion(), 10) + ";" + in.signature()
-	if t.done && t.last == seen && v.vaults != nil {
-		return
+	if t.done && t.last == seen {
+		return true
 	}
 	if _, changed := Assign(v.vaults, in); !changed {
-		t.last, t.done = seen, v.vaults != nil
-		return
+		t.last, t.done = seen, in.Move
+		return true
 	}
 	t.done = false
 	ctx, cancel := context.WithTimeout(ctx, k.window(writePart))
 	defer cancel()
 	if k.lock(ctx) != nil {
-		return
+		return false
 	}
 	defer k.unlock()
 	v, ready = k.primary() // an order to retire may have come meanwhile
 	if !ready || v.epoch != epoch {
-		return
+		return true
 	}
 	if next, changed := Assign(v.vaults, in); changed {
-		k.putVaults(ctx, epoch, next) // what follows from it waits for the next tick: moves are paced
+		t.wrote = now
+		return k.putVaults(ctx, epoch, next) == nil
 	}
+	return true
 }
 
 // signature is the same for inputs that lead to the same.
@@ -67,8 +71,6 @@
 		parts = append(parts, fmt.Sprint(r.From, "/", r.Copy.Partition, "/", r.Copy.Epoch, "/", r.Copy.Folder))
 	}
 	slices.Sort(parts)
-	if in.Certain {
-		parts = append(parts, "certain")
-	}
+	parts = append(parts, fmt.Sprint(in.Certain, in.Create))
 	return strings.Join(parts, ";")
 }
