Vaults: lost ones are known sooner, leaving ones hand over; counters hold the texts of turns

Change: Begin tells what the counter holds and gets what follows; vaults are held for a twelfth and lapse after a tenth of the contact window; SIGTERM of a vault hands its partitions over first; a reservation is dropped before the refusal; calls between vaults name the folder that is meant.

--- a/cmd/yard/roles.go
+++ b/cmd/yard/roles.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"net/http"
 	"sync"
 
@@ -93,16 +94,27 @@
 		return err
 	}
 	v, err := vault.Open(vault.Config{Node: s.Node, Dir: s.DataDir, FS: ledger.OS{}, Dial: dialer(dialVault),
-		DiskBytes: int64(s.DiskMB) << 20, MemoryBytes: int64(s.MemoryMB) << 20, Log: l})
+		DiskBytes: int64(s.DiskMB) << 20, MemoryBytes: int64(s.MemoryMB) << 20 / 2, Log: l})
 	if err != nil {
 		return err
 	}
-	if _, err := link.Serve(ctx, s.Internal(vaultPort), tierv1.NewVaultServer(v)); err != nil {
+	if _, err := link.Serve(context.WithoutCancel(ctx), s.Internal(vaultPort), tierv1.NewVaultServer(v)); err != nil {
 		return err
 	}
 	held := session.New(session.Config{Settings: s, Role: "vault", Folder: v.Folder(), Address: s.Internal(vaultPort), Empty: v.WasEmpty(),
 		Dial: dialer(dialClearing), Synced: v.Synced, Log: l, Vaults: v.Apply})
 	l.Info().Str("event", "started").Str("role", "vault").Str("node", s.Node).Str("folder", v.Folder()).Msg("")
-	go held.Run(ctx)
-	return v.Run(ctx)
+	// After SIGTERM it serves on until its partitions have other primaries, for half of the time it has.
+	serving, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	context.AfterFunc(ctx, func() {
+		l.Info().Str("event", "leaving").Str("node", s.Node).Msg("")
+		held.Leave()
+		last, cancel := context.WithTimeout(serving, s.Grace/2)
+		defer cancel()
+		v.Released(last)
+		end()
+	})
+	go held.Run(serving)
+	return v.Run(serving)
 }
--- a/internal/tier/clearing/clearing.go
+++ b/internal/tier/clearing/clearing.go
@@ -23,7 +23,7 @@
 // Parts of the contact window.
 const (
 	tickPart   = 12 // the primary looks at lapsed sessions so often
-	lapsePart  = 5  // a session stands for so long after its call was answered
+	lapsePart  = 10 // a session stands for so long after its call was answered
 	holdPart   = 6  // a call is held no longer
 	gracePart  = 2  // after a takeover, no vault is called dead for so long
 	writePart  = 3  // a write of the primary's own takes no longer
--- a/internal/tier/counter/counter.go
+++ b/internal/tier/counter/counter.go
@@ -35,6 +35,7 @@
 	session *session.Client
 	keeping *keeping
 	pool    *upstream.Pool
+	held    *held
 
 	catalog atomic.Pointer[catalog.Catalog]
 	listed  atomic.Bool // a list of endpoints has come
@@ -55,6 +56,7 @@
 	k := &Counter{c: c, log: c.Log, started: time.Now(), board: board.New(c.Settings.Zone), freed: make(chan struct{})}
 	k.keeping = newKeeping(c.Settings, c.Vault, c.Log)
 	k.pool = newPool(c.Settings)
+	k.held = newHeld(c.Settings.MemoryMB << 20 / 16)
 	k.session = session.New(session.Config{Settings: c.Settings, Role: "counter", Dial: c.Clearing, Log: c.Log,
 		Catalog: k.takeCatalog, Endpoints: k.takeEndpoints, Vaults: k.keeping.apply})
 	return k
--- a/internal/tier/counter/pass.go
+++ b/internal/tier/counter/pass.go
@@ -287,9 +287,12 @@
 	if t != nil {
 		t.instance = choice.Instance
 	}
-	if t != nil && !w.keep(t, tokens) {
-		x.Abort()
-		return
+	if t != nil {
+		if !w.keep(t, tokens) {
+			x.Abort()
+			return
+		}
+		w.k.held.keep(&text{attempt: w.attempt, line: t.line, instance: t.instance, prompt: append(w.body, t.output...)})
 	}
 	x.End()
 }
--- a/internal/tier/counter/serve.go
+++ b/internal/tier/counter/serve.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"hash/fnv"
 	"strconv"
 	"strings"
@@ -58,11 +59,13 @@
 	left := route.Timeout
 	if v := x.Header.Get("X-Deadline-Ms"); v != "" {
 		ms, err := strconv.ParseFloat(v, 64)
-		if err != nil || ms < 0 {
+		if err != nil && !errors.Is(err, strconv.ErrRange) || !(ms >= 0) {
 			x.Respond(400, nil, []byte("X-Deadline-Ms is no number of milliseconds\n"))
 			return
 		}
-		left = min(left, time.Duration(ms*float64(time.Millisecond)))
+		if ms < float64(left)/float64(time.Millisecond) { // one beyond the route's time-out may be beyond all measure
+			left = time.Duration(ms * float64(time.Millisecond))
+		}
 	}
 	w.until = x.Arrived.Add(left)
 	if v := x.Header.Get("X-Token-Usage"); v != "" {
@@ -125,8 +128,13 @@
 		}
 		req.Limited, req.Budget = true, n
 	}
+	line := x.Header.Get("Session")
+	from := k.held.nearest(req.Previous, program+"/"+line)
+	if from != nil {
+		req.Held = from.attempt
+	}
 	ctx, cancel := context.WithDeadline(context.Background(), w.until)
-	verdict, chain := k.keeping.begin(ctx, req)
+	verdict, chain, after := k.keeping.begin(ctx, req)
 	cancel()
 	switch verdict {
 	case tierv1.Verdict_OK:
@@ -137,45 +145,52 @@
 		x.Respond(404, nil, []byte("no such turn\n"))
 		return
 	default:
-		w.drop(program, 0) // it may have been taken
+		w.dropLater(program, 0) // it may have been taken
 		k.refuse(x, k.keeping.wait)
 		return
 	}
+	if !after {
+		from = nil
+	} else {
+		w.home = from.instance
+	}
 	if n := len(chain); n > 0 {
 		w.home = chain[n-1].Instance
 	}
-	size := len(x.Body)
-	for _, t := range chain {
-		size += len(t.Input) + len(t.Output)
-	}
-	if size > len(x.Body) {
-		w.body = make([]byte, 0, size)
-		for _, t := range chain {
-			w.body = append(append(w.body, t.Input...), t.Output...)
-		}
-		w.body = append(w.body, x.Body...)
-	}
-	w.stream(&kept{program: program, previous: req.Previous, retention: req.RetentionMs})
+	w.body = prompt(from, chain, x.Body)
+	w.stream(&kept{program: program, line: program + "/" + line, previous: req.Previous, retention: req.RetentionMs})
 }
 
 // kept is what becomes of a turn's answer.
 type kept struct {
-	program, previous string
-	retention         uint32
-	instance          string // that ran it
-	output            []byte
+	program, line, previous string
+	retention               uint32
+	instance                string // that ran it
+	output                  []byte
 }
 
-// drop ends a reservation behind the request: tokens were handed out of a turn that is not kept.
+// drop ends a reservation before its client hears of it, so that its next try finds the room in its budget: tokens were
+// handed out of a turn that is not kept. It waits a little for the vault, and goes on behind the request.
 func (w *work) drop(program string, tokens uint64) {
-	k := w.k
+	t := time.NewTimer(w.k.c.Settings.ContactWindow / 12)
+	defer t.Stop()
+	select {
+	case <-w.dropLater(program, tokens):
+	case <-t.C:
+	}
+}
+
+func (w *work) dropLater(program string, tokens uint64) (done <-chan struct{}) {
+	k, over := w.k, make(chan struct{})
 	k.settling.Add(1)
 	go func() {
 		defer k.settling.Done()
+		defer close(over)
 		ctx, cancel := context.WithTimeout(context.Background(), k.c.Settings.ContactWindow*2)
 		defer cancel()
 		k.keeping.settle(ctx, &tierv1.SettleRequest{Program: program, Attempt: w.attempt, Tokens: tokens})
 	}()
+	return over
 }
 
 // keep makes a whole turn durable.
--- a/internal/tier/counter/turns.go
+++ b/internal/tier/counter/turns.go
@@ -104,8 +104,8 @@
 	return false
 }
 
-// begin asks for a turn: OK with its chain, SPENT, UNKNOWN for sure, or BUSY where nothing is sure in time.
-func (k *keeping) begin(ctx context.Context, req *tierv1.BeginRequest) (verdict tierv1.Verdict, chain []*tierv1.Turn) {
+// begin asks for a turn: OK with its chain (after: with what follows the turn that the caller holds), SPENT, UNKNOWN for sure, or BUSY where nothing is sure in time.
+func (k *keeping) begin(ctx context.Context, req *tierv1.BeginRequest) (verdict tierv1.Verdict, chain []*tierv1.Turn, after bool) {
 	verdict = tierv1.Verdict_BUSY
 	k.each(ctx, req.Program, func(ctx context.Context, v tierv1.Vault, partition uint32) bool {
 		req.Partition = partition
@@ -115,28 +115,28 @@
 		}
 		switch reply.Verdict {
 		case tierv1.Verdict_OK, tierv1.Verdict_SPENT, tierv1.Verdict_UNKNOWN:
-			verdict, chain = reply.Verdict, reply.Chain
+			verdict, chain, after = reply.Verdict, reply.Chain, reply.AfterHeld
 			return true
 		}
 		return false
 	})
 	if verdict != tierv1.Verdict_UNKNOWN || len(req.Adopt) > 0 {
-		return verdict, chain
+		return verdict, chain, after
 	}
 	// The program goes on from a turn of another one, which may lie in any partition.
 	found, certain := k.find(ctx, req.Previous)
 	switch {
 	case len(found) > 0:
 		req.Adopt, req.ChainHeld = found, true
-		verdict, _ = k.begin(ctx, req)
+		verdict, _, _ = k.begin(ctx, req)
 		if verdict == tierv1.Verdict_UNKNOWN {
 			verdict = tierv1.Verdict_BUSY
 		}
-		return verdict, found
+		return verdict, found, false
 	case certain:
-		return tierv1.Verdict_UNKNOWN, nil
+		return tierv1.Verdict_UNKNOWN, nil, false
 	}
-	return tierv1.Verdict_BUSY, nil
+	return tierv1.Verdict_BUSY, nil, false
 }
 
 // find asks all vaults for a turn. certain: none has it, and each partition's primary has said so.
--- a/internal/tier/session/session.go
+++ b/internal/tier/session/session.go
@@ -19,7 +19,8 @@
 
 // Parts of the contact window: a session must be found again well inside it.
 const (
-	holdPart  = 6  // a held call lasts so long at most
+	holdPart  = 6  // a held call lasts so long at most,
+	vaultPart = 12 // and a vault's so long: its loss holds up all turns of its partitions
 	graceOver = 10 // and its answer is waited for so much longer
 	lookPart  = 8  // one asked whether it is the primary answers within it
 	pausePart = 60 // between rounds of asking
@@ -157,19 +158,33 @@
 		asked[at] = true
 		out++
 		go func() {
-			// It claims to hold all: what is new is brought by the held call.
-			news, err := s.c.Dial(at).Watch(ctx, &tierv1.WatchRequest{Node: s.c.Settings.Node, Life: s.life,
-				Catalog: math.MaxUint64, Endpoints: math.MaxUint64, Vaults: math.MaxUint64, Members: math.MaxUint64})
-			if err != nil {
-				news = nil
+			// One that is not the primary may be it in a moment: it is asked again, whoever else is still waited for.
+			for {
+				// It claims to hold all: what is new is brought by the held call.
+				news, err := s.c.Dial(at).Watch(ctx, &tierv1.WatchRequest{Node: s.c.Settings.Node, Life: s.life,
+					Catalog: math.MaxUint64, Endpoints: math.MaxUint64, Vaults: math.MaxUint64, Members: math.MaxUint64})
+				if err != nil {
+					news = nil
+				}
+				select {
+				case answers <- answer{at, news}:
+				case <-ctx.Done():
+					return
+				}
+				if news.GetPrimary() {
+					return
+				}
+				pause(ctx, s.c.Settings.ContactWindow/pausePart)
+				if ctx.Err() != nil {
+					return
+				}
 			}
-			answers <- answer{at, news}
 		}()
 	}
 	for _, a := range all {
 		ask(a)
 	}
-	for ; out > 0; out-- {
+	for out > 0 {
 		var got answer
 		select {
 		case got = <-answers:
@@ -197,8 +212,12 @@
 	set := s.c.Settings
 	req.Node, req.Role, req.Folder, req.Address = set.Node, s.c.Role, s.c.Folder, s.c.Address
 	req.Zone, req.Region, req.Life, req.IdleDisk = set.Zone, set.Region, s.life, s.c.Empty
-	req.HoldMs = uint32((window / holdPart).Milliseconds())
-	ctx, cancel := context.WithTimeout(ctx, window/holdPart+window/graceOver)
+	hold := window / holdPart
+	if s.c.Folder != "" {
+		hold = window / vaultPart
+	}
+	req.HoldMs = uint32(hold.Milliseconds())
+	ctx, cancel := context.WithTimeout(ctx, hold+window/graceOver)
 	defer cancel()
 	var renewed atomic.Bool
 	if s.c.Synced != nil {
--- /dev/null
+++ b/internal/tier/session/session_test.go
@@ -0,0 +1,317 @@
+package session_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math"
+	"sync"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"dockshift.example/dockshift/internal/tier/session"
+	"dockshift.example/dockshift/internal/tier/tiertest"
+	tierv1 "dockshift.example/dockshift/proto/saffronyard/tier/v1"
+)
+
+// rig is a session with clearing processes control-1, control-2, ... of which only the first is a seed.
+type rig struct {
+	t        *testing.T
+	controls map[string]*tiertest.Control
+	client   *session.Client
+	mu       sync.Mutex
+	taken    []string
+	life     context.CancelFunc
+	ended    chan struct{}
+}
+
+func address(n int) string { return fmt.Sprintf("control-%d:9000", n) }
+
+// newRig makes one of n clearing processes, none of which is the primary.
+func newRig(t *testing.T, n int) *rig {
+	r := &rig{t: t, controls: map[string]*tiertest.Control{}}
+	for i := range n {
+		c := tiertest.NewControl()
+		c.Change(func(v *tierv1.News) { v.Primary = false })
+		r.controls[address(i+1)] = c
+	}
+	return r
+}
+
+func (r *rig) note(text string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.taken = append(r.taken, text)
+}
+
+func (r *rig) notes() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]string(nil), r.taken...)
+}
+
+var errNone = errors.New("nobody is there")
+
+type nobody struct{ tierv1.Clearing }
+
+func (nobody) Watch(context.Context, *tierv1.WatchRequest) (*tierv1.News, error) { return nil, errNone }
+
+func (r *rig) run(change ...func(*session.Config)) {
+	c := session.Config{Settings: tiertest.Settings("edge-1"), Role: "counter", Log: tiertest.Silent(),
+		Dial: func(at string) tierv1.Clearing {
+			if one := r.controls[at]; one != nil {
+				return one
+			}
+			return nobody{}
+		},
+		Catalog:   func(v *tierv1.Catalog) { r.note(fmt.Sprintf("catalog %d", v.Version)) },
+		Endpoints: func(v *tierv1.Endpoints) { r.note(fmt.Sprintf("endpoints %d", v.Version)) },
+		Vaults:    func(v *tierv1.Vaults) { r.note(fmt.Sprintf("vaults %d", v.Version)) }}
+	for _, f := range change {
+		f(&c)
+	}
+	r.client = session.New(c)
+	ctx, cancel := context.WithCancel(context.Background())
+	r.life, r.ended = cancel, make(chan struct{})
+	go func() {
+		defer close(r.ended)
+		r.client.Run(ctx)
+	}()
+	r.t.Cleanup(func() {
+		cancel()
+		tiertest.Closed(r.t, "the session ends", r.ended)
+	})
+}
+
+func (r *rig) at(n int) *tiertest.Control { return r.controls[address(n)] }
+
+func (r *rig) primary(n int) *tiertest.Control {
+	c := r.at(n)
+	c.Change(func(v *tierv1.News) { v.Primary, v.Hint = true, "" })
+	return c
+}
+
+func (r *rig) hint(n, to int) {
+	r.at(n).Change(func(v *tierv1.News) { v.Primary, v.Hint = false, address(to) })
+}
+
+// held is a call that holds a session, rather than one that only looks.
+func held(q *tierv1.WatchRequest) bool { return q.Role != "" }
+
+func TestThePrimaryIsFoundByHint(t *testing.T) {
+	r := newRig(t, 3)
+	r.hint(1, 2)
+	r.hint(2, 3)
+	c := r.primary(3)
+	r.run()
+	first := c.Await(t, "a session", held)
+	assert.Equal(t, first.Node, "edge-1")
+	assert.Equal(t, first.Role, "counter")
+	assert.Assert(t, first.Life != "")
+	assert.Assert(t, first.HoldMs > 0)
+	c.SetCatalog("1")
+	c.Taken(t)
+	assert.Equal(t, r.client.Primary(), address(3))
+	stands, _ := r.client.Stands()
+	assert.Assert(t, stands)
+	for _, n := range []int{1, 2} {
+		for _, q := range r.at(n).Calls() {
+			assert.Assert(t, !held(q), "a session with one that is no primary")
+		}
+	}
+}
+
+func TestTheFirstCallOfALifeHoldsNothing(t *testing.T) {
+	r := newRig(t, 1)
+	c := r.primary(1)
+	c.SetCatalog("1")
+	c.SetEndpoints()
+	lives := map[string]bool{}
+	for life := range 3 {
+		seen := len(c.Calls())
+		r.run()
+		c.Await(t, "views are acknowledged", func(q *tierv1.WatchRequest) bool {
+			return held(q) && q.Catalog == 1 && q.Endpoints == 1 && !lives[q.Life]
+		})
+		r.life()
+		tiertest.Closed(t, "the session ends", r.ended)
+		first := true
+		for _, q := range c.Calls()[seen:] {
+			if !held(q) {
+				assert.Equal(t, q.Catalog, uint64(math.MaxUint64), "one that only looks acknowledges nothing")
+				continue
+			}
+			if first {
+				assert.Equal(t, q.Catalog+q.Endpoints+q.Vaults+q.Members, uint64(0), "life %d", life)
+				first = false
+			}
+			lives[q.Life] = true
+		}
+		assert.Equal(t, len(lives), life+1)
+	}
+}
+
+func TestVersionsAreAcknowledgedOnceTaken(t *testing.T) {
+	r := newRig(t, 1)
+	c := r.primary(1)
+	asked, release := make(chan struct{}), make(chan struct{})
+	r.run(func(s *session.Config) {
+		s.Endpoints = func(v *tierv1.Endpoints) {
+			if v.Version == 1 {
+				close(asked)
+				<-release
+			}
+			r.note("endpoints")
+		}
+	})
+	c.SetEndpoints()
+	tiertest.Closed(t, "the list is brought", asked)
+	for _, q := range c.Calls() {
+		assert.Assert(t, !held(q) || q.Endpoints == 0, "acknowledged before it was taken")
+	}
+	close(release)
+	c.Taken(t)
+	assert.DeepEqual(t, r.notes(), []string{"endpoints"})
+}
+
+func TestNoOlderVersionIsTaken(t *testing.T) {
+	r := newRig(t, 1)
+	c := r.primary(1)
+	news := func(n uint64) *tierv1.News {
+		return &tierv1.News{Primary: true, Catalog: &tierv1.Catalog{Version: n}, Endpoints: &tierv1.Endpoints{Version: n},
+			Vaults: &tierv1.Vaults{Version: n}, Members: &tierv1.Members{Version: n}}
+	}
+	told := []uint64{5, 4, 5, 7, 1, 6, 8}
+	var mu sync.Mutex
+	n := 0
+	c.SetVia(func(_ context.Context, q *tierv1.WatchRequest, serve func() (*tierv1.News, error)) (*tierv1.News, error) {
+		mu.Lock()
+		defer mu.Unlock()
+		if !held(q) || n == len(told) {
+			return serve()
+		}
+		n++
+		return news(told[n-1]), nil
+	})
+	r.run()
+	c.Await(t, "the newest is acknowledged", func(q *tierv1.WatchRequest) bool { return held(q) && q.Vaults == 8 })
+	assert.DeepEqual(t, r.notes(), []string{"catalog 5", "endpoints 5", "vaults 5", "catalog 7", "endpoints 7", "vaults 7",
+		"catalog 8", "endpoints 8", "vaults 8"})
+	last := uint64(0)
+	for _, q := range c.Calls() {
+		if held(q) {
+			assert.Assert(t, q.Catalog >= last && q.Endpoints >= last && q.Vaults >= last && q.Members >= last, "%v after %d", q, last)
+			last = q.Catalog
+		}
+	}
+}
+
+// silence has calls from now on held and never answered.
+func silence(c *tiertest.Control) {
+	c.SetVia(func(ctx context.Context, _ *tierv1.WatchRequest, _ func() (*tierv1.News, error)) (*tierv1.News, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	})
+}
+
+func TestItMovesOn(t *testing.T) {
+	for name, ends := range map[string]func(r *rig){
+		"silent": func(r *rig) { silence(r.at(1)) },
+		"dead": func(r *rig) {
+			r.at(1).SetVia(func(context.Context, *tierv1.WatchRequest, func() (*tierv1.News, error)) (*tierv1.News, error) {
+				return nil, errNone
+			})
+		},
+		"deposed, knows":     func(r *rig) { r.hint(1, 2) },
+		"deposed, knows not": func(r *rig) { r.at(1).Change(func(v *tierv1.News) { v.Primary = false }) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, 2)
+			c := r.primary(1)
+			c.Change(func(v *tierv1.News) {
+				v.Members = &tierv1.Members{Version: 1, List: []*tierv1.Member{{Address: address(1)}, {Address: address(2)}}}
+			})
+			c.SetEndpoints()
+			c.SetEndpoints()
+			r.run()
+			c.Taken(t)
+			next := r.primary(2) // known from the members alone
+			ends(r)
+			got := next.Await(t, "a session with the next", held)
+			assert.Equal(t, got.Endpoints, uint64(2), "what was taken stays taken")
+			next.Change(func(v *tierv1.News) { v.Endpoints = &tierv1.Endpoints{Version: 3} })
+			next.Taken(t)
+			assert.DeepEqual(t, r.notes(), []string{"endpoints 2", "endpoints 3"})
+			assert.Equal(t, r.client.Primary(), address(2))
+		})
+	}
+}
+
+func TestNoPrimaryAtFirst(t *testing.T) {
+	r := newRig(t, 1)
+	c := r.at(1)
+	r.run()
+	c.Await(t, "it looks", func(*tierv1.WatchRequest) bool { return len(c.Calls()) > 2 })
+	stands, _ := r.client.Stands()
+	assert.Assert(t, !stands)
+	r.primary(1)
+	c.Await(t, "a session", held)
+}
+
+// Of several that say nothing and one that answers, the one is found: all are asked at once.
+func TestOneOfManyAnswers(t *testing.T) {
+	r := newRig(t, 5)
+	for n := 1; n <= 4; n++ {
+		silence(r.at(n))
+	}
+	c := r.primary(5)
+	r.run(func(s *session.Config) {
+		s.Settings.Seeds = nil
+		for n := range 5 {
+			s.Settings.Seeds = append(s.Settings.Seeds, fmt.Sprintf("control-%d:80", n+1))
+		}
+	})
+	c.Await(t, "a session", held)
+}
+
+func TestASyncedCopyIsToldAtOnce(t *testing.T) {
+	r := newRig(t, 1)
+	c := r.primary(1)
+	var mu sync.Mutex
+	var reports []*tierv1.SyncedCopy
+	changed := make(chan struct{})
+	r.run(func(s *session.Config) {
+		s.Role, s.Folder, s.Address, s.Empty = "vault", "f-1", "10.0.0.1:9001", true
+		s.Settings.ContactWindow *= 100 // a call is held for longer than the test has patience
+		s.Synced = func() ([]*tierv1.SyncedCopy, <-chan struct{}) {
+			mu.Lock()
+			defer mu.Unlock()
+			return append([]*tierv1.SyncedCopy(nil), reports...), changed
+		}
+	})
+	first := c.Await(t, "a session", held)
+	assert.Equal(t, first.Folder, "f-1")
+	assert.Equal(t, first.Address, "10.0.0.1:9001")
+	assert.Equal(t, first.IdleDisk, true)
+	assert.Equal(t, len(first.Synced), 0)
+	for n := range 3 {
+		mu.Lock()
+		reports = append(reports, &tierv1.SyncedCopy{Partition: uint32(n), Epoch: 1, Folder: "f-2"})
+		close(changed)
+		changed = make(chan struct{})
+		mu.Unlock()
+		got := c.Await(t, "the report", func(q *tierv1.WatchRequest) bool { return held(q) && len(q.Synced) == n+1 })
+		assert.Equal(t, got.Synced[n].Partition, uint32(n))
+	}
+}
+
+func TestLeavingIsTold(t *testing.T) {
+	r := newRig(t, 1)
+	c := r.primary(1)
+	r.run()
+	first := c.Await(t, "a session", held)
+	assert.Equal(t, first.Leaving, false)
+	r.client.Leave()
+	c.Await(t, "it is leaving", func(q *tierv1.WatchRequest) bool { return held(q) && q.Leaving })
+}
--- a/internal/tier/vault/apply.go
+++ b/internal/tier/vault/apply.go
@@ -1,6 +1,8 @@
 package vault
 
 import (
+	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -108,3 +110,21 @@
 	}
 	return reports, v.changed
 }
+
+// Released waits until this vault is the primary of no partition, or ctx is over.
+func (v *Vault) Released(ctx context.Context) {
+	for {
+		v.mu.Lock()
+		held := slices.ContainsFunc(slices.Collect(maps.Values(v.store.partitions)), func(p *partition) bool { return p.term != nil && !p.term.ended })
+		changed := v.changed
+		v.mu.Unlock()
+		if !held {
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- a/internal/tier/vault/backup.go
+++ b/internal/tier/vault/backup.go
@@ -17,6 +17,10 @@
 		return &tierv1.ReplicateReply{}, nil
 	}
 	p := v.store.partition(req.Partition)
+	if req.To != "" && req.To != v.folder { // it was meant for a folder that is no longer here
+		v.mu.Unlock()
+		return &tierv1.ReplicateReply{}, nil
+	}
 	if !v.admits(p, req.Epoch, req.From) {
 		v.mu.Unlock()
 		return &tierv1.ReplicateReply{Stale: true}, nil
@@ -66,7 +70,7 @@
 		return &tierv1.HeldReply{}, nil
 	}
 	p := v.store.partition(req.Partition)
-	if !v.admits(p, req.Epoch, "") {
+	if req.To != "" && req.To != v.folder || !v.admits(p, req.Epoch, "") {
 		v.mu.Unlock()
 		return &tierv1.HeldReply{}, nil
 	}
--- a/internal/tier/vault/durable_test.go
+++ b/internal/tier/vault/durable_test.go
@@ -30,6 +30,7 @@
 	a, b := c.nodes["a"].vault, c.nodes["b"].vault
 	disk := &stuck{entered: make(chan struct{}), leave: make(chan struct{})}
 	<-b.commit.turn(disk).done
+	defer close(disk.leave)
 	ctx, cancel := context.WithCancel(c.ctx)
 	defer cancel()
 	answers := make(chan error, 2)
@@ -46,7 +47,6 @@
 	cancel()
 	assert.ErrorIs(t, <-answers, context.Canceled)
 	assert.ErrorIs(t, <-answers, context.Canceled)
-	close(disk.leave)
 }
 
 func TestFailedSync(t *testing.T) {
--- a/internal/tier/vault/exchange.go
+++ b/internal/tier/vault/exchange.go
@@ -54,7 +54,7 @@
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(v.ctx, 8*v.cfg.Reply)
-	reply, err := client.Held(ctx, &tierv1.HeldRequest{Partition: s.p.id, Epoch: s.t.epoch})
+	reply, err := client.Held(ctx, &tierv1.HeldRequest{Partition: s.p.id, Epoch: s.t.epoch, To: s.folder})
 	cancel()
 	if err != nil || !reply.Ok {
 		return nil
--- a/internal/tier/vault/serve.go
+++ b/internal/tier/vault/serve.go
@@ -120,7 +120,9 @@
 				d.chain[len(d.chain)-1].used = now
 			}
 			if !req.ChainHeld {
-				reply.Chain = turns(d.chain)
+				rest := behind(d.chain, req.Held)
+				reply.AfterHeld = len(rest) < len(d.chain)
+				reply.Chain = turns(rest)
 			}
 		}
 		rounds := t.enqueue(d.facts...)
@@ -248,3 +250,16 @@
 	}
 	return reply, nil
 }
+
+// behind is what of a chain follows a turn on it; all of it if that turn is not on it.
+func behind(chain []*entry, held string) []*entry {
+	if held == "" {
+		return chain
+	}
+	for i := len(chain) - 1; i >= 0; i-- {
+		if chain[i].turn.Attempt == held {
+			return chain[i+1:]
+		}
+	}
+	return chain
+}
--- a/internal/tier/vault/serve_test.go
+++ b/internal/tier/vault/serve_test.go
@@ -85,6 +85,27 @@
 	assert.Equal(t, k.begin("b", ask("t2", "t1")), moved)
 }
 
+// What was meant for a folder that is lost is not taken by another at its address, and teaches it nothing.
+func TestMeantForAnotherFolder(t *testing.T) {
+	c, k := pair(t)
+	k.keep("a", "t1", "")
+	v := c.nodes["b"].vault
+	a := c.nodes["a"].vault.Folder()
+	for to, taken := range map[string]bool{"lost": false, v.Folder(): true, "": true} {
+		r, err := v.Replicate(c.ctx, &tierv1.ReplicateRequest{Epoch: 1, From: a, To: to})
+		assert.NilError(t, err)
+		assert.Equal(t, r.Taken, taken, to)
+		assert.Assert(t, !r.Stale)
+		h, err := v.Held(c.ctx, &tierv1.HeldRequest{Epoch: 1, To: to})
+		assert.NilError(t, err)
+		assert.Equal(t, h.Ok, taken, to)
+	}
+	r, err := v.Replicate(c.ctx, &tierv1.ReplicateRequest{Epoch: 9, From: "x", To: "lost", Facts: []*tierv1.Fact{reserve("x", 1)}})
+	assert.NilError(t, err)
+	assert.Assert(t, !r.Taken)
+	assert.Equal(t, k.begin("a", ask("t2", "t1")), ok) // epoch 1 stands
+}
+
 func TestTakeoverBetweenBeginAndSettle(t *testing.T) {
 	c, k := pair(t)
 	k.keep("a", "t1", "")
--- a/internal/tier/vault/term.go
+++ b/internal/tier/vault/term.go
@@ -148,7 +148,7 @@
 	}
 	ctx, cancel := context.WithTimeout(s.v.ctx, s.v.allowance(size, fails))
 	defer cancel()
-	reply, err := client.Replicate(ctx, &tierv1.ReplicateRequest{
+	reply, err := client.Replicate(ctx, &tierv1.ReplicateRequest{To: s.folder,
 		Partition: s.p.id, Epoch: s.t.epoch, From: s.v.folder, Facts: facts})
 	if err != nil {
 		return false
