--- a/internal/tier/clearing/clearing.go
+++ b/internal/tier/clearing/clearing.go
@@ -25,7 +25,7 @@
 	tickPart   = 12 // the primary looks at lapsed sessions so often
 	lapsePart  = 10 // a session stands for so long after its call was answered
 	holdPart   = 6  // a call is held no longer
-	gracePart  = 2  // after a takeover, no vault is called dead for so long
+	gracePart  = 4  // after a takeover, no vault is called dead for so long
 	writePart  = 3  // a write of the primary's own takes no longer
 	settlePart = 10 // the first vault map is made when no vault has come for so long
 )
--- a/internal/tier/clearing/tend.go
+++ b/internal/tier/clearing/tend.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	tierv1 "dockshift.example/dockshift/proto/saffronyard/tier/v1"
 	"fmt"
 	"slices"
 	"strconv"
@@ -52,7 +53,12 @@
 	}
 	if next, changed := Assign(v.vaults, in); changed {
 		t.wrote = now
-		return k.putVaults(ctx, epoch, next) == nil
+		err := k.putVaults(ctx, epoch, next)
+		if err == nil {
+			k.Log.Info().Str("event", "vaults").Int("keepers", len(next.Keepers)).Int("alive", len(alive)).Int("moved", moved(v.vaults, next)).
+				Int("unsynced", unsynced(next)).Msg("")
+		}
+		return err == nil
 	}
 	return true
 }
@@ -74,3 +80,25 @@
 	parts = append(parts, fmt.Sprint(in.Certain, in.Create))
 	return strings.Join(parts, ";")
 }
+
+// moved is how many partitions have another epoch.
+func moved(before, after *tierv1.Vaults) (n int) {
+	for i, p := range after.GetPartitions() {
+		if old := before.GetPartitions(); i >= len(old) || old[i].Epoch != p.Epoch {
+			n++
+		}
+	}
+	return n
+}
+
+// unsynced is how many copies are not whole yet.
+func unsynced(m *tierv1.Vaults) (n int) {
+	for _, p := range m.GetPartitions() {
+		for _, c := range p.Backups {
+			if !c.Synced {
+				n++
+			}
+		}
+	}
+	return n
+}
--- a/internal/tier/counter/counter.go
+++ b/internal/tier/counter/counter.go
@@ -47,6 +47,7 @@
 	freed     chan struct{}   // closed when a place may have come free, if somebody waits
 	waiting   int
 
+	told     atomic.Bool // the readiness told last
 	leaving  atomic.Bool
 	settling sync.WaitGroup // settlements that go on behind their requests
 }
@@ -191,7 +192,11 @@
 }
 
 func (k *Counter) readiness(x *front.Exchange) {
-	if k.ready() {
+	ready := k.ready()
+	if k.told.Swap(ready) != ready {
+		k.log.Info().Str("event", "readiness").Bool("ready", ready).Msg("")
+	}
+	if ready {
 		x.Respond(200, nil, nil)
 		return
 	}
--- a/internal/tier/counter/serve.go
+++ b/internal/tier/counter/serve.go
@@ -133,7 +133,9 @@
 	if from != nil {
 		req.Held = from.attempt
 	}
-	ctx, cancel := context.WithDeadline(context.Background(), w.until)
+	// A vault that is lost is replaced well within half of the contact window. What is not sure by then is given up at once,
+	// while its client has time for another try.
+	ctx, cancel := context.WithTimeout(context.Background(), min(time.Until(w.until)*2/5, k.c.Settings.ContactWindow/2))
 	verdict, chain, after := k.keeping.begin(ctx, req)
 	cancel()
 	switch verdict {
