--- /dev/null
+++ b/internal/tier/counter/dropped_test.go
@@ -0,0 +1,58 @@
+package counter
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+	"gotest.tools/v3/assert"
+
+	"dockshift.example/dockshift/internal/tier/settings"
+	tierv1 "dockshift.example/dockshift/proto/saffronyard/tier/v1"
+)
+
+// slowVault settles when it is let.
+type slowVault struct {
+	tierv1.Vault
+	asked, let chan struct{}
+}
+
+func (v slowVault) Settle(ctx context.Context, _ *tierv1.SettleRequest) (*tierv1.SettleReply, error) {
+	close(v.asked)
+	select {
+	case <-v.let:
+		return &tierv1.SettleReply{Verdict: tierv1.Verdict_OK}, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// A try that finds the budget spent waits for a reservation of its program that is being given up, and only for that.
+func TestDroppedWaitsForTheReservation(t *testing.T) {
+	v := slowVault{asked: make(chan struct{}), let: make(chan struct{})}
+	k := New(Config{Settings: settings.Settings{ContactWindow: time.Minute, MemoryMB: 64}, Log: &log.Logger{Level: log.PanicLevel},
+		Vault: func(string) tierv1.Vault { return v }})
+	k.keeping.apply(&tierv1.Vaults{Version: 1, Keepers: []*tierv1.Keeper{{Folder: "f", Address: "a"}},
+		Partitions: []*tierv1.Partition{{Epoch: 1, Primary: "f"}}})
+	ctx := context.Background()
+	assert.Assert(t, !k.dropped(ctx, "p"))
+	over := (&work{k: k, attempt: "t"}).dropLater("p", 0)
+	<-v.asked
+	assert.Assert(t, !k.dropped(ctx, "another"))
+	ended, cancel := context.WithCancel(ctx)
+	cancel()
+	assert.Assert(t, !k.dropped(ended, "p")) // it is not settled yet
+	waited := make(chan bool)
+	go func() { waited <- k.dropped(ctx, "p") }()
+	select {
+	case <-waited:
+		t.Fatal("it did not wait")
+	default:
+	}
+	close(v.let)
+	<-over
+	<-waited // at once or as none is left: both find the room free
+	assert.Assert(t, !k.dropped(ctx, "p"))
+	assert.Equal(t, len(k.dropping), 0)
+}
--- a/internal/tier/counter/serve.go
+++ b/internal/tier/counter/serve.go
@@ -137,6 +137,9 @@
 	// while its client has time for another try.
 	ctx, cancel := context.WithTimeout(context.Background(), min(time.Until(w.until)*2/5, k.c.Settings.ContactWindow/2))
 	verdict, chain, after := k.keeping.begin(ctx, req)
+	if verdict == tierv1.Verdict_SPENT && k.dropped(ctx, program) {
+		verdict, chain, after = k.keeping.begin(ctx, req)
+	}
 	cancel()
 	switch verdict {
 	case tierv1.Verdict_OK:
@@ -185,9 +188,19 @@
 func (w *work) dropLater(program string, tokens uint64) (done <-chan struct{}) {
 	k, over := w.k, make(chan struct{})
 	k.settling.Add(1)
+	k.mu.Lock()
+	k.dropping[program] = over
+	k.mu.Unlock()
 	go func() {
 		defer k.settling.Done()
-		defer close(over)
+		defer func() {
+			k.mu.Lock()
+			if k.dropping[program] == over {
+				delete(k.dropping, program)
+			}
+			k.mu.Unlock()
+			close(over)
+		}()
 		ctx, cancel := context.WithTimeout(context.Background(), k.c.Settings.ContactWindow*2)
 		defer cancel()
 		k.keeping.settle(ctx, &tierv1.SettleRequest{Program: program, Attempt: w.attempt, Tokens: tokens})
@@ -195,6 +208,23 @@
 	return over
 }
 
+// dropped waits for a reservation of the program that is being given up here, and reports whether there was one: the room
+// that it held is free then.
+func (k *Counter) dropped(ctx context.Context, program string) bool {
+	k.mu.Lock()
+	over := k.dropping[program]
+	k.mu.Unlock()
+	if over == nil {
+		return false
+	}
+	select {
+	case <-over:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // keep makes a whole turn durable.
 func (w *work) keep(t *kept, tokens uint64) bool {
 	ctx, cancel := context.WithDeadline(context.Background(), w.until)
