--- a/internal/tier/clearing/operators_test.go
+++ b/internal/tier/clearing/operators_test.go
@@ -235,3 +235,18 @@
 		status(t, state("v1"), 503)
 	})
 }
+
+// Right after a takeover not all storage machines have been heard: a 404 or 409 would end the operator's order for good.
+func TestRetireRightAfterATakeover(t *testing.T) {
+	within(t, func(r *rig) {
+		order := func(node string) *httptest.ResponseRecorder {
+			return r.call("POST", "Retire.Create/"+node, nil, strings.NewReader(`{"duration_s":10}`))
+		}
+		r.join(roleVault, "v1", nil)
+		status(t, order("v1"), 503)
+		status(t, order("v9"), 503)
+		r.pass(2 * time.Second)
+		status(t, order("v1"), 409)
+		status(t, order("v9"), 404)
+	})
+}
--- a/internal/tier/clearing/retire.go
+++ b/internal/tier/clearing/retire.go
@@ -50,6 +50,10 @@
 	}
 	known, remain := k.remaining(v.vaults, node)
 	if !known || remain < k.spread.Losses+1 {
+		if time.Since(v.since) < k.window(gracePart) { // not all that are there have come yet: a final answer would end the order
+			later(w, "the storage machines are not all heard yet")
+			return
+		}
 		if err := k.confirm.wait(ctx, v.epoch); err != nil {
 			later(w, "the backups do not confirm it")
 			return
