An order to empty a storage machine waits for machines that are down

Cause: a 409 ends the operator's order; a kill of many processes leaves fewer alive than must remain for a second, though the machines return. Change: 409 only where the map itself names too few machines besides. Measured: TestRetireWhileOthersAreDown fails without it.

--- a/internal/tier/clearing/operators_test.go
+++ b/internal/tier/clearing/operators_test.go
@@ -250,3 +250,17 @@
 		status(t, order("v9"), 404)
 	})
 }
+
+// Machines that are down for a moment are machines that remain: the order is to be sent again, not refused for good.
+func TestRetireWhileOthersAreDown(t *testing.T) {
+	within(t, func(r *rig) {
+		r.join(roleVault, "v1", nil)
+		others := []*process{r.join(roleVault, "v2", nil), r.join(roleVault, "v3", nil)}
+		r.pass(2 * time.Second)
+		for _, p := range others {
+			p.end()
+		}
+		r.pass(2 * time.Second)
+		status(t, r.call("POST", "Retire.Create/v1", nil, strings.NewReader(`{"duration_s":10}`)), 503)
+	})
+}
--- a/internal/tier/clearing/retire.go
+++ b/internal/tier/clearing/retire.go
@@ -50,7 +50,7 @@
 	}
 	known, remain := k.remaining(v.vaults, node)
 	if !known || remain < k.spread.Losses+1 {
-		if time.Since(v.since) < k.window(gracePart) { // not all that are there have come yet: a final answer would end the order
+		if time.Since(v.since) < k.window(gracePart) || known && mapped(v.vaults, node) > k.spread.Losses { // not all that are there have come yet: a final answer would end the order
 			later(w, "the storage machines are not all heard yet")
 			return
 		}
@@ -79,6 +79,17 @@
 	answer(w, http.StatusOK, map[string]string{"lifecycle_state": lifecycle(next, node, k.spread.Losses)})
 }
 
+// mapped is how many machines besides a node the map keeps data on, and is not asked to take it off: some may be down for now.
+func mapped(m *tierv1.Vaults, node string) int {
+	nodes := map[string]bool{}
+	for _, one := range m.GetKeepers() {
+		if one.Node != node && !slices.Contains(m.GetRetiring(), one.Node) {
+			nodes[one.Node] = true
+		}
+	}
+	return len(nodes)
+}
+
 // remaining tells whether a node is known to keep data, and how many vaults would be left without it.
 func (k *Clearing) remaining(m *tierv1.Vaults, node string) (known bool, remain int) {
 	k.mu.Lock()
