--- a/internal/tier/clearing/platform.go
+++ b/internal/tier/clearing/platform.go
@@ -18,8 +18,8 @@
 )
 
 const (
-	pollPart   = 3                      // of the drain time: the list is asked for so often
-	rateShare  = 4                      // of the calls that the platform takes, one in so many is used
+	pollPart   = 3                      // of the drain time: the list is asked for so often, if the platform's rate allows it
+	rateRoom   = 1.5                    // the platform takes so many times the calls that are made: only the primary makes any
 	callLimit  = 500 * time.Millisecond // for one page
 	backoff    = 1.5                    // longer after each failure in a row
 	backoffMax = 3                      // failures that count
@@ -74,7 +74,7 @@
 func (k *Clearing) interval(pages, failures int) time.Duration {
 	d := k.Settings.DrainTimeout / pollPart
 	if rate := k.Settings.CloudRate; rate > 0 {
-		d = max(d, time.Duration(float64(max(pages, 1)*rateShare)/rate*float64(time.Second)))
+		d = max(d, time.Duration(float64(max(pages, 1))*rateRoom/rate*float64(time.Second)))
 	}
 	return time.Duration(float64(max(d, 50*time.Millisecond)) * math.Pow(backoff, float64(min(failures, backoffMax))))
 }
