Budgets: each turn that carries one is accounted for, also where nothing is kept

Change: a turn with a Budget is reserved before it is sent and settled by what was handed out, by whatever route it comes; account and text are two types; a reservation carries its route's retention, and charges are held that much longer than BudgetLinger.

--- /dev/null
+++ b/internal/tier/gateway/account.go
@@ -0,0 +1,62 @@
+package gateway
+
+import (
+	"strconv"
+
+	tierv1 "dockshift.example/dockshift/proto/saffronyard/tier/v1"
+)
+
+// budgetHeader names the tokens that all turns of a program together may generate.
+const budgetHeader = "Budget"
+
+// account is the open reservation of a turn in its program's budget, at the program's turn store. Whoever holds one ends it
+// exactly once: by release or releaseLater with what was handed out, or with the text of a turn that is kept.
+type account struct {
+	request *clientRequest
+	program string
+}
+
+// release ends the reservation before the client hears of it; see clientRequest.release.
+func (account *account) release(tokens uint64) {
+	if account != nil {
+		account.request.release(account.program, tokens)
+	}
+}
+
+// releaseLater ends the reservation behind the request.
+func (account *account) releaseLater(tokens uint64) {
+	if account != nil {
+		account.request.releaseLater(account.program, tokens)
+	}
+}
+
+// accounted reports whether a streamed request is charged to a budget or goes on from a kept turn: a turn store is asked
+// before it is sent.
+func (request *clientRequest) accounted() bool {
+	return request.route.Persisted || request.x.Header.Get(budgetHeader) != ""
+}
+
+// programOf is the program whose budget a turn is charged to. A turn that names none is one of its own.
+func (request *clientRequest) programOf() string {
+	if program := request.x.Header.Get("Program"); program != "" {
+		return program
+	}
+	return request.attempt
+}
+
+// readBudget reads the Budget of the turn's program, in tokens; where it cannot stand, it gives the problem.
+func (request *clientRequest) readBudget(begin *tierv1.BeginRequest) (problem string) {
+	header := request.x.Header.Get(budgetHeader)
+	if header == "" {
+		return ""
+	}
+	budget, err := strconv.ParseUint(header, 10, 64)
+	if err != nil {
+		return "Budget is no number of tokens\n"
+	}
+	if request.maxTokens == 0 {
+		return "a Budget without the turn's most in X-Token-Usage\n"
+	}
+	begin.Limited, begin.Budget = true, budget
+	return ""
+}
--- a/internal/tier/gateway/request.go
+++ b/internal/tier/gateway/request.go
@@ -32,9 +32,15 @@
 	sent      int       // endpoints that it was sent to
 	began     time.Time // of the last send
 
+	resumeAfter string // the next run goes on after this event; empty: it begins as the client asked
+	dropAfter   bool   // the client's Last-Event-Id is not passed on
+
 	ctx context.Context // ends when the client has left, or with the handler
 }
 
+// repeatable reports whether the request may run more than once.
+func (request *clientRequest) repeatable() bool { return request.route.Kind == routing.Idempotent }
+
 // readDeadline sets until when the request is answered or aborted: the route's time-out after its arrival, or what
 // X-Deadline-Ms leaves of it. It is false where that header is not a number of milliseconds, 0 or above.
 func (request *clientRequest) readDeadline() bool {
--- a/internal/tier/gateway/rig_test.go
+++ b/internal/tier/gateway/rig_test.go
@@ -27,6 +27,8 @@
 		route("once", "/once/", "non_idempotent", "s", ""),
 		route("single", "/single/", "idempotent", "s", `,"max_attempts":1`),
 		route("stream", "/stream/", "streaming", "s", ""),
+		route("resumable", "/resumable/", "streaming", "s", `,"resumable":true,"retention_s":60`),
+		route("kept", "/kept/", "streaming", "s", `,"resumable":true,"persisted":true,"retention_s":60`),
 		route("turn", "/turn/", "streaming", "s", `,"persisted":true,"retention_s":60,"session_affinity":true`),
 	}
 	if extra != "" {
--- a/internal/tier/gateway/send.go
+++ b/internal/tier/gateway/send.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"time"
 
 	"dockshift.example/dockshift/internal/tier/ingress"
@@ -27,6 +28,9 @@
 	ends := x.Header.AppendEndToEnd(make([]ingress.Field, 0, len(x.Header)+1))
 	head := make([]upstream.Field, 0, len(ends))
 	for _, f := range ends {
+		if (request.dropAfter || request.resumeAfter != "") && strings.EqualFold(f.Name, lastEventID) {
+			continue
+		}
 		head = append(head, upstream.Field(f))
 	}
 	q := &upstream.Request{Method: x.Method, Target: x.Target, Host: x.Host, Header: head, AttemptID: request.attempt,
@@ -38,6 +42,10 @@
 		q.Priority = min(max(request.route.Priority, 0), 9)
 		q.Stream = true
 	}
+	if request.resumeAfter != "" {
+		q.Header = append(q.Header, upstream.Field{Name: lastEventID, Value: request.resumeAfter})
+		q.After = request.resumeAfter
+	}
 	return q
 }
 
@@ -135,7 +143,7 @@
 
 // mayRetry reports whether another send is allowed and has a chance.
 func (request *clientRequest) mayRetry(r *upstream.Result, tries int) bool {
-	return r.Verdict(false).Retry(request.route.Kind == routing.Idempotent) && request.sent < request.route.MaxAttempts && tries < maxTries &&
+	return r.Verdict(false).Retry(request.repeatable()) && request.sent < request.route.MaxAttempts && tries < maxTries &&
 		time.Until(request.until) > 0
 }
 
@@ -192,7 +200,7 @@
 		}
 		r := request.send(choice)
 		if r.End == upstream.Streaming {
-			request.pass(r, choice, nil)
+			request.pass(r, choice)
 			return
 		}
 		// What an earlier send may have done stands, whatever a later one says.
--- a/internal/tier/gateway/serve.go
+++ b/internal/tier/gateway/serve.go
@@ -47,13 +47,19 @@
 	defer cancel()
 	request.ctx = ctx
 	x.OnGone(watchFrom, cancel)
+	request.serve()
+}
+
+// serve answers a request by its kind: a turn is accounted for first, a stream is passed on as it comes, and any other answer
+// when it is here whole.
+func (request *clientRequest) serve() {
 	switch {
-	case route.Persisted:
+	case request.route.Kind != routing.Streaming && !request.route.Persisted:
+		request.whole()
+	case request.accounted():
 		request.turn()
-	case route.Kind == routing.Streaming:
-		request.stream(nil)
 	default:
-		request.whole()
+		request.stream(turn{})
 	}
 }
 
@@ -100,12 +106,11 @@
 func (request *clientRequest) ask() loadbalancer.Ask {
 	route := request.route
 	return loadbalancer.Ask{Route: route.Name, Service: request.service,
-		Repeatable: route.Kind == routing.Idempotent && request.sent+1 < route.MaxAttempts, First: request.sent == 0,
+		Repeatable: request.repeatable() && request.sent+1 < route.MaxAttempts, First: request.sent == 0, FirstTimeout: request.askFirstTimeout(),
 		Left: time.Until(request.until), Priority: route.Priority, Affinity: request.affinity, Home: request.home,
 		Prefix: request.prefix, Tokens: request.tokens, Tried: request.tried}
 }
 
-// done tells the load balancer how a call ended, and those that wait for a place that there may be one.
 // awaitCurrent waits until the list of endpoints is current, and tells whether it is. After a pause of this process the session
 // needs a moment to hear what it has missed.
 func (request *clientRequest) awaitCurrent(until time.Time) bool {
@@ -125,6 +130,7 @@
 	return true
 }
 
+// done tells the load balancer how a call ended, and those that wait for a place that there may be one.
 func (gateway *Gateway) done(call *loadbalancer.Call, outcome loadbalancer.Outcome) {
 	gateway.mu.Lock()
 	gateway.loadbalancer.Done(gateway.now(), call, outcome)
--- a/internal/tier/gateway/stream.go
+++ b/internal/tier/gateway/stream.go
@@ -7,154 +7,219 @@
 	"dockshift.example/dockshift/internal/tier/upstream"
 )
 
-// stream sends a request whose answer is passed on event by event; t is what is kept of it, if it is a turn.
-func (request *clientRequest) stream(t *kept) {
+// lastEventID names the event after which a stream is to go on.
+const lastEventID = "Last-Event-Id"
+
+// relay is a streamed answer on its way to the client. It comes from one run of the request at an endpoint or, where the route
+// allows it, from several that follow each other.
+type relay struct {
+	request  *clientRequest
+	turn     turn
+	progress progress
+	skipTo   string // events up to this id go into the transcript only: the client has them
+	last     *upstream.Result
+	buffer   []byte // pieces that have come and are not written yet
+	unsent   uint64 // events among them
+	events   uint64 // that have come for the client
+	handed   uint64 // events in writes that were begun: the client may have any of them
+	begun    bool   // the head has been written
+	lost     bool   // a write failed: the client has left
+}
+
+// stream sends a request whose answer is passed on event by event.
+func (request *clientRequest) stream(turn turn) {
+	after := request.x.Header.Get(lastEventID)
+	relay := &relay{request: request, turn: turn, progress: newProgress(false, after)}
+	if turn.transcript != nil && after != "" {
+		// The text of a kept turn is that of the run that ends whole: it runs from its beginning, and the client gets the rest.
+		relay.skipTo, relay.progress.last, request.dropAfter = after, "", true
+	}
+	relay.run()
+}
+
+// pass hands on an answer that is too long to be held whole.
+func (request *clientRequest) pass(result *upstream.Result, choice loadbalancer.Choice) {
+	relay := &relay{request: request, progress: newProgress(false, ""), last: result}
+	relay.copyRun(result, choice)
+	if result.Stream.End() != upstream.Whole || relay.lost {
+		relay.cutShort()
+		return
+	}
+	relay.complete(choice.Instance)
+}
+
+// run makes runs until the answer is whole or nothing is left to try.
+func (relay *relay) run() {
+	request := relay.request
 	for tries := 1; ; tries++ {
 		choice := request.choose()
 		if choice.Verdict != loadbalancer.Send {
-			if t != nil {
-				request.release(t.program, 0)
-			}
-			request.unsent(choice)
+			relay.noEndpoint(choice)
 			return
 		}
-		r := request.send(choice)
-		if r.End == upstream.Streaming {
-			request.pass(r, choice, t)
-			return
+		relay.progress.begin()
+		result := request.send(choice)
+		relay.note(result)
+		if result.End == upstream.Streaming {
+			relay.copyRun(result, choice)
 		}
-		if request.mayRetry(r, tries) {
-			continue
-		}
-		if t != nil {
-			request.release(t.program, 0)
+		switch relay.progress.next(relay.runEnd(result, tries)) {
+		case finished:
+			relay.complete(choice.Instance)
+			return
+		case giveUp:
+			relay.cutShort()
+			return
+		case resume:
+			relay.flush()
+			request.resumeAfter = relay.progress.last
+		case sendAgain:
 		}
-		request.finish(r)
-		return
 	}
 }
 
-// passage is an answer on its way from an endpoint to the client.
-type passage struct {
-	request *clientRequest
-	result  *upstream.Result
-	turn    *kept         // nil: the answer is not one of a turn
-	buffer  []byte        // pieces that have come and are not written yet
-	events  uint64        // that have come
-	handed  uint64        // events in writes that were begun: the client may have any of them
-	first   time.Duration // from the send to the first piece; 0: none has come
-	begun   bool          // the head has been written
-	lost    bool          // a write failed: the client has left
+// note keeps the result that the client is told of if nothing else comes: what an earlier run may have done stands, whatever
+// a later one says.
+func (relay *relay) note(result *upstream.Result) {
+	if relay.last == nil || result.Verdict(false).Ran != upstream.No || relay.last.Verdict(false).Ran == upstream.No {
+		relay.last = result
+	}
 }
 
-// pass hands the pieces of an answer to the client as they come, and its end when the turn is kept.
-func (request *clientRequest) pass(result *upstream.Result, choice loadbalancer.Choice, turn *kept) {
-	p := passage{request: request, result: result, turn: turn}
-	stream := result.Stream
-	defer stream.Close()
-	stream.SetDeadline(request.until)
-	p.copyPieces(choice.Call)
-	stream.Close()
-	ended := outcome(result, time.Since(request.began))
-	ended.First = p.first
-	request.gateway.done(choice.Call, ended)
-	if stream.End() != upstream.Whole || p.lost {
-		p.cutShort()
-		return
+// runEnd sums up how a run ended.
+func (relay *relay) runEnd(result *upstream.Result, tries int) runEnd {
+	request := relay.request
+	verdict := result.Verdict(false)
+	whole := result.Stream != nil && result.Stream.End() == upstream.Whole
+	return runEnd{
+		whole:     whole,
+		gone:      relay.lost || !whole && (request.ctx.Err() != nil || verdict.Reply == upstream.Nothing),
+		retryable: verdict.Retry(request.repeatable()),
+		room:      request.sent < request.route.MaxAttempts && tries < maxTries && time.Until(request.until) > 0,
 	}
-	p.complete(choice.Instance)
 }
 
-// copyPieces hands pieces on until the stream or the client has ended. What is at hand goes out in one write.
-func (p *passage) copyPieces(call *loadbalancer.Call) {
-	stream := p.result.Stream
+// copyRun hands the pieces of one run to the client until the run or the client has ended. What is at hand goes out in one write.
+func (relay *relay) copyRun(result *upstream.Result, choice loadbalancer.Choice) {
+	request, stream := relay.request, result.Stream
+	defer stream.Close()
+	timing := newRunTiming(request, choice, relay.progress.mayResume())
+	stream.SetDeadline(timing.firstBy())
 	for {
 		piece, err := stream.Next()
 		if err != nil {
 			break
 		}
-		if p.first == 0 {
-			p.first = time.Since(p.request.began)
-			p.request.gateway.firstPiece(call)
+		if !relay.progress.take(piece.ID, piece.HasData) {
+			break // the run does not go on where the last one ended
 		}
-		p.events++
-		p.buffer = append(p.buffer, piece.Raw...)
-		if p.turn != nil && piece.HasData {
-			p.turn.output = append(append(p.turn.output, piece.Data...), '\n')
+		if timing.piece() {
+			request.gateway.firstPiece(choice.Call)
 		}
+		relay.add(piece)
 		if stream.AtHand() && !stream.Last() {
 			continue
 		}
-		p.flush()
-		if p.lost {
-			return
+		relay.flushFrom(result.Answer)
+		if relay.lost {
+			break
 		}
+		stream.SetDeadline(timing.nextBy())
+	}
+	if relay.unsent > 0 && stream.End() == upstream.Whole {
+		relay.flushFrom(result.Answer)
 	}
-	if len(p.buffer) > 0 && stream.End() == upstream.Whole {
-		p.flush()
+	stream.Close()
+	request.gateway.done(choice.Call, timing.outcome(result))
+}
+
+// add takes in a piece that follows on what has been taken.
+func (relay *relay) add(piece upstream.Piece) {
+	if relay.turn.transcript != nil && piece.HasData {
+		relay.turn.transcript.add(piece.Data)
+	}
+	if relay.skipTo != "" && piece.ID != "" && !upstream.Rises(relay.skipTo, piece.ID) {
+		return
+	}
+	relay.events++
+	relay.unsent++
+	relay.buffer = append(relay.buffer, piece.Raw...)
+}
+
+// flushFrom writes what has come, behind the head of the answer where no head has been written.
+func (relay *relay) flushFrom(head *upstream.Answer) {
+	if !relay.begun {
+		relay.begin(head)
 	}
+	relay.flush()
 }
 
-// flush writes what has come, behind the head where that has not been written.
-func (p *passage) flush() {
-	if !p.begun {
-		p.begin()
+// flush writes what has come.
+func (relay *relay) flush() {
+	if !relay.begun && len(relay.buffer) > 0 {
+		relay.begin(relay.last.Answer)
 	}
-	if !p.lost {
-		p.handed = p.events
-		p.lost = p.request.x.Write(p.buffer) != nil
+	if !relay.lost && len(relay.buffer) > 0 {
+		relay.handed = relay.events
+		relay.lost = relay.request.x.Write(relay.buffer) != nil
 	}
-	p.buffer = p.buffer[:0]
+	relay.buffer, relay.unsent = relay.buffer[:0], 0
 }
 
 // begin writes the head.
-func (p *passage) begin() {
-	p.begun = true
-	p.lost = p.request.x.Begin(p.result.Answer.Status, fields(p.result.Answer)) != nil
+func (relay *relay) begin(head *upstream.Answer) {
+	relay.begun = true
+	relay.lost = relay.request.x.Begin(head.Status, fields(head)) != nil
+}
+
+// noEndpoint answers where no endpoint is to be had for the next run.
+func (relay *relay) noEndpoint(choice loadbalancer.Choice) {
+	if relay.last == nil || relay.last.Verdict(false).Ran == upstream.No {
+		relay.turn.account.release(0)
+		relay.request.unsent(choice)
+		return
+	}
+	relay.cutShort()
 }
 
 // cutShort ends an answer that did not come whole, or that the client did not take. A turn is not kept: what the client
 // may have of it is charged.
-func (p *passage) cutShort() {
-	if p.turn != nil {
-		charged := p.events
-		if !p.lost {
-			charged = p.handed
-		}
-		p.request.release(p.turn.program, charged*p.request.perEvent)
+func (relay *relay) cutShort() {
+	charged := relay.events
+	if !relay.lost {
+		charged = relay.handed
 	}
-	if p.begun || p.lost {
-		p.request.x.Abort()
+	relay.turn.account.release(charged * relay.request.perEvent)
+	if relay.begun || relay.lost {
+		relay.request.x.Abort()
 		return
 	}
-	p.request.finish(p.result)
+	relay.request.finish(relay.last)
 }
 
-// complete ends an answer that the client has whole but for its end, which is written when the turn is durable.
-func (p *passage) complete(instance string) {
-	request := p.request
-	if !p.begun { // a stream without events
-		p.begin()
+// complete ends an answer that the client has whole but for its end. That of a kept turn is written when the turn is durable;
+// of another one that is charged, when the room it leaves in the budget is free, or a little later than it should be.
+func (relay *relay) complete(instance string) {
+	request, turn := relay.request, relay.turn
+	if !relay.begun { // a stream without events
+		relay.begin(relay.last.Answer)
 	}
-	if p.lost {
+	if relay.lost {
+		turn.account.release(relay.events * request.perEvent)
 		request.x.Abort()
 		return
 	}
-	tokens := p.events * request.perEvent
-	if p.turn != nil && !request.keepTurn(p.turn, instance, tokens) {
-		request.releaseLater(p.turn.program, tokens) // if it was kept all the same, that stands
+	tokens := relay.events * request.perEvent
+	if turn.transcript == nil {
+		turn.account.release(tokens)
+		request.x.End()
+		return
+	}
+	turn.transcript.instance = instance
+	if !request.keepTurn(turn.transcript, tokens) {
+		turn.account.releaseLater(tokens) // if it was kept all the same, that stands
 		request.x.Abort()
 		return
 	}
 	request.x.End()
 }
-
-// keepTurn makes a whole turn durable, and caches its text for the turn that follows. False: it is not known to be durable.
-func (request *clientRequest) keepTurn(turn *kept, instance string, tokens uint64) bool {
-	turn.instance = instance
-	if !request.keep(turn, tokens) {
-		return false
-	}
-	request.gateway.texts.keep(&text{attempt: request.attempt, line: turn.line, instance: instance, prompt: append(request.body, turn.output...)})
-	return true
-}
--- a/internal/tier/gateway/turn.go
+++ b/internal/tier/gateway/turn.go
@@ -2,66 +2,49 @@
 
 import (
 	"context"
-	"strconv"
 	"time"
 
 	tierv1 "dockshift.example/dockshift/proto/saffronyard/tier/v1"
 )
 
-// turn takes a turn through its turn store: what it goes on from and room in its budget before it is sent, its text after.
+// turn is what a streamed answer is charged to and kept as. The zero value is an answer that is neither.
+type turn struct {
+	account    *account    // nil: it is charged to no budget
+	transcript *transcript // nil: its text is not kept
+}
+
+// turn takes a request through its turn store before it is sent: for room in its program's budget and, where its text is
+// kept, for the text that it goes on from.
 func (request *clientRequest) turn() {
-	gateway, x := request.gateway, request.x
-	program := x.Header.Get("Program")
-	if program == "" {
-		program = request.attempt
-	}
-	begin := &tierv1.BeginRequest{Program: program, Attempt: request.attempt, Previous: x.Header.Get("Previous"), Most: request.maxTokens,
+	begin := &tierv1.BeginRequest{Program: request.programOf(), Attempt: request.attempt, Most: request.maxTokens,
 		RetentionMs: uint32(request.route.Retention.Milliseconds())}
 	if problem := request.readBudget(begin); problem != "" {
-		x.Respond(400, nil, []byte(problem))
+		request.x.Respond(400, nil, []byte(problem))
 		return
 	}
-	line := program + "/" + x.Header.Get("Session")
-	held := gateway.texts.nearest(begin.Previous, line)
-	if held != nil {
-		begin.Held = held.attempt
+	var written *transcript
+	var held *text
+	if request.route.Persisted {
+		written, held = request.continueFrom(begin)
 	}
-	// A turn store that is lost is replaced well within half of the contact window. What is not sure by then is refused at once,
-	// while its client has time for another try.
-	ctx, cancel := context.WithTimeout(request.ctx, min(time.Until(request.until)*2/5, gateway.config.Settings.ContactWindow/2))
-	begun := request.begin(ctx, begin)
-	cancel()
+	begun := request.beginInTime(begin)
 	if begun.verdict != tierv1.Verdict_OK {
-		request.refuseTurn(program, begun)
+		request.refuseTurn(begin.Program, begun)
 		return
 	}
-	if !begun.after {
-		held = nil
-	} else {
-		request.home = held.instance
-	}
-	if n := len(begun.chain); n > 0 {
-		request.home = begun.chain[n-1].Instance
+	if request.route.Persisted {
+		request.assemble(held, begun)
 	}
-	request.body = prompt(held, begun.chain, x.Body)
-	request.stream(&kept{program: program, line: line, previous: begin.Previous, retention: begin.RetentionMs})
+	request.stream(turn{account: &account{request: request, program: begin.Program}, transcript: written})
 }
 
-// readBudget reads the Budget of the turn's program, in tokens; where it cannot stand, it gives the problem.
-func (request *clientRequest) readBudget(begin *tierv1.BeginRequest) (problem string) {
-	header := request.x.Header.Get("Budget")
-	if header == "" {
-		return ""
-	}
-	budget, err := strconv.ParseUint(header, 10, 64)
-	if err != nil {
-		return "Budget is no number of tokens\n"
-	}
-	if request.maxTokens == 0 {
-		return "a Budget without the turn's most in X-Token-Usage\n"
-	}
-	begin.Limited, begin.Budget = true, budget
-	return ""
+// beginInTime asks the turn store for a turn. A turn store that is lost is replaced well within half of the contact window. What
+// is not sure by then is refused at once, while its client has time for another try.
+func (request *clientRequest) beginInTime(begin *tierv1.BeginRequest) beginning {
+	limit := min(time.Until(request.until)*2/5, request.gateway.config.Settings.ContactWindow/2)
+	ctx, cancel := context.WithTimeout(request.ctx, limit)
+	defer cancel()
+	return request.begin(ctx, begin)
 }
 
 // refuseTurn answers a turn that the turn store did not begin.
@@ -107,19 +90,3 @@
 		}
 	}
 }
-
-// kept is what becomes of a turn's answer.
-type kept struct {
-	program, line, previous string
-	retention               uint32
-	instance                string // that ran it
-	output                  []byte
-}
-
-// keep makes a whole turn durable.
-func (request *clientRequest) keep(t *kept, tokens uint64) bool {
-	ctx, cancel := context.WithDeadline(context.Background(), request.until)
-	defer cancel()
-	return request.gateway.stores.settle(ctx, &tierv1.SettleRequest{Program: t.program, Attempt: request.attempt, Kept: true, Tokens: tokens,
-		Turn: &tierv1.Turn{Attempt: request.attempt, Previous: t.previous, Program: t.program, Input: request.x.Body, Output: t.output, RetentionMs: t.retention, Instance: t.instance}})
-}
--- a/internal/tier/loadbalancer/done.go
+++ b/internal/tier/loadbalancer/done.go
@@ -64,10 +64,16 @@
 
 // learn updates the oracle: only served first attempts are samples (Karn's algorithm), and an expired time-out is doubled.
 func (balancer *Balancer) learn(now time.Duration, call *Call, outcome Outcome) {
+	if outcome.Kind == Served && outcome.Pause > 0 {
+		call.pauses.Sample(outcome.Pause, 1, false)
+		call.pauses.Fresh()
+	}
 	switch {
 	case outcome.Kind == Served && call.sampleWeight > 0:
 		call.oracle.Sample(max(0, outcome.First), call.sampleWeight, false)
 		call.oracle.Fresh()
+	case outcome.Kind == Stalled:
+		call.pauses.Expired(call.sent, now)
 	case outcome.Kind == TimedOut && call.unbounded && call.sampleWeight > 0:
 		call.oracle.Sample(0, call.sampleWeight, true)
 	case outcome.Kind == TimedOut && !call.unbounded:
--- a/internal/tier/loadbalancer/endpoint.go
+++ b/internal/tier/loadbalancer/endpoint.go
@@ -32,7 +32,7 @@
 )
 
 // failureWeights is how much each kind of failure counts towards an ejection.
-var failureWeights = map[Kind]float64{NotSent: 2, Broken: 1.5, TimedOut: 1.5, Failed: 1}
+var failureWeights = map[Kind]float64{NotSent: 2, Broken: 1.5, TimedOut: 1.5, Stalled: 1.5, Failed: 1}
 
 // endpoint is what a sender has observed of one instance.
 type endpoint struct {
--- a/internal/tier/loadbalancer/loadbalancer.go
+++ b/internal/tier/loadbalancer/loadbalancer.go
@@ -31,6 +31,7 @@
 	Route, Service string
 	Repeatable     bool          // it may be aborted and sent once more: idempotent, with attempts left
 	First          bool          // its first attempt
+	FirstTimeout   time.Duration // time-out while few samples are known, where it is below restart.FirstTimeout; 0: that
 	Left           time.Duration // until its deadline
 	Aim            time.Duration // target latency of its answer, 0 if not known
 	Priority       int           // 0 is the highest
@@ -65,6 +66,7 @@
 type Call struct {
 	endpoint     *endpoint
 	oracle       *restart.Oracle
+	pauses       *restart.Oracle // of its route's pauses
 	sent         time.Duration
 	sampleWeight float64 // of its latency sample, 0 if it gives none
 	unbounded    bool    // its time-out is its deadline
@@ -85,12 +87,14 @@
 	Abandoned      // the client left
 	NotSent        // no connection was made, or it ended before the first byte
 	Gone           // the endpoint is gone for good
+	Stalled        // it was aborted after a silence between two pieces
 )
 
 // Outcome is the end of a call.
 type Outcome struct {
 	Kind        Kind
 	First       time.Duration // latency of a served one: to the first piece of a stream, or to the whole answer
+	Pause       time.Duration // longest silence between two pieces of a served stream; 0 where it had fewer
 	Load        *Load         // reported with the answer; nil if there was none
 	Misdirected bool          // 421: another endpoint has that address
 }
@@ -109,12 +113,13 @@
 	endpoints   map[string]*endpoint
 	services    map[string]*service
 	routes      map[string]*restart.Oracle
+	pauses      map[string]*restart.Oracle // by route: of the longest silence between two pieces of a stream
 }
 
 // New makes the load balancer of a sender in a zone.
 func New(zone string) *Balancer {
 	return &Balancer{zone: zone, randomState: hash(zone), endpoints: map[string]*endpoint{}, services: map[string]*service{},
-		routes: map[string]*restart.Oracle{}}
+		routes: map[string]*restart.Oracle{}, pauses: map[string]*restart.Oracle{}}
 }
 
 // SetEndpoints replaces the list of endpoints. What has been observed of an instance is kept with it. One that is no longer
@@ -167,6 +172,7 @@
 	for name := range balancer.routes {
 		if !keep(name) {
 			delete(balancer.routes, name)
+			delete(balancer.pauses, name)
 		}
 	}
 }
@@ -183,14 +189,36 @@
 
 // oracle returns the latency estimate of a route, made where it is new.
 func (balancer *Balancer) oracle(route string) *restart.Oracle {
-	oracle := balancer.routes[route]
+	return oracleOf(balancer.routes, route)
+}
+
+// oracleOf returns the estimate of a route, made where it is new.
+func oracleOf(oracles map[string]*restart.Oracle, route string) *restart.Oracle {
+	oracle := oracles[route]
 	if oracle == nil {
 		oracle = &restart.Oracle{}
-		balancer.routes[route] = oracle
+		oracles[route] = oracle
 	}
 	return oracle
 }
 
+// PauseTimeout is the silence between two pieces of a route's stream after which it is better to have another endpoint go on:
+// the optimum of the same estimate over pauses. first is the time-out while few are known.
+func (balancer *Balancer) PauseTimeout(route string, first time.Duration) time.Duration {
+	return timeoutOf(oracleOf(balancer.pauses, route), first)
+}
+
+// timeoutOf is the time-out of an estimate. While it has few samples it is in proportion to first instead of
+// restart.FirstTimeout, and at least twice the mean of those.
+func timeoutOf(oracle *restart.Oracle, first time.Duration) time.Duration {
+	timeout := oracle.Timeout()
+	if oracle.Seen >= restart.FewSamples || first <= 0 || first >= restart.FirstTimeout {
+		return timeout
+	}
+	scaled := time.Duration(float64(timeout) * float64(first) / float64(restart.FirstTimeout))
+	return max(scaled, min(timeout, time.Duration(2*oracle.Mean*float64(time.Second))))
+}
+
 // draw returns the next random number below n (splitmix64).
 func (balancer *Balancer) draw(n uint64) uint64 {
 	balancer.randomState += 0x9e3779b97f4a7c15
--- a/internal/tier/loadbalancer/pick.go
+++ b/internal/tier/loadbalancer/pick.go
@@ -49,12 +49,12 @@
 
 // startCall counts an attempt as under way. Its time-out is the oracle's where it may be restarted then, else the time left.
 func (balancer *Balancer) startCall(now time.Duration, service *service, endpoint *endpoint, ask *Ask, oracle *restart.Oracle) Choice {
-	call := &Call{endpoint: endpoint, oracle: oracle, service: service, sent: now, unbounded: true, probe: endpoint.ejected}
+	call := &Call{endpoint: endpoint, oracle: oracle, pauses: oracleOf(balancer.pauses, ask.Route), service: service, sent: now, unbounded: true, probe: endpoint.ejected}
 	choice := Choice{Instance: endpoint.Instance, Address: endpoint.Address, Timeout: ask.Left, Call: call}
 	if ask.First {
 		call.sampleWeight = 1
 	}
-	timeout := oracle.Timeout()
+	timeout := timeoutOf(oracle, ask.FirstTimeout)
 	if call.probe {
 		timeout = patience(oracle) // a doubled time-out would leave an outage undetected
 		endpoint.probes++
--- a/internal/tier/turnstore/serve.go
+++ b/internal/tier/turnstore/serve.go
@@ -57,7 +57,8 @@
 	}
 	d.verdict = tierv1.Verdict_OK
 	d.facts = append(d.facts, &tierv1.Fact{Partition: p.id, Program: req.Program, Attempt: req.Attempt,
-		Of: &tierv1.Fact_Reserved{Reserved: &tierv1.Reservation{Limited: req.Limited, Budget: req.Budget, Most: req.Most}}})
+		Of: &tierv1.Fact_Reserved{Reserved: &tierv1.Reservation{Limited: req.Limited, Budget: req.Budget, Most: req.Most,
+			RetentionMs: req.RetentionMs}}})
 	return d
 }
 
--- a/internal/tier/turnstore/store.go
+++ b/internal/tier/turnstore/store.go
@@ -48,6 +48,7 @@
 	program           *program // nil for a turn that is only adopted
 	turn              *tierv1.Turn
 	budget, maxTokens uint64
+	retentionMs       uint32 // of the route by which the turn came
 	tokens            uint64
 	knownSince        time.Time // when its turn came to be known here, in this life
 	lastUsed          time.Time // when its turn was gone on from, or sent here again, last
@@ -107,6 +108,8 @@
 		e = s.entry(p, f, true, now)
 		before := e.charge()
 		e.reserved, e.limited, e.budget, e.maxTokens = true, of.Reserved.Limited, of.Reserved.Budget, of.Reserved.Most
+		e.retentionMs = of.Reserved.RetentionMs
+		s.longest = max(s.longest, time.Duration(e.retentionMs)*time.Millisecond)
 		e.program.charged += e.charge() - before
 	case *tierv1.Fact_Settled:
 		if of.Settled == nil {
@@ -174,7 +177,8 @@
 	list := make([]*tierv1.Fact, 0, 2)
 	if e.reserved {
 		list = append(list, &tierv1.Fact{Partition: p.id, Program: e.program.name, Attempt: e.attempt,
-			Of: &tierv1.Fact_Reserved{Reserved: &tierv1.Reservation{Limited: e.limited, Budget: e.budget, Most: e.maxTokens}}})
+			Of: &tierv1.Fact_Reserved{Reserved: &tierv1.Reservation{Limited: e.limited, Budget: e.budget, Most: e.maxTokens,
+				RetentionMs: e.retentionMs}}})
 	}
 	if e.settled {
 		list = append(list, &tierv1.Fact{Partition: p.id, Program: e.program.name, Attempt: e.attempt,
--- a/internal/tier/turnstore/store_test.go
+++ b/internal/tier/turnstore/store_test.go
@@ -87,3 +87,25 @@
 	s.add(settled("a", "", 10, false), now)
 	assert.Assert(t, p.room("p", 100, 90, 0))
 }
+
+// A program whose turns are not kept may come again for as long as its route keeps turns: its charges are held that long, also
+// after a restart.
+func TestChargesOutliveTheRetentionOfTheRoute(t *testing.T) {
+	const retention = 10 * time.Minute
+	reserved := &tierv1.Fact{Program: "p", Attempt: "a", Of: &tierv1.Fact_Reserved{
+		Reserved: &tierv1.Reservation{Limited: true, Budget: 100, Most: 60, RetentionMs: uint32(retention.Milliseconds())}}}
+	first, now := newStore(), time.Now()
+	first.add(reserved, now)
+	again := newStore()
+	for _, fact := range first.partition(0).facts(first.partition(0).entries["a"]) {
+		again.add(fact, now)
+	}
+	for _, s := range []*store{first, again} {
+		p := s.partition(0)
+		s.sweep(p, 30*time.Second, 120*time.Second, now.Add(retention+119*time.Second))
+		assert.Assert(t, !p.room("p", 100, 41, 0))
+		s.sweep(p, 30*time.Second, 120*time.Second, now.Add(retention+121*time.Second))
+		assert.Assert(t, p.room("p", 100, 100, 0))
+		assert.Equal(t, len(p.entries), 0)
+	}
+}
--- a/internal/tier/upstream/events.go
+++ b/internal/tier/upstream/events.go
@@ -40,7 +40,7 @@
 		events.seen = 0
 		p = events.parse(raw)
 		if p.ID != "" {
-			if events.last != "" && !rises(events.last, p.ID) {
+			if events.last != "" && !Rises(events.last, p.ID) {
 				return p, true, false
 			}
 			events.last = p.ID
@@ -89,8 +89,8 @@
 	return p
 }
 
-// rises reports whether an id comes after another: by number where both are numbers, else it is only another one.
-func rises(last, id string) bool {
+// Rises reports whether an id comes after another: by number where both are numbers, else it is only another one.
+func Rises(last, id string) bool {
 	a, ok := digits(last, 1<<53)
 	b, too := digits(id, 1<<53)
 	if ok && too {
