Load balancer: what a gateway draws at random differs from gateway to gateway

Cause: the random state came from the zone, so all gateways of a zone drew the same numbers: the first call that could be restarted was a sample to its deadline in all of them, and clients that were refused together were told the same times to come back. Change: it comes from the node's name.

--- a/internal/tier/capacity/gateway_test.go
+++ b/internal/tier/capacity/gateway_test.go
@@ -56,7 +56,7 @@
 func BenchmarkBalancerPick(b *testing.B) {
 	for _, n := range []struct{ endpoints, services int }{{17, 1}, {65, 1}, {endpoints, models}, {endpoints, 1}} {
 		b.Run(fmt.Sprintf("endpoints=%d,services=%d", n.endpoints, n.services), func(b *testing.B) {
-			x := loadbalancer.New("zone-00")
+			x := loadbalancer.New("zone-00", "edge-1")
 			var list []loadbalancer.Endpoint
 			for i, e := range endpointList(n.endpoints, 0).List {
 				list = append(list, loadbalancer.Endpoint{Instance: e.Instance, Service: fmt.Sprintf("service-%02d", i%n.services), Address: e.Address,
@@ -87,7 +87,7 @@
 
 // BenchmarkBalancerSet measures how the load balancer takes in a pushed list.
 func BenchmarkBalancerSet(b *testing.B) {
-	x := loadbalancer.New("zone-00")
+	x := loadbalancer.New("zone-00", "edge-1")
 	var list []loadbalancer.Endpoint
 	for _, e := range endpointList(endpoints, 0).List {
 		list = append(list, loadbalancer.Endpoint{Instance: e.Instance, Service: e.Service, Address: e.Address, Zone: e.Zone, Capacity: 96})
--- a/internal/tier/gateway/gateway.go
+++ b/internal/tier/gateway/gateway.go
@@ -61,7 +61,7 @@
 
 // New makes a gateway that Run starts.
 func New(c Config) *Gateway {
-	gateway := &Gateway{config: c, log: c.Log, started: time.Now(), loadbalancer: loadbalancer.New(c.Settings.Zone),
+	gateway := &Gateway{config: c, log: c.Log, started: time.Now(), loadbalancer: loadbalancer.New(c.Settings.Zone, c.Settings.Node),
 		freed: make(chan struct{}), releasing: map[string]map[chan struct{}]bool{}, lateReleases: make(chan struct{}, maxLateReleases)}
 	gateway.life, gateway.end = context.WithCancel(context.Background())
 	gateway.stores = newStoreClient(c.Settings, c.TurnStore, c.Log)
--- a/internal/tier/loadbalancer/loadbalancer.go
+++ b/internal/tier/loadbalancer/loadbalancer.go
@@ -116,9 +116,9 @@
 	pauses      map[string]*restart.Oracle // by route: of the longest silence between two pieces of a stream
 }
 
-// New makes the load balancer of a sender in a zone.
-func New(zone string) *Balancer {
-	return &Balancer{zone: zone, randomState: hash(zone), endpoints: map[string]*endpoint{}, services: map[string]*service{},
+// New makes the load balancer of a sender in a zone. What it draws at random differs from sender to sender, by their names.
+func New(zone, sender string) *Balancer {
+	return &Balancer{zone: zone, randomState: hash(sender), endpoints: map[string]*endpoint{}, services: map[string]*service{},
 		routes: map[string]*restart.Oracle{}, pauses: map[string]*restart.Oracle{}}
 }
 
--- a/internal/tier/loadbalancer/rig_test.go
+++ b/internal/tier/loadbalancer/rig_test.go
@@ -20,7 +20,7 @@
 
 // newRig lists so many endpoints of service s in each of the zones a to d; the sender is in a.
 func newRig(t *testing.T, each, capacity int) *rig {
-	r := &rig{T: t, balancer: New("a"), now: time.Hour}
+	r := &rig{T: t, balancer: New("a", "sender"), now: time.Hour}
 	for i := range 4 * each {
 		r.list = append(r.list, Endpoint{Instance: fmt.Sprintf("i%d", i), Service: "s", Address: fmt.Sprintf("10.0.0.%d:80", i),
 			Zone: string(rune('a' + i%4)), Capacity: capacity})
