Resumable streams: another endpoint goes on where a run broke off or fell silent

Cause: resumable was read and used nowhere: an endpoint that was killed, hung or lost an answer cost its stream, though the route allows another run with Last-Event-Id. Each seam is checked.

--- /dev/null
+++ b/internal/tier/gateway/progress_test.go
@@ -0,0 +1,129 @@
+package gateway
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestWhatFollowsARun goes through each way in which a run can end, at each stage of an answer.
+func TestWhatFollowsARun(t *testing.T) {
+	type stage struct {
+		name      string
+		resumable bool
+		taken     func(*progress)
+	}
+	nothing := func(*progress) {}
+	numbered := func(p *progress) { p.take("1", true); p.take("2", true) }
+	unnumbered := func(p *progress) { p.take("1", true); p.take("", true) }
+	commented := func(p *progress) { p.take("1", true); p.take("", false) }
+	for _, c := range []struct {
+		stage   stage
+		partial nextStep // where the run broke off, may be repeated, and there is room
+	}{
+		{stage{"resumable, nothing taken", true, nothing}, sendAgain},
+		{stage{"resumable, two events taken", true, numbered}, resume},
+		{stage{"resumable, an event without an id taken", true, unnumbered}, giveUp},
+		{stage{"resumable, a comment taken", true, commented}, resume},
+		{stage{"not resumable, nothing taken", false, nothing}, sendAgain},
+		{stage{"not resumable, two events taken", false, numbered}, giveUp},
+	} {
+		for bits := range 16 {
+			end := runEnd{whole: bits&1 > 0, gone: bits&2 > 0, retryable: bits&4 > 0, room: bits&8 > 0}
+			p := newProgress(c.stage.resumable, "")
+			p.begin()
+			c.stage.taken(&p)
+			want := giveUp
+			switch {
+			case end.whole && !end.gone:
+				want = finished
+			case !end.whole && !end.gone && end.retryable && end.room:
+				want = c.partial
+			}
+			if end.whole && end.gone {
+				want = giveUp
+			}
+			assert.Equal(t, p.next(end), want, "%s: %+v", c.stage.name, end)
+		}
+	}
+}
+
+// At a seam no event may be missing; within a run ids only rise, which the stream itself checks.
+func TestASeamLeavesNoGap(t *testing.T) {
+	for _, c := range []struct {
+		before []string
+		next   string
+		passes bool
+	}{
+		{nil, "1", true},
+		{nil, "7", true},
+		{[]string{"1", "2"}, "3", true},
+		{[]string{"1", "2"}, "4", false},
+		{[]string{"1", "2"}, "", false},
+		{[]string{"10", "20"}, "30", true}, // ids go by steps that are not known
+		{[]string{"a", "b"}, "c", true},
+		{[]string{"1", "2"}, "c", false},
+	} {
+		p := newProgress(true, "")
+		p.begin()
+		for _, id := range c.before {
+			assert.Assert(t, p.take(id, true))
+		}
+		p.begin()
+		assert.Equal(t, p.take(c.next, true), c.passes, "%v then %q", c.before, c.next)
+	}
+}
+
+// A client that comes back with the id of the last event that it has is served from the next one on.
+func TestAClientThatComesBack(t *testing.T) {
+	p := newProgress(true, "4")
+	p.begin()
+	assert.Assert(t, p.take("5", true))
+	assert.Equal(t, p.last, "5")
+	p.begin()
+	assert.Assert(t, !p.take("7", true))
+}
+
+// FuzzRuns plays runs that are cut, doubled, reordered and emptied, and holds what was taken against the answer.
+func FuzzRuns(f *testing.F) {
+	f.Add(uint64(1), uint8(5))
+	f.Add(uint64(99), uint8(20))
+	f.Fuzz(func(t *testing.T, seed uint64, events uint8) {
+		random := rand.New(rand.NewPCG(seed, 0))
+		total := 1 + int(events)%24
+		p := newProgress(true, "")
+		var got []string
+		for range 6 {
+			p.begin()
+			from := len(got) + 1
+			switch random.IntN(6) {
+			case 0: // begins too early, as one that does not know where it should
+				from = 1
+			case 1: // leaves something out
+				from += 1 + random.IntN(3)
+			}
+			until := min(total, from+random.IntN(6))
+			for id := from; id <= until; id++ {
+				last, _ := strconv.Atoi(p.last)
+				if id <= last { // the stream ends as malformed where ids do not rise
+					break
+				}
+				if !p.take(strconv.Itoa(id), true) {
+					break
+				}
+				got = append(got, strconv.Itoa(id))
+			}
+		}
+		var want []string
+		for i := range got {
+			want = append(want, strconv.Itoa(i+1))
+		}
+		if len(got) > 0 && got[0] == "1" { // a first run that begins elsewhere is the endpoint's own matter
+			assert.Equal(t, strings.Join(got, " "), strings.Join(want, " "), fmt.Sprint("seed ", seed))
+		}
+	})
+}
--- a/internal/tier/gateway/request.go
+++ b/internal/tier/gateway/request.go
@@ -38,8 +38,10 @@
 	ctx context.Context // ends when the client has left, or with the handler
 }
 
-// repeatable reports whether the request may run more than once.
-func (request *clientRequest) repeatable() bool { return request.route.Kind == routing.Idempotent }
+// repeatable reports whether the request may run more than once: its route is idempotent, or its stream may be resumed.
+func (request *clientRequest) repeatable() bool {
+	return request.route.Kind == routing.Idempotent || request.route.Kind == routing.Streaming && request.route.Resumable
+}
 
 // readDeadline sets until when the request is answered or aborted: the route's time-out after its arrival, or what
 // X-Deadline-Ms leaves of it. It is false where that header is not a number of milliseconds, 0 or above.
--- /dev/null
+++ b/internal/tier/gateway/resume_test.go
@@ -0,0 +1,204 @@
+package gateway_test
+
+import (
+	"fmt"
+	"io"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"dockshift.example/dockshift/internal/tier/tiertest"
+)
+
+// resumed answers with the events of a stream of five that follow Last-Event-Id.
+func resumed(a *tiertest.Arrival) {
+	a.Head()
+	after := 0
+	fmt.Sscan(a.Header.Get("Last-Event-Id"), &after)
+	for id := after + 1; id <= 5; id++ {
+		a.Event(id, fmt.Sprint("event ", id))
+	}
+	a.End()
+}
+
+// five is the whole answer of resumed.
+func five() string { return events("event 1", "event 2", "event 3", "event 4", "event 5") }
+
+// firstRun has whichever endpoint is asked first do as told, and the other one answer as resumed.
+func firstRun(t *testing.T, first func(*tiertest.Arrival)) (a, b *tiertest.Endpoint) {
+	a, b = two(t, first)
+	for _, e := range [][2]*tiertest.Endpoint{{a, b}, {b, a}} {
+		own, other := e[0], e[1]
+		own.SetScript(func(x *tiertest.Arrival) {
+			if len(other.Arrivals()) == 0 && x.Order == 0 {
+				first(x)
+				return
+			}
+			resumed(x)
+		})
+	}
+	return a, b
+}
+
+// begins writes the first n events of the stream.
+func begins(a *tiertest.Arrival, n int) {
+	a.Head()
+	for id := 1; id <= n; id++ {
+		a.Event(id, fmt.Sprint("event ", id))
+	}
+}
+
+// ways are those in which a run can end before its answer has.
+func ways() map[string]func(*tiertest.Arrival) {
+	return map[string]func(*tiertest.Arrival){
+		"reset":          (*tiertest.Arrival).Reset,
+		"close":          (*tiertest.Arrival).Close,
+		"in an event":    func(a *tiertest.Arrival) { a.Say("14\r\nid: 9\ndata: ha"); a.Close() },
+		"half an event":  func(a *tiertest.Arrival) { a.Say("4\r\nid: \r\n"); a.End() },
+		"spoilt framing": func(a *tiertest.Arrival) { a.Say("no chunk\r\n"); a.Gone() },
+		"silence":        (*tiertest.Arrival).Gone,
+	}
+}
+
+// An answer goes on at another endpoint after whatever event the first one broke off, with the head of the first.
+func TestAResumableStreamGoesOnElsewhere(t *testing.T) {
+	for name, breaks := range ways() {
+		for taken := range 6 {
+			t.Run(fmt.Sprint(name, " after ", taken), func(t *testing.T) {
+				t.Parallel()
+				a, b := firstRun(t, func(x *tiertest.Arrival) { begins(x, taken); breaks(x) })
+				r := start(t, a, b)
+				whole(t, r.post("/resumable/x", "a-1", "", "b"), 200, five())
+				assert.Equal(t, len(a.Arrivals()), 1)
+				assert.Equal(t, len(b.Arrivals()), 1)
+				for _, e := range []*tiertest.Endpoint{a, b} {
+					assert.Equal(t, e.Arrivals()[0].Text, "b")
+					assert.Equal(t, e.Arrivals()[0].ID, "a-1")
+				}
+			})
+		}
+	}
+}
+
+// The second endpoint is told where to go on, and no more runs follow than the route allows.
+func TestOnlyTheLastEventIsNamed(t *testing.T) {
+	cut := func(x *tiertest.Arrival) {
+		after := 0
+		fmt.Sscan(x.Header.Get("Last-Event-Id"), &after)
+		x.Head()
+		x.Event(after+1, fmt.Sprint("event ", after+1))
+		x.Reset()
+	}
+	a, b, c := tiertest.NewEndpoint(t, "i-a", "s", cut), tiertest.NewEndpoint(t, "i-b", "s", cut), tiertest.NewEndpoint(t, "i-c", "s", cut)
+	r := start(t, a, b, c)
+	client := tiertest.Connect(t, r.ingress)
+	client.Send(tiertest.Post("/resumable/x", "a-1", "", "b"))
+	head := client.Head()
+	assert.Equal(t, client.Event(head.Body), tiertest.EventText(1, "event 1"))
+	assert.Equal(t, client.Event(head.Body), tiertest.EventText(2, "event 2"))
+	_, err := io.ReadAll(head.Body)
+	assert.Assert(t, err != nil, "looks complete")
+	var named []string
+	for _, e := range []*tiertest.Endpoint{a, b, c} {
+		for _, arrival := range e.Arrivals() {
+			named = append(named, arrival.Header.Get("Last-Event-Id"))
+		}
+	}
+	assert.Equal(t, len(named), 2, "max_attempts is 2")
+	assert.Assert(t, named[0] != named[1] && named[0]+named[1] == "1", "%q", named)
+}
+
+// A second run that does not go on where the first one ended is no part of the answer.
+func TestASeamThatDoesNotFitIsBrokenOff(t *testing.T) {
+	for name, second := range map[string]func(*tiertest.Arrival){
+		"from the beginning": func(x *tiertest.Arrival) { begins(x, 5); x.End() },
+		"with a gap":         func(x *tiertest.Arrival) { x.Head(); x.Event(4, "event 4"); x.End() },
+		"without ids":        func(x *tiertest.Arrival) { x.Head(); x.Say("b\r\ndata: none\n\r\n"); x.Say("1\r\n\n\r\n"); x.End() },
+		"refused":            func(x *tiertest.Arrival) { x.Bare(503, "X-Not-Executed: full\r\n") },
+		"failed":             func(x *tiertest.Arrival) { x.Answer(500, "", "no") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			run := func(x *tiertest.Arrival) {
+				if x.Header.Get("Last-Event-Id") != "" {
+					second(x)
+					return
+				}
+				begins(x, 2)
+				x.Reset()
+			}
+			r := start(t, tiertest.NewEndpoint(t, "i-a", "s", run), tiertest.NewEndpoint(t, "i-b", "s", run))
+			client := tiertest.Connect(t, r.ingress)
+			client.Send(tiertest.Post("/resumable/x", "a-1", "", "b"))
+			head := client.Head()
+			rest, err := io.ReadAll(head.Body)
+			assert.Assert(t, err != nil, "looks complete: %q", rest)
+			assert.Equal(t, string(rest), events("event 1", "event 2"))
+		})
+	}
+}
+
+// What the client is handed is charged once, over all runs.
+func TestResumedRunsAreChargedForWhatWasHanded(t *testing.T) {
+	a, b := firstRun(t, func(x *tiertest.Arrival) { begins(x, 3); x.Reset() })
+	r := start(t, a, b)
+	ends := settled(r.turnStores.List[0])
+	whole(t, r.do(budgeted("/resumable/x", "t-1", 9, 9)), 200, five())
+	assert.Equal(t, tiertest.Closed(t, "the reservation ends", ends).Tokens, uint64(5))
+	assert.Equal(t, r.do(budgeted("/resumable/x", "t-2", 9, 5)).Status, 402)
+	assert.Equal(t, r.do(budgeted("/resumable/x", "t-3", 9, 4)).Status, 200)
+}
+
+// The text of a kept turn is what its client was handed, from whichever runs.
+func TestTheTextOfAResumedTurn(t *testing.T) {
+	a, b := firstRun(t, func(x *tiertest.Arrival) { begins(x, 3); x.Reset() })
+	r := start(t, a, b)
+	post := func(id, fields, body string) tiertest.Reply {
+		return r.post("/kept/x", id, "Program: p\r\n"+fields, body)
+	}
+	whole(t, post("t-1", "", "in 1;"), 200, five())
+	whole(t, post("t-2", "Previous: t-1\r\n", "in 2;"), 200, five())
+	want := "in 1;event 1\nevent 2\nevent 3\nevent 4\nevent 5\nin 2;"
+	var texts []string
+	for _, e := range []*tiertest.Endpoint{a, b} {
+		for _, arrival := range e.Arrivals() {
+			texts = append(texts, arrival.Text)
+		}
+	}
+	assert.Equal(t, len(texts), 3)
+	assert.Assert(t, texts[0] == want || texts[1] == want || texts[2] == want, "%q", texts)
+}
+
+// A client that comes back with the last event it has gets what follows. Where the text is kept, the run that makes it is a whole one.
+func TestAClientComesBackForTheRest(t *testing.T) {
+	rest := five()[len(events("event 1", "event 2")):]
+	for target, passed := range map[string]string{"/resumable/x": "2", "/kept/x": ""} {
+		e := tiertest.NewEndpoint(t, "i-1", "s", resumed)
+		r := start(t, e)
+		got := r.post(target, "a-1", "Program: p\r\nLast-Event-Id: 2\r\n", "in;")
+		whole(t, got, 200, rest)
+		assert.Equal(t, e.Arrivals()[0].Header.Get("Last-Event-Id"), passed)
+		if target == "/kept/x" {
+			whole(t, r.post(target, "a-2", "Program: p\r\nPrevious: a-1\r\n", "more"), 200, five())
+			assert.Equal(t, e.Arrivals()[1].Text, "in;event 1\nevent 2\nevent 3\nevent 4\nevent 5\nmore")
+		}
+	}
+}
+
+// No run follows for a client that has left.
+func TestNoRunFollowsAClientThatLeft(t *testing.T) {
+	gone := make(chan struct{})
+	a, b := firstRun(t, func(x *tiertest.Arrival) { begins(x, 1); x.Gone(); close(gone) })
+	r := start(t, a, b)
+	c := tiertest.Connect(t, r.ingress)
+	c.Send(tiertest.Post("/resumable/x", "a-1", "X-Deadline-Ms: 400\r\n", "b"))
+	head := c.Head()
+	c.Event(head.Body)
+	c.Conn.Close()
+	tiertest.Closed(t, "the endpoint's connection ends", gone)
+	whole(t, r.post("/plain/x", "a-2", "", "b"), 200, five()) // and nothing of a-1 comes in between
+	for _, e := range []*tiertest.Endpoint{a, b} {
+		for _, arrival := range e.Arrivals() {
+			assert.Assert(t, arrival.ID == "a-2" || arrival.Header.Get("Last-Event-Id") == "")
+		}
+	}
+}
--- a/internal/tier/gateway/stream.go
+++ b/internal/tier/gateway/stream.go
@@ -29,7 +29,7 @@
 // stream sends a request whose answer is passed on event by event.
 func (request *clientRequest) stream(turn turn) {
 	after := request.x.Header.Get(lastEventID)
-	relay := &relay{request: request, turn: turn, progress: newProgress(false, after)}
+	relay := &relay{request: request, turn: turn, progress: newProgress(request.route.Resumable, after)}
 	if turn.transcript != nil && after != "" {
 		// The text of a kept turn is that of the run that ends whole: it runs from its beginning, and the client gets the rest.
 		relay.skipTo, relay.progress.last, request.dropAfter = after, "", true
