--- a/internal/tier/loadbalancer/done.go
+++ b/internal/tier/loadbalancer/done.go
@@ -29,7 +29,7 @@
 	if outcome.Load != nil {
 		endpoint.updateLoad(now, *outcome.Load, outcome.Kind == Refused)
 	}
-	silent := outcome.Kind == Abandoned && now-max(call.sent, endpoint.observedAt) > patience(call.oracle)
+	silent := outcome.Kind == Abandoned && now-max(call.sent, endpoint.observedAt) > call.patience()
 	endpoint.calls--
 	endpoint.removeUnanswered(call)
 	if call.probe {
@@ -118,8 +118,8 @@
 func (balancer *Balancer) Suspects(now time.Duration) []Endpoint {
 	var suspects []Endpoint
 	for _, service := range balancer.services {
+		service.detectSilence(now)
 		for _, endpoint := range service.endpoints {
-			endpoint.detectSilence(now)
 			if endpoint.ejected && !endpoint.misdirected && endpoint.probes == 0 && now >= endpoint.nextProbe {
 				endpoint.ownerProbing = true
 				endpoint.probes++
--- a/internal/tier/loadbalancer/endpoint.go
+++ b/internal/tier/loadbalancer/endpoint.go
@@ -20,8 +20,6 @@
 	coldPenalty      = 2.0              // cost factor of an endpoint that has just started
 	maxLatencyRatio  = 4.0              // bound of the cost factor of a slow endpoint
 	ejectThreshold   = 4.0              // weight of consecutive failures that ejects an endpoint
-	silentCallCount  = 2                // unanswered calls that make an endpoint silent, or
-	silentFactor     = 4                // one call that is unanswered for so many times the patience
 
 	minPatience            = 300 * time.Millisecond // a lost SYN is retransmitted within about so long
 	minProbePause          = 250 * time.Millisecond // from an ejection to the first probe; doubles with each failed one
@@ -175,22 +173,47 @@
 	}
 }
 
-// patience is how long a call of a route may be unanswered before its endpoint counts as silent.
-func patience(oracle *restart.Oracle) time.Duration {
-	return max(minPatience, min(oracle.Optimum(), restart.FirstTimeout))
+// patience is how long a call may be unanswered before its endpoint counts as silent: the time-out of its route before any doubling,
+// whether or not the call itself may be restarted.
+func (call *Call) patience() time.Duration { return patience(call.oracle, call.firstTimeout) }
+
+// patience is the same for a route whose time-out is first while few samples are known.
+func patience(oracle *restart.Oracle, first time.Duration) time.Duration {
+	return max(minPatience, min(undoubled(oracle, first), restart.FirstTimeout))
+}
+
+// detectSilence ejects the endpoints that are silent, as long as that leaves half of them: where most do not answer in time, they are
+// overloaded or the sender's own links are at fault, and to be without them would make it worse.
+func (service *service) detectSilence(now time.Duration) {
+	ejected := 0
+	for _, endpoint := range service.endpoints {
+		if endpoint.ejected {
+			ejected++
+		}
+	}
+	for _, endpoint := range service.endpoints {
+		if 2*(ejected+1) > len(service.endpoints) {
+			return
+		}
+		if endpoint.detectSilence(now) {
+			ejected++
+		}
+	}
 }
 
 // detectSilence ejects the endpoint if it is silent: nothing has come from it since the oldest unanswered call was sent,
-// for longer than the patience.
-func (endpoint *endpoint) detectSilence(now time.Duration) {
+// for longer than the patience. One call is enough: a sender of many has few calls at any one endpoint, other endpoints are at hand,
+// and the first piece of an answer restores it.
+func (endpoint *endpoint) detectSilence(now time.Duration) (ejected bool) {
 	if endpoint.ejected || len(endpoint.unanswered) == 0 {
-		return
+		return false
 	}
 	oldest := endpoint.unanswered[0]
-	quiet, limit := now-max(oldest.sent, endpoint.observedAt), patience(oldest.oracle)
-	if quiet > limit && len(endpoint.unanswered) >= silentCallCount || quiet > silentFactor*limit {
-		endpoint.eject(now)
+	if now-max(oldest.sent, endpoint.observedAt) <= oldest.patience() {
+		return false
 	}
+	endpoint.eject(now)
+	return true
 }
 
 // eject takes the endpoint out of the choice until a probe is served. If it is out already, the next probe waits longer.
--- a/internal/tier/loadbalancer/health_test.go
+++ b/internal/tier/loadbalancer/health_test.go
@@ -144,3 +144,52 @@
 	a.Tokens = 1000
 	r.send(a)
 }
+
+// A sender that is one of many has one call at an endpoint at most: that it goes unanswered is enough.
+func TestOneSilentCall(t *testing.T) {
+	r := newRig(t, 1, 96)
+	r.serve(40, session(1), 20*ms)
+	only := r.send(session(1))
+	assert.Equal(t, only.Instance, "i0")
+	r.now += minPatience
+	assert.Equal(t, r.send(session(2)).Instance, "i0")
+	r.now += ms
+	assert.Assert(t, r.send(session(2)).Instance != "i0")
+}
+
+// Before a route's latencies are known a silence is told by what the clients of its streams bear.
+func TestSilenceBeforeAnythingIsKnown(t *testing.T) {
+	for _, first := range []time.Duration{0, time.Second} {
+		r := newRig(t, 1, 96)
+		a := session(1)
+		a.FirstTimeout = first
+		silent := r.send(a)
+		r.now += time.Second + ms
+		again := r.send(a)
+		assert.Equal(t, again.Instance != silent.Instance, first > 0)
+	}
+}
+
+// Silence ejects no more than half of the endpoints of a service.
+func TestSilenceLeavesHalf(t *testing.T) {
+	r := newRig(t, 1, 96)
+	for _, instance := range []string{"i0", "i1", "i2", "i3"} {
+		for range 40 {
+			a := session(1)
+			a.Home = instance
+			r.balancer.Done(r.now, r.send(a).Call, Outcome{Kind: Served, First: 20 * ms})
+		}
+		a := session(1)
+		a.Home = instance
+		r.send(a)
+	}
+	r.now += time.Minute
+	r.send(session(2))
+	ejected := 0
+	for _, endpoint := range r.balancer.endpoints {
+		if endpoint.ejected {
+			ejected++
+		}
+	}
+	assert.Equal(t, ejected, 2)
+}
--- a/internal/tier/loadbalancer/loadbalancer.go
+++ b/internal/tier/loadbalancer/loadbalancer.go
@@ -68,9 +68,10 @@
 	oracle       *restart.Oracle
 	pauses       *restart.Oracle // of its route's pauses
 	sent         time.Duration
-	sampleWeight float64 // of its latency sample, 0 if it gives none
-	unbounded    bool    // its time-out is its deadline
-	probe        bool    // sent to an ejected endpoint
+	firstTimeout time.Duration // as in Ask
+	sampleWeight float64       // of its latency sample, 0 if it gives none
+	unbounded    bool          // its time-out is its deadline
+	probe        bool          // sent to an ejected endpoint
 	done         bool
 	service      *service
 }
@@ -211,12 +212,21 @@
 // timeoutOf is the time-out of an estimate. While it has few samples it is in proportion to first instead of
 // restart.FirstTimeout, and at least twice the mean of those.
 func timeoutOf(oracle *restart.Oracle, first time.Duration) time.Duration {
-	timeout := oracle.Timeout()
+	return scaled(oracle, oracle.Timeout(), first)
+}
+
+// undoubled is that time-out without the doublings by expired calls.
+func undoubled(oracle *restart.Oracle, first time.Duration) time.Duration {
+	return scaled(oracle, oracle.Optimum(), first)
+}
+
+// scaled is timeoutOf for a time-out of the estimate.
+func scaled(oracle *restart.Oracle, timeout, first time.Duration) time.Duration {
 	if oracle.Seen >= restart.FewSamples || first <= 0 || first >= restart.FirstTimeout {
 		return timeout
 	}
-	scaled := time.Duration(float64(timeout) * float64(first) / float64(restart.FirstTimeout))
-	return max(scaled, min(timeout, time.Duration(2*oracle.Mean*float64(time.Second))))
+	proportional := time.Duration(float64(timeout) * float64(first) / float64(restart.FirstTimeout))
+	return max(proportional, min(timeout, time.Duration(2*oracle.Mean*float64(time.Second))))
 }
 
 // draw returns the next random number below n (splitmix64).
--- a/internal/tier/loadbalancer/pick.go
+++ b/internal/tier/loadbalancer/pick.go
@@ -33,8 +33,8 @@
 	}
 	balancer.rotation++
 	accepted := false
+	listed.detectSilence(now)
 	for _, endpoint := range listed.endpoints {
-		endpoint.detectSilence(now)
 		accepted = accepted || endpoint.accepts(&ask)
 	}
 	if !accepted {
@@ -49,14 +49,15 @@
 
 // startCall counts an attempt as under way. Its time-out is the oracle's where it may be restarted then, else the time left.
 func (balancer *Balancer) startCall(now time.Duration, service *service, endpoint *endpoint, ask *Ask, oracle *restart.Oracle) Choice {
-	call := &Call{endpoint: endpoint, oracle: oracle, pauses: oracleOf(balancer.pauses, ask.Route), service: service, sent: now, unbounded: true, probe: endpoint.ejected}
+	call := &Call{endpoint: endpoint, oracle: oracle, pauses: oracleOf(balancer.pauses, ask.Route), service: service, sent: now, unbounded: true, probe: endpoint.ejected,
+		firstTimeout: ask.FirstTimeout}
 	choice := Choice{Instance: endpoint.Instance, Address: endpoint.Address, Timeout: ask.Left, Call: call}
 	if ask.First {
 		call.sampleWeight = 1
 	}
 	timeout := timeoutOf(oracle, ask.FirstTimeout)
 	if call.probe {
-		timeout = patience(oracle) // a doubled time-out would leave an outage undetected
+		timeout = call.patience() // a doubled time-out would leave an outage undetected
 		endpoint.probes++
 	}
 	if ask.Repeatable && timeout < ask.Left {
@@ -111,7 +112,7 @@
 
 // findProbe returns an ejected endpoint that is due to be probed, where the attempt leaves time for another one if it fails.
 func (balancer *Balancer) findProbe(now time.Duration, service *service, ask *Ask, oracle *restart.Oracle) *endpoint {
-	if !ask.First || ask.Left <= 2*patience(oracle) && ask.Repeatable {
+	if !ask.First || ask.Left <= 2*patience(oracle, ask.FirstTimeout) && ask.Repeatable {
 		return nil
 	}
 	for i := range service.endpoints {
