--- a/internal/tier/controlplane/controlplane.go
+++ b/internal/tier/controlplane/controlplane.go
@@ -70,7 +70,12 @@
 	retireTimes  retireTimes // of the orders that came to this process
 	// missing is since when, and when last, callers could not be sent to a primary; first is the last success where they could.
 	missing  struct{ first, last time.Time }
-	versions struct{ endpoints, members uint64 } // of versions within the epoch
+	versions struct{ endpoints, members, ejections uint64 } // of versions within the epoch
+
+	ejections     ejections         // of the epoch of the view
+	nextEjections *tierv1.Ejections // to be shown; nil: nothing new
+	ejectionsAt   time.Time         // of the last time that some were shown
+	ejectionTimer *time.Timer       // shows nextEjections; nil: none is to come
 }
 
 // view is what sessions are shown. It is never changed, only replaced.
@@ -85,6 +90,7 @@
 	endpoints     *tierv1.Endpoints
 	packedList    *packedEndpoints // of endpoints, as sessions get them
 	members       *tierv1.Members
+	ejections     *tierv1.Ejections
 }
 
 // New makes a control plane that Run begins.
@@ -98,6 +104,7 @@
 	plane := &ControlPlane{Config: c, spread: spreadOf(c.Settings), writer: make(chan struct{}, 1), reconcileNow: make(chan struct{}, 1),
 		polled: make(chan struct{}, 1), view: &view{}, viewChanged: make(chan struct{}), retireTimes: retireTimes{}}
 	plane.sessions = newRegistry(c.Settings.ContactWindow)
+	plane.ejections = newEjections(c.Settings.ContactWindow)
 	plane.confirm.store = c.Store
 	plane.confirm.limit = c.Settings.ContactWindow / writePart
 	return plane
@@ -269,8 +276,10 @@
 	defer plane.mu.Unlock()
 	if plane.view.epoch == epoch { // back in touch in the same epoch
 		next.endpoints, next.packedList, next.members = plane.view.endpoints, plane.view.packedList, plane.view.members
+		next.ejections = plane.view.ejections
 	} else {
-		plane.versions.endpoints, plane.versions.members = 0, 0
+		plane.versions.endpoints, plane.versions.members, plane.versions.ejections = 0, 0, 0
+		plane.ejections, plane.nextEjections = newEjections(plane.Settings.ContactWindow), nil
 		plane.stopLaterPush()
 		plane.endpointList = newEndpointList(plane.Settings.DrainTimeout/pushPart, plane.Settings.DrainTimeout/quickPart)
 		plane.riskClock = riskClock{}
--- a/internal/tier/controlplane/distant_test.go
+++ b/internal/tier/controlplane/distant_test.go
@@ -37,6 +37,10 @@
 	return reply, err
 }
 
+func (l *distantLink) ReportEjections(context.Context, *tierv1.EjectionReport) (*tierv1.EjectionReportReply, error) {
+	return nil, errLost
+}
+
 func (l *distantLink) Status(context.Context, *tierv1.StatusRequest) (*tierv1.StatusReply, error) {
 	return nil, errLost
 }
--- a/internal/tier/controlplane/registry.go
+++ b/internal/tier/controlplane/registry.go
@@ -194,3 +194,14 @@
 	}
 	return r.acked
 }
+
+// gateways counts the gateways whose sessions were seen.
+func (r *registry) gateways() int {
+	count := 0
+	for at := range r.of {
+		if at.role == roleGateway {
+			count++
+		}
+	}
+	return count
+}
--- a/internal/tier/controlplane/sessions.go
+++ b/internal/tier/controlplane/sessions.go
@@ -99,6 +99,9 @@
 	if v.members != nil && v.members.Version > req.Members {
 		n.Members, some = v.members, true
 	}
+	if req.TakesEjections && v.ejections != nil && v.ejections.Version > req.Ejections {
+		n.Ejections, some = v.ejections, true
+	}
 	return n, some
 }
 
--- a/internal/tier/gateway/gateway.go
+++ b/internal/tier/gateway/gateway.go
@@ -49,6 +49,8 @@
 	waiting      int
 	releasing    map[string]map[chan struct{}]bool // by program: closed when a reservation that is being released here is settled
 
+	ejectionsTaken uint64 // version of the newest ejection that others reported and that was taken
+
 	calls     atomic.Int64 // requests of clients under way
 	lastReady atomic.Bool  // the readiness last answered
 	leaving   atomic.Bool
@@ -57,18 +59,20 @@
 	life         context.Context // ends with Run
 	end          context.CancelFunc
 	lateReleases chan struct{} // semaphore of releases that go on beyond their usual time
+	ejected      chan string   // instances ejected here, to be reported
 }
 
 // New makes a gateway that Run starts.
 func New(c Config) *Gateway {
 	gateway := &Gateway{config: c, log: c.Log, started: time.Now(), loadbalancer: loadbalancer.New(c.Settings.Zone, c.Settings.Node),
-		freed: make(chan struct{}), releasing: map[string]map[chan struct{}]bool{}, lateReleases: make(chan struct{}, maxLateReleases)}
+		freed: make(chan struct{}), releasing: map[string]map[chan struct{}]bool{}, lateReleases: make(chan struct{}, maxLateReleases),
+		ejected: make(chan string, maxUnreported)}
 	gateway.life, gateway.end = context.WithCancel(context.Background())
 	gateway.stores = newStoreClient(c.Settings, c.TurnStore, c.Log)
 	gateway.pool = newPool(c.Settings)
 	gateway.texts = newTextCache(c.Settings.MemoryMB << 20 / 16)
 	gateway.session = session.New(session.Config{Settings: c.Settings, Role: "gateway", Dial: c.ControlPlane, Log: c.Log,
-		Configuration: gateway.takeConfiguration, Endpoints: gateway.takeEndpoints, PartitionMap: gateway.stores.apply})
+		Configuration: gateway.takeConfiguration, Endpoints: gateway.takeEndpoints, PartitionMap: gateway.stores.apply, Ejections: gateway.takeEjections})
 	return gateway
 }
 
@@ -162,6 +166,7 @@
 	sessions, stopSessions := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopSessions()
 	go gateway.session.Run(sessions)
+	go gateway.reportEjections(sessions)
 	probe := &ingress.Server{Handler: gateway.probe, Limits: gateway.limits, MaxConns: 64, Log: gateway.log}
 	server := &ingress.Server{Handler: gateway.handle, Limits: gateway.limits, MaxConns: max(64, settings.Descriptors*6/10), Log: gateway.log}
 	failed := make(chan error, 2)
--- a/internal/tier/loadbalancer/endpoint.go
+++ b/internal/tier/loadbalancer/endpoint.go
@@ -54,6 +54,8 @@
 	meanTokens   float64 // that a request needs of the cache
 	coldUntil    time.Duration
 
+	onEject func(instance string) // called with each ejection by what was observed here
+
 	failureWeight float64 // of the consecutive failures
 	ejected       bool
 	probes        int           // under way
@@ -185,39 +187,43 @@
 // detectSilence ejects the endpoints that are silent, as long as that leaves half of them: where most do not answer in time, they are
 // overloaded or the sender's own links are at fault, and to be without them would make it worse.
 func (service *service) detectSilence(now time.Duration) {
-	ejected := 0
 	for _, endpoint := range service.endpoints {
-		if endpoint.ejected {
-			ejected++
+		if endpoint.silent(now) && service.maySpare() {
+			endpoint.eject(now)
 		}
 	}
+}
+
+// maySpare reports whether one more endpoint may be ejected with half of them left.
+func (service *service) maySpare() bool {
+	ejected := 0
 	for _, endpoint := range service.endpoints {
-		if 2*(ejected+1) > len(service.endpoints) {
-			return
-		}
-		if endpoint.detectSilence(now) {
+		if endpoint.ejected {
 			ejected++
 		}
 	}
+	return 2*(ejected+1) <= len(service.endpoints)
 }
 
-// detectSilence ejects the endpoint if it is silent: nothing has come from it since the oldest unanswered call was sent,
+// silent reports whether the endpoint, which is not ejected, is silent: nothing has come from it since the oldest unanswered call was sent,
 // for longer than the patience. One call is enough: a sender of many has few calls at any one endpoint, other endpoints are at hand,
 // and the first piece of an answer restores it.
-func (endpoint *endpoint) detectSilence(now time.Duration) (ejected bool) {
+func (endpoint *endpoint) silent(now time.Duration) bool {
 	if endpoint.ejected || len(endpoint.unanswered) == 0 {
 		return false
 	}
 	oldest := endpoint.unanswered[0]
-	if now-max(oldest.sent, endpoint.observedAt) <= oldest.patience() {
-		return false
-	}
-	endpoint.eject(now)
-	return true
+	return now-max(oldest.sent, endpoint.observedAt) > oldest.patience()
 }
 
-// eject takes the endpoint out of the choice until a probe is served. If it is out already, the next probe waits longer.
+// eject takes the endpoint out by what was observed here.
 func (endpoint *endpoint) eject(now time.Duration) {
+	endpoint.takeOut(now)
+	endpoint.onEject(endpoint.Instance)
+}
+
+// takeOut takes the endpoint out of the choice until a probe is served. If it is out already, the next probe waits longer.
+func (endpoint *endpoint) takeOut(now time.Duration) {
 	endpoint.ejected = true
 	endpoint.backoff = min(max(2*endpoint.backoff, minProbePause), maxProbePause)
 	endpoint.nextProbe = now + endpoint.backoff
--- a/internal/tier/loadbalancer/health_test.go
+++ b/internal/tier/loadbalancer/health_test.go
@@ -193,3 +193,23 @@
 	}
 	assert.Equal(t, ejected, 2)
 }
+
+// What others report is ejected without being reported again, unless too few endpoints would be left.
+func TestEjectionsReportedByOthers(t *testing.T) {
+	r := newRig(t, 1, 8)
+	for _, instance := range []string{"i0", "i0", "unknown", "i1", "i2"} {
+		r.balancer.EjectReported(r.now, instance)
+	}
+	assert.Equal(t, len(r.balancer.TakeEjections()), 0)
+	for range 4 {
+		c := r.send(session(1))
+		assert.Assert(t, c.Instance == "i2" || c.Instance == "i3", c.Instance)
+		r.balancer.Done(r.now, c.Call, Outcome{Kind: Served, First: ms})
+	}
+	r.now += minProbePause
+	probe := r.send(ask())
+	assert.Assert(t, probe.Instance == "i0" || probe.Instance == "i1", probe.Instance)
+	r.balancer.Done(r.now, probe.Call, Outcome{Kind: Broken})
+	assert.DeepEqual(t, r.balancer.TakeEjections(), []string{probe.Instance}) // that is of its own
+	assert.Equal(t, len(r.balancer.TakeEjections()), 0)
+}
--- a/internal/tier/loadbalancer/loadbalancer.go
+++ b/internal/tier/loadbalancer/loadbalancer.go
@@ -114,6 +114,7 @@
 	endpoints   map[string]*endpoint
 	services    map[string]*service
 	routes      map[string]*restart.Oracle
+	ejections   []string                   // instances ejected by what was observed here, since TakeEjections
 	pauses      map[string]*restart.Oracle // by route: of the longest silence between two pieces of a stream
 }
 
@@ -136,6 +137,7 @@
 		endpoint := balancer.endpoints[line.Instance]
 		if endpoint == nil {
 			endpoint = newEndpoint(line, now)
+			endpoint.onEject = balancer.noteEjection
 			balancer.endpoints[line.Instance] = endpoint
 		}
 		if endpoint.listed { // twice in the list
@@ -229,6 +231,33 @@
 	return max(proportional, min(timeout, time.Duration(2*oracle.Mean*float64(time.Second))))
 }
 
+// noteEjection notes an ejection for TakeEjections.
+func (balancer *Balancer) noteEjection(instance string) {
+	balancer.ejections = append(balancer.ejections, instance)
+}
+
+// TakeEjections returns the instances that were ejected since it was called last by what this sender has observed, failed probes of
+// ejected ones included.
+func (balancer *Balancer) TakeEjections() []string {
+	taken := balancer.ejections
+	balancer.ejections = nil
+	return taken
+}
+
+// EjectReported ejects an endpoint that other senders have ejected, as long as that leaves half of its service's. It is probed and
+// restored like any ejected one.
+func (balancer *Balancer) EjectReported(now time.Duration, instance string) {
+	endpoint := balancer.endpoints[instance]
+	if endpoint == nil || endpoint.ejected {
+		return
+	}
+	service := balancer.services[endpoint.Service]
+	if service == nil || !service.maySpare() {
+		return
+	}
+	endpoint.takeOut(now)
+}
+
 // draw returns the next random number below n (splitmix64).
 func (balancer *Balancer) draw(n uint64) uint64 {
 	balancer.randomState += 0x9e3779b97f4a7c15
--- a/internal/tier/session/session.go
+++ b/internal/tier/session/session.go
@@ -40,6 +40,7 @@
 	Configuration func(*tierv1.Configuration)
 	Endpoints     func(*tierv1.Endpoints)
 	PartitionMap  func(*tierv1.PartitionMap)
+	Ejections     func(*tierv1.Ejections) // endpoints that several gateways have ejected; the same one may come again
 }
 
 // Client is a session. Its methods may be called from any goroutine; Run is called once.
@@ -117,6 +118,20 @@
 	return client.hint
 }
 
+// ReportEjections tells the primary of endpoints that were ejected here. The report is a hint: it is made once, and may be lost.
+func (client *Client) ReportEjections(ctx context.Context, instances []string) {
+	at := client.Primary()
+	if stands, _ := client.Stands(); !stands || at == "" {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, client.config.Settings.ContactWindow/lookPart)
+	defer cancel()
+	report := &tierv1.EjectionReport{Node: client.config.Settings.Node, Instances: instances}
+	if _, err := client.config.Dial(at).ReportEjections(ctx, report); err != nil {
+		client.config.Log.Debug().Str("event", "ejections_unreported").Err(err).Msg("")
+	}
+}
+
 // Leave tells control from the next call on that the process is leaving.
 func (client *Client) Leave() {
 	client.mu.Lock()
--- a/internal/tier/session/watch.go
+++ b/internal/tier/session/watch.go
@@ -77,7 +77,7 @@
 func (client *Client) observeRoundTrip(reply *tierv1.WatchReply, took, hold time.Duration) {
 	client.mu.Lock()
 	defer client.mu.Unlock()
-	if reply.Configuration != nil || reply.Endpoints != nil || reply.PartitionMap != nil || reply.Members != nil {
+	if reply.Configuration != nil || reply.Endpoints != nil || reply.PartitionMap != nil || reply.Members != nil || reply.Ejections != nil {
 		client.roundTrip.bound(took)
 		return
 	}
@@ -96,6 +96,7 @@
 	request.Life, request.IdleDisk = client.life, client.config.Empty
 	request.HoldMs = uint32(hold.Milliseconds())
 	request.UnpacksEndpoints = true
+	request.TakesEjections = client.config.Ejections != nil
 	return request
 }
 
@@ -104,6 +105,7 @@
 	configuration *tierv1.Configuration
 	endpoints     *tierv1.Endpoints
 	partitionMap  *tierv1.PartitionMap
+	ejections     *tierv1.Ejections
 }
 
 // apply takes a reply of the primary. What is new in it is acknowledged, by the next call, once it has been taken in. It tells
@@ -161,6 +163,9 @@
 	if v := reply.PartitionMap; v != nil && v.Version > client.applied.PartitionMap {
 		newer.partitionMap = v
 	}
+	if v := reply.Ejections; v != nil && v.Version > client.applied.Ejections {
+		newer.ejections = v
+	}
 	return newer
 }
 
@@ -175,6 +180,9 @@
 	if newer.partitionMap != nil && client.config.PartitionMap != nil {
 		client.config.PartitionMap(newer.partitionMap)
 	}
+	if newer.ejections != nil && client.config.Ejections != nil {
+		client.config.Ejections(newer.ejections)
+	}
 }
 
 // acknowledge notes views as taken. The caller holds mu.
@@ -188,6 +196,9 @@
 	if taken.partitionMap != nil {
 		client.applied.PartitionMap = taken.partitionMap.Version
 	}
+	if taken.ejections != nil {
+		client.applied.Ejections = taken.ejections.Version
+	}
 }
 
 // maxUnpacked is the largest size, in bytes, of what came packed.
--- a/internal/tier/tiertest/controlplane.go
+++ b/internal/tier/tiertest/controlplane.go
@@ -106,10 +106,13 @@
 		if views.GetMembers().GetVersion() > request.Members {
 			news.Members = views.Members
 		}
+		if request.TakesEjections && views.GetEjections().GetVersion() > request.Ejections {
+			news.Ejections = views.Ejections
+		}
 		news = proto.Clone(news).(*tierv1.WatchReply)
 		changed := plane.changed
 		plane.mu.Unlock()
-		if expired || !news.Primary || news.Configuration != nil || news.Endpoints != nil || news.PartitionMap != nil || news.Members != nil {
+		if expired || !news.Primary || news.Configuration != nil || news.Endpoints != nil || news.PartitionMap != nil || news.Members != nil || news.Ejections != nil {
 			return news, nil
 		}
 		select {
@@ -122,6 +125,19 @@
 	}
 }
 
+// ReportEjections implements tierv1.ControlPlane: each report is told at once.
+func (plane *ControlPlane) ReportEjections(_ context.Context, report *tierv1.EjectionReport) (*tierv1.EjectionReportReply, error) {
+	plane.Change(func(v *tierv1.WatchReply) {
+		version := v.GetEjections().GetVersion() + 1
+		next := &tierv1.Ejections{Version: version}
+		for _, instance := range report.Instances {
+			next.List = append(next.List, &tierv1.Ejection{Instance: instance, Version: version})
+		}
+		v.Ejections = next
+	})
+	return &tierv1.EjectionReportReply{Primary: true}, nil
+}
+
 // Status implements tierv1.ControlPlane. Its answer is empty.
 func (plane *ControlPlane) Status(context.Context, *tierv1.StatusRequest) (*tierv1.StatusReply, error) {
 	return &tierv1.StatusReply{}, nil
