--- a/internal/tier/loadbalancer/endpoint.go
+++ b/internal/tier/loadbalancer/endpoint.go
@@ -179,9 +179,10 @@
 // whether or not the call itself may be restarted.
 func (call *Call) patience() time.Duration { return patience(call.oracle, call.firstTimeout) }
 
-// patience is the same for a route whose time-out is first while few samples are known.
+// patience is the same for a route whose time-out is first while few samples are known. For a stream it is never less than that: its
+// first piece may wait for a place at an endpoint that is sound, and how long others have waited in a calm time tells nothing of it.
 func patience(oracle *restart.Oracle, first time.Duration) time.Duration {
-	return max(minPatience, min(undoubled(oracle, first), restart.FirstTimeout))
+	return max(minPatience, first, min(undoubled(oracle, first), restart.FirstTimeout))
 }
 
 // detectSilence ejects the endpoints that are silent, as long as that leaves half of them: where most do not answer in time, they are
