--- /dev/null
+++ b/internal/tier/gateway/avoid_test.go
@@ -0,0 +1,30 @@
+package gateway_test
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"dockshift.example/dockshift/internal/tier/tiertest"
+)
+
+// After an attempt failed at an endpoint the next one of its program goes elsewhere, also through another gateway and though its line
+// has its home there.
+func TestTheNextAttemptAvoidsWhereTheLastOneFailed(t *testing.T) {
+	a := tiertest.NewEndpoint(t, "i-a", "s", talk)
+	b := tiertest.NewEndpoint(t, "i-b", "s", talk)
+	first, second := startTwo(t, a, b)
+	whole(t, first.do(turn("t-1", "", "p", "", "in;")), 200, events(said("t-1")...))
+	home, other := a, b
+	if len(b.Arrivals()) > 0 {
+		home, other = b, a
+	}
+	home.SetScript(resetOf("t-2"))
+	assert.Equal(t, first.do(turn("t-2", "t-1", "p", "", "in;")).Status, 502)
+	for i, r := range []*rig{second, first} {
+		whole(t, r.do(turn(fmt.Sprint("t-2-", i), "t-1", "p", "", "in;")), 200, events(said(fmt.Sprint("t-2-", i))...))
+	}
+	assert.Equal(t, len(home.Arrivals()), 2)
+	assert.Equal(t, len(other.Arrivals()), 2)
+}
--- a/internal/tier/gateway/release.go
+++ b/internal/tier/gateway/release.go
@@ -29,7 +29,7 @@
 // releaseLater releases a reservation behind the request: done is closed when it is settled, or when it is given up.
 func (request *clientRequest) releaseLater(program string, tokens uint64) (done <-chan struct{}) {
 	gateway, over := request.gateway, make(chan struct{})
-	settlement := &tierv1.SettleRequest{Program: program, Attempt: request.attempt, Tokens: tokens}
+	settlement := &tierv1.SettleRequest{Program: program, Attempt: request.attempt, Tokens: tokens, FailedAt: request.failedAt}
 	gateway.noteRelease(program, over)
 	gateway.settling.Add(1)
 	go func() {
--- a/internal/tier/gateway/request.go
+++ b/internal/tier/gateway/request.go
@@ -27,7 +27,8 @@
 	affinity  string    // requests with the same one do best at one endpoint
 	prefix    []string  // shared parts of its prompt, outermost first
 	body      []byte    // as an endpoint gets it
-	tried     []string  // instances that it was sent to
+	tried     []string  // instances that it was sent to, or that earlier attempts of its program failed at
+	failedAt  string    // instance at which its last run ended without the answer; empty: none
 	home      string    // instance that ran what it goes on from
 	sent      int       // endpoints that it was sent to
 	began     time.Time // of the last send
--- a/internal/tier/gateway/runtiming.go
+++ b/internal/tier/gateway/runtiming.go
@@ -97,6 +97,26 @@
 	return ended
 }
 
+// noteFailure notes the endpoint of a run that ended without the answer, for the next attempts of the request's program. That a client
+// left counts where the endpoint had been silent for long.
+func (request *clientRequest) noteFailure(result *upstream.Result, timing *runTiming) {
+	request.failedAt = ""
+	end := result.End
+	if result.Stream != nil {
+		end = result.Stream.End()
+	}
+	silentSince := timing.lastPiece
+	if silentSince.IsZero() {
+		silentSince = request.began
+	}
+	silent := time.Since(silentSince) > request.firstTimeout()
+	switch {
+	case !result.Written:
+	case end == upstream.Broken, end == upstream.Malformed, end == upstream.TimedOut, end == upstream.Abandoned && silent:
+		request.failedAt = timing.choice.Instance
+	}
+}
+
 // pauseTimeout is the silence within a run of the request after which another one goes on.
 func (gateway *Gateway) pauseTimeout(request *clientRequest) time.Duration {
 	gateway.mu.Lock()
--- a/internal/tier/gateway/stream.go
+++ b/internal/tier/gateway/stream.go
@@ -40,7 +40,7 @@
 // pass hands on an answer that is too long to be held whole.
 func (request *clientRequest) pass(result *upstream.Result, choice loadbalancer.Choice) {
 	relay := &relay{request: request, progress: newProgress(false, ""), last: result}
-	relay.copyRun(result, choice)
+	relay.copyRun(result, choice, newRunTiming(request, choice, false))
 	if result.Stream.End() != upstream.Whole || relay.lost {
 		relay.cutShort()
 		return
@@ -60,9 +60,11 @@
 		relay.progress.begin()
 		result := request.send(choice)
 		relay.note(result)
+		timing := newRunTiming(request, choice, relay.progress.mayResume())
 		if result.End == upstream.Streaming {
-			relay.copyRun(result, choice)
+			relay.copyRun(result, choice, timing)
 		}
+		request.noteFailure(result, timing)
 		switch relay.progress.next(relay.runEnd(result, tries)) {
 		case finished:
 			relay.complete(choice.Instance)
@@ -100,10 +102,9 @@
 }
 
 // copyRun hands the pieces of one run to the client until the run or the client has ended. What is at hand goes out in one write.
-func (relay *relay) copyRun(result *upstream.Result, choice loadbalancer.Choice) {
+func (relay *relay) copyRun(result *upstream.Result, choice loadbalancer.Choice, timing *runTiming) {
 	request, stream := relay.request, result.Stream
 	defer stream.Close()
-	timing := newRunTiming(request, choice, relay.progress.mayResume())
 	stream.SetDeadline(timing.firstBy())
 	for {
 		piece, err := stream.Next()
--- a/internal/tier/gateway/turn.go
+++ b/internal/tier/gateway/turn.go
@@ -35,6 +35,7 @@
 	if request.route.Persisted {
 		request.assemble(held, begun)
 	}
+	request.tried = begun.avoid
 	request.stream(turn{account: &account{request: request, program: begin.Program}, transcript: written})
 }
 
--- a/internal/tier/gateway/turns.go
+++ b/internal/tier/gateway/turns.go
@@ -123,9 +123,10 @@
 type beginning struct {
 	verdict tierv1.Verdict // OK with the chain, SPENT, UNKNOWN for sure, or BUSY where nothing is sure in time
 	chain   []*tierv1.Turn
-	after   bool // the chain is only what follows the turn that the caller holds
-	open    bool // the turn may be reserved though the verdict is not OK: a call had no clear answer
-	unsure  bool // SPENT, while what is being released here is not settled
+	avoid   []string // endpoints at which attempts of the program ended of late without their answers
+	after   bool     // the chain is only what follows the turn that the caller holds
+	open    bool     // the turn may be reserved though the verdict is not OK: a call had no clear answer
+	unsure  bool     // SPENT, while what is being released here is not settled
 }
 
 // begin asks for a turn.
@@ -161,7 +162,7 @@
 		if err == nil {
 			switch reply.Verdict {
 			case tierv1.Verdict_OK, tierv1.Verdict_SPENT, tierv1.Verdict_UNKNOWN:
-				begun.verdict, begun.chain, begun.after = reply.Verdict, reply.Chain, reply.AfterHeld
+				begun.verdict, begun.chain, begun.after, begun.avoid = reply.Verdict, reply.Chain, reply.AfterHeld, reply.Avoid
 				return true
 			}
 		}
--- /dev/null
+++ b/internal/tier/turnstore/avoid_test.go
@@ -0,0 +1,48 @@
+package turnstore
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	tierv1 "dockshift.example/dockshift/proto/saffronyard/tier/v1"
+)
+
+// Where an attempt of a program failed is told with its next ones, for a while, and to no other program.
+func TestFailedEndpointsAreTold(t *testing.T) {
+	c, k := pair(t)
+	v := c.nodes["a"].turnstore
+	begin := func(program, attempt string) []string {
+		reply, err := v.Begin(c.ctx, &tierv1.BeginRequest{Program: program, Attempt: attempt})
+		assert.NilError(t, err)
+		assert.Equal(t, reply.Verdict, ok)
+		return reply.Avoid
+	}
+	assert.Equal(t, len(begin("p", "t1")), 0)
+	_, err := v.Settle(c.ctx, &tierv1.SettleRequest{Program: "p", Attempt: "t1", FailedAt: "i1"})
+	assert.NilError(t, err)
+	assert.DeepEqual(t, begin("p", "t2"), []string{"i1"})
+	assert.Equal(t, len(begin("q", "u1")), 0)
+	c.advance(avoidTime)
+	assert.DeepEqual(t, begin("p", "t3"), []string{"i1"})
+	c.advance(time.Nanosecond)
+	assert.Equal(t, len(begin("p", "t4")), 0)
+	_ = k
+}
+
+// The newest few are remembered.
+func TestFailedEndpointsAreBounded(t *testing.T) {
+	s, now := newStore(), time.Now()
+	s.add(reserve("a", 1), now)
+	p := s.partition(0)
+	for i := range 10 {
+		p.noteFailed("p", fmt.Sprint("i", i), now)
+	}
+	p.noteFailed("p", "i7", now)
+	p.noteFailed("p", "", now)
+	p.noteFailed("unknown", "i1", now)
+	assert.DeepEqual(t, p.avoided("p", now), []string{"i6", "i8", "i9", "i7"})
+	assert.Equal(t, len(p.programs), 1)
+}
--- a/internal/tier/turnstore/serve.go
+++ b/internal/tier/turnstore/serve.go
@@ -113,6 +113,7 @@
 		var b *batch
 		if d.verdict == tierv1.Verdict_OK {
 			b = store.record(p, d.facts, now)
+			reply.Avoid = p.avoided(req.Program, now)
 			if req.Previous != "" {
 				if d.chain, _ = p.chain(req.Previous, true, 0, now); d.chain == nil {
 					store.mu.Unlock()
@@ -199,7 +200,9 @@
 			return &tierv1.SettleReply{Verdict: verdict}, nil
 		}
 		t := p.term
-		b := store.record(p, []*tierv1.Fact{f}, store.cfg.Now())
+		now := store.cfg.Now()
+		b := store.record(p, []*tierv1.Fact{f}, now)
+		p.noteFailed(req.Program, req.FailedAt, now)
 		rounds := t.enqueue(f)
 		store.mu.Unlock()
 		switch t.wait(ctx, b, rounds) {
--- a/internal/tier/turnstore/store.go
+++ b/internal/tier/turnstore/store.go
@@ -40,6 +40,7 @@
 	charged uint64 // tokens: handed out of settled turns + reserved of unsettled ones
 	entries int
 	last    time.Time
+	failed  []failedEndpoint // of late, oldest first
 }
 
 // entry is what is known of an attempt: its reservation, its settlement, its turn.
