--- a/internal/tier/controlplane/ejections.go
+++ b/internal/tier/controlplane/ejections.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"hash/fnv"
+	"slices"
 	"time"
 
 	tierv1 "dockshift.example/dockshift/proto/saffronyard/tier/v1"
@@ -10,7 +12,6 @@
 // Parts of the contact window.
 const (
 	ejectionReportPart  = 4  // reports of different gateways count together for so long
-	ejectionToldPart    = 2  // an ejection is told for so long
 	ejectionPublishPart = 80 // from one publication of ejections to the next, at least
 )
 
@@ -18,6 +19,9 @@
 // own.
 const ejectionReporters = 2
 
+// ejectionProbers is how many gateways probe an endpoint that all have ejected.
+const ejectionProbers = 2
+
 // maxEjections bounds the endpoints that are told of, and those that reports are held of.
 const maxEjections = 256
 
@@ -25,7 +29,7 @@
 type ejections struct {
 	window  time.Duration                   // the contact window
 	reports map[string]map[string]time.Time // by instance: the gateways that have reported it, and when
-	told    []toldEjection                  // oldest first
+	told    []toldEjection                  // oldest first, one of an instance at most
 }
 
 // toldEjection is an ejection that gateways are told of.
@@ -38,9 +42,12 @@
 	return ejections{window: window, reports: map[string]map[string]time.Time{}}
 }
 
-// report takes a gateway's report of one instance, and tells whether that makes enough of them: all are to be told, and the next
-// reports are counted anew.
+// report takes a gateway's report of one instance, and tells whether all are to be told: enough gateways have reported it, or it is
+// one that they are told of, and the report comes from one that probes it.
 func (ejections *ejections) report(now time.Time, node, instance string, needed int) bool {
+	if told := ejections.find(now, instance); told != nil && !told.Restored && slices.Contains(told.Probers, node) {
+		return true
+	}
 	reporters := ejections.reports[instance]
 	if reporters == nil {
 		if len(ejections.reports) >= maxEjections {
@@ -65,6 +72,22 @@
 	return true
 }
 
+// restored takes a gateway's report that an instance has answered, and tells whether that is news to the others.
+func (ejections *ejections) restored(now time.Time, instance string) bool {
+	told := ejections.find(now, instance)
+	return told != nil && !told.Restored
+}
+
+// find gives what is told of an instance; nil: nothing.
+func (ejections *ejections) find(now time.Time, instance string) *tierv1.Ejection {
+	for _, told := range ejections.told {
+		if told.ejection.Instance == instance && now.Sub(told.at) <= ejections.window {
+			return told.ejection
+		}
+	}
+	return nil
+}
+
 // forget drops reports that no other one can join any more.
 func (ejections *ejections) forget(now time.Time) {
 	for instance, reporters := range ejections.reports {
@@ -80,25 +103,39 @@
 	}
 }
 
-// tell adds an ejection to those that are told, and drops those that were told for long enough.
-func (ejections *ejections) tell(now time.Time, instance string, version uint64) *tierv1.Ejections {
+// tell adds what is to be told of an instance in place of what was, and drops what was told for a contact window.
+func (ejections *ejections) tell(now time.Time, ejection *tierv1.Ejection) *tierv1.Ejections {
 	kept := ejections.told[:0]
 	for _, told := range ejections.told {
-		if told.ejection.Instance != instance && now.Sub(told.at) <= ejections.window/ejectionToldPart {
+		if told.ejection.Instance != ejection.Instance && now.Sub(told.at) <= ejections.window {
 			kept = append(kept, told)
 		}
 	}
-	ejections.told = append(kept, toldEjection{&tierv1.Ejection{Instance: instance, Version: version}, now})
+	ejections.told = append(kept, toldEjection{ejection, now})
 	if surplus := len(ejections.told) - maxEjections; surplus > 0 {
 		ejections.told = ejections.told[surplus:]
 	}
-	whole := &tierv1.Ejections{Version: version}
+	whole := &tierv1.Ejections{Version: ejection.Version}
 	for _, told := range ejections.told {
 		whole.List = append(whole.List, told.ejection)
 	}
 	return whole
 }
 
+// probersOf chooses the gateways that probe an instance, others for each version, so that one without requests does not stay.
+func probersOf(gateways []string, instance string, version uint64) (probers []string) {
+	if len(gateways) == 0 {
+		return nil
+	}
+	hash := fnv.New64a()
+	hash.Write([]byte(instance))
+	first := hash.Sum64() + version*ejectionProbers
+	for i := range uint64(min(ejectionProbers, len(gateways))) {
+		probers = append(probers, gateways[(first+i)%uint64(len(gateways))])
+	}
+	return probers
+}
+
 // ReportEjections takes the report of a gateway. It is not confirmed by backups: nothing rests on it.
 func (s *sessions) ReportEjections(_ context.Context, report *tierv1.EjectionReport) (*tierv1.EjectionReportReply, error) {
 	plane := s.plane
@@ -112,10 +149,19 @@
 		return &tierv1.EjectionReportReply{}, nil
 	}
 	now := time.Now()
-	needed := min(ejectionReporters, max(1, plane.sessions.gateways()))
+	gateways := plane.sessions.gateways()
+	needed := min(ejectionReporters, max(1, len(gateways)))
 	for _, instance := range report.Instances {
 		if plane.ejections.report(now, report.Node, instance, needed) {
-			plane.nextEjections = plane.ejections.tell(now, instance, version(epoch, &plane.versions.ejections))
+			ejection := &tierv1.Ejection{Instance: instance, Version: version(epoch, &plane.versions.ejections)}
+			ejection.Probers = probersOf(gateways, instance, ejection.Version)
+			plane.nextEjections = plane.ejections.tell(now, ejection)
+		}
+	}
+	for _, instance := range report.Restored {
+		if plane.ejections.restored(now, instance) {
+			ejection := &tierv1.Ejection{Instance: instance, Version: version(epoch, &plane.versions.ejections), Restored: true}
+			plane.nextEjections = plane.ejections.tell(now, ejection)
 		}
 	}
 	plane.publishEjections(now)
--- a/internal/tier/controlplane/registry.go
+++ b/internal/tier/controlplane/registry.go
@@ -195,13 +195,13 @@
 	return r.acked
 }
 
-// gateways counts the gateways whose sessions were seen.
-func (r *registry) gateways() int {
-	count := 0
-	for at := range r.of {
-		if at.role == roleGateway {
-			count++
+// gateways gives the names of the gateways whose calls are held, sorted.
+func (r *registry) gateways() (names []string) {
+	for at, session := range r.of {
+		if at.role == roleGateway && session.held > 0 && !session.leaving {
+			names = append(names, at.node)
 		}
 	}
-	return count
+	slices.Sort(names)
+	return names
 }
--- a/internal/tier/gateway/ejections.go
+++ b/internal/tier/gateway/ejections.go
@@ -2,57 +2,64 @@
 
 import (
 	"context"
+	"slices"
 
+	"dockshift.example/dockshift/internal/tier/loadbalancer"
 	tierv1 "dockshift.example/dockshift/proto/saffronyard/tier/v1"
 )
 
-const (
-	maxUnreported = 256 // ejections that wait to be reported, at most; further ones are not
-	maxReport     = 64  // instances of one report
-)
+// maxUnreported is how many changes of endpoints' health wait to be reported, at most; further ones are not.
+const maxUnreported = 64
 
-// noteEjections has what the load balancer ejected by itself reported. It does not block. The caller holds mu.
-func (gateway *Gateway) noteEjections() {
-	for _, instance := range gateway.loadbalancer.TakeEjections() {
-		select {
-		case gateway.ejected <- instance:
-		default:
-		}
+// noteHealth has reported what the load balancer has found of endpoints by itself. It does not block. The caller holds mu.
+func (gateway *Gateway) noteHealth() {
+	reports := gateway.loadbalancer.TakeReports()
+	if len(reports.Ejected)+len(reports.Restored) == 0 {
+		return
+	}
+	select {
+	case gateway.health <- reports:
+	default:
 	}
 }
 
-// reportEjections reports ejections to the control plane until ctx ends, those that come together in one call.
-func (gateway *Gateway) reportEjections(ctx context.Context) {
+// reportHealth reports to the control plane until ctx ends, in one call what has come together.
+func (gateway *Gateway) reportHealth(ctx context.Context) {
 	for {
-		var instances []string
+		var all loadbalancer.Reports
 		select {
-		case instance := <-gateway.ejected:
-			instances = append(instances, instance)
+		case all = <-gateway.health:
 		case <-ctx.Done():
 			return
 		}
-		for more := true; more && len(instances) < maxReport; {
-			select {
-			case instance := <-gateway.ejected:
-				instances = append(instances, instance)
-			default:
-				more = false
-			}
+		for range len(gateway.health) {
+			more := <-gateway.health
+			all.Ejected = append(all.Ejected, more.Ejected...)
+			all.Restored = append(all.Restored, more.Restored...)
 		}
-		gateway.session.ReportEjections(ctx, instances)
+		gateway.session.ReportHealth(ctx, all.Ejected, all.Restored)
 	}
 }
 
-// takeEjections ejects endpoints that several gateways have ejected.
+// takeEjections takes what other gateways have found. Until the next news an endpoint that others probe gets nothing from here, for a
+// contact window at most.
 func (gateway *Gateway) takeEjections(ejections *tierv1.Ejections) {
+	settings := &gateway.config.Settings
 	gateway.mu.Lock()
 	defer gateway.mu.Unlock()
 	newest := gateway.ejectionsTaken
 	for _, ejection := range ejections.List {
-		if ejection.Version > gateway.ejectionsTaken {
-			gateway.loadbalancer.EjectReported(gateway.now(), ejection.Instance)
-			newest = max(newest, ejection.Version)
+		if ejection.Version <= gateway.ejectionsTaken {
+			continue
+		}
+		newest = max(newest, ejection.Version)
+		if ejection.Restored {
+			gateway.loadbalancer.RestoreReported(ejection.Instance)
+			continue
 		}
+		probes := slices.Contains(ejection.Probers, settings.Node)
+		gateway.loadbalancer.EjectReported(gateway.now(), ejection.Instance, probes, settings.ContactWindow)
 	}
 	gateway.ejectionsTaken = newest
+	gateway.wake()
 }
--- a/internal/tier/gateway/gateway.go
+++ b/internal/tier/gateway/gateway.go
@@ -58,15 +58,15 @@
 
 	life         context.Context // ends with Run
 	end          context.CancelFunc
-	lateReleases chan struct{} // semaphore of releases that go on beyond their usual time
-	ejected      chan string   // instances ejected here, to be reported
+	lateReleases chan struct{}             // semaphore of releases that go on beyond their usual time
+	health       chan loadbalancer.Reports // to be reported
 }
 
 // New makes a gateway that Run starts.
 func New(c Config) *Gateway {
 	gateway := &Gateway{config: c, log: c.Log, started: time.Now(), loadbalancer: loadbalancer.New(c.Settings.Zone, c.Settings.Node),
 		freed: make(chan struct{}), releasing: map[string]map[chan struct{}]bool{}, lateReleases: make(chan struct{}, maxLateReleases),
-		ejected: make(chan string, maxUnreported)}
+		health: make(chan loadbalancer.Reports, maxUnreported)}
 	gateway.life, gateway.end = context.WithCancel(context.Background())
 	gateway.stores = newStoreClient(c.Settings, c.TurnStore, c.Log)
 	gateway.pool = newPool(c.Settings)
@@ -166,7 +166,7 @@
 	sessions, stopSessions := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopSessions()
 	go gateway.session.Run(sessions)
-	go gateway.reportEjections(sessions)
+	go gateway.reportHealth(sessions)
 	probe := &ingress.Server{Handler: gateway.probe, Limits: gateway.limits, MaxConns: 64, Log: gateway.log}
 	server := &ingress.Server{Handler: gateway.handle, Limits: gateway.limits, MaxConns: max(64, settings.Descriptors*6/10), Log: gateway.log}
 	failed := make(chan error, 2)
--- a/internal/tier/gateway/serve.go
+++ b/internal/tier/gateway/serve.go
@@ -80,7 +80,7 @@
 	for {
 		gateway.mu.Lock()
 		choice := gateway.loadbalancer.Pick(gateway.now(), request.ask())
-		gateway.noteEjections()
+		gateway.noteHealth()
 		if choice.Verdict == loadbalancer.Send || choice.Verdict == loadbalancer.Hopeless {
 			gateway.mu.Unlock()
 			return choice
@@ -135,7 +135,7 @@
 func (gateway *Gateway) done(call *loadbalancer.Call, outcome loadbalancer.Outcome) {
 	gateway.mu.Lock()
 	gateway.loadbalancer.Done(gateway.now(), call, outcome)
-	gateway.noteEjections()
+	gateway.noteHealth()
 	gateway.wake()
 	gateway.mu.Unlock()
 }
--- a/internal/tier/loadbalancer/endpoint.go
+++ b/internal/tier/loadbalancer/endpoint.go
@@ -25,6 +25,7 @@
 	minPatience            = 300 * time.Millisecond // a lost SYN is retransmitted within about so long
 	minProbePause          = 250 * time.Millisecond // from an ejection to the first probe; doubles with each failed one
 	maxProbePause          = 4 * time.Second
+	maxSharedProbePause    = time.Second           // of an endpoint that other senders do not probe
 	unrepeatableProbeDelay = time.Second           // added before a request that can't be repeated is used as a probe
 	minRefusalPause        = 25 * time.Millisecond // after a refusal; doubles with each consecutive one
 	maxRefusalPause        = 500 * time.Millisecond
@@ -55,7 +56,8 @@
 	meanTokens   float64 // that a request needs of the cache
 	coldUntil    time.Duration
 
-	onEject func(instance string) // called with each ejection by what was observed here
+	reports *Reports // of the balancer
+	shared  bool     // it is ejected by the word of others, and the next news of it is theirs, too
 
 	failureWeight float64 // of the consecutive failures
 	ejected       bool
@@ -229,7 +231,7 @@
 // eject takes the endpoint out by what was observed here.
 func (endpoint *endpoint) eject(now time.Duration) {
 	endpoint.takeOut(now)
-	endpoint.onEject(endpoint.Instance)
+	endpoint.reports.Ejected = append(endpoint.reports.Ejected, endpoint.Instance)
 }
 
 // takeOut takes the endpoint out of the choice until a probe is served. If it is out already, the next probe waits longer.
@@ -238,7 +240,11 @@
 		endpoint.ejected, endpoint.ejectedAt, endpoint.shareBefore = true, now, endpoint.failureRate(now)
 	}
 	endpoint.failureShare, endpoint.failureTime = max(endpoint.failureRate(now), ejectedShare), now
-	endpoint.backoff = min(max(2*endpoint.backoff, minProbePause), maxProbePause)
+	longest := maxProbePause
+	if endpoint.shared { // others wait for what the probe finds
+		longest = maxSharedProbePause
+	}
+	endpoint.backoff = min(max(2*endpoint.backoff, minProbePause), longest)
 	endpoint.nextProbe = now + endpoint.backoff
 }
 
@@ -247,6 +253,10 @@
 	if endpoint.ejected && call != nil && call.sent < endpoint.ejectedAt {
 		endpoint.failureShare = min(endpoint.failureShare, endpoint.shareBefore)
 	}
+	if endpoint.ejected && endpoint.shared {
+		endpoint.shared = false
+		endpoint.reports.Restored = append(endpoint.reports.Restored, endpoint.Instance)
+	}
 	endpoint.ejected, endpoint.failureWeight, endpoint.backoff = false, 0, 0
 }
 
--- a/internal/tier/loadbalancer/loadbalancer.go
+++ b/internal/tier/loadbalancer/loadbalancer.go
@@ -114,7 +114,7 @@
 	endpoints   map[string]*endpoint
 	services    map[string]*service
 	routes      map[string]*restart.Oracle
-	ejections   []string                   // instances ejected by what was observed here, since TakeEjections
+	reports     Reports                    // since TakeReports
 	pauses      map[string]*restart.Oracle // by route: of the longest silence between two pieces of a stream
 }
 
@@ -137,7 +137,7 @@
 		endpoint := balancer.endpoints[line.Instance]
 		if endpoint == nil {
 			endpoint = newEndpoint(line, now)
-			endpoint.onEject = balancer.noteEjection
+			endpoint.reports = &balancer.reports
 			balancer.endpoints[line.Instance] = endpoint
 		}
 		if endpoint.listed { // twice in the list
@@ -231,31 +231,45 @@
 	return max(proportional, min(timeout, time.Duration(2*oracle.Mean*float64(time.Second))))
 }
 
-// noteEjection notes an ejection for TakeEjections.
-func (balancer *Balancer) noteEjection(instance string) {
-	balancer.ejections = append(balancer.ejections, instance)
+// Reports are what other senders should hear of.
+type Reports struct {
+	Ejected  []string // instances ejected by what this sender has observed, failed probes of ejected ones included
+	Restored []string // instances that were ejected by the word of others, and that have answered
 }
 
-// TakeEjections returns the instances that were ejected since it was called last by what this sender has observed, failed probes of
-// ejected ones included.
-func (balancer *Balancer) TakeEjections() []string {
-	taken := balancer.ejections
-	balancer.ejections = nil
+// TakeReports returns the reports since it was called last.
+func (balancer *Balancer) TakeReports() Reports {
+	taken := balancer.reports
+	balancer.reports = Reports{}
 	return taken
 }
 
-// EjectReported ejects an endpoint that other senders have ejected, as long as that leaves half of its service's. It is probed and
-// restored like any ejected one.
-func (balancer *Balancer) EjectReported(now time.Duration, instance string) {
+// EjectReported ejects an endpoint that other senders have ejected, as long as that leaves half of its service's. Unless this sender
+// is to probe it, it sends nothing there for hold, within which it should hear more.
+func (balancer *Balancer) EjectReported(now time.Duration, instance string, probes bool, hold time.Duration) {
 	endpoint := balancer.endpoints[instance]
-	if endpoint == nil || endpoint.ejected {
+	if endpoint == nil {
 		return
 	}
 	service := balancer.services[endpoint.Service]
-	if service == nil || !service.maySpare() {
+	if service == nil || !endpoint.ejected && !service.maySpare() {
 		return
 	}
-	endpoint.takeOut(now)
+	if !endpoint.ejected {
+		endpoint.takeOut(now)
+	}
+	endpoint.shared = true
+	if !probes {
+		endpoint.nextProbe = max(endpoint.nextProbe, now+hold)
+	}
+}
+
+// RestoreReported ends an ejection, as the endpoint has answered another sender.
+func (balancer *Balancer) RestoreReported(instance string) {
+	if endpoint := balancer.endpoints[instance]; endpoint != nil && endpoint.shared {
+		endpoint.shared = false
+		endpoint.restore(nil)
+	}
 }
 
 // draw returns the next random number below n (splitmix64).
--- a/internal/tier/session/session.go
+++ b/internal/tier/session/session.go
@@ -118,15 +118,16 @@
 	return client.hint
 }
 
-// ReportEjections tells the primary of endpoints that were ejected here. The report is a hint: it is made once, and may be lost.
-func (client *Client) ReportEjections(ctx context.Context, instances []string) {
+// ReportHealth tells the primary of endpoints that were ejected here, and of ejected ones that have answered. The report is a hint: it
+// is made once, and may be lost.
+func (client *Client) ReportHealth(ctx context.Context, ejected, restored []string) {
 	at := client.Primary()
 	if stands, _ := client.Stands(); !stands || at == "" {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, client.config.Settings.ContactWindow/lookPart)
 	defer cancel()
-	report := &tierv1.EjectionReport{Node: client.config.Settings.Node, Instances: instances}
+	report := &tierv1.EjectionReport{Node: client.config.Settings.Node, Instances: ejected, Restored: restored}
 	if _, err := client.config.Dial(at).ReportEjections(ctx, report); err != nil {
 		client.config.Log.Debug().Str("event", "ejections_unreported").Err(err).Msg("")
 	}
