--- a/internal/tier/loadbalancer/pick.go
+++ b/internal/tier/loadbalancer/pick.go
@@ -57,7 +57,7 @@
 	}
 	timeout := timeoutOf(oracle, ask.FirstTimeout)
 	if call.probe {
-		timeout = call.patience() // a doubled time-out would leave an outage undetected
+		timeout = max(minPatience, undoubled(oracle, ask.FirstTimeout)) // a doubled time-out would leave an outage undetected
 		endpoint.probes++
 	}
 	if ask.Repeatable && timeout < ask.Left {
