--- a/internal/rehearsal/fuzzdays/deployment.go
+++ b/internal/rehearsal/fuzzdays/deployment.go
@@ -43,6 +43,12 @@
 	if chosen.tight {
 		r.tighten(site)
 	}
+	if chosen.sorts {
+		r.sortTurns(site)
+	}
+	if chosen.scarce {
+		r.makeScarce(site)
+	}
 	if chosen.pressed {
 		r.press(site)
 	}
--- a/internal/rehearsal/fuzzdays/scenarios.go
+++ b/internal/rehearsal/fuzzdays/scenarios.go
@@ -18,6 +18,8 @@
 	veryFar              bool    // 50 to 100 ms one way between regions
 	pressed              bool    // bodies of megabytes, many connections
 	routes               int     // routes that the configuration holds beside those in use; 0: drawn
+	sorts                bool    // turns are kept or not, and may be resumed or not
+	scarce               bool    // engines of few places and little memory, tight aims
 	tight                bool    // short timeouts and retention, one try or four, bodies up to the limit
 	afterEnd             bool    // troubles may come after the day's length, while it recovers from the closing fault
 	lengthSeconds        float64 // length of the day; 0: as the site has it
@@ -117,6 +119,13 @@
 	{name: "planned work alone", timed: plannedWork, alone: true},
 	{name: "planned work alone, short timeouts", tight: true, timed: plannedWork, alone: true},
 	{name: "planned work alone, many machines", large: true, timed: plannedWork, alone: true},
+	{name: "turns of every sort", sorts: true, timed: endpointTroubles},
+	{name: "turns of every sort, many machines", sorts: true, scarce: true, large: true},
+	{name: "turns of every sort while stores come and go, two may be lost", sorts: true, cores: 5, stores: 6, losses: 2, lengthSeconds: 60,
+		timed: turnsBesideStoreTroubles, alone: true},
+	{name: "turns of every sort of programs that run away", sorts: true, timed: programsThatRunAway},
+	{name: "turns of every sort as answers are spoilt", sorts: true, timed: spoiltAnswers},
+	{name: "few places, little memory and tight aims", scarce: true, timed: endpointTroubles},
 	{name: "clients that give up", timed: impatientClients, alone: true},
 	{name: "clients that give up, short timeouts", tight: true, timed: impatientClients, alone: true},
 	{name: "programs that run away", lengthSeconds: 60, timed: programsThatRunAway, alone: true, closing: closings},
--- a/internal/tier/simulation/gateway.go
+++ b/internal/tier/simulation/gateway.go
@@ -20,6 +20,8 @@
 	turnLimit     = 5 * time.Second // of a Begin or a Settle, over all its calls
 	actLimit      = time.Second     // of an endpoint's answer
 	turnMost      = 30              // tokens that a turn may cost
+	unkeptShare   = 4               // one turn in so many comes by a route that keeps none
+	dropShare     = 8               // one other turn in so many is not kept, as its answer broke off
 	sampleEvery   = 100 * time.Millisecond
 	attemptHeader = "X-Attempt-Id"
 )
@@ -102,6 +104,10 @@
 	if random.IntN(16) == 0 { // it goes on from another program's
 		from = checks.program(random.IntN(programPlaces))
 	}
+	most := 1 + random.Uint64N(turnMost)
+	if random.IntN(unkeptShare) == 0 { // its program's other turns are kept: the budget is one
+		return g.carry(checks.begin(p, "", most, 1+random.Uint64N(most)), false)
+	}
 	previous := ""
 	if kept := checks.kept(from); len(kept) > 0 && random.IntN(10) > 0 {
 		previous = kept[len(kept)-1]
@@ -109,9 +115,8 @@
 			previous = kept[random.IntN(len(kept))]
 		}
 	}
-	most := 1 + random.Uint64N(turnMost)
 	a := checks.begin(p, previous, most, 1+random.Uint64N(most))
-	return g.carry(a, random.IntN(8) > 0)
+	return g.carry(a, random.IntN(dropShare) > 0)
 }
 
 // carry carries an attempt: begin, endpoint, settle.
--- /dev/null
+++ b/internal/tier/simulation/planted_accounts_test.go
@@ -0,0 +1,44 @@
+package simulation
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+
+	tierv1 "dockshift.example/dockshift/proto/saffronyard/tier/v1"
+)
+
+// lossy is a turn store that forgets what some of its calls charge.
+type lossy struct {
+	tierv1.TurnStore
+	calls *atomic.Int64
+}
+
+// Settle confirms some settlements of turns that are not kept as if nothing had been handed out.
+func (f lossy) Settle(ctx context.Context, req *tierv1.SettleRequest) (*tierv1.SettleReply, error) {
+	if !req.Kept && f.calls.Add(1)%5 == 0 {
+		req.Tokens = 0
+	}
+	return f.TurnStore.Settle(ctx, req)
+}
+
+// Accounts: a settlement of a turn that is not kept is lost, and its budget is spent again.
+func TestPlantedLostSettlement(t *testing.T) {
+	var calls atomic.Int64
+	found(t, Seams{Serve: func(inner tierv1.TurnStore) tierv1.TurnStore { return lossy{inner, &calls} }}, RuleBudget)
+}
+
+// deaf is a turn store that confirms releases and does not take them.
+type deaf struct{ tierv1.TurnStore }
+
+func (d deaf) Settle(ctx context.Context, req *tierv1.SettleRequest) (*tierv1.SettleReply, error) {
+	if !req.Kept {
+		return &tierv1.SettleReply{Verdict: tierv1.Verdict_OK}, nil
+	}
+	return d.TurnStore.Settle(ctx, req)
+}
+
+// Accounts: reservations that were ended still count at their most, and a budget with room is called spent.
+func TestPlantedSpentWithRoom(t *testing.T) {
+	found(t, Seams{Serve: func(inner tierv1.TurnStore) tierv1.TurnStore { return deaf{inner} }}, RuleSpent)
+}
--- a/internal/tier/simulation/roles.go
+++ b/internal/tier/simulation/roles.go
@@ -89,7 +89,7 @@
 		return err
 	}
 	v.store = store
-	p.handlers[strconv.Itoa(turnStorePort)] = tierv1.NewTurnStoreServer(store)
+	p.handlers[strconv.Itoa(turnStorePort)] = tierv1.NewTurnStoreServer(v.seams.serve(store))
 	v.held = session.New(session.Config{Settings: s, Role: string(roleTurnStore), Folder: store.Folder(), Address: s.Internal(1),
 		Empty: store.WasEmpty(), Dial: p.dialControlPlane, Synced: v.seams.synced(store), Disk: store.DiskState, Log: p.log,
 		PartitionMap: func(t *tierv1.PartitionMap) {
--- a/internal/tier/simulation/seams.go
+++ b/internal/tier/simulation/seams.go
@@ -15,6 +15,7 @@
 	Synced func(*turnstore.TurnStore, SyncedFunc) SyncedFunc // around a turn store's reports of whole copies
 	Map    func(*turnstore.TurnStore, *tierv1.PartitionMap)  // hears of the maps that a turn store takes
 	Tamper func(*Delivery)                                   // with answers on their way back
+	Serve  func(tierv1.TurnStore) tierv1.TurnStore           // around what a turn store answers to gateways and others
 
 	Settings func(*settings.Settings) // of each machine
 }
@@ -36,6 +37,13 @@
 	return s.Files(machine, inner)
 }
 
+func (s Seams) serve(inner tierv1.TurnStore) tierv1.TurnStore {
+	if s.Serve == nil {
+		return inner
+	}
+	return s.Serve(inner)
+}
+
 func (s Seams) synced(store *turnstore.TurnStore) SyncedFunc {
 	if s.Synced == nil {
 		return store.Synced
