Logs: a line ends with its pairs where an event has no message

Cause: the library writes an empty message as two quotes at the end of each line. Change: internal/tier/logformat makes the loggers of the tier's processes, for commands and the demo alike.

--- a/cmd/yard/main.go
+++ b/cmd/yard/main.go
@@ -9,6 +9,7 @@
 	"runtime/debug"
 	"syscall"
 
+	"dockshift.example/dockshift/internal/tier/logformat"
 	"dockshift.example/dockshift/internal/tier/settings"
 	"github.com/alecthomas/kong"
 	"github.com/phuslu/log"
@@ -63,8 +64,7 @@
 // start reads the settings, limits the heap to a part of the machine's memory, and returns a context that ends on SIGTERM or
 // SIGINT.
 func (flags *cli) start() (context.Context, settings.Settings, *log.Logger, error) {
-	logger := &log.Logger{Level: log.ParseLevel(flags.LogLevel), TimeFormat: "15:04:05.000",
-		Writer: &log.ConsoleWriter{Writer: os.Stderr, Formatter: log.LogfmtFormatter{TimeField: "time"}.Formatter}}
+	logger := logformat.New(os.Stderr, log.ParseLevel(flags.LogLevel))
 	path := flags.settingsPath()
 	loaded, err := settings.Load(path)
 	if err != nil {
--- a/internal/rehearsal/tierdemo/tierdemo.go
+++ b/internal/rehearsal/tierdemo/tierdemo.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"dockshift.example/dockshift/internal/tier/logformat"
 	"github.com/joomcode/errorx"
 	"github.com/phuslu/log"
 )
@@ -93,8 +94,7 @@
 func (rehearsal *rehearsal) start(ctx context.Context, dir string) error {
 	logs := &log.Logger{Level: log.PanicLevel, Writer: log.IOWriter{Writer: io.Discard}}
 	if rehearsal.options.Log != nil {
-		logs = &log.Logger{Level: log.InfoLevel, TimeFormat: "15:04:05.000",
-			Writer: &log.ConsoleWriter{Writer: rehearsal.options.Log, Formatter: log.LogfmtFormatter{TimeField: "time"}.Formatter}}
+		logs = logformat.New(rehearsal.options.Log, log.InfoLevel)
 	}
 	var err error
 	if rehearsal.platform, err = startPlatform(rehearsal.witness, "127.0.0.1"); err != nil {
