Metrics: requests by outcome, sends by end, time to the first event, resumed runs

Change: totals and a histogram in each gateway; metrics of the types counter and histogram beside gauge.

--- a/internal/tier/gateway/gateway.go
+++ b/internal/tier/gateway/gateway.go
@@ -51,6 +51,7 @@
 
 	ejectionsTaken uint64 // version of the newest ejection that others reported and that was taken
 
+	counters  *counters
 	calls     atomic.Int64 // requests of clients under way
 	lastReady atomic.Bool  // the readiness last answered
 	leaving   atomic.Bool
@@ -66,7 +67,8 @@
 func New(c Config) *Gateway {
 	gateway := &Gateway{config: c, log: c.Log, started: time.Now(), loadbalancer: loadbalancer.New(c.Settings.Zone, c.Settings.Node),
 		freed: make(chan struct{}), releasing: map[string]map[chan struct{}]bool{}, lateReleases: make(chan struct{}, maxLateReleases),
-		health: make(chan loadbalancer.Reports, maxUnreported)}
+		health:   make(chan loadbalancer.Reports, maxUnreported),
+		counters: newCounters()}
 	gateway.life, gateway.end = context.WithCancel(context.Background())
 	gateway.stores = newStoreClient(c.Settings, c.TurnStore, c.Log)
 	gateway.pool = newPool(c.Settings)
--- a/internal/tier/gateway/metrics_test.go
+++ b/internal/tier/gateway/metrics_test.go
@@ -62,3 +62,27 @@
 	assert.Equal(t, got.Status, 404)
 	assert.Assert(t, !strings.Contains(got.Body, "saffronyard_"), got.Body)
 }
+
+// Requests are counted by kind and by how their answers ended, sends by how they ended.
+func TestTotals(t *testing.T) {
+	a, b := firstRun(t, func(x *tiertest.Arrival) { begins(x, 2); x.Reset() })
+	r := start(t, a, b)
+	whole(t, r.post("/resumable/x", "a-1", "", "b"), 200, five())
+	assert.Equal(t, r.do(budgeted("/resumable/x", "a-2", 1, 2)).Status, 402)
+	assert.Equal(t, r.post("/none/x", "a-3", "", "b").Status, 404)
+	assert.Equal(t, r.post("/plain/x", "a-4", "X-Deadline-Ms: soon\r\n", "b").Status, 400)
+	a.SetScript(func(x *tiertest.Arrival) { x.Bare(503, "X-Not-Executed: full\r\n") })
+	b.SetScript(func(x *tiertest.Arrival) { x.Bare(503, "X-Not-Executed: full\r\n") })
+	promise(t, r.post("/once/x", "a-5", "", "b"))
+	holds(t, r.scrape(),
+		`saffronyard_gateway_requests_total{kind="stream",outcome="served"} 1`,
+		`saffronyard_gateway_requests_total{kind="turn",outcome="budget_spent"} 1`,
+		`saffronyard_gateway_requests_total{kind="none",outcome="not_found"} 1`,
+		`saffronyard_gateway_requests_total{kind="idempotent",outcome="rejected"} 1`,
+		`saffronyard_gateway_requests_total{kind="non_idempotent",outcome="refused"} 1`,
+		`saffronyard_gateway_runs_total{end="broken"} 1`,
+		`saffronyard_gateway_runs_total{end="whole"} 1`,
+		`saffronyard_gateway_runs_total{end="refused"} 2`,
+		`saffronyard_gateway_resumed_total 1`,
+		`saffronyard_gateway_first_event_seconds_count 2`)
+}
--- a/internal/tier/gateway/send.go
+++ b/internal/tier/gateway/send.go
@@ -68,7 +68,11 @@
 		request.sent++
 		request.tried = append(request.tried, choice.Instance)
 	}
+	if request.resumeAfter != "" && r.Written {
+		request.gateway.counters.resumed.Add(1)
+	}
 	if r.End != upstream.Streaming {
+		request.gateway.counters.countRun(r)
 		o := outcome(r, time.Since(request.began))
 		if o.Kind == loadbalancer.NotSent && !request.gateway.session.Current() { // it says nothing of the endpoint
 			o.Kind = loadbalancer.Abandoned
--- a/internal/tier/gateway/serve.go
+++ b/internal/tier/gateway/serve.go
@@ -17,6 +17,8 @@
 func (gateway *Gateway) handle(x *ingress.Exchange) {
 	gateway.calls.Add(1)
 	defer gateway.calls.Add(-1)
+	kind := kindNone
+	defer func() { gateway.counters.countRequest(kind, outcomeOf(x.Status(), x.Stamped(), x.Whole())) }()
 	table := gateway.routing.Load()
 	if table == nil {
 		gateway.refuse(x, 500*time.Millisecond)
@@ -36,6 +38,7 @@
 		x.Respond(505, nil, nil)
 		return
 	}
+	kind = request.kind()
 	if !request.readDeadline() {
 		x.Respond(400, nil, []byte("X-Deadline-Ms is no number of milliseconds\n"))
 		return
--- a/internal/tier/gateway/stream.go
+++ b/internal/tier/gateway/stream.go
@@ -131,6 +131,10 @@
 		relay.flushFrom(result.Answer)
 	}
 	stream.Close()
+	request.gateway.counters.countRun(result)
+	if timing.first > 0 {
+		request.gateway.counters.countFirst(timing.first)
+	}
 	request.gateway.done(choice.Call, timing.outcome(result))
 }
 
--- a/internal/tier/ingress/exchange.go
+++ b/internal/tier/ingress/exchange.go
@@ -24,6 +24,8 @@
 	head   bool // HEAD
 	keep   bool // the connection goes on after it
 	phase  phase
+	status int  // of the answer that was begun
+	stamp  bool // it has X-Response-Signature
 	bare   bool // no body is written
 	broken bool
 	out    *[]byte // the head of a stream until its first piece
@@ -31,6 +33,9 @@
 	fields [12]Field
 }
 
+// signatureField marks an answer as an endpoint's own.
+const signatureField = "X-Response-Signature"
+
 // phase is how far an answer has come.
 type phase uint8
 
@@ -56,6 +61,15 @@
 // Answered reports whether an answer, or a stream, was begun.
 func (exchange *Exchange) Answered() bool { return exchange.phase != unanswered }
 
+// Status is that of the answer that was begun; 0: none was.
+func (exchange *Exchange) Status() int { return exchange.status }
+
+// Stamped reports whether the answer that was begun has an endpoint's signature.
+func (exchange *Exchange) Stamped() bool { return exchange.stamp }
+
+// Whole reports whether an answer was written to its end.
+func (exchange *Exchange) Whole() bool { return exchange.phase == answered && !exchange.broken }
+
 // Respond answers whole, in one write if it is small. Fields of the connection and of framing are left out of the header.
 // An error tells that the client may not have it.
 func (exchange *Exchange) Respond(status int, header []Field, body []byte) error {
@@ -210,6 +224,7 @@
 	}
 	empty := status == 204 || status == 304
 	exchange.bare = empty || exchange.head
+	exchange.status = status
 	b = append(b, "HTTP/1.1 "...)
 	b = appendStatus(b, status)
 	given := false // the length of a body that is left out is known to the handler alone
@@ -217,6 +232,7 @@
 		if !all(f.Name, tokenChar) || f.Value != "" && !all(f.Value, valueChar) {
 			return nil, ErrField
 		}
+		exchange.stamp = exchange.stamp || strings.EqualFold(f.Name, signatureField)
 		if hop(f.Name) {
 			if !exchange.head || status == 204 || given || length > 0 || !strings.EqualFold(f.Name, "Content-Length") {
 				continue
--- a/internal/tier/metrics/gateway.go
+++ b/internal/tier/metrics/gateway.go
@@ -1,7 +1,9 @@
 package metrics
 
 import (
+	"fmt"
 	"io"
+	"strconv"
 	"time"
 )
 
@@ -11,6 +13,7 @@
 	Revision int64         // of the configuration in force there; 0: none yet
 	Calls    int64         // requests of clients under way
 	Session  time.Duration // until the session lapses without an answer of the control plane
+	Totals   GatewayTotals
 }
 
 func (figures Gateway) write(w io.Writer) {
@@ -18,4 +21,62 @@
 	gauge(w, "saffronyard_configuration_revision", "Revision of the operator's configuration in force.", float64(figures.Revision))
 	gauge(w, "saffronyard_gateway_calls", "Requests of clients under way.", float64(figures.Calls))
 	writeSession(w, figures.Session)
+	figures.Totals.write(w)
+}
+
+// GatewayTotals are what a gateway has counted since its process began. What was never counted is left out.
+type GatewayTotals struct {
+	Requests []RequestTotal
+	Runs     []RunTotal
+	Resumed  uint64    // runs that went on where another one had ended
+	First    Histogram // from a send to the first piece of a streamed answer
+}
+
+// RequestTotal is the number of requests of a kind whose answers ended in a way.
+type RequestTotal struct {
+	Kind, Outcome string
+	Count         uint64
+}
+
+// RunTotal is the number of sends to endpoints that ended in a way.
+type RunTotal struct {
+	End   string
+	Count uint64
+}
+
+// Histogram counts durations up to each of its bounds.
+type Histogram struct {
+	Bounds []time.Duration // rising
+	Counts []uint64        // one more than bounds: those above the last come last
+	Sum    time.Duration
+}
+
+func (totals GatewayTotals) write(w io.Writer) {
+	writeType(w, "saffronyard_gateway_requests_total", "Requests of clients by kind and by how the answer ended.", counterType)
+	for _, total := range totals.Requests {
+		writeSample(w, fmt.Sprintf("saffronyard_gateway_requests_total{kind=%q,outcome=%q}", total.Kind, total.Outcome), float64(total.Count))
+	}
+	writeType(w, "saffronyard_gateway_runs_total", "Sends to endpoints by how they ended.", counterType)
+	for _, total := range totals.Runs {
+		writeSample(w, fmt.Sprintf("saffronyard_gateway_runs_total{end=%q}", total.End), float64(total.Count))
+	}
+	writeType(w, "saffronyard_gateway_resumed_total", "Runs of a stream that went on where another one had ended.", counterType)
+	writeSample(w, "saffronyard_gateway_resumed_total", float64(totals.Resumed))
+	totals.First.write(w, "saffronyard_gateway_first_event_seconds", "From a send to the first event of a streamed answer.")
+}
+
+// write writes the histogram; counts are of all durations up to a bound.
+func (histogram Histogram) write(w io.Writer, name, help string) {
+	writeType(w, name, help, histogramType)
+	var count uint64
+	for i, bound := range histogram.Bounds {
+		count += histogram.Counts[i]
+		writeSample(w, fmt.Sprintf("%s_bucket{le=%q}", name, strconv.FormatFloat(bound.Seconds(), 'g', -1, 64)), float64(count))
+	}
+	if len(histogram.Counts) > len(histogram.Bounds) {
+		count += histogram.Counts[len(histogram.Bounds)]
+	}
+	writeSample(w, name+`_bucket{le="+Inf"}`, float64(count))
+	writeSample(w, name+"_sum", histogram.Sum.Seconds())
+	writeSample(w, name+"_count", float64(count))
 }
--- a/internal/tier/metrics/metrics.go
+++ b/internal/tier/metrics/metrics.go
@@ -41,6 +41,15 @@
 	})
 }
 
+// metricType is the type of a metric in the text format.
+type metricType string
+
+const (
+	gaugeType     metricType = "gauge"
+	counterType   metricType = "counter"
+	histogramType metricType = "histogram"
+)
+
 // sample is the value of a metric for one value of its label.
 type sample struct {
 	label string
@@ -49,23 +58,26 @@
 
 // gauge writes a metric without labels.
 func gauge(w io.Writer, name, help string, value float64) {
-	writeHeader(w, name, help)
-	metrics.WriteGaugeFloat64(w, name, value)
+	writeType(w, name, help, gaugeType)
+	writeSample(w, name, value)
 }
 
 // gauges writes a metric with a value for each value of a label.
 func gauges(w io.Writer, name, help, label string, samples ...sample) {
-	writeHeader(w, name, help)
+	writeType(w, name, help, gaugeType)
 	for _, sample := range samples {
-		metrics.WriteGaugeFloat64(w, fmt.Sprintf("%s{%s=%q}", name, label, sample.label), sample.value)
+		writeSample(w, fmt.Sprintf("%s{%s=%q}", name, label, sample.label), sample.value)
 	}
 }
 
-// writeHeader writes the help and the type of a metric. The library writes the type only, and only by a global switch.
-func writeHeader(w io.Writer, name, help string) {
-	_, _ = fmt.Fprintf(w, "# HELP %s %s\n# TYPE %s gauge\n", name, help, name)
+// writeType writes the help and the type of a metric. The library writes the type only, and only by a global switch.
+func writeType(w io.Writer, name, help string, kind metricType) {
+	_, _ = fmt.Fprintf(w, "# HELP %s %s\n# TYPE %s %s\n", name, help, name, kind)
 }
 
+// writeSample writes one value, under its name with its labels.
+func writeSample(w io.Writer, name string, value float64) { metrics.WriteGaugeFloat64(w, name, value) }
+
 // zeroOrOne is 1 for true.
 func zeroOrOne(is bool) float64 {
 	if is {
