--- a/internal/tier/loadbalancer/done.go
+++ b/internal/tier/loadbalancer/done.go
@@ -7,7 +7,7 @@
 func (balancer *Balancer) FirstPiece(now time.Duration, call *Call) {
 	if call != nil && !call.done {
 		call.endpoint.answerBegan(now, call)
-		call.endpoint.restore(call)
+		call.endpoint.restore()
 	}
 }
 
@@ -90,7 +90,7 @@
 	endpoint.recordResult(now, 0)
 	endpoint.window.Grow(endpoint.capacity())
 	endpoint.pauseLength, endpoint.pausedUntil = 0, 0
-	endpoint.restore(call)
+	endpoint.restore()
 }
 
 // recordRefused records a refusal: the endpoint is alive, and at its limit.
@@ -101,7 +101,7 @@
 		endpoint.pauseLength = min(max(2*endpoint.pauseLength, minRefusalPause), maxRefusalPause)
 		endpoint.pausedUntil = now + endpoint.pauseLength
 	}
-	endpoint.restore(call)
+	endpoint.restore()
 }
 
 // recordFailed records a failed call. Consecutive failures whose weights reach ejectThreshold eject the endpoint.
@@ -143,5 +143,5 @@
 		return
 	}
 	endpoint.observedAt = max(endpoint.observedAt, now)
-	endpoint.restore(nil)
+	endpoint.restore()
 }
--- a/internal/tier/loadbalancer/endpoint.go
+++ b/internal/tier/loadbalancer/endpoint.go
@@ -16,7 +16,6 @@
 	healthWeight     = 0.06             // weight of the latest call in the share of failures
 	failureDecayTime = 10 * time.Second // time constant by which that share decays, as a failing endpoint gets few calls
 	failingThreshold = 0.3              // share of failed calls from which the window is halved
-	ejectedShare     = 0.5              // least share of failures of one that was ejected: its answers show less than its failures
 	failurePenalty   = 4.0              // added to the cost factor of an endpoint that always fails
 	coldPenalty      = 2.0              // cost factor of an endpoint that has just started
 	maxLatencyRatio  = 4.0              // bound of the cost factor of a slow endpoint
@@ -61,8 +60,6 @@
 
 	failureWeight float64 // of the consecutive failures
 	ejected       bool
-	ejectedAt     time.Duration
-	shareBefore   float64       // of failures, as of the ejection
 	probes        int           // under way
 	ownerProbing  bool          // one of them is a health check of the owner
 	nextProbe     time.Duration // not before
@@ -129,12 +126,6 @@
 	return penalty
 }
 
-// margin is the cost by which an endpoint that is preferred may exceed others, given in requests. One that is slow or fails gets
-// less.
-func (endpoint *endpoint) margin(now time.Duration, requests float64) float64 {
-	return requests / float64(endpoint.capacity()) / max(1, endpoint.penalty(now))
-}
-
 // hasRoom reports whether the endpoint may get one more request. Requests below the highest priority leave an eighth of the
 // window free.
 func (endpoint *endpoint) hasRoom(now time.Duration, priority int) bool {
@@ -236,10 +227,7 @@
 
 // takeOut takes the endpoint out of the choice until a probe is served. If it is out already, the next probe waits longer.
 func (endpoint *endpoint) takeOut(now time.Duration) {
-	if !endpoint.ejected {
-		endpoint.ejected, endpoint.ejectedAt, endpoint.shareBefore = true, now, endpoint.failureRate(now)
-	}
-	endpoint.failureShare, endpoint.failureTime = max(endpoint.failureRate(now), ejectedShare), now
+	endpoint.ejected = true
 	longest := maxProbePause
 	if endpoint.shared { // others wait for what the probe finds
 		longest = maxSharedProbePause
@@ -248,11 +236,8 @@
 	endpoint.nextProbe = now + endpoint.backoff
 }
 
-// restore ends an ejection, as a call was answered. One that was sent before shows that the endpoint was only slow.
-func (endpoint *endpoint) restore(call *Call) {
-	if endpoint.ejected && call != nil && call.sent < endpoint.ejectedAt {
-		endpoint.failureShare = min(endpoint.failureShare, endpoint.shareBefore)
-	}
+// restore ends an ejection.
+func (endpoint *endpoint) restore() {
 	if endpoint.ejected && endpoint.shared {
 		endpoint.shared = false
 		endpoint.reports.Restored = append(endpoint.reports.Restored, endpoint.Instance)
--- a/internal/tier/loadbalancer/loadbalancer.go
+++ b/internal/tier/loadbalancer/loadbalancer.go
@@ -268,7 +268,7 @@
 func (balancer *Balancer) RestoreReported(instance string) {
 	if endpoint := balancer.endpoints[instance]; endpoint != nil && endpoint.shared {
 		endpoint.shared = false
-		endpoint.restore(nil)
+		endpoint.restore()
 	}
 }
 
--- a/internal/tier/loadbalancer/pick.go
+++ b/internal/tier/loadbalancer/pick.go
@@ -220,7 +220,7 @@
 	case own.count == 0:
 		return balancer.chooseWithin(now, service, ask, allowed, &far, false)
 	}
-	if own.lowestCost <= zoneCostFactor*far.lowestCost+own.cheapest.margin(now, zoneCostMargin) {
+	if own.lowestCost <= zoneCostFactor*far.lowestCost+zoneCostMargin/float64(own.cheapest.capacity()) {
 		return balancer.chooseWithin(now, service, ask, allowed, &own, true)
 	}
 	return balancer.chooseWithin(now, service, ask, allowed, &far, false)
@@ -236,7 +236,7 @@
 	mean := (own.totalCost + far.totalCost) / float64(max(1, own.count+far.count))
 	// A session that moves is prefilled again and evicts what others have cached there: the likelier, the more is in use.
 	displaced := mean * min(1, mean)
-	if endpoint.cost(now) > max(homeCostFactor*mean, mean+displaced+endpoint.margin(now, homeCostMargin)) {
+	if endpoint.cost(now) > max(homeCostFactor*mean, mean+displaced+homeCostMargin/float64(endpoint.capacity())) {
 		return nil
 	}
 	return endpoint
--- /dev/null
+++ b/internal/tier/session/ejections_test.go
@@ -0,0 +1,47 @@
+package session_test
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"dockshift.example/dockshift/internal/tier/session"
+	tierv1 "dockshift.example/dockshift/proto/saffronyard/tier/v1"
+)
+
+// Ejections are asked for by those that act on them only; each version comes once, and is acknowledged.
+func TestEjectionsComeToThoseThatTakeThem(t *testing.T) {
+	for _, takes := range []bool{true, false} {
+		r := newRig(t, 1)
+		c := r.primary(1)
+		r.run(func(config *session.Config) {
+			if takes {
+				config.Ejections = func(v *tierv1.Ejections) { r.note(fmt.Sprint("ejections ", v.Version)) }
+			}
+		})
+		c.SetConfiguration("1")
+		c.Taken(t)                                               // the session stands: its next call acknowledges
+		r.client.ReportHealth(t.Context(), []string{"i-1"}, nil) // the fake tells each report at once
+		if takes {
+			c.Await(t, "they are acknowledged", func(q *tierv1.WatchRequest) bool { return held(q) && q.TakesEjections && q.Ejections == 1 })
+			assert.DeepEqual(t, r.notes(), []string{"configuration 1", "ejections 1"})
+			continue
+		}
+		c.SetConfiguration("2")
+		c.Taken(t)
+		assert.DeepEqual(t, r.notes(), []string{"configuration 1", "configuration 2"})
+	}
+}
+
+// Without a session nothing is reported.
+func TestNothingIsReportedWithoutASession(t *testing.T) {
+	r := newRig(t, 1)
+	r.run(func(config *session.Config) { config.Ejections = func(*tierv1.Ejections) { r.note("ejections") } })
+	r.at(1).Await(t, "the primary is looked for", func(q *tierv1.WatchRequest) bool { return !held(q) })
+	r.client.ReportHealth(t.Context(), []string{"i-1"}, nil)
+	c := r.primary(1)
+	c.SetConfiguration("1")
+	c.Taken(t)
+	assert.DeepEqual(t, r.notes(), []string{"configuration 1"})
+}
