--- a/internal/rehearsal/fuzzdays/scenarios.go
+++ b/internal/rehearsal/fuzzdays/scenarios.go
@@ -121,7 +121,7 @@
 	{name: "planned work alone, many machines", large: true, timed: plannedWork, alone: true},
 	{name: "turns of every sort", sorts: true, timed: endpointTroubles},
 	{name: "turns of every sort, many machines", sorts: true, scarce: true, large: true},
-	{name: "turns of every sort while stores come and go, two may be lost", sorts: true, cores: 5, stores: 6, losses: 2, lengthSeconds: 60,
+	{name: "turns of every sort as stores come and go, two losses", sorts: true, cores: 5, stores: 6, losses: 2, lengthSeconds: 60,
 		timed: turnsBesideStoreTroubles, alone: true},
 	{name: "turns of every sort of programs that run away", sorts: true, timed: programsThatRunAway},
 	{name: "turns of every sort as answers are spoilt", sorts: true, timed: spoiltAnswers},
