--- a/internal/tier/gateway/gateway.go
+++ b/internal/tier/gateway/gateway.go
@@ -37,6 +37,7 @@
 	stores  *storeClient
 	pool    *upstream.Pool
 	texts   *textCache
+	homes   *homes
 
 	routing atomic.Pointer[routing.Table]
 	listed  atomic.Bool // a list of endpoints has come
@@ -73,6 +74,7 @@
 	gateway.stores = newStoreClient(c.Settings, c.TurnStore, c.Log)
 	gateway.pool = newPool(c.Settings)
 	gateway.texts = newTextCache(c.Settings.MemoryMB << 20 / 16)
+	gateway.homes = newHomes()
 	gateway.session = session.New(session.Config{Settings: c.Settings, Role: "gateway", Dial: c.ControlPlane, Log: c.Log,
 		Configuration: gateway.takeConfiguration, Endpoints: gateway.takeEndpoints, PartitionMap: gateway.stores.apply, Ejections: gateway.takeEjections})
 	return gateway
--- a/internal/tier/gateway/stream.go
+++ b/internal/tier/gateway/stream.go
@@ -34,6 +34,9 @@
 		// The text of a kept turn is that of the run that ends whole: it runs from its beginning, and the client gets the rest.
 		relay.skipTo, relay.progress.last, request.dropAfter = after, "", true
 	}
+	if turn.transcript == nil {
+		request.home = request.gateway.homes.find(request.homeKeys()...)
+	}
 	relay.run()
 }
 
@@ -216,6 +219,7 @@
 	}
 	tokens := relay.events * request.perEvent
 	if turn.transcript == nil {
+		request.noteHome(instance)
 		turn.account.release(tokens)
 		request.x.End()
 		return
