Brain: key queues, grants after a wake-up and expiries, three faults found by reading

Cause: a queue of an ordering key that was released twice, with another key's cool-down between, deleted the key's next queue, so that two of its messages went at once; a route that woke up had no destination, so the grant of destination 0 held for it, and a grant of 0 let its first call through; an observation that set the least latency left the expiries of waiting messages as they were. Change: a queue stands in the list of released ones once; a woken route keeps its destination, and nothing goes under a grant of 0; an observation reschedules expiries, and the check of indexes bears no late entry any more (it did by the least latency).

--- a/brain/export_test.go
+++ b/brain/export_test.go
@@ -123,9 +123,7 @@
 		if m.heapIndex < 0 || m.heapIndex >= len(b.expiries.messages) || b.expiries.messages[m.heapIndex] != m {
 			return fmt.Errorf("message %d waits and is not in the heap", id)
 		}
-		// A pace that is learnt from others sets the quickest time of a route without a change of the heap, which
-		// is then late by no more than that time.
-		if at := b.expiresAt(m); at < m.expiryDue && at+m.route().MinLatency < m.expiryDue {
+		if at := b.expiresAt(m); at < m.expiryDue {
 			return fmt.Errorf("message %d expires at %v, in the heap it is due at %v", id, at, m.expiryDue)
 		}
 	}
--- a/brain/hibernation.go
+++ b/brain/hibernation.go
@@ -219,6 +219,7 @@
 func (b *Brain) wakeUpRoute(f *hibernatedDestination, weight float64) *route {
 	r := &route{
 		id:               uint32(f.id),
+		destination:      f.id,
 		sequence:         f.routeSequence,
 		window:           restart.Window{Size: max(1, blend(1, float64(f.window), weight))},
 		tokens:           1,
--- a/brain/hibernation_test.go
+++ b/brain/hibernation_test.go
@@ -371,3 +371,37 @@
 		runtime.KeepAlive(br)
 	}
 }
+
+// A destination that has woken up goes by what the fleet grants it, not by the grant of destination 0.
+func TestWakeUp_GoesByItsOwnRateGrant(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		grants []Event
+		sends  int
+	}{
+		{"its own grant is 0", []Event{RateGrant{Destination: 1, Limited: true}}, 0},
+		{"the grant of destination 0 is 0", []Event{RateGrant{Destination: 0, Limited: true}}, 3},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := hibernatingRig(t)
+			r.serve(3, 1, 20*ms)
+			r.hibernate(2 * time.Minute)
+			if r.b.hibernated[1] == nil {
+				t.Fatal("destination 1 does not hibernate")
+			}
+			r.step(c.grants...)
+			sends := 0
+			for range 3 {
+				for _, s := range r.step(r.message(0, 1, 0)) {
+					sends++
+					r.now += 20 * ms
+					r.step(r.end(s, Served))
+				}
+				r.now += time.Second
+			}
+			if sends != c.sends {
+				t.Errorf("%d sends, want %d", sends, c.sends)
+			}
+		})
+	}
+}
--- a/brain/learn.go
+++ b/brain/learn.go
@@ -69,6 +69,9 @@
 			MinLatency:    o.MinLatency,
 			Timeout:       o.Timeout,
 		}, trust(o.LatencyAge))
+		if d := b.destinations[o.Destination]; d != nil { // those that wait have less time from now on
+			b.rescheduleExpiries(d)
+		}
 	}
 	if t := decay(o.LimitAge, limitHalfLife); r.limit == 0 && t >= minLimitTrust && isPositive(o.Limit) {
 		b.setLimit(r, o.Limit)
--- a/brain/learn_test.go
+++ b/brain/learn_test.go
@@ -185,3 +185,30 @@
 		}
 	}
 }
+
+// What is learned of the quickest call of a destination shortens the time that its waiting messages have: they fail when
+// they can no longer be served, not up to that latency later.
+func TestObservation_ReschedulesExpiries(t *testing.T) {
+	r := newRig(t, settings())
+	r.step(Observation{RetryAfter: time.Minute})
+	// Only the message that expires next is looked at in each step: the one of destination 1.
+	r.step(Observation{Destination: 1, RetryAfter: time.Minute})
+	next, waiting := r.message(0, 1, 0), r.message(0, 0, 0)
+	next.Deadline -= 500 * ms
+	if sends := r.step(next, waiting); len(sends) != 0 {
+		t.Fatalf("sent before the retry-after is over: %+v", sends)
+	}
+	r.step(Observation{Samples: 50, MeanLatency: 3 * time.Second, MedianLatency: 3 * time.Second, MinLatency: 2 * time.Second, Timeout: 4 * time.Second})
+	if err := r.b.CheckIndexes(); err != nil {
+		t.Fatal(err)
+	}
+	quickest := r.b.destinations[0].sharedRoute.MinLatency
+	if quickest < time.Second {
+		t.Fatalf("the quickest call was not learned: %v", quickest)
+	}
+	r.now = waiting.Deadline - quickest
+	r.step(TimerFired{})
+	if !r.failed[waiting.ID] {
+		t.Error("a message that can no longer be served in time still waits")
+	}
+}
--- a/brain/message.go
+++ b/brain/message.go
@@ -128,7 +128,7 @@
 		delete(b.messages, m.ID)
 		if q := m.keyQueue; q != nil {
 			q.messages = removeFirst(q.messages, m)
-			b.releasedKeyQueues = append(b.releasedKeyQueues, q)
+			b.releaseKeyQueue(q)
 		}
 	}
 }
--- a/brain/ordering.go
+++ b/brain/ordering.go
@@ -8,6 +8,16 @@
 	messages       []*message
 	cooldownUntil  time.Duration
 	inCooldownList bool // it is in Brain.coolingDown
+	inReleasedList bool // it is in Brain.releasedKeyQueues
+}
+
+// releaseKeyQueue has the queue deleted once it is empty and has cooled down. A queue stands in the list once
+// at most: a second entry would outlast the queue, and delete a newer one of the same key.
+func (b *Brain) releaseKeyQueue(q *keyQueue) {
+	if !q.inReleasedList {
+		q.inReleasedList = true
+		b.releasedKeyQueues = append(b.releasedKeyQueues, q)
+	}
 }
 
 // deleteReleasedKeyQueues deletes the queues that are empty and have cooled down, up to the first that has
@@ -21,6 +31,7 @@
 		if len(q.messages) == 0 {
 			delete(b.keyQueues, q.key)
 		}
+		q.inReleasedList = false
 		b.releasedKeyQueues = b.releasedKeyQueues[1:]
 	}
 }
--- a/brain/ordering_test.go
+++ b/brain/ordering_test.go
@@ -33,3 +33,41 @@
 		t.Fatalf("then %+v", s)
 	}
 }
+
+// A key whose queue was released twice, with the queue of another key between, lost its next queue: two of its messages
+// went at once.
+func TestOrdering_QueueReleasedTwice(t *testing.T) {
+	r := newRig(t, settings())
+	r.serve(30, 0, 20*ms)
+	leaveUncertain := func(key uint64) { // its only message ends with an attempt that may still run
+		t.Helper()
+		m := r.message(3, 0, key)
+		sends := r.step(m)
+		if len(sends) != 1 {
+			t.Fatalf("key %d: %d sends", key, len(sends))
+		}
+		r.step(Withdrawn{m.ID})
+		r.step(r.end(sends[0], TimedOut))
+	}
+	leaveUncertain(5)
+	released := r.now
+	r.now = released + 200*ms
+	leaveUncertain(6)
+	again := r.message(3, 0, 5)
+	r.step(again, Withdrawn{again.ID})
+
+	r.now = released + 310*ms // key 5 has cooled down, key 6 has not
+	r.step(TimerFired{})
+	first, second := r.message(3, 0, 5), r.message(3, 1, 5) // at two destinations: only the key holds the second one back
+	if sends := r.step(first); len(sends) != 1 {
+		t.Fatalf("%d sends after the cool-down", len(sends))
+	}
+	r.now = released + 510*ms // both have
+	r.step(TimerFired{})
+	if sends := r.step(second); len(sends) != 0 {
+		t.Fatal("a second message of the key went while the first one was in flight")
+	}
+	if err := r.b.CheckIndexes(); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/brain/rate_limits.go
+++ b/brain/rate_limits.go
@@ -37,6 +37,9 @@
 	}
 	if granted { // by the fleet: nothing is guessed of what others use
 		rate, burst = min(rate, grant.Rate/float64(b.routesOfDestination(r.destination))), 1
+		if grant.Rate == 0 { // nothing is granted, not even the first call of a route
+			burst = 0
+		}
 	}
 	switch {
 	case r.state == outage:
