Turn store: the end of a recovery reads the committer under its lock

Cause: Reopen replaces the committer of the write-ahead log; finishRecovery read it without the lock. Change: it is read under the lock.

--- a/internal/tier/turnstore/recovery_test.go
+++ b/internal/tier/turnstore/recovery_test.go
@@ -29,3 +29,27 @@
 	r.MaxTokens = 71 // 10 and 20 are charged
 	assert.Equal(t, k.beginUntilCertain("b", r), spent)
 }
+
+// A recovery that completes while the logs are reopened reads the committer that Reopen replaces; the race detector watches.
+func TestReopen_BesideFinishedRecovery(t *testing.T) {
+	c, _ := newPair(t)
+	store := c.nodes["a"].turnstore
+	r := &replicator{store: store, term: &term{ended: true}}
+	stop, finished := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(finished)
+		for {
+			select {
+			case <-stop:
+				return
+			default:
+				r.finishRecovery()
+			}
+		}
+	}()
+	for range 20 {
+		assert.NilError(t, store.Reopen(c.now()))
+	}
+	close(stop)
+	<-finished
+}
--- a/internal/tier/turnstore/synchronize.go
+++ b/internal/tier/turnstore/synchronize.go
@@ -97,7 +97,9 @@
 // finishRecovery records that this turn store has all facts of the backup, once they are synced. After the last of the backups to
 // recover from, all backups are synchronized, as each may lack facts that came from another.
 func (r *replicator) finishRecovery() {
+	r.store.mu.Lock() // Reopen replaces the committer
 	synced := r.store.commit.add()
+	r.store.mu.Unlock()
 	if <-synced.done; synced.err != nil {
 		return // the disk has failed: Reopen begins a new term
 	}
