--- a/internal/fleet/connections.go
+++ b/internal/fleet/connections.go
@@ -61,8 +61,8 @@
 func (n *Node) sendLoop(ctx context.Context, name string, ring *worker.RingBuffer[*raftpb.Message]) {
 	for ctx.Err() == nil {
 		err := n.sendStream(ctx, name, ring)
-		if ctx.Err() == nil && n.voter != nil {
-			n.voter.Inbox.Offer(replicatedlog.PeerUnreachable{VoterID: replicatedlog.VoterID(name)})
+		if voter := n.currentVoter(); ctx.Err() == nil && voter != nil {
+			voter.Inbox.Offer(replicatedlog.PeerUnreachable{VoterID: replicatedlog.VoterID(name)})
 			n.log.Debug("fleet: a voter is unreachable", "voter", name, "err", err)
 		}
 		select {
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -203,8 +203,8 @@
 	err := n.group.Stop(stopTimeout)
 	n.conns.close()
 	n.background.Wait()
-	if n.store != nil && err == nil {
-		err = n.store.close()
+	if store := n.currentStore(); store != nil && err == nil {
+		err = store.close()
 	}
 	return err
 }
--- /dev/null
+++ b/internal/fleet/races_test.go
@@ -0,0 +1,64 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"testing"
+	"time"
+
+	"go.etcd.io/raft/v3/raftpb"
+
+	"saffronyard.example/saffronyard/internal/fleetpolicy"
+	"saffronyard.example/saffronyard/internal/replicatedlog"
+	"saffronyard.example/saffronyard/internal/worker"
+	pb "saffronyard.example/saffronyard/proto/saffronyard/fleet/v1"
+)
+
+// idleNode is a node that was not started.
+func idleNode(t *testing.T) *Node {
+	t.Helper()
+	n := newNode(Config{Name: "a", Cluster: "c", Now: Now}, slog.New(slog.DiscardHandler), "127.0.0.1:1", Now)
+	t.Cleanup(n.stop)
+	return n
+}
+
+// The voter's worker comes and goes while messages are sent to its peers; the race detector watches.
+func TestSendLoop_VoterExitsMeanwhile(t *testing.T) {
+	n := idleNode(t)
+	ring := worker.NewRingBuffer[*raftpb.Message]("to b", 1, worker.DropOldest, nil)
+	ctx, cancel := context.WithCancel(n.ctx)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		n.sendLoop(ctx, "b", ring) // has no address: each stream fails at once
+	}()
+	for range 100 {
+		inbox := worker.NewRingBuffer[replicatedlog.VoterEvent](voterWorker, 1, worker.DropOldest, nil)
+		n.mu.Lock()
+		n.voter = &voterActor{Name: voterWorker, Inbox: inbox}
+		n.mu.Unlock()
+		n.workerExited(voterWorker, errors.New("the disk has failed"))
+	}
+	cancel()
+	<-ended
+}
+
+// What the leader said of an open change is appended to a copy: the voter's status, which others read, stays as it is.
+func TestPolicyReport_LeavesStatusAsItIs(t *testing.T) {
+	n := idleNode(t)
+	own := fleetpolicy.PendingSender{Name: "own"}
+	status := append(make([]fleetpolicy.PendingSender, 0, 4), own)
+	n.status.WaitingOn = status
+	n.waitingOn = []*pb.PendingSender{{Name: "heard", RemainingUs: time.Second.Microseconds()}}
+	n.replicaReport.policy = &pb.PolicyState{OpenChange: &pb.Change{Id: 1}}
+	n.mu.Lock()
+	report := n.policyReport()
+	n.mu.Unlock()
+	if got := report.Open.WaitingOn; len(got) != 2 || got[1].Name != "heard" {
+		t.Fatalf("reported %+v", got)
+	}
+	if behind := status[:2][1]; behind.Name != "" {
+		t.Errorf("the report wrote %+v into the voter's status", behind)
+	}
+}
--- a/internal/fleet/voter.go
+++ b/internal/fleet/voter.go
@@ -106,6 +106,13 @@
 	return n.voter
 }
 
+// currentStore is the stored log; nil if this sender is no voter.
+func (n *Node) currentStore() *store {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.store
+}
+
 // callVoter puts an event into the voter's inbox and waits for its reply. The error is a gRPC status, the inbox's or the voter's own.
 func (n *Node) callVoter(ctx context.Context, event func(replyTo uint64) replicatedlog.VoterEvent) (proto.Message, error) {
 	voter := n.currentVoter()
--- a/internal/replicatedlog/leader.go
+++ b/internal/replicatedlog/leader.go
@@ -25,6 +25,10 @@
 	if cmd, waitingOn := v.policyCoordinator.Step(now, v.policy.State(), v.granter); cmd != nil {
 		v.proposeOwn(KindPolicy, cmd)
 		v.processReady(now)
+		if v.granter == nil { // the step has ended the lead
+			v.status.WaitingOn, v.status.Leases = nil, nil
+			return
+		}
 	} else {
 		v.status.WaitingOn = waitingOn
 	}
