Consensus: a write that does not return is logged and shown as a stuck disk

Cause: a control-plane process whose write hangs logged nothing and had no metric; only its peers noticed.

--- a/internal/tier/consensus/errors.go
+++ b/internal/tier/consensus/errors.go
@@ -16,6 +16,8 @@
 	// StateTooLarge is the type of the error of a Put that would make the control state larger than its limit. Nothing was
 	// written, and the epoch goes on.
 	StateTooLarge = errorTypes.NewType("state_too_large")
+	// DiskStuck is the type of Health.Disk while a write does not return.
+	DiskStuck = errorTypes.NewType("disk_stuck")
 	// CorruptRecord is the type of the error of Open and Run for a record of the file that this program cannot read.
 	CorruptRecord = errorTypes.NewType("corrupt_record")
 )
--- a/internal/tier/consensus/health.go
+++ b/internal/tier/consensus/health.go
@@ -33,6 +33,9 @@
 		health.Tolerates = ToleranceUnknown
 	}
 	health.Lease = node.published.lease(now, node.timing.lease)
+	if health.Disk == nil && node.stuckWrite.isStuck() {
+		health.Disk = DiskStuck.New("a write to the file of the control state has not returned for %v", writeStuckTimeout)
+	}
 	return health
 }
 
--- a/internal/tier/consensus/node.go
+++ b/internal/tier/consensus/node.go
@@ -46,6 +46,8 @@
 	storage storageStatus
 	clients map[string]tierv1.Election // by address
 
+	stuckWrite stuckWrite // safe for concurrent use
+
 	mu        sync.Mutex // guards the fields up to changed
 	inbox     []event
 	stopped   bool
--- a/internal/tier/consensus/storage.go
+++ b/internal/tier/consensus/storage.go
@@ -93,6 +93,8 @@
 	if len(actions.records) == 0 {
 		return nil
 	}
+	node.stuckWrite.begin(node.logStuckWrite)
+	defer node.endWrite()
 	if err := node.file.Append(actions.records...); err != nil {
 		return errorx.Decorate(err, "consensus: append")
 	}
@@ -104,6 +106,18 @@
 	return node.rewriteIfGrown()
 }
 
+// logStuckWrite logs that the write in progress does not return.
+func (node *Node) logStuckWrite() {
+	node.config.Log.Error().Str("event", "disk_stuck").Str("file", fileName).Dur("for", writeStuckTimeout).Msg("a write does not return")
+}
+
+// endWrite notes that the write in progress has returned.
+func (node *Node) endWrite() {
+	if node.stuckWrite.end() {
+		node.config.Log.Info().Str("event", "disk_released").Str("file", fileName).Msg("the write that did not return has ended")
+	}
+}
+
 // rewriteIfGrown rewrites the file if it has grown enough. A rewrite that fails is an error only if it broke the file.
 func (node *Node) rewriteIfGrown() error {
 	if node.file.Size() < node.storage.rewriteAt {
--- a/internal/tier/controlplane/metrics.go
+++ b/internal/tier/controlplane/metrics.go
@@ -3,6 +3,9 @@
 import (
 	"time"
 
+	"github.com/joomcode/errorx"
+
+	"saffronyard.example/saffronyard/internal/tier/consensus"
 	"saffronyard.example/saffronyard/internal/tier/metrics"
 	"saffronyard.example/saffronyard/internal/tier/wal"
 	tierv1 "saffronyard.example/saffronyard/proto/saffronyard/tier/v1"
@@ -27,6 +30,8 @@
 	switch {
 	case failure == nil:
 		return tierv1.DiskState_DISK_SOUND
+	case errorx.IsOfType(failure, consensus.DiskStuck):
+		return tierv1.DiskState_DISK_STUCK
 	case wal.IsDiskFull(failure):
 		return tierv1.DiskState_DISK_FULL
 	}
