--- a/internal/fleet/races_test.go
+++ b/internal/fleet/races_test.go
@@ -45,7 +45,7 @@
 }
 
 // What the leader said of an open change is appended to a copy: the voter's status, which others read, stays as it is.
-func TestPolicyReport_LeavesStatusAsItIs(t *testing.T) {
+func TestPolicyReport_DoesNotModifyStatus(t *testing.T) {
 	n := idleNode(t)
 	own := fleetpolicy.PendingSender{Name: "own"}
 	status := append(make([]fleetpolicy.PendingSender, 0, 4), own)
--- a/internal/tier/capacity/controlplane_test.go
+++ b/internal/tier/capacity/controlplane_test.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -52,6 +53,18 @@
 	return store.values[key], store.writtenAt[key]
 }
 
+func (store *memoryStore) Scan(prefix string) map[string][]byte {
+	store.mu.Lock()
+	defer store.mu.Unlock()
+	found := map[string][]byte{}
+	for key, value := range store.values {
+		if strings.HasPrefix(key, prefix) {
+			found[key] = value
+		}
+	}
+	return found
+}
+
 func (store *memoryStore) Put(_ context.Context, _ uint64, sets map[string][]byte) (uint64, error) {
 	store.mu.Lock()
 	defer store.mu.Unlock()
--- a/internal/tier/consensus/published.go
+++ b/internal/tier/consensus/published.go
@@ -1,6 +1,7 @@
 package consensus
 
 import (
+	"strings"
 	"time"
 
 	tierv1 "saffronyard.example/saffronyard/proto/saffronyard/tier/v1"
@@ -70,6 +71,20 @@
 	return e.GetValue(), e.GetSequence()
 }
 
+// Scan returns the values of all keys that begin with a prefix, as committed at all replicas. The values must not be modified.
+func (node *Node) Scan(prefix string) map[string][]byte {
+	node.mu.Lock()
+	entries := node.published.entries // it is replaced, never changed
+	node.mu.Unlock()
+	values := make(map[string][]byte)
+	for key, entry := range entries {
+		if strings.HasPrefix(key, prefix) {
+			values[key] = entry.Value
+		}
+	}
+	return values
+}
+
 // Changed returns a channel that is closed at the next change of role, view or state.
 func (node *Node) Changed() <-chan struct{} {
 	node.mu.Lock()
--- a/internal/tier/controlplane/controlplane.go
+++ b/internal/tier/controlplane/controlplane.go
@@ -7,6 +7,7 @@
 
 	"github.com/phuslu/log"
 
+	"saffronyard.example/saffronyard/internal/tier/coordination"
 	"saffronyard.example/saffronyard/internal/tier/settings"
 	tierv1 "saffronyard.example/saffronyard/proto/saffronyard/tier/v1"
 )
@@ -56,6 +57,7 @@
 	reconcileNow   chan struct{} // wakes Run
 	pollNow        chan struct{} // wakes pollPlatform
 	barrier        readBarrier
+	coordination   *coordination.Runtime
 
 	mu               sync.Mutex // guards all below
 	published        *publishedState
@@ -84,7 +86,7 @@
 		config.Log = &log.Logger{Level: log.PanicLevel}
 	}
 	window := config.Settings.ContactWindow
-	return &ControlPlane{
+	plane := &ControlPlane{
 		Config:           config,
 		faultTolerance:   faultToleranceOf(config.Settings),
 		writer:           make(chan struct{}, 1),
@@ -97,6 +99,24 @@
 		retireDeadlines:  retireDeadlines{},
 		ejections:        newEjections(window),
 	}
+	plane.coordination = plane.newCoordination()
+	return plane
+}
+
+// newCoordination returns the runtime of locks, counters and keys on this process's control state.
+func (plane *ControlPlane) newCoordination() *coordination.Runtime {
+	start := time.Now()
+	return coordination.NewRuntime(coordination.RuntimeConfig{
+		Config: coordination.Config{HistoryRetention: plane.Settings.HistoryRetention},
+		Store:  plane.Store,
+		Primary: func() (uint64, bool) {
+			state, ok := plane.primary()
+			return state.epoch, ok
+		},
+		Now:          func() time.Duration { return time.Since(start) },
+		WriteTimeout: operatorWriteTimeout,
+		Log:          plane.Log,
+	})
 }
 
 // windowFraction returns the contact window divided by one of the divisors above.
--- a/internal/tier/controlplane/harness_test.go
+++ b/internal/tier/controlplane/harness_test.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/http/httptest"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -87,6 +88,18 @@
 	return s.values[key], s.sequences[key]
 }
 
+func (s *memoryStore) Scan(prefix string) map[string][]byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	found := map[string][]byte{}
+	for key, value := range s.values {
+		if strings.HasPrefix(key, prefix) && value != nil {
+			found[key] = value
+		}
+	}
+	return found
+}
+
 func (s *memoryStore) Confirm(_ context.Context, epoch uint64) error {
 	s.mu.Lock()
 	if slow := s.confirmDelay; slow > 0 {
--- a/internal/tier/controlplane/operators.go
+++ b/internal/tier/controlplane/operators.go
@@ -45,18 +45,21 @@
 	maxConfigurationLimit = 32 << 20
 )
 
-// Operators returns the handler of the operators' API, which listens on listen_addresses.control_plane.
+// Operators returns the handler of the API of operators and applications, which listens on listen_addresses.control_plane.
 // docs/design/hardening/1-answers.md tells which response a call gets from which process.
 func (plane *ControlPlane) Operators() http.Handler { return http.HandlerFunc(plane.dispatch) }
 
-// dispatch serves one call of the operators' API: /saffronyard/CALL or /saffronyard/CALL/ARGUMENT.
+// dispatch serves one call of the API: /saffronyard/CALL or /saffronyard/CALL/ARGUMENT.
 func (plane *ControlPlane) dispatch(w http.ResponseWriter, r *http.Request) {
 	path, ok := strings.CutPrefix(r.URL.Path, "/saffronyard/")
 	call, argument, _ := strings.Cut(path, "/")
 	var method string
 	var serve func() response
+	applicationMethod, parse := coordinationCall(call, argument)
 	switch {
 	case !ok:
+	case parse != nil:
+		method, serve = applicationMethod, func() response { return plane.serveCoordination(w, r, parse) }
 	case call == "Configuration.Replace" && argument == "":
 		method, serve = http.MethodPost, func() response { return plane.replaceConfiguration(w, r) }
 	case call == "Configuration.Describe" && argument == "":
@@ -72,6 +75,8 @@
 	case r.Method != method:
 		w.Header().Set("Allow", method)
 		errorResponse(http.StatusMethodNotAllowed, "the method is "+method).write(w)
+	case parse != nil:
+		serve().write(w)
 	default:
 		plane.withholdUnlessPrimary(serve()).write(w)
 	}
--- a/internal/tier/controlplane/primary.go
+++ b/internal/tier/controlplane/primary.go
@@ -16,12 +16,13 @@
 // writeRetryBackoff is the pause after a failed write that the primary made by itself, and the shortest one between two rounds.
 const writeRetryBackoff = 100 * time.Millisecond
 
-// Run does the primary's work in each epoch in which this process is the primary. It returns when ctx has ended and so has
-// the reading of the platform's list. A read barrier's round trip may end later, within its time-out.
+// Run does the primary's work in each epoch in which this process is the primary. It returns when ctx has ended and so have
+// the reading of the platform's list and the runtime of locks, counters and keys. A read barrier's round trip may end later, within its time-out.
 func (plane *ControlPlane) Run(ctx context.Context) {
-	var polling sync.WaitGroup
-	polling.Go(func() { plane.pollPlatform(ctx) })
-	defer polling.Wait()
+	var background sync.WaitGroup
+	background.Go(func() { plane.pollPlatform(ctx) })
+	background.Go(func() { plane.coordination.Run(ctx) })
+	defer background.Wait()
 	var loop reconciler
 	timer := time.NewTimer(0)
 	defer timer.Stop()
@@ -61,6 +62,7 @@
 		}
 		*loop = reconciler{}
 		wake(plane.pollNow)
+		plane.coordination.Wake()
 	}
 	plane.publishMembers(epoch)
 	return plane.reconcile(ctx, epoch, loop)
--- a/internal/tier/controlplane/store.go
+++ b/internal/tier/controlplane/store.go
@@ -13,6 +13,8 @@
 	Primary() (epoch uint64, ok bool)
 	// Get returns a key's value here, and the sequence of the write that set it. The value is nil where there is none.
 	Get(key string) (value []byte, sequence uint64)
+	// Scan returns the values of all keys that begin with a prefix.
+	Scan(prefix string) map[string][]byte
 	// Put returns nil only when the keys are synced here and at all backups in this epoch. A nil value removes its key. An
 	// error of type consensus.StateTooLarge says that nothing was written and that the epoch goes on. With any other error
 	// the outcome is unknown.
--- a/internal/tier/settings/settings.go
+++ b/internal/tier/settings/settings.go
@@ -61,22 +61,23 @@
 	ZoneFailures    int // fault_tolerance.zones: zones that may be lost at a time
 	RegionFailures  int // fault_tolerance.region_failures: regions that may be lost at a time
 
-	SeedStaleness  time.Duration // guarantees.seed_staleness_s: the age of the seeds, at most
-	AddressReuse   time.Duration // guarantees.address_reuse_s: before another service gets an address, at least
-	ContactWindow  time.Duration // guarantees.contact_window_ms: machines that hear each other so often are in touch
-	AckTimeout     time.Duration // guarantees.ack_timeout_ms: within it an order is acknowledged
-	SyncTime       time.Duration // guarantees.sync_time_s: within it a machine that returned is in sync
-	DrainTimeout   time.Duration // guarantees.drain_timeout_ms: a draining endpoint goes on serving so long
-	GracePeriod    time.Duration // guarantees.grace_period_s: from SIGTERM to SIGKILL
-	LossSlack      time.Duration // guarantees.loss_slack_ms: tolerance around a loss
-	ConfigApply    time.Duration // guarantees.config_apply_ms: from the acknowledgement of a configuration until it is in force
-	DowngradeSlack time.Duration // guarantees.downgrade_slack_ms: within it an older configuration may show
-	ClockSkew      time.Duration // guarantees.clock_skew_ms: error of the time of day, at most
-	RecoveryTime   time.Duration // guarantees.recovery_time_s: within it a final fault is overcome
-	ForwardTime    time.Duration // guarantees.pass_ms: for forwarding a message
-	RetryTime      time.Duration // guarantees.again_s: for doing something again
-	CompletionTime time.Duration // guarantees.completion_time_s: for programs after the end of traffic
-	SettleTime     time.Duration // guarantees.settle_time_ms
+	SeedStaleness    time.Duration // guarantees.seed_staleness_s: the age of the seeds, at most
+	AddressReuse     time.Duration // guarantees.address_reuse_s: before another service gets an address, at least
+	ContactWindow    time.Duration // guarantees.contact_window_ms: machines that hear each other so often are in touch
+	AckTimeout       time.Duration // guarantees.ack_timeout_ms: within it an order is acknowledged
+	SyncTime         time.Duration // guarantees.sync_time_s: within it a machine that returned is in sync
+	DrainTimeout     time.Duration // guarantees.drain_timeout_ms: a draining endpoint goes on serving so long
+	GracePeriod      time.Duration // guarantees.grace_period_s: from SIGTERM to SIGKILL
+	LossSlack        time.Duration // guarantees.loss_slack_ms: tolerance around a loss
+	ConfigApply      time.Duration // guarantees.config_apply_ms: from the acknowledgement of a configuration until it is in force
+	DowngradeSlack   time.Duration // guarantees.downgrade_slack_ms: within it an older configuration may show
+	ClockSkew        time.Duration // guarantees.clock_skew_ms: error of the time of day, at most
+	RecoveryTime     time.Duration // guarantees.recovery_time_s: within it a final fault is overcome
+	ForwardTime      time.Duration // guarantees.pass_ms: for forwarding a message
+	RetryTime        time.Duration // guarantees.again_s: for doing something again
+	HistoryRetention time.Duration // guarantees.history_retention_s: a watch goes on from a revision that it was given so long ago
+	CompletionTime   time.Duration // guarantees.completion_time_s: for programs after the end of traffic
+	SettleTime       time.Duration // guarantees.settle_time_ms
 
 	CloudAddress string        // cloud_api.address: where the platform's list is; empty: there is none
 	CloudRate    float64       // cloud_api.rate_per_s: calls a second of all processes together; 0: not given
--- a/internal/tier/settings/settings_test.go
+++ b/internal/tier/settings/settings_test.go
@@ -97,7 +97,7 @@
 		MachineFailures: 1, SeedStaleness: 3 * time.Second, AddressReuse: 2 * time.Second, ContactWindow: 3 * time.Second,
 		AckTimeout: 4 * time.Second, SyncTime: 4100 * time.Millisecond, DrainTimeout: 3 * time.Second, GracePeriod: 8 * time.Second,
 		LossSlack: 200 * time.Millisecond, ConfigApply: 2 * time.Second, DowngradeSlack: 250 * time.Millisecond,
-		ClockSkew: 5 * time.Second, RecoveryTime: 12 * time.Second, ForwardTime: 120 * time.Millisecond, CompletionTime: 10 * time.Second,
+		ClockSkew: 5 * time.Second, RecoveryTime: 12 * time.Second, ForwardTime: 120 * time.Millisecond, HistoryRetention: 20 * time.Second, CompletionTime: 10 * time.Second,
 		SettleTime: time.Second, CloudAddress: "10.200.0.100:8142", CloudRate: 40, CloudMaxLag: 800 * time.Millisecond,
 	}
 }
--- a/internal/tier/settings/table.go
+++ b/internal/tier/settings/table.go
@@ -57,6 +57,7 @@
 	duration("guarantees.drain_timeout_ms", 3000, atLeast(0), "a leaving endpoint serves on", func(s *Settings) *time.Duration { return &s.DrainTimeout }),
 	duration("guarantees.grace_period_s", 8, atLeast(0), "from SIGTERM to SIGKILL", func(s *Settings) *time.Duration { return &s.GracePeriod }),
 	duration("guarantees.loss_slack_ms", 200, atLeast(0), "slack around a loss", func(s *Settings) *time.Duration { return &s.LossSlack }),
+	duration("guarantees.history_retention_s", 20, atLeast(0), "a watch goes on from a revision that it was given", func(s *Settings) *time.Duration { return &s.HistoryRetention }),
 	duration("guarantees.config_apply_ms", 2000, above(0), "from acknowledgement to force", func(s *Settings) *time.Duration { return &s.ConfigApply }),
 	duration("guarantees.downgrade_slack_ms", 250, atLeast(0), "within it an older configuration may show", func(s *Settings) *time.Duration { return &s.DowngradeSlack }),
 	duration("guarantees.clock_skew_ms", 5000, atLeast(0), "error of the time of day", func(s *Settings) *time.Duration { return &s.ClockSkew }),
