--- a/internal/tier/controlplane/metrics.go
+++ b/internal/tier/controlplane/metrics.go
@@ -43,9 +43,10 @@
 	plane.mu.Lock()
 	defer plane.mu.Unlock()
 	risk := plane.riskReport(now, state.partitionMap)
+	coordination := plane.coordination.Figures()
 	figures := &metrics.Primary{Revision: state.changes.current, PartitionsAtRisk: int(risk.Partitions), LossesToTolerate: int(risk.Losses),
 		PartitionLossesTolerated: int(risk.PartitionsBorne), ControlLossesTolerated: int(risk.ControlBorne),
-		UntilTolerated: time.Duration(risk.PartitionsUntilMs) * time.Millisecond}
+		UntilTolerated: time.Duration(risk.PartitionsUntilMs) * time.Millisecond, Coordination: metrics.Coordination(coordination)}
 	for _, s := range plane.sessions.byKey {
 		switch {
 		case !plane.sessions.active(now, s):
--- a/internal/tier/metrics/controlplane.go
+++ b/internal/tier/metrics/controlplane.go
@@ -27,6 +27,16 @@
 	PartitionLossesTolerated int           // losses that the worst partition survives; -1: it has no synced copy that is alive
 	ControlLossesTolerated   int           // losses that the control state survives; -1: not known
 	UntilTolerated           time.Duration // until the partitions should survive all losses again; 0: they do, below 0: overdue
+	Coordination             Coordination
+}
+
+// Coordination is the set of figures of what applications coordinate by, as of the last call.
+type Coordination struct {
+	Locks       int // including those whose hold has expired and was not removed yet
+	Counters    int
+	Keys        int
+	HistoryPuts int // puts that watches may still go on from
+	Watches     int // calls that wait for a put
 }
 
 func (figures ControlPlane) write(w io.Writer) {
@@ -50,4 +60,12 @@
 	gauges(w, "saffronyard_losses_borne", "Further losses that nothing acknowledged is lost by; -1: unknown for the control state, no copy for a partition.", "of",
 		sample{"partitions", float64(figures.PartitionLossesTolerated)}, sample{"control_state", float64(figures.ControlLossesTolerated)})
 	gauge(w, "saffronyard_next_loss_borne_seconds", "Seconds until all partitions should bear the next loss again; 0: they do, below 0: overdue.", seconds(figures.UntilTolerated))
+	figures.Coordination.write(w)
+}
+
+func (figures Coordination) write(w io.Writer) {
+	gauges(w, "saffronyard_coordination_records", "Records that applications coordinate by.", "kind",
+		sample{"lock", float64(figures.Locks)}, sample{"counter", float64(figures.Counters)}, sample{"key", float64(figures.Keys)},
+		sample{"history", float64(figures.HistoryPuts)})
+	gauge(w, "saffronyard_coordination_watches", "Watches that wait for a put.", float64(figures.Watches))
 }
--- a/internal/tier/metrics/metrics_test.go
+++ b/internal/tier/metrics/metrics_test.go
@@ -66,7 +66,8 @@
 	primary := backup
 	primary.LeaseRemaining = 750 * time.Millisecond
 	primary.Primary = &Primary{Revision: 56, Gateways: 4, TurnStores: 3, UnhealthyStores: 1, PartitionsAtRisk: 21, LossesToTolerate: 1,
-		PartitionLossesTolerated: 0, ControlLossesTolerated: -1, UntilTolerated: -2500 * time.Millisecond}
+		PartitionLossesTolerated: 0, ControlLossesTolerated: -1, UntilTolerated: -2500 * time.Millisecond,
+		Coordination: Coordination{Locks: 5, Counters: 2, Keys: 120, HistoryPuts: 80, Watches: 3}}
 	all := samples(t, primary)
 	for name, want := range map[string]string{
 		"saffronyard_control_primary":                  "1",
@@ -81,10 +82,16 @@
 		`saffronyard_losses_borne{of="control_state"}`: "-1",
 		"saffronyard_next_loss_borne_seconds":          "-2.5",
 		`saffronyard_disk_state{state="sound"}`:        "1",
+
+		`saffronyard_coordination_records{kind="lock"}`:    "5",
+		`saffronyard_coordination_records{kind="counter"}`: "2",
+		`saffronyard_coordination_records{kind="key"}`:     "120",
+		`saffronyard_coordination_records{kind="history"}`: "80",
+		"saffronyard_coordination_watches":                 "3",
 	} {
 		assert.Equal(t, all[name], want, name)
 	}
-	assert.Equal(t, len(all), 17)
+	assert.Equal(t, len(all), 22)
 }
 
 func TestTurnStore(t *testing.T) {
