Coordination: no round trip at the start of an epoch; events on the operators' page

Change: a round trip only after a batch of this process without a known outcome; the events' rows and their test.

--- a/internal/tier/controlplane/harness_test.go
+++ b/internal/tier/controlplane/harness_test.go
@@ -166,7 +166,7 @@
 
 func testSettings() settings.Settings {
 	return settings.Settings{Node: "core-1", IP: "10.0.0.1", Control: "10.0.0.1:8144", MachineFailures: 1, MemoryMB: 1,
-		ContactWindow: 3 * time.Second, ConfigApply: 2 * time.Second, DrainTimeout: 3 * time.Second, CloudRate: 40}
+		ContactWindow: 3 * time.Second, ConfigApply: 2 * time.Second, DrainTimeout: 3 * time.Second, HistoryRetention: 20 * time.Second, CloudRate: 40}
 }
 
 func withHarness(t *testing.T, f func(*harness)) { withHarnessOf(t, testSettings(), nil, f) }
--- a/internal/tier/coordination/runtime.go
+++ b/internal/tier/coordination/runtime.go
@@ -43,7 +43,8 @@
 type RuntimeConfig struct {
 	Config
 	Store Store
-	// Primary returns the epoch in which this process may write and answer, and whether it may.
+	// Primary returns the epoch in which this process may write and answer, and whether it may: not before what earlier epochs wrote
+	// is either committed or gone for good.
 	Primary      func() (epoch uint64, ok bool)
 	Now          func() time.Duration // monotonic
 	WriteTimeout time.Duration        // of one write or round trip
@@ -67,7 +68,10 @@
 	machine *Machine // nil: to be loaded
 	epoch   uint64   // in which machine was loaded
 	waiting map[uint64]*pendingCall
-	onLoad  func(*Machine) // called with each machine that was loaded; nil but in tests that inject faults
+
+	unresolved bool // a write of this process may be under way
+
+	onLoad func(*Machine) // called with each machine that was loaded; nil but in tests that inject faults
 }
 
 // pendingCall is a call that waits for its outcome.
@@ -202,17 +206,14 @@
 	r.deliver(actions.Responses)
 }
 
-// ensureLoaded has a machine for an epoch. The round trip before the records are read ends whatever this process may still have
-// under way: what comes after it finds an earlier write either committed or gone for good.
+// ensureLoaded has a machine for an epoch.
 func (r *Runtime) ensureLoaded(ctx context.Context, epoch uint64) error {
 	if r.machine != nil && r.epoch == epoch {
 		return nil
 	}
 	r.machine = nil
 	r.failWaiting(ErrBusy)
-	ctx, cancel := context.WithTimeout(ctx, r.config.WriteTimeout)
-	defer cancel()
-	if err := r.config.Store.Confirm(ctx, epoch); err != nil {
+	if err := r.resolveWrites(ctx, epoch); err != nil {
 		return err
 	}
 	records := r.config.Store.Scan(KeyPrefix)
@@ -231,6 +232,21 @@
 	return nil
 }
 
+// resolveWrites makes a round trip that ends whatever write of this process may still be under way: what comes after it finds that
+// write either committed or gone for good. Where none is, nothing is sent: each call of a new primary counts while messages are lost.
+func (r *Runtime) resolveWrites(ctx context.Context, epoch uint64) error {
+	if !r.unresolved {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, r.config.WriteTimeout)
+	defer cancel()
+	if err := r.config.Store.Confirm(ctx, epoch); err != nil {
+		return err
+	}
+	r.unresolved = false
+	return nil
+}
+
 // take takes what is queued, but for what its callers have given up, as events of the next step.
 func (r *Runtime) take() (begun []*pendingCall, events []Event) {
 	r.mu.Lock()
@@ -280,7 +296,7 @@
 		}
 		r.end(pending, callOutcome{err: err})
 	}
-	r.machine = nil
+	r.machine, r.unresolved = nil, true
 	r.failWaiting(ErrBusy)
 	r.config.Log.Warn().Str("event", "coordination_unclear").Uint64("epoch", r.epoch).Str("error", cause.Error()).
 		Msg("a batch of locks, counters and keys was not committed for sure: loading the records again")
--- a/internal/tier/logformat/documented_events_test.go
+++ b/internal/tier/logformat/documented_events_test.go
@@ -42,6 +42,9 @@
 	{"turnstore_compact_failed", "Warn", "", []string{"error"}}, {"turnstore_disk_failed", "Error", "", []string{"error"}},
 	{"turnstore_disk_stuck", "Error", "", nil}, {"turnstore_disk_recovered", "Info", "", []string{"after"}},
 	{"disk_failed", "Error", "", []string{"error"}}, {"disk_recovered", "Info", "", nil}, {"record_refused", "Error", "", []string{"error"}},
+	{"disk_stuck", "Error", "", []string{"for"}}, {"disk_released", "Info", "", nil},
+	{"coordination_loaded", "Info", "", []string{"epoch", "locks", "counters", "keys"}}, {"coordination_unclear", "Warn", "", []string{"epoch", "error"}},
+	{"coordination_unreadable", "Error", "", []string{"error"}},
 	{"control", "Info", "", nil}, {"wal_tail_cut", "Warn", "", nil}, {"rpc_server_ended", "Error", "", []string{"error"}},
 }
 
