Review: a frozen gateway answers 404 for a turn that is still kept

Change: a script that stops one gateway of ten for 3.1 s and sends it, 59.85 s after the end of an answer, the turn that goes on from there. It gets 404 though retention_s is 60 s (LOST), as the age is taken at the turn store and the slack there is 2 s.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -15,7 +15,7 @@
 )
 
 func main() {
-	cases := map[string]func(record io.Writer, trouble bool) int{"truncated": truncated}
+	cases := map[string]func(record io.Writer, trouble bool) int{"truncated": truncated, "retention": retention}
 	switch {
 	case len(os.Args) == 3 && os.Args[1] == "endpoint":
 		os.Exit(serveUnframed(os.Args[2]))
