--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"os"
+	"runtime"
 )
 
 // Exit codes of a case.
@@ -15,6 +16,7 @@
 )
 
 func main() {
+	runtime.LockOSThread() // processes that are started end with the thread that started them
 	cases := map[string]func(record io.Writer, trouble bool) int{"truncated": truncated, "retention": retention}
 	switch {
 	case len(os.Args) == 3 && os.Args[1] == "endpoint":
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"strings"
+	"syscall"
 	"time"
 )
 
@@ -79,6 +80,7 @@
 func startChild(instance string, log io.Writer) (*child, error) {
 	cmd := exec.Command(os.Args[0], "endpoint", instance)
 	cmd.Stderr = log
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // it ends with this program
 	out, err := cmd.StdoutPipe()
 	if err != nil {
 		return nil, err
--- a/review/standin/tier.go
+++ b/review/standin/tier.go
@@ -146,6 +146,7 @@
 	of.cmd = exec.Command("target/serving-tier", of.role)
 	of.cmd.Env = append(os.Environ(), "SAFFRONYARD_SETTINGS="+path)
 	of.cmd.Stdout, of.cmd.Stderr = log, log
+	of.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // it ends with this program
 	if err := of.cmd.Start(); err != nil {
 		return err
 	}
